--- /dev/null
+++ b/packages/protocol/test/protocol.test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { formatLoadHeader, parseLoadHeader } from "../src/answer.js";
+import { CallError, kindNames, kinds } from "../src/kinds.js";
+
+test("a load header survives writing and reading", () => {
+    const report = { inFlight: 3, latencyMs: 12.5, draining: true };
+    assert.deepEqual(parseLoadHeader(formatLoadHeader(report)), report);
+});
+
+test("a load header with anything unexpected in it is not read", () => {
+    for (const text of [
+        "",
+        "inFlight=-1 latencyMs=2",
+        "inFlight=1",
+        "inFlight=1 latencyMs=2 x",
+        "inFlight=1e9 latencyMs=0",
+    ]) {
+        assert.equal(parseLoadHeader(text), undefined, text);
+    }
+});
+
+test("no kind invites a retry of a request that has run", () => {
+    for (const kind of kindNames) {
+        assert.ok(kinds[kind].ran !== "ran" || kinds[kind].retry === "never", kind);
+    }
+});
+
+test("an error carries its kind's answer", () => {
+    assert.equal(new CallError("table-full").row.ran, "not run");
+});
