Dispatch calls by late binding

Each entry VM holds a service's calls until a slot that it believes in is free, since two slots a server make queueing at the server the costliest place to wait. Calls wait by class priority and tenants take turns; a full queue sheds less urgent calls first, and an expired call never takes a slot.

--- /dev/null
+++ b/packages/dispatch/test/dispatcher.test.ts
@@ -0,0 +1,107 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CallError } from "@bramleymoor/protocol/kinds";
+import { ServiceDispatcher } from "../src/dispatcher.js";
+import { SeededRandom } from "../src/random.js";
+import type { Call, Share, Slot } from "../src/types.js";
+import type { Service } from "@bramleymoor/model/spec";
+import { makeCall, makeService, readClass } from "./fixtures.js";
+
+const whole: Share = { index: 0, count: 1 };
+const ok = { kind: "answered", status: 200 } as const;
+
+const dispatcherOf = (service: Service, share = whole): ServiceDispatcher =>
+    new ServiceDispatcher(service, share, new SeededRandom(1), 0);
+
+interface Watched {
+    readonly slots: Slot[];
+    readonly errors: string[];
+    readonly stop: () => void;
+}
+
+const submit = (dispatcher: ServiceDispatcher, call: Call, now = 0): Watched => {
+    const slots: Slot[] = [];
+    const errors: string[] = [];
+    const subscription = dispatcher.submit(call, now).subscribe({
+        next: slot => slots.push(slot),
+        error: (err: unknown) => errors.push(err instanceof CallError ? err.kind : String(err)),
+    });
+    return { slots, errors, stop: () => subscription.unsubscribe() };
+};
+
+test("calls beyond the slots wait and are served when a slot is free", () => {
+    const dispatcher = dispatcherOf(makeService(1, 2));
+    const [first, , third] = [0, 1, 2].map(() => submit(dispatcher, makeCall()));
+    assert.equal(third?.slots.length, 0);
+    assert.ok(first?.slots[0]);
+    dispatcher.settle(first.slots[0], ok, 10);
+    assert.equal(third.slots.length, 1);
+});
+
+test("an expired call never takes a slot", () => {
+    const dispatcher = dispatcherOf(makeService(1, 1));
+    const first = submit(dispatcher, makeCall());
+    const second = submit(dispatcher, makeCall({ deadlineAt: 50 }));
+    assert.ok(first.slots[0]);
+    dispatcher.settle(first.slots[0], ok, 60);
+    assert.deepEqual(second.errors, ["deadline-queued"]);
+    assert.equal(second.slots.length, 0);
+});
+
+test("a full queue refuses, but for a more urgent class", () => {
+    const dispatcher = dispatcherOf(makeService(1, 1, { queueLimit: 1 }));
+    submit(dispatcher, makeCall());
+    const queued = submit(dispatcher, makeCall());
+    assert.deepEqual(submit(dispatcher, makeCall()).errors, ["overloaded"]);
+    const urgent = submit(dispatcher, makeCall({ class: { ...readClass, priority: 0 } }));
+    assert.deepEqual(queued.errors, ["overloaded"]);
+    assert.deepEqual(urgent.errors, []);
+});
+
+test("a leaving server gets no work", () => {
+    const service = makeService(2, 1);
+    const dispatcher = dispatcherOf(service);
+    dispatcher.leaving(new Set(["10.0.0.0:80"]), 0);
+    assert.equal(submit(dispatcher, makeCall()).slots[0]?.server.address, "10.0.0.1:80");
+    dispatcher.leaving(new Set(["10.0.0.0:80", "10.0.0.1:80"]), 0);
+    assert.deepEqual(submit(dispatcher, makeCall()).errors, ["no-server"]);
+});
+
+test("shares of the slots are disjoint and together whole", () => {
+    const service = makeService(5, 3);
+    const totals = [0, 1, 2, 3].map(index => {
+        const view = dispatcherOf(service, { index, count: 4 }).view(0);
+        return view.servers.reduce((sum, it) => sum + it.limit, 0);
+    });
+    assert.equal(
+        totals.reduce((a, b) => a + b),
+        15,
+    );
+});
+
+test("tenants take turns", () => {
+    const dispatcher = dispatcherOf(makeService(1, 1));
+    const order: string[] = [];
+    const running: Slot[] = [];
+    for (const tenant of ["loud", "loud", "loud", "quiet"]) {
+        dispatcher.submit(makeCall({ tenant }), 0).subscribe(slot => {
+            order.push(slot.call.tenant);
+            running.push(slot);
+        });
+    }
+    for (let slot = running.shift(); slot; slot = running.shift()) {
+        dispatcher.settle(slot, ok, 1);
+    }
+    assert.deepEqual(order, ["loud", "loud", "quiet", "loud"]);
+});
+
+test("an abandoned call leaves the queue; a slot is settled once", () => {
+    const dispatcher = dispatcherOf(makeService(1, 1));
+    const first = submit(dispatcher, makeCall());
+    submit(dispatcher, makeCall()).stop();
+    assert.equal(dispatcher.view(0).queued, 0);
+    const slot = first.slots[0];
+    assert.ok(slot);
+    dispatcher.settle(slot, ok, 1);
+    assert.throws(() => dispatcher.settle(slot, ok, 2));
+});
