--- /dev/null
+++ b/packages/platform/src/http.ts
@@ -0,0 +1,138 @@
+/** The platform over HTTP; the protocol is described in docs/PROTOCOL-PLATFORM.md. */
+
+import { Agent, request, type ClientRequest, type IncomingMessage } from "node:http";
+import { z } from "zod";
+import { PlatformError, type LogBatch, type LogService } from "./log.js";
+import type { ListedVm, VmList } from "./vms.js";
+
+const answerTimeoutMs = 5000;
+const maxAnswerBytes = 16 * 1024 * 1024;
+
+const offset = z.number().int().nonnegative();
+const appendAnswer = z.object({ offset });
+const batchAnswer = z.object({
+    records: z.array(z.object({ offset, data: z.string(), ageMs: z.number().nonnegative() })),
+    first: offset,
+    next: offset,
+});
+const vmsAnswer = z.object({
+    vms: z.array(
+        z.object({
+            id: z.string(),
+            peerAddress: z.string(),
+            callerAddress: z.string(),
+            region: z.string(),
+            domain: z.string(),
+            role: z.enum(["entry", "backend"]),
+            leaving: z.boolean(),
+        }),
+    ),
+});
+
+interface Question {
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly body?: string;
+    readonly timeoutMs: number;
+    readonly signal?: AbortSignal | undefined;
+}
+
+/** Log service and VM list at a base URL such as "http://10.0.0.5:9400". */
+export class HttpPlatform implements LogService, VmList {
+    readonly #base: URL;
+    readonly #agent = new Agent({ keepAlive: true });
+
+    constructor(baseUrl: string) {
+        this.#base = new URL(baseUrl);
+        if (this.#base.protocol !== "http:") {
+            throw new TypeError(`the platform's address has to begin with http://, not ${baseUrl}`);
+        }
+    }
+
+    /** Appends a record; see LogService. */
+    async append(stream: string, data: string): Promise<number> {
+        const path = recordsPath(stream);
+        const answer = await this.#ask({ method: "POST", path, body: data, timeoutMs: answerTimeoutMs });
+        return parse(appendAnswer, answer).offset;
+    }
+
+    /** Reads records; see LogService. */
+    async read(
+        stream: string,
+        from: number,
+        limit: number,
+        waitMs: number,
+        signal?: AbortSignal,
+    ): Promise<LogBatch> {
+        const query = new URLSearchParams({ from: `${from}`, limit: `${limit}`, waitMs: `${waitMs}` });
+        const path = `${recordsPath(stream)}?${query.toString()}`;
+        const answer = await this.#ask({ method: "GET", path, timeoutMs: waitMs + answerTimeoutMs, signal });
+        return parse(batchAnswer, answer);
+    }
+
+    /** Answers the VM list; see VmList. */
+    async list(): Promise<readonly ListedVm[]> {
+        const answer = await this.#ask({ method: "GET", path: "/v1/vms", timeoutMs: answerTimeoutMs });
+        return parse(vmsAnswer, answer).vms;
+    }
+
+    /** Closes idle connections. */
+    close(): void {
+        this.#agent.destroy();
+    }
+
+    async #ask(question: Question): Promise<string> {
+        const timeout = AbortSignal.timeout(question.timeoutMs);
+        const signal = question.signal ? AbortSignal.any([question.signal, timeout]) : timeout;
+        try {
+            const res = await this.#send(question, signal);
+            const text = await readAll(res);
+            checkStatus(res.statusCode ?? 0, text);
+            return text;
+        } catch (err) {
+            throw err instanceof PlatformError ? err : new PlatformError("unavailable", String(err));
+        }
+    }
+
+    #send(question: Question, signal: AbortSignal): Promise<IncomingMessage> {
+        const url = new URL(question.path, this.#base);
+        return new Promise((resolve, reject) => {
+            const req: ClientRequest = request(url, { method: question.method, agent: this.#agent, signal });
+            req.on("response", resolve);
+            req.on("error", reject);
+            req.end(question.body);
+        });
+    }
+}
+
+const recordsPath = (stream: string): string => `/v1/streams/${encodeURIComponent(stream)}/records`;
+
+const readAll = async (res: IncomingMessage): Promise<string> => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of res as AsyncIterable<Buffer>) {
+        bytes += chunk.length;
+        if (bytes > maxAnswerBytes) {
+            res.destroy();
+            throw new PlatformError("bad answer", `more than ${maxAnswerBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+};
+
+const checkStatus = (status: number, text: string): void => {
+    if (status >= 200 && status < 300) {
+        return;
+    }
+    const failure = status >= 400 && status < 500 && status !== 429 ? "bad answer" : "unavailable";
+    throw new PlatformError(failure, `status ${status}: ${text.slice(0, 200)}`);
+};
+
+const parse = <T>(schema: z.ZodType<T>, text: string): T => {
+    try {
+        return schema.parse(JSON.parse(text));
+    } catch (err) {
+        throw new PlatformError("bad answer", String(err));
+    }
+};
--- /dev/null
+++ b/packages/platform/src/vms.ts
@@ -0,0 +1,23 @@
+/** The platform's list of live and leaving VMs, which lags behind the truth. */
+
+/** Where the list can be asked for. */
+export interface VmList {
+    /** Answers the list as the platform knows it; fails with a PlatformError. */
+    list(): Promise<readonly ListedVm[]>;
+}
+
+/** One VM of the list. */
+export interface ListedVm {
+    /** Stable name. */
+    readonly id: string;
+    /** "IP:port" where entry VMs connect to each other; for a backend server its own address. */
+    readonly peerAddress: string;
+    /** "IP:port" where callers connect; for a backend server its own address. */
+    readonly callerAddress: string;
+    readonly region: string;
+    /** Failure domain. */
+    readonly domain: string;
+    readonly role: "entry" | "backend";
+    /** The VM is about to be stopped. */
+    readonly leaving: boolean;
+}
