--- a/packages/testkit/test/platform.test.ts
+++ b/packages/testkit/test/platform.test.ts
@@ -45,7 +45,7 @@
     }));
 
 test("a waiting read is answered by the next append, and ends with its signal", () =>
-    withPlatform(async (server, client) => {
+    withPlatform(async (_server, client) => {
         const waiting = client.read("s", 0, 10, 60_000);
         await client.read("s", 0, 10, 0);
         await client.append("s", "x");
