--- a/packages/model/src/spec.ts
+++ b/packages/model/src/spec.ts
@@ -74,6 +74,6 @@
 
 /** An accepted operators' text. */
 export interface Spec {
-    /** By name, in the text's order. */
+    /** By name, in the order of the names. */
     readonly services: ReadonlyMap<string, Service>;
 }
--- /dev/null
+++ b/packages/model/test/builders.ts
@@ -0,0 +1,39 @@
+/** Small texts for tests. */
+
+import { parseText } from "../src/text.js";
+import type { ReadDocument } from "../src/text.js";
+import type { TextError } from "../src/text-error.js";
+
+/** The smallest valid text. */
+export const smallest = "[service stops-lookup]\nserver = 192.0.2.10:8080\n";
+
+/** Reads a text that must be valid. */
+export const valid = (text: string): ReadDocument => {
+    const parsed = parseText(text);
+    if (!parsed.ok) {
+        throw new Error(parsed.errors.map(err => err.message).join("\n"));
+    }
+    return parsed;
+};
+
+/** Reads a text that must be refused. */
+export const refused = (text: string): readonly TextError[] => {
+    const parsed = parseText(text);
+    if (parsed.ok) {
+        throw new Error("the text was accepted");
+    }
+    return parsed.errors;
+};
+
+/** A text of `count` services, each with `servers` backend servers and a class. */
+export const largeText = (count: number, servers: number): string => {
+    const lines: string[] = [];
+    for (let i = 0; i < count; i++) {
+        lines.push(`[service service-${i}]`, `depends-on = ${i % 4 === 0 ? "" : `service-${i - 1}`}`);
+        for (let j = 0; j < servers; j++) {
+            lines.push(`server = 10.${i >> 8}.${i & 255}.${j + 1}:8080 domain=domain-${j % 7} slots=2`);
+        }
+        lines.push(`[class service-${i}/orders]`, "path = /orders", "deadline = 2s");
+    }
+    return lines.join("\n");
+};
