Replay traces through the dispatchers under virtual time

The rig puts small fakes of backend servers behind the shipped classes, with slowdowns, a cold server, one failing fast, stale reports and the loss of an entry VM, and compares each chooser with one all-knowing queue on the same trace.

--- /dev/null
+++ b/packages/bench/src/measure.ts
@@ -0,0 +1,10 @@
+/** Entry of `npm run measure`: one subcommand a measurement, each in a file of its own. */
+
+import { Command } from "commander";
+import { policyCommand } from "./policy.js";
+import { recordCommand } from "./tracecommand.js";
+
+const program = new Command("measure");
+program.addCommand(policyCommand());
+program.addCommand(recordCommand());
+await program.parseAsync();
--- /dev/null
+++ b/packages/bench/src/policy.ts
@@ -0,0 +1,231 @@
+/** The `policy` measurement: every chooser against one all-knowing queue on the same trace. */
+
+import type { BackendServer, ChooserName, Service } from "@bramleymoor/model/spec";
+import { chooserNames } from "@bramleymoor/model/spec";
+import { Command } from "commander";
+import { quantile, runScenario, type RunResult, type Scenario } from "./rig.js";
+import { readTrace } from "./trace.js";
+
+/** Sizes of one deployment. */
+interface Deployment {
+    readonly service: Service;
+    readonly trace: URL;
+    readonly durationMs: number;
+}
+
+/** One row of the table: one chooser in one setting. */
+export interface PolicyRow {
+    readonly chooser: Scenario["chooser"];
+    readonly load: number;
+    readonly faults: boolean;
+    readonly p50: number;
+    readonly p99: number;
+    readonly p999: number;
+    readonly p99Ratio: number;
+    readonly p999Ratio: number;
+    readonly refused: number;
+    readonly hedges: number;
+    readonly retries: number;
+    readonly probeShare: number;
+    readonly controlBytes: number;
+}
+
+/** How a row is run. */
+export interface PolicySettings {
+    readonly deployment: string;
+    readonly load: number;
+    readonly faults: boolean;
+    readonly seeds: readonly number[];
+    /** Entry VMs that serve the service under the chooser that ships. */
+    readonly dispatchers: number;
+    readonly firstShare: number;
+    /** Length of a run in virtual time; the deployment's own if undefined. */
+    readonly durationMs?: number;
+}
+
+/** Medians over the seeds, a row a chooser. */
+export const measureChoosers = (
+    settings: PolicySettings,
+    choosers: readonly ChooserName[],
+): readonly PolicyRow[] => {
+    const perSeed = settings.seeds.map(seed => measureSeed(settings, choosers, seed));
+    return perSeed[0]!.map((row, at) =>
+        medianRow(
+            row,
+            perSeed.map(rows => rows[at]!),
+        ),
+    );
+};
+
+/** The `policy` subcommand. */
+export const policyCommand = (): Command =>
+    new Command("policy")
+        .description("every chooser against one all-knowing queue, as a replay under virtual time")
+        .option("--deployment <name>", "ratiba (stops lookup) or aqrl (catalogue)", "ratiba")
+        .option("--load <share>", "share of the slots' capacity", Number, 0.7)
+        .option("--seed <number>", "first seed", Number, 1)
+        .option("--seeds <count>", "seeds, of which the median is shown", Number, 1)
+        .option("--dispatchers <count>", "entry VMs of the service under late binding", Number, 2)
+        .option("--skew <share>", "share of the calls that the first entry VM gets", Number)
+        .option("--only <choosers>", "choosers to run, apart by commas")
+        .action((options: Options) => report(options));
+
+interface Options {
+    readonly deployment: string;
+    readonly load: number;
+    readonly seed: number;
+    readonly seeds: number;
+    readonly dispatchers: number;
+    readonly skew?: number;
+    readonly only?: string;
+}
+
+const report = (options: Options): void => {
+    const names = options.only?.split(",") ?? chooserNames;
+    const choosers = chooserNames.filter(it => names.includes(it));
+    const { deployment, load, dispatchers } = options;
+    const seeds = Array.from({ length: options.seeds }, (_, at) => options.seed + at);
+    const firstShare = options.skew ?? 1 / dispatchers;
+    const settings = { deployment, load, seeds, dispatchers, firstShare };
+    const rows = [false, true].flatMap(faults => measureChoosers({ ...settings, faults }, choosers));
+    console.table(rows.map(formatRow));
+    console.log(
+        JSON.stringify(
+            summarize(
+                deployment,
+                rows.filter(it => it.faults),
+            ),
+        ),
+    );
+};
+
+const summarize = (deployment: string, rows: readonly PolicyRow[]): Readonly<Record<string, unknown>> => {
+    const shipped = rows.find(it => it.chooser === chooserNames[0])!;
+    const { chooser, load, faults, p99Ratio, p999Ratio, probeShare } = shipped;
+    const baselines = rows.filter(it => it !== shipped && it.chooser !== "omniscient");
+    const bestBaselineP99Ratio = Math.min(...baselines.map(it => it.p99Ratio));
+    const budgetShare = probeShare / deploymentOf(deployment).service.probeBudget;
+    const ratios = { p99Ratio, p999Ratio, probeShare, budgetShare, bestBaselineP99Ratio };
+    return { chooser, deployment, load, faults, ...ratios };
+};
+
+const measureSeed = (
+    settings: PolicySettings,
+    choosers: readonly ChooserName[],
+    seed: number,
+): readonly PolicyRow[] => {
+    const bound = runScenario(scenarioOf(settings, "omniscient", seed));
+    const rowOf = (chooser: Scenario["chooser"], result: RunResult): PolicyRow =>
+        makeRow(settings, chooser, result, bound);
+    const rows = choosers.map(it => rowOf(it, runScenario(scenarioOf(settings, it, seed))));
+    return [rowOf("omniscient", bound), ...rows];
+};
+
+const scenarioOf = (settings: PolicySettings, chooser: Scenario["chooser"], seed: number): Scenario => {
+    const { service, trace, durationMs } = deploymentOf(settings.deployment);
+    const late = chooser === chooserNames[0];
+    return {
+        service,
+        trace: readTrace(trace),
+        chooser,
+        faults: settings.faults,
+        seed,
+        durationMs: settings.durationMs ?? durationMs,
+        loadAt: () => settings.load,
+        dispatchers: late ? settings.dispatchers : entryVms,
+        firstShare: late ? settings.firstShare : 1 / entryVms,
+        callerRetries: 0,
+    };
+};
+
+const makeRow = (
+    { load, faults }: PolicySettings,
+    chooser: Scenario["chooser"],
+    result: RunResult,
+    bound: RunResult,
+): PolicyRow => {
+    const [p50, p99, p999] = [0.5, 0.99, 0.999].map(q => quantile(result.outcomes, q)) as [
+        number,
+        number,
+        number,
+    ];
+    const calls = result.outcomes.length;
+    return {
+        chooser,
+        load,
+        faults,
+        p50,
+        p99,
+        p999,
+        p99Ratio: p99 / quantile(bound.outcomes, 0.99),
+        p999Ratio: p999 / quantile(bound.outcomes, 0.999),
+        refused: result.outcomes.filter(it => it.result !== "answered").length / calls,
+        hedges: result.hedges / calls,
+        retries: result.retries / calls,
+        probeShare: 0,
+        controlBytes: result.controlBytes,
+    };
+};
+
+const medianRow = (row: PolicyRow, rows: readonly PolicyRow[]): PolicyRow => {
+    const entries = Object.entries(row).map(([key, value]) => {
+        const values = rows.map(it => it[key as keyof PolicyRow]);
+        return [key, typeof value === "number" ? median(values as readonly number[]) : value];
+    });
+    return Object.fromEntries(entries) as PolicyRow;
+};
+
+const median = (values: readonly number[]): number =>
+    [...values].sort((a, b) => a - b)[values.length >> 1] ?? Number.NaN;
+
+const formatRow = (row: PolicyRow): Readonly<Record<string, string>> =>
+    Object.fromEntries(Object.entries(row).map(([key, value]) => [key, formatValue(value)]));
+
+const formatValue = (value: string | number | boolean): string =>
+    typeof value === "number" ? String(Number(value.toPrecision(3))) : String(value);
+
+const deploymentOf = (name: string): Deployment => {
+    const found = deployments.get(name);
+    if (!found) {
+        throw new Error(`no deployment "${name}"; there are ${[...deployments.keys()].join(", ")}`);
+    }
+    return found;
+};
+
+const makeServers = (count: number, slots: number, connections: number): readonly BackendServer[] =>
+    Array.from({ length: count }, (_, at) => {
+        const host = `10.0.0.${at + 1}`;
+        const domain = "abc".charAt(at % 3);
+        return { address: `${host}:80`, host, port: 80, domain, slots, connections, leaving: false };
+    });
+
+const makeDeployment = (
+    name: string,
+    file: string,
+    durationMs: number,
+    servers: Service["servers"],
+): Deployment => ({
+    trace: new URL(`../../traces/${file}`, import.meta.url),
+    durationMs,
+    service: {
+        name,
+        dependsOn: [],
+        servers,
+        classes: [
+            { name: "read", methods: ["GET"], path: "/", idempotent: true, priority: 1, deadlineMs: 1_000 },
+        ],
+        chooser: "late-binding",
+        queueLimit: 1_000,
+        probeBudget: 0.002,
+        retryBudget: 0.1,
+        hedgeBudget: 0.02,
+        ejectShare: 0.3,
+    },
+});
+
+const deployments: ReadonlyMap<string, Deployment> = new Map([
+    ["ratiba", makeDeployment("stops", "stops.txt", 20_000, makeServers(14, 2, 200))],
+    ["aqrl", makeDeployment("catalogue", "catalogue.txt", 6_000, makeServers(25, 6, 250))],
+]);
+
+const entryVms = 15;
--- /dev/null
+++ b/packages/bench/src/rigserver.ts
@@ -0,0 +1,168 @@
+/** Small fakes under virtual time: the event queue and the backend servers behind it. */
+
+import type { BackendServer } from "@bramleymoor/model/spec";
+import type { LoadReport } from "@bramleymoor/protocol/answer";
+import type { Slowdown } from "./trace.js";
+
+/** Events in the order of their time; those of the same time in the order they were put in. */
+export class VirtualTime {
+    #now = 0;
+    #order = 0;
+    readonly #heap: { readonly at: number; readonly order: number; readonly run: () => void }[] = [];
+
+    get now(): number {
+        return this.#now;
+    }
+
+    at(at: number, run: () => void): void {
+        const heap = this.#heap;
+        const event = { at: Math.max(at, this.#now), order: this.#order++, run };
+        let child = heap.push(event) - 1;
+        while (child > 0 && this.#before(child, (child - 1) >> 1)) {
+            child = this.#swap(child, (child - 1) >> 1);
+        }
+    }
+
+    run(untilMs: number): void {
+        for (let event = this.#heap[0]; event && event.at <= untilMs; event = this.#heap[0]) {
+            this.#removeFirst();
+            this.#now = event.at;
+            event.run();
+        }
+    }
+
+    #removeFirst(): void {
+        const heap = this.#heap;
+        this.#swap(0, heap.length - 1);
+        heap.pop();
+        for (let parent = 0; ;) {
+            const [left, right] = [2 * parent + 1, 2 * parent + 2];
+            const least = right < heap.length && this.#before(right, left) ? right : left;
+            if (least >= heap.length || this.#before(parent, least)) {
+                return;
+            }
+            parent = this.#swap(parent, least);
+        }
+    }
+
+    #before(one: number, other: number): boolean {
+        const [a, b] = [this.#heap[one]!, this.#heap[other]!];
+        return a.at < b.at || (a.at === b.at && a.order < b.order);
+    }
+
+    #swap(from: number, to: number): number {
+        [this.#heap[from], this.#heap[to]] = [this.#heap[to]!, this.#heap[from]!];
+        return to;
+    }
+}
+
+/** A request at a server. */
+export interface Job {
+    readonly workMs: number;
+    readonly answer: (status: number) => void;
+    state: "queued" | "running" | "done";
+}
+
+/** A backend server: slots, a queue, slowdowns, and a time during which it fails fast. */
+export class FakeServer {
+    readonly server: BackendServer;
+    readonly #time: VirtualTime;
+    readonly #slowdowns: readonly Slowdown[];
+    readonly #failing: Slowdown | undefined;
+    readonly #queue = new Set<Job>();
+    #running = 0;
+    #latencyMs = 0;
+    /** Work done, in milliseconds of slots. */
+    busyMs = 0;
+
+    constructor(
+        server: BackendServer,
+        time: VirtualTime,
+        slowdowns: readonly Slowdown[],
+        failing: Slowdown | undefined,
+    ) {
+        this.server = server;
+        this.#time = time;
+        this.#slowdowns = slowdowns;
+        this.#failing = failing;
+    }
+
+    get free(): number {
+        return this.server.slots - this.#running;
+    }
+
+    /** Whether it is slow or failing now. */
+    get impaired(): boolean {
+        return this.isFailing || this.#slowdowns.some(it => isDuring(it, this.#time.now));
+    }
+
+    get isFailing(): boolean {
+        return this.#failing !== undefined && isDuring(this.#failing, this.#time.now);
+    }
+
+    get report(): LoadReport {
+        return { inFlight: this.#running + this.#queue.size, latencyMs: this.#latencyMs, draining: false };
+    }
+
+    submit(job: Job): void {
+        if (this.isFailing) {
+            this.#time.at(this.#time.now + failFastMs, () => job.answer(503));
+            return;
+        }
+        this.#queue.add(job);
+        this.#startNext();
+    }
+
+    cancel(job: Job): void {
+        this.#queue.delete(job);
+        this.#running -= job.state === "running" ? 1 : 0;
+        job.state = "done";
+        this.#startNext();
+    }
+
+    #startNext(): void {
+        const [job] = this.#queue;
+        if (!job || this.free <= 0) {
+            return;
+        }
+        this.#queue.delete(job);
+        this.#running++;
+        job.state = "running";
+        const startedAt = this.#time.now;
+        this.#time.at(this.#finishAt(job.workMs), () => this.#finish(job, startedAt));
+    }
+
+    #finish(job: Job, startedAt: number): void {
+        if (job.state !== "running") {
+            return;
+        }
+        job.state = "done";
+        this.#running--;
+        this.busyMs += this.#time.now - startedAt;
+        this.#latencyMs += (this.#time.now - startedAt - this.#latencyMs) / 8;
+        this.#startNext();
+        job.answer(200);
+    }
+
+    /** When work that starts now is done, given the slowdowns on its way. */
+    #finishAt(workMs: number): number {
+        let [now, left] = [this.#time.now, workMs];
+        for (const { from, to, factor } of this.#slowdowns.filter(it => it.to > now)) {
+            if (now + left <= from) {
+                break;
+            }
+            left -= Math.max(0, from - now);
+            now = Math.max(now, from);
+            if (now + left * factor <= to) {
+                return now + left * factor;
+            }
+            left -= (to - now) / factor;
+            now = to;
+        }
+        return now + left;
+    }
+}
+
+const isDuring = ({ from, to }: Slowdown, now: number): boolean => from <= now && now < to;
+
+const failFastMs = 1;
--- /dev/null
+++ b/packages/bench/test/rig.test.ts
@@ -0,0 +1,30 @@
+import assert from "node:assert/strict";
+import { writeFileSync, mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { pathToFileURL } from "node:url";
+import { measureChoosers, type PolicySettings } from "../src/policy.js";
+import { readTrace } from "../src/trace.js";
+
+const settings: PolicySettings = {
+    deployment: "ratiba",
+    load: 0.7,
+    faults: true,
+    seeds: [3],
+    dispatchers: 2,
+    firstShare: 0.5,
+    durationMs: 1_000,
+};
+
+test("the same seed gives the same figures, another seed others", () => {
+    const rows = measureChoosers(settings, ["late-binding", "two-choices"]);
+    assert.deepEqual(measureChoosers(settings, ["late-binding", "two-choices"]), rows);
+    assert.notDeepEqual(measureChoosers({ ...settings, seeds: [4] }, ["late-binding", "two-choices"]), rows);
+});
+
+test("a trace line that can't be read is named by file and line", () => {
+    const file = join(mkdtempSync(join(tmpdir(), "trace-")), "bad.txt");
+    writeFileSync(file, "bramleymoor trace 1\n1 2 3 4\n1 2 x 4\n");
+    assert.throws(() => readTrace(pathToFileURL(file)), /bad\.txt:3: a call is four whole numbers/);
+});
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,6 +4,7 @@
 import type { LoadReport } from "@bramleymoor/protocol/answer";
 import { CallError } from "@bramleymoor/protocol/kinds";
 import { Observable, type Subscriber } from "rxjs";
+import { type Chooser, makeChooser } from "./chooser.js";
 import { CallQueue, type Waiting } from "./queue.js";
 import type { Random } from "./random.js";
 import { ServerState } from "./server.js";
@@ -14,6 +15,7 @@
     #service: Service;
     #share: Share;
     readonly #random: Random;
+    #chooser: Chooser;
     readonly #queue = new CallQueue<Pending>();
     /** Servers of the accepted text, by address. */
     #servers: ReadonlyMap<string, ServerState> = new Map();
@@ -26,6 +28,7 @@
         this.#service = service;
         this.#share = share;
         this.#random = random;
+        this.#chooser = makeChooser(service.chooser, random);
         this.follow(service, share, now);
     }
 
@@ -62,6 +65,9 @@
 
     follow(service: Service, share: Share, now: number): void {
         const before = this.#servers;
+        if (service.chooser !== this.#service.chooser) {
+            this.#chooser = makeChooser(service.chooser, this.#random);
+        }
         this.#service = service;
         this.#share = share;
         this.#servers = new Map(service.servers.map((it, at) => [it.address, this.#adopt(it, at)]));
@@ -134,12 +140,12 @@
     }
 
     #choose(call: Call, now: number): ServerState | undefined {
-        const free = [...this.#servers.values()].filter(it => it.free(now) > 0);
+        const usable = (it: ServerState): boolean =>
+            this.#chooser.early ? it.available(now) : it.free(now) > 0;
+        const free = [...this.#servers.values()].filter(usable);
         const fresh = free.filter(it => !call.tried.includes(it.server.address));
-        const from = fresh.length > 0 ? fresh : free;
-        const least = from.reduce((min, it) => Math.min(min, it.inFlight), Infinity);
-        const idlest = from.filter(it => it.inFlight === least);
-        return idlest[Math.floor(this.#random.next() * idlest.length)];
+        const candidates = fresh.length > 0 ? fresh : free;
+        return candidates.length > 0 ? this.#chooser.choose(candidates, now) : undefined;
     }
 
     #grant(pending: Pending, state: ServerState, now: number): void {
--- a/packages/dispatch/src/server.ts
+++ b/packages/dispatch/src/server.ts
@@ -11,6 +11,8 @@
     #leaving = false;
     #drainUntil = 0;
     readonly #slots = new Set<Slot>();
+    #peakMs = 0;
+    #peakAt = 0;
     #reported: { readonly report: LoadReport; readonly at: number } | undefined;
 
     /** @param owned how many of its slots this dispatcher may use */
@@ -41,6 +43,16 @@
         return this.#reported?.report;
     }
 
+    /** False if the server is known to be leaving. */
+    available(now: number): boolean {
+        return !this.#isLeaving(now);
+    }
+
+    /** Latency that rises at once and decays slowly, in milliseconds. */
+    peakLatency(now: number): number {
+        return this.#peakMs * Math.exp((this.#peakAt - now) / peakDecayMs);
+    }
+
     follow(server: BackendServer, owned: number): void {
         this.#server = server;
         this.#owned = owned;
@@ -59,6 +71,9 @@
         if (!this.#slots.delete(slot)) {
             return false;
         }
+        if (result.kind === "answered") {
+            this.#noteLatency(now - slot.grantedAt, now);
+        }
         if (result.kind === "refused" && result.draining) {
             this.#drainUntil = now + drainMemoryMs;
         }
@@ -87,6 +102,13 @@
         return { address: this.#server.address, inFlight: this.inFlight, limit, state, why: why[state] };
     }
 
+    #noteLatency(latencyMs: number, now: number): void {
+        const weight = Math.exp((this.#peakAt - now) / peakDecayMs);
+        const average = this.#peakMs * weight + latencyMs * (1 - weight);
+        this.#peakMs = Math.max(latencyMs, average);
+        this.#peakAt = now;
+    }
+
     #isLeaving(now: number): boolean {
         return this.#leaving || this.#server.leaving || now < this.#drainUntil;
     }
@@ -94,3 +116,6 @@
 
 /** How long a server's own word that it is draining holds. */
 const drainMemoryMs = 5_000;
+
+/** Time constant of the peak-sensitive latency average. */
+const peakDecayMs = 1_000;
