Follow and publish the accepted text by the log's order

Acceptance is one pure function of the accepted version and the next record, so each reader of the log reaches the same verdict; a publication names its base by number and digest, which makes a second copy of it harmless. A follower takes its base from peers, a checkpoint or the log's beginning, is ready only at the log's end or, with the log down, after a peer has answered, and its version never gets older. Requests to peers every 2 s on average carry the version on where one entry VM's path to the log hangs; the test of that case holds 3.9 s.

--- /dev/null
+++ b/packages/config/src/follower.ts
@@ -0,0 +1,233 @@
+/** Keeps an entry VM on the newest accepted version, by the log and, when that fails, by its peers. */
+
+import { PlatformError, type LogService } from "@bramleymoor/platform/log";
+import { backoffMs, sleep as realSleep, type Random, type Sleep } from "@bramleymoor/platform/timers";
+import { Subject, type Observable } from "rxjs";
+import { findBase } from "./base.js";
+import { configEvent, type ConfigEventName, type ConfigEvents } from "./events.js";
+import type { Offer, PeerQuestion, Peers } from "./peers.js";
+import { configStream } from "./record.js";
+import { Replay, type Progress } from "./replay.js";
+import { snapshotOf, type Snapshot } from "./snapshot.js";
+import { grammars as ownGrammars, type Accepted, type Grammars } from "./version.js";
+
+const pollMs = 20_000;
+const batchRecords = 32;
+const firstRetryMs = 200;
+const maxRetryMs = 2000;
+const maxMissingRetryMs = 10_000;
+const askEveryMs = 2000;
+const askedPeers = 2;
+const askedPeersFresh = 5;
+
+/** What a follower is made of. */
+export interface FollowerOptions {
+    readonly log: LogService;
+    readonly peers: Peers;
+    readonly events: ConfigEvents;
+    readonly random: Random;
+    readonly sleep?: Sleep;
+    readonly grammars?: Grammars;
+}
+
+/** Where a follower stands. */
+export interface FollowerStatus {
+    /** It knows a version that may be served, or that nothing has been published. */
+    readonly ready: boolean;
+    /** The last read of the log was answered. */
+    readonly logUp: boolean;
+    /** What the log's records and the peers have led to. */
+    readonly progress: Progress | "starting";
+    /** One sentence for an operator. */
+    readonly why: string;
+}
+
+/** Follows the accepted version from `run` on; the version never gets older. */
+export class Follower {
+    readonly #log: LogService;
+    readonly #peers: Peers;
+    readonly #events: ConfigEvents;
+    readonly #random: Random;
+    readonly #sleep: Sleep;
+    readonly #replay: Replay;
+    readonly #changes = new Subject<Accepted>();
+    #ready = false;
+    #logUp = true;
+    #progress: Progress | "starting" = "starting";
+    #current: Accepted | undefined;
+
+    constructor(options: FollowerOptions) {
+        this.#log = options.log;
+        this.#peers = options.peers;
+        this.#events = options.events;
+        this.#random = options.random;
+        this.#sleep = options.sleep ?? realSleep;
+        this.#replay = new Replay(options.grammars ?? ownGrammars, options.events);
+    }
+
+    /** The version to serve; undefined until one may be served. */
+    get current(): Accepted | undefined {
+        return this.#current;
+    }
+
+    /** Each version to serve from now on, newest last. */
+    get changes(): Observable<Accepted> {
+        return this.#changes.asObservable();
+    }
+
+    /** Where it stands now. */
+    get status(): FollowerStatus {
+        return { ready: this.#ready, logUp: this.#logUp, progress: this.#progress, why: this.#why() };
+    }
+
+    /** Follows until `signal` is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        await Promise.all([this.#followLog(signal), this.#followPeers(signal)]);
+    }
+
+    /** Answers a peer's question; undefined while there is no version to pass on. */
+    answer(question: PeerQuestion): Offer | undefined {
+        return this.#ready ? this.#replay.answer(question) : undefined;
+    }
+
+    /** Takes what a peer passed on; nothing happens if it isn't newer. */
+    offer(offer: Offer): void {
+        this.#replay.takeOffer(offer);
+        this.#publish();
+    }
+
+    /** The version being served, and how far the log has been judged for it. */
+    snapshot(): Snapshot | undefined {
+        const version = this.#current;
+        return version && snapshotOf(version, this.#replay.upTo);
+    }
+
+    async #followLog(signal: AbortSignal): Promise<void> {
+        await this.#askPeers(askedPeersFresh);
+        for (let failures = 0; !signal.aborted; failures++) {
+            const moved = await this.#readLog(signal);
+            if (moved) {
+                failures = -1;
+            } else if (!signal.aborted) {
+                await this.#goOnWithPeers();
+                const maxMs = this.#logUp ? maxMissingRetryMs : maxRetryMs;
+                await this.#sleep(backoffMs(failures, firstRetryMs, maxMs, this.#random), signal);
+            }
+        }
+    }
+
+    async #followPeers(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.#sleep(askEveryMs * (0.5 + this.#random()), signal);
+            if (this.#ready && !signal.aborted) {
+                await this.#askPeers(askedPeers);
+            }
+        }
+    }
+
+    /** Reads once, and tells whether the log is being followed. */
+    async #readLog(signal: AbortSignal): Promise<boolean> {
+        try {
+            await this.#readBatch(signal);
+            this.#setLogUp(true);
+            return this.#progress === "judged";
+        } catch (err) {
+            if (!(err instanceof PlatformError)) {
+                throw err;
+            }
+            if (!signal.aborted) {
+                this.#setLogUp(false, err.message);
+            }
+            return false;
+        }
+    }
+
+    async #readBatch(signal: AbortSignal): Promise<void> {
+        if (!this.#replay.version || this.#progress === "missing") {
+            await findBase(this.#log, this.#replay);
+        }
+        if (!this.#replay.version) {
+            this.#setProgress("missing");
+            return;
+        }
+        const waitMs = this.#ready ? pollMs : 0;
+        const batch = await this.#log.read(configStream, this.#replay.upTo, batchRecords, waitMs, signal);
+        this.#setProgress(this.#replay.take(batch));
+        if (this.#progress === "judged" && this.#replay.upTo >= batch.next) {
+            this.#ready = true;
+        }
+        this.#publish();
+    }
+
+    /** Serves what peers know while the log gives nothing. */
+    async #goOnWithPeers(): Promise<void> {
+        const answers = await this.#askPeers(this.#ready ? askedPeers : askedPeersFresh);
+        if (answers > 0 && this.#replay.version && this.#progress !== "outdated") {
+            this.#ready = true;
+        }
+        this.#publish();
+    }
+
+    /** Answers how many peers answered. */
+    async #askPeers(count: number): Promise<number> {
+        const version = this.#replay.version;
+        const question = { offset: version?.offset ?? -1, fresh: version === undefined };
+        const offers = await this.#peers.ask(question, count);
+        for (const offer of offers) {
+            this.offer(offer);
+        }
+        return offers.length;
+    }
+
+    #publish(): void {
+        const version = this.#replay.version;
+        if (this.#ready && version && version.number > 0 && version !== this.#current) {
+            this.#current = version;
+            this.#changes.next(version);
+        }
+    }
+
+    #setLogUp(up: boolean, detail = ""): void {
+        if (up !== this.#logUp) {
+            this.#logUp = up;
+            this.#tell(up ? "log-back" : "log-unavailable", up ? "The log answers again." : detail);
+        }
+    }
+
+    #setProgress(progress: Progress): void {
+        const name = progressEvents[progress];
+        if (progress !== this.#progress && name) {
+            this.#tell(name, progressTexts[progress]);
+        }
+        this.#progress = progress;
+    }
+
+    #why(): string {
+        if (!this.#logUp) {
+            const served = this.#ready
+                ? "serving the newest version known here"
+                : "no version may be served yet";
+            return `The log can't be read; ${served}.`;
+        }
+        return progressTexts[this.#progress];
+    }
+
+    #tell(name: ConfigEventName, text: string): void {
+        this.#events(configEvent(name, text));
+    }
+}
+
+const progressTexts: Readonly<Record<Progress | "starting", string>> = {
+    starting: "The log's end hasn't been reached yet.",
+    judged: "Following the log.",
+    missing:
+        "Records that were never read here have expired, and neither a checkpoint nor a peer fills the gap.",
+    shrunk: "The log's end lies before records read earlier; going on with the newest version known.",
+    outdated: "The grammar in force is newer than this release; the version can't be followed further.",
+};
+
+const progressEvents: Readonly<Partial<Record<Progress, ConfigEventName>>> = {
+    missing: "records-missing",
+    shrunk: "log-shrunk",
+    outdated: "release-outdated",
+};
--- /dev/null
+++ b/packages/config/src/judge.ts
@@ -0,0 +1,119 @@
+/** Whether a record becomes the accepted version: a pure function of the log's prefix. */
+
+import { InvalidTextError, type TextError } from "@bramleymoor/model/text-error";
+import type { Document } from "@bramleymoor/model/document";
+import { maxRecordBytes, readEnvelope, readPublication, type Publication } from "./record.js";
+import type { Accepted, Grammars } from "./version.js";
+
+/** Why a record is skipped. */
+export type SkipReason =
+    | "too large"
+    | "damaged"
+    | "grammar not in force"
+    | "superseded base"
+    | "wrong digest"
+    | "invalid text"
+    | "bad grammar change";
+
+/** What becomes of one record. */
+export type Verdict =
+    | { readonly kind: "accepted"; readonly version: Accepted }
+    | {
+          readonly kind: "skipped";
+          readonly reason: SkipReason;
+          /** Identity of the publication, if it can be read. */
+          readonly publicationId: string | undefined;
+          readonly errors: readonly TextError[];
+      }
+    /** The grammar in force isn't known to this release, which must not judge. */
+    | { readonly kind: "outdated" };
+
+/**
+ * Judges a record.
+ *
+ * @param accepted the accepted version just before the record
+ */
+export const judge = (accepted: Accepted, offset: number, data: string, grammars: Grammars): Verdict => {
+    if (!grammars.has(accepted.grammar)) {
+        return { kind: "outdated" };
+    }
+    if (Buffer.byteLength(data) > maxRecordBytes) {
+        return skip("too large");
+    }
+    const envelope = readEnvelope(data);
+    if (!envelope) {
+        return skip("damaged");
+    }
+    if (envelope.grammar !== accepted.grammar) {
+        return skip("grammar not in force");
+    }
+    const publication = readPublication(envelope.body);
+    return publication ? judgePublication(accepted, offset, publication, grammars) : skip("damaged");
+};
+
+const skip = (reason: SkipReason, publicationId?: string, errors: readonly TextError[] = []): Verdict => ({
+    kind: "skipped",
+    reason,
+    publicationId,
+    errors,
+});
+
+const judgePublication = (
+    accepted: Accepted,
+    offset: number,
+    publication: Publication,
+    grammars: Grammars,
+): Verdict => {
+    const { base, id } = publication;
+    if (base.number !== accepted.number || base.digest !== accepted.digest) {
+        return skip("superseded base", id);
+    }
+    if (publication.nextGrammar !== undefined) {
+        return judgeGrammarChange(accepted, offset, publication, publication.nextGrammar);
+    }
+    const document = applyChange(accepted.document, publication);
+    if (document instanceof InvalidTextError) {
+        return skip("invalid text", id, document.errors);
+    }
+    if (document.digest !== publication.digest) {
+        return skip("wrong digest", id);
+    }
+    const parsed = grammars.get(accepted.grammar)?.read(document, accepted);
+    if (!parsed?.ok) {
+        return skip("invalid text", id, parsed?.errors);
+    }
+    const number = accepted.number + 1;
+    const { spec } = parsed;
+    const { digest, grammar } = { digest: document.digest, grammar: accepted.grammar };
+    return {
+        kind: "accepted",
+        version: { number, digest, document, spec, offset, publicationId: id, grammar },
+    };
+};
+
+const applyChange = (document: Document, publication: Publication): Document | InvalidTextError => {
+    try {
+        return document.apply(publication.change);
+    } catch (err) {
+        if (err instanceof InvalidTextError) {
+            return err;
+        }
+        throw err;
+    }
+};
+
+/** Decided without knowing the next grammar, so that an older release reaches the same verdict. */
+const judgeGrammarChange = (
+    accepted: Accepted,
+    offset: number,
+    publication: Publication,
+    next: number,
+): Verdict => {
+    const { change, digest, id } = publication;
+    const unchanged = change.set.length === 0 && change.remove.length === 0 && digest === accepted.digest;
+    if (accepted.number === 0 || !unchanged || next !== accepted.grammar + 1) {
+        return skip("bad grammar change", id);
+    }
+    const number = accepted.number + 1;
+    return { kind: "accepted", version: { ...accepted, number, offset, publicationId: id, grammar: next } };
+};
--- /dev/null
+++ b/packages/config/src/publisher.ts
@@ -0,0 +1,184 @@
+/** Publishes an operators' text and finds out what became of it. */
+
+import { PlatformError, type LogService } from "@bramleymoor/platform/log";
+import { backoffMs, sleep as realSleep, type Random, type Sleep } from "@bramleymoor/platform/timers";
+import type { Change } from "@bramleymoor/model/document";
+import { parseText } from "@bramleymoor/model/text";
+import { textError, type TextError } from "@bramleymoor/model/text-error";
+import { findBase } from "./base.js";
+import type { Verdict } from "./judge.js";
+import { configStream, formatPublication, maxRecordBytes, type Publication } from "./record.js";
+import { Replay } from "./replay.js";
+import type { Snapshot } from "./snapshot.js";
+import { grammars as ownGrammars, type Accepted, type Grammars } from "./version.js";
+
+const batchRecords = 32;
+const firstRetryMs = 200;
+const maxRetryMs = 2000;
+const maxTries = 8;
+
+/** What became of a publication. */
+export type PublishResult =
+    | { readonly kind: "accepted"; readonly number: number; readonly digest: string }
+    /** Another version stands where this one wanted to. */
+    | {
+          readonly kind: "lost";
+          /** The version that is accepted now. */
+          readonly winner: Accepted;
+          /** What leads from the winner's text to the operator's. */
+          readonly difference: Change;
+      }
+    | { readonly kind: "rejected"; readonly errors: readonly TextError[] }
+    /** The log can't be read to the end; the publication may be accepted, or become so later. */
+    | { readonly kind: "unknown"; readonly why: string };
+
+/** How a publication is made. */
+export interface PublishOptions {
+    /** The publication's own identity; the same one again never has a second effect. */
+    readonly id: string;
+    readonly random: Random;
+    readonly sleep?: Sleep;
+    readonly grammars?: Grammars;
+    /** A version asked of an entry VM, used when the log alone doesn't reach back far enough. */
+    readonly start?: Snapshot | undefined;
+}
+
+/** One publication on its way. */
+class Publisher {
+    readonly #log: LogService;
+    readonly #options: PublishOptions;
+    readonly #replay: Replay;
+    readonly #text: string;
+    readonly #baseNumber: number;
+    #verdict: Verdict | undefined;
+
+    constructor(log: LogService, text: string, baseNumber: number, options: PublishOptions) {
+        this.#log = log;
+        this.#text = text;
+        this.#baseNumber = baseNumber;
+        this.#options = options;
+        this.#replay = new Replay(
+            options.grammars ?? ownGrammars,
+            () => {},
+            (_record, verdict) => this.#note(verdict),
+        );
+    }
+
+    async publish(): Promise<PublishResult> {
+        const parsed = parseText(this.#text);
+        if (!parsed.ok) {
+            return { kind: "rejected", errors: parsed.errors };
+        }
+        let why = "";
+        for (let tries = 0; tries < maxTries; tries++) {
+            try {
+                return await this.#try(parsed.document);
+            } catch (err) {
+                if (!(err instanceof PlatformError)) {
+                    throw err;
+                }
+                why = err.message;
+            }
+            await this.#pause(tries);
+        }
+        return { kind: "unknown", why };
+    }
+
+    /** Appends unless the log holds the answer already; fails with a PlatformError. */
+    async #try(document: Accepted["document"]): Promise<PublishResult> {
+        const version = await this.#readToEnd();
+        const settled = this.#settled(version, document);
+        if (settled) {
+            return settled;
+        }
+        const record = formatPublication(this.#publication(version, document));
+        if (Buffer.byteLength(record) > maxRecordBytes) {
+            return { kind: "rejected", errors: [tooLarge(Buffer.byteLength(record))] };
+        }
+        await this.#log.append(configStream, record);
+        const after = await this.#readToEnd();
+        return this.#settled(after, document) ?? { kind: "unknown", why: "the log doesn't show the record" };
+    }
+
+    #publication(version: Accepted, document: Accepted["document"]): Publication {
+        const base = { number: version.number, digest: version.digest };
+        const change = version.document.diff(document);
+        return { grammar: version.grammar, id: this.#options.id, base, change, digest: document.digest };
+    }
+
+    #settled(version: Accepted, document: Accepted["document"]): PublishResult | undefined {
+        if (this.#verdict?.kind === "accepted") {
+            const { number, digest } = this.#verdict.version;
+            return { kind: "accepted", number, digest };
+        }
+        if (version.publicationId === this.#options.id) {
+            return { kind: "accepted", number: version.number, digest: version.digest };
+        }
+        if (version.number !== this.#baseNumber) {
+            return { kind: "lost", winner: version, difference: version.document.diff(document) };
+        }
+        if (this.#verdict?.kind === "skipped" && this.#verdict.reason !== "superseded base") {
+            return { kind: "rejected", errors: this.#verdict.errors };
+        }
+        return undefined;
+    }
+
+    async #readToEnd(): Promise<Accepted> {
+        if (!this.#replay.version) {
+            await findBase(this.#log, this.#replay);
+        }
+        if (this.#options.start) {
+            this.#replay.adopt(this.#options.start, "peer");
+        }
+        for (;;) {
+            const batch = await this.#log.read(configStream, this.#replay.upTo, batchRecords, 0);
+            const progress = this.#replay.version ? this.#replay.take(batch) : "missing";
+            const version = this.#replay.version;
+            if (progress !== "judged" || !version) {
+                throw new PlatformError("unavailable", progressTexts[progress]);
+            }
+            if (this.#replay.upTo >= batch.next) {
+                return version;
+            }
+        }
+    }
+
+    /** Keeps the verdict on this publication's first copy, or on the one that was accepted. */
+    #note(verdict: Verdict): void {
+        const id = verdict.kind === "accepted" ? verdict.version.publicationId : idOfSkipped(verdict);
+        if (id === this.#options.id && this.#verdict?.kind !== "accepted") {
+            this.#verdict = verdict;
+        }
+    }
+
+    #pause(tries: number): Promise<void> {
+        const { random, sleep = realSleep } = this.#options;
+        return sleep(backoffMs(tries, firstRetryMs, maxRetryMs, random));
+    }
+}
+
+/**
+ * Publishes a text over version `baseNumber`. Safe to repeat with the same id: each copy names the same base,
+ * so at most one can be accepted.
+ */
+export const publish = (
+    log: LogService,
+    text: string,
+    baseNumber: number,
+    options: PublishOptions,
+): Promise<PublishResult> => new Publisher(log, text, baseNumber, options).publish();
+
+const idOfSkipped = (verdict: Verdict): string | undefined =>
+    verdict.kind === "skipped" ? verdict.publicationId : undefined;
+
+const tooLarge = (bytes: number): TextError => {
+    const wanted = `at most ${maxRecordBytes} bytes changed at once`;
+    return textError(1, `${bytes} bytes`, wanted, "Publish the change in several parts.");
+};
+
+const progressTexts = {
+    judged: "",
+    missing: "records of the log have expired and no checkpoint fills the gap",
+    shrunk: "the log's end lies before records read earlier",
+    outdated: "the grammar in force is newer than this release",
+} as const;
--- /dev/null
+++ b/packages/config/src/snapshot.ts
@@ -0,0 +1,81 @@
+/** A whole accepted version with its place in the log, as checkpoints and peers carry it. */
+
+import { Document } from "@bramleymoor/model/document";
+import { z } from "zod";
+import { emptyVersion, type Accepted, type Grammars } from "./version.js";
+
+const count = z.number().int().nonnegative();
+
+/** A snapshot without its text: schema. */
+export const snapshotHeadSchema = z.object({
+    number: count,
+    digest: z.string(),
+    offset: z.number().int().min(-1),
+    publicationId: z.string(),
+    grammar: z.number().int().positive(),
+    /** Every record below this offset has been judged. */
+    upTo: count,
+});
+
+/** A snapshot: schema. */
+export const snapshotSchema = snapshotHeadSchema.extend({ text: z.string() });
+
+/** A snapshot without its text. */
+export type SnapshotHead = Readonly<z.infer<typeof snapshotHeadSchema>>;
+
+/** A whole accepted version, and how far the log has been judged for it. */
+export type Snapshot = Readonly<z.infer<typeof snapshotSchema>>;
+
+/** Why a snapshot can't be taken. */
+export type SnapshotFault = "unknown grammar" | "wrong digest" | "invalid text" | "wrong place";
+
+/** A snapshot's head. */
+export const headOf = (version: Accepted, upTo: number): SnapshotHead => ({
+    number: version.number,
+    digest: version.digest,
+    offset: version.offset,
+    publicationId: version.publicationId,
+    grammar: version.grammar,
+    upTo,
+});
+
+/** Makes a snapshot. */
+export const snapshotOf = (version: Accepted, upTo: number): Snapshot => ({
+    ...headOf(version, upTo),
+    text: version.document.toString(),
+});
+
+/** Reads a snapshot's version, or tells what is wrong with it. */
+export const versionOf = (snapshot: Snapshot, grammars: Grammars): Accepted | SnapshotFault => {
+    const grammar = grammars.get(snapshot.grammar);
+    if (!grammar) {
+        return "unknown grammar";
+    }
+    const { number, digest, offset, publicationId, upTo } = snapshot;
+    if (offset >= upTo) {
+        return "wrong place";
+    }
+    if (number === 0) {
+        return digest === emptyVersion.digest && offset < 0 ? emptyVersion : "wrong digest";
+    }
+    const document = readDocument(snapshot.text);
+    if (!document) {
+        return "invalid text";
+    }
+    if (document.digest !== digest) {
+        return "wrong digest";
+    }
+    const parsed = grammar.read(document);
+    if (!parsed.ok) {
+        return "invalid text";
+    }
+    return { number, digest, document, spec: parsed.spec, offset, publicationId, grammar: snapshot.grammar };
+};
+
+const readDocument = (text: string): Document | undefined => {
+    try {
+        return Document.parse(text);
+    } catch {
+        return undefined;
+    }
+};
--- /dev/null
+++ b/packages/config/src/version.ts
@@ -0,0 +1,61 @@
+/** Accepted versions of the operators' text, and the grammars that texts are written in. */
+
+import { Document } from "@bramleymoor/model/document";
+import type { Spec } from "@bramleymoor/model/spec";
+import { specOf, type ParsedText, type ReadDocument } from "@bramleymoor/model/text";
+
+/**
+ * An accepted version. Versions are ordered by `offset`, the order of the log; `number` rises with it by 1
+ * for each accepted publication.
+ */
+export interface Accepted {
+    /** 0 for the empty text before the first publication. */
+    readonly number: number;
+    /** Of the whole document; see Document. */
+    readonly digest: string;
+    readonly document: Document;
+    readonly spec: Spec;
+    /** Offset of the accepted record; -1 before the first publication. */
+    readonly offset: number;
+    readonly publicationId: string;
+    /** Number of the grammar that the next publication has to be written in. */
+    readonly grammar: number;
+}
+
+/** What validates a text; a release keeps every grammar that may still be in force. */
+export interface Grammar {
+    readonly number: number;
+    /** Reads a document; with `previous` only what differs from it, to the same result. */
+    read(document: Document, previous?: ReadDocument): ParsedText;
+}
+
+/** The grammars that a release knows, by number. */
+export type Grammars = ReadonlyMap<number, Grammar>;
+
+/** The grammars that this release knows. */
+export const grammars: Grammars = new Map([[1, { number: 1, read: specOf }]]);
+
+/** What is in force before the first publication. */
+export const emptyVersion: Accepted = {
+    number: 0,
+    digest: Document.empty.digest,
+    document: Document.empty,
+    spec: { services: new Map() },
+    offset: -1,
+    publicationId: "",
+    grammar: 1,
+};
+
+/** What tells a version from all others. */
+export interface VersionName {
+    readonly number: number;
+    readonly digest: string;
+    readonly offset: number;
+}
+
+/** The version's name alone. */
+export const nameOf = (version: Accepted): VersionName => ({
+    number: version.number,
+    digest: version.digest,
+    offset: version.offset,
+});
--- /dev/null
+++ b/packages/config/test/follower.test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { appendCheckpoint } from "../src/checkpoint.js";
+import { Fleet, textOf, type Node } from "./builders.js";
+
+const numberOf = (node: Node): number | undefined => node.follower.current?.number;
+
+const names = (node: Node): readonly string[] => node.events.map(event => event.name);
+
+test("an accepted publication reaches every follower, in order", async () => {
+    const fleet = new Fleet();
+    const [a, b] = [fleet.start(), fleet.start()];
+    await fleet.time.advance(1000);
+    assert.equal(numberOf(a), undefined);
+    const seen: number[] = [];
+    b.follower.changes.subscribe(version => seen.push(version.number));
+    assert.equal((await fleet.publish(textOf(1), 0, "p1")).kind, "accepted");
+    assert.equal((await fleet.publish(textOf(1, 2), 1, "p2")).kind, "accepted");
+    assert.deepEqual(seen, [1, 2]);
+    assert.deepEqual([numberOf(a), numberOf(b)], [2, 2]);
+    assert.equal(a.follower.current?.spec.services.size, 2);
+    assert.equal(a.follower.current?.publicationId, "p2");
+});
+
+test("with log and peers down a fresh follower isn't ready and says so", async () => {
+    const fleet = new Fleet();
+    const old = fleet.start();
+    await fleet.publish(textOf(1), 0, "p1");
+    fleet.log.setDown(true);
+    old.reachable = false;
+    const fresh = fleet.start();
+    await fleet.time.advance(60_000);
+    assert.equal(fresh.follower.current, undefined);
+    assert.deepEqual(fresh.follower.status.ready, false);
+    assert.match(fresh.follower.status.why, /log can't be read; no version/);
+    assert.equal(numberOf(old), 1);
+});
+
+test("with the log down peers pass the newest version on", async () => {
+    const fleet = new Fleet();
+    const old = fleet.start();
+    await fleet.publish(textOf(1), 0, "p1");
+    fleet.log.setDown(true);
+    const fresh = fleet.start();
+    await fleet.time.advance(1000);
+    assert.deepEqual([numberOf(old), numberOf(fresh)], [1, 1]);
+    assert.ok(names(fresh).includes("version-from-peer"));
+});
+
+test("a node that is cut off from the log follows by its peers within 4 s", async () => {
+    const fleet = new Fleet();
+    const cut = {
+        append: () => new Promise<never>(() => {}),
+        read: () => new Promise<never>(() => {}),
+    };
+    fleet.start();
+    await fleet.publish(textOf(1), 0, "p1");
+    const link = { log: fleet.log as Pick<typeof fleet.log, "append" | "read"> };
+    const apart = fleet.start({
+        log: {
+            append: (...args) => link.log.append(...args),
+            read: (...args) => link.log.read(...args),
+        },
+    });
+    await fleet.time.advance(1000);
+    assert.equal(numberOf(apart), 1);
+    link.log = cut;
+    await fleet.time.advance(21_000);
+    await fleet.publish(textOf(2), 1, "p2");
+    await fleet.time.advance(3900);
+    assert.equal(numberOf(apart), 2);
+});
+
+test("a fresh follower starts from a checkpoint when the publications have expired", async () => {
+    const fleet = new Fleet(10_000);
+    const old = fleet.start();
+    await fleet.publish(textOf(1), 0, "p1");
+    await fleet.time.advance(9000);
+    await appendCheckpoint(fleet.log, old.follower.snapshot()!, "c1");
+    fleet.halt(old);
+    await fleet.time.advance(5000);
+    const fresh = fleet.start();
+    await fleet.time.advance(1000);
+    assert.equal(numberOf(fresh), 1);
+});
+
+test("a gap that nothing fills is said and not guessed over", async () => {
+    const fleet = new Fleet(10_000);
+    const old = fleet.start();
+    await fleet.publish(textOf(1), 0, "p1");
+    fleet.halt(old);
+    await fleet.time.advance(20_000);
+    const fresh = fleet.start();
+    await fleet.time.advance(60_000);
+    assert.equal(fresh.follower.current, undefined);
+    assert.equal(fresh.follower.status.progress, "missing");
+    assert.deepEqual(names(fresh), ["records-missing"]);
+});
+
+test("a stale checkpoint reverts nothing", async () => {
+    const fleet = new Fleet();
+    const node = fleet.start();
+    await fleet.publish(textOf(1), 0, "p1");
+    const stale = node.follower.snapshot()!;
+    await fleet.publish(textOf(2), 1, "p2");
+    await appendCheckpoint(fleet.log, stale, "c1");
+    const fresh = fleet.start();
+    await fleet.time.advance(1000);
+    assert.deepEqual([numberOf(node), numberOf(fresh)], [2, 2]);
+    node.follower.offer({ head: stale, records: [], snapshot: stale });
+    assert.equal(numberOf(node), 2);
+});
--- /dev/null
+++ b/packages/config/test/publisher.test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Fleet, textOf } from "./builders.js";
+
+test("of two operators on one base exactly one wins and the other sees the difference", async () => {
+    const fleet = new Fleet();
+    await fleet.publish(textOf(1), 0, "p1");
+    const results = await Promise.all([
+        fleet.publish(textOf(1, 1), 1, "left"),
+        fleet.publish(textOf(2), 1, "right"),
+    ]);
+    const lost = results.filter(result => result.kind === "lost");
+    assert.equal(results.filter(result => result.kind === "accepted").length, 1);
+    assert.equal(lost.length, 1);
+    assert.equal(lost[0]!.winner.number, 2);
+    assert.deepEqual(
+        lost[0]!.difference.set.map(section => section.name),
+        lost[0]!.winner.publicationId === "left" ? ["service s0"] : ["service s0", "service s1"],
+    );
+});
+
+test("a lost answer is settled by reading the publication's id back", async () => {
+    const fleet = new Fleet();
+    fleet.log.loseAnswers = 1;
+    const result = await fleet.publish(textOf(1), 0, "p1");
+    assert.deepEqual([result.kind, result.kind === "accepted" && result.number], ["accepted", 1]);
+    assert.equal((await fleet.log.read("config", 0, 10, 0)).next, 1);
+});
+
+test("the same publication again has no second effect", async () => {
+    const fleet = new Fleet();
+    const node = fleet.start();
+    await fleet.publish(textOf(1), 0, "p1");
+    assert.equal((await fleet.publish(textOf(1), 0, "p1")).kind, "accepted");
+    await fleet.publish(textOf(2), 1, "p2");
+    const again = await fleet.publish(textOf(1), 0, "p1");
+    assert.deepEqual(again.kind === "accepted" && again.number, 1);
+    assert.equal(node.follower.current?.number, 2);
+});
+
+test("a wrong text is rejected with its errors before anything is appended", async () => {
+    const fleet = new Fleet();
+    const result = await fleet.publish("[service a]\nserver = nowhere\n", 0, "p1");
+    assert.equal(result.kind === "rejected" && result.errors[0]?.line, 2);
+    assert.equal((await fleet.log.read("config", 0, 10, 0)).next, 0);
+});
+
+test("with the log down the outcome is unknown", async () => {
+    const fleet = new Fleet();
+    fleet.log.setDown(true);
+    assert.equal((await fleet.publish(textOf(1), 0, "p1")).kind, "unknown");
+});
--- a/packages/platform/src/virtual.ts
+++ b/packages/platform/src/virtual.ts
@@ -28,12 +28,16 @@
                 resolve();
                 return;
             }
-            const waiter = { at: this.#now + Math.max(0, ms), order: this.#order++, wake: resolve };
-            this.#waiters.push(waiter);
             const abort = (): void => {
                 this.#waiters = this.#waiters.filter(other => other !== waiter);
                 resolve();
             };
+            const wake = (): void => {
+                signal?.removeEventListener("abort", abort);
+                resolve();
+            };
+            const waiter = { at: this.#now + Math.max(0, ms), order: this.#order++, wake };
+            this.#waiters.push(waiter);
             signal?.addEventListener("abort", abort, { once: true });
         });
 
