Catalogue the log events and count calls in histograms

Operators have to find an event by its number and see where a call's time went. Every line that is logged comes from a closed catalogue with typed fields, and a test holds it and the page together; queueing, server time and added time are separate histograms per service and class, with tenants beside them. Label counts are bounded by admitting the first values seen and counting the rest as "other": a caller chooses its tenant header, so an unbounded label would be the callers' memory in our process.

Ruled out: writing any fields an event is given, because an object with a ticket in it would then be logged; only what the catalogue names is written.

--- /dev/null
+++ b/packages/observe/src/catalogue.ts
@@ -0,0 +1,213 @@
+/** The closed catalogue of numbered log events. docs/EVENTS.md shows the same, held to it by a test. */
+
+/** How much an event matters. */
+export type EventLevel = "debug" | "info" | "warn" | "error";
+
+/** Type of an event's field. */
+export type FieldType = "string" | "number" | "boolean";
+
+/** One event of the catalogue. */
+export interface EventRow {
+    /** Never given to another event, also when this one is dropped. */
+    readonly number: number;
+    readonly level: EventLevel;
+    /** Sentence with "{field}" for each field. */
+    readonly text: string;
+    readonly fields: Readonly<Record<string, FieldType>>;
+}
+
+const row = <const F extends Readonly<Record<string, FieldType>>>(
+    number: number,
+    level: EventLevel,
+    text: string,
+    fields: F,
+) => ({ number, level, text, fields });
+
+/** First digit of an event's number, and what it stands for. */
+export const topics = {
+    1: "Configuration",
+    2: "Membership",
+    3: "Placement",
+    4: "Backend servers",
+    5: "Start and stop",
+    6: "Settings",
+    7: "Peers and operators",
+    8: "Calls",
+    9: "Faults",
+} as const;
+
+/** Every event. */
+export const events = {
+    "config-accepted": row(1001, "info", "Version {version} accepted, digest {digest}, by {author}.", {
+        version: "number",
+        digest: "string",
+        author: "string",
+    }),
+    "config-record-skipped": row(1002, "warn", "Record at offset {offset} skipped: {reason}.", {
+        offset: "number",
+        reason: "string",
+    }),
+    "config-checkpoint-written": row(1003, "info", "Checkpoint of version {version} written at {offset}.", {
+        version: "number",
+        offset: "number",
+    }),
+    "config-from-peer": row(1004, "info", "Version {version} taken from peer {peer}.", {
+        version: "number",
+        peer: "string",
+    }),
+    "config-unknown": row(1005, "warn", "No accepted configuration known yet: {reason}.", {
+        reason: "string",
+    }),
+    "log-down": row(1006, "warn", "The platform's log can't be read: {reason}.", { reason: "string" }),
+    "log-up": row(1007, "info", "The platform's log can be read again, after {downMs} ms.", {
+        downMs: "number",
+    }),
+    "config-grammar-unknown": row(1008, "warn", "Record at offset {offset} has grammar {grammar}; upgrade.", {
+        offset: "number",
+        grammar: "number",
+    }),
+    "vm-list-down": row(1009, "warn", "The platform's VM list can't be read: {reason}.", {
+        reason: "string",
+    }),
+    "vm-list-up": row(1010, "info", "The platform's VM list can be read again, after {downMs} ms.", {
+        downMs: "number",
+    }),
+    "member-joined": row(2001, "info", "Entry VM {id} joined from {region}/{domain}.", {
+        id: "string",
+        incarnation: "string",
+        region: "string",
+        domain: "string",
+    }),
+    "member-suspect": row(2002, "warn", "Entry VM {id} is suspected: {reason}.", {
+        id: "string",
+        incarnation: "string",
+        reason: "string",
+    }),
+    "member-dead": row(2003, "warn", "Entry VM {id} is taken for dead.", {
+        id: "string",
+        incarnation: "string",
+    }),
+    "member-left": row(2004, "info", "Entry VM {id} is leaving.", { id: "string", incarnation: "string" }),
+    "member-back": row(2005, "info", "Entry VM {id} answers again.", { id: "string", incarnation: "string" }),
+    "placement-changed": row(3001, "info", "Service {service} is dispatched by {entryVms}.", {
+        service: "string",
+        entryVms: "string",
+    }),
+    "placement-taken": row(3002, "info", "This entry VM dispatches {service}, share {index} of {count}.", {
+        service: "string",
+        index: "number",
+        count: "number",
+    }),
+    "placement-given-up": row(3003, "info", "This entry VM no longer dispatches {service}.", {
+        service: "string",
+    }),
+    "server-ejected": row(4001, "warn", "Backend server {server} of {service} gets no work: {reason}.", {
+        service: "string",
+        server: "string",
+        reason: "string",
+    }),
+    "server-readmitted": row(4002, "info", "Backend server {server} of {service} gets work again.", {
+        service: "string",
+        server: "string",
+    }),
+    "server-draining": row(4003, "info", "Backend server {server} of {service} is leaving, says {source}.", {
+        service: "string",
+        server: "string",
+        source: "string",
+    }),
+    "probe-budget-spent": row(4004, "debug", "Service {service} has spent its probe budget.", {
+        service: "string",
+    }),
+    started: row(
+        5001,
+        "info",
+        "Entry VM {id} started; callers {callers}, peers {peers}, operators {operators}.",
+        {
+            id: "string",
+            incarnation: "string",
+            callers: "string",
+            peers: "string",
+            operators: "string",
+        },
+    ),
+    "platform-embedded": row(5002, "warn", "No platform configured; running on one in memory.", {}),
+    ready: row(5003, "info", "Ready to serve at version {version}.", { version: "number" }),
+    "stop-asked": row(5004, "info", "Stop asked for by {signal}; leaving the answers to callers.", {
+        signal: "string",
+    }),
+    "stop-answers-expired": row(5005, "info", "Answers that named this entry VM have expired.", {}),
+    "stop-waiting": row(5006, "info", "Waiting for {calls} calls in progress.", { calls: "number" }),
+    stopped: row(5007, "info", "Stopped, {cut} calls cut.", { cut: "number" }),
+    "settings-error": row(6001, "error", "{file}:{line}: {problem}", {
+        file: "string",
+        line: "number",
+        problem: "string",
+    }),
+    "settings-unreadable": row(6002, "error", "Settings file {file} can't be read: {reason}.", {
+        file: "string",
+        reason: "string",
+    }),
+    "port-unavailable": row(6003, "error", "Can't listen on {address}: {reason}.", {
+        address: "string",
+        reason: "string",
+    }),
+    "peer-refused": row(7001, "warn", "Peer request from {address} refused: {reason}.", {
+        address: "string",
+        reason: "string",
+    }),
+    "peer-other-release": row(7002, "info", "Peer {peer} speaks protocol {theirs}, this one {ours}.", {
+        peer: "string",
+        theirs: "number",
+        ours: "number",
+    }),
+    "operator-refused": row(7003, "warn", "Operator's request from {address} refused: {reason}.", {
+        address: "string",
+        reason: "string",
+    }),
+    "at-most-once-table-full": row(8001, "warn", "The at-most-once table is full at {entries} entries.", {
+        entries: "number",
+    }),
+    "request-malformed": row(8002, "debug", "Request from {address} can't be read: {reason}.", {
+        address: "string",
+        reason: "string",
+    }),
+    "answer-broken": row(
+        8003,
+        "warn",
+        "Answer of {server} of {service} ended short; the caller was cut off.",
+        {
+            service: "string",
+            server: "string",
+        },
+    ),
+    "service-overloaded": row(8004, "warn", "Service {service} sheds calls, {queued} queued.", {
+        service: "string",
+        queued: "number",
+    }),
+    "internal-error": row(9001, "error", "Internal error while {doing}: {reason}.", {
+        doing: "string",
+        reason: "string",
+    }),
+    "events-suppressed": row(9002, "warn", "{count} more events {event} in a second were not written.", {
+        event: "string",
+        count: "number",
+    }),
+} as const satisfies Readonly<Record<string, EventRow>>;
+
+/** Name of an event. */
+export type EventName = keyof typeof events;
+
+interface FieldTypes {
+    readonly string: string;
+    readonly number: number;
+    readonly boolean: boolean;
+}
+
+/** The fields of an event, with their types. */
+export type EventFields<N extends EventName> = {
+    readonly [F in keyof (typeof events)[N]["fields"]]: FieldTypes[(typeof events)[N]["fields"][F] &
+        FieldType];
+};
+
+/** Every event's name. */
+export const eventNames = Object.keys(events) as readonly EventName[];
--- /dev/null
+++ b/packages/observe/test/events.test.ts
@@ -0,0 +1,105 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { eventNames, events, topics, type EventLevel } from "../src/catalogue.js";
+import { EventLog, maxFieldLength, maxPerSecond, type LogFormat } from "../src/events.js";
+
+const logTo = (lines: string[], format: LogFormat, level: EventLevel = "debug", clock = () => 0): EventLog =>
+    new EventLog({ source: "entry-1", format, level, write: line => lines.push(line), clock });
+
+const page = readFileSync(new URL("../../../../docs/EVENTS.md", import.meta.url), "utf8");
+
+test("the page of events and the catalogue say the same", () => {
+    const rows = [...page.matchAll(/^\| (\d{4}) \| `([^`]+)` \| (\w+) +\| (.+?) \| (.*?) \|$/gm)];
+    const shown = rows.map(([, number, name, level, text, fields]) => ({
+        number,
+        name,
+        level,
+        text,
+        fields,
+    }));
+    const held = eventNames.map(name => {
+        const { number, level, text, fields } = events[name];
+        const list = Object.entries(fields).map(([field, type]) => `${field}: ${type}`);
+        return { number: String(number), name, level, text, fields: list.join(", ") || "none" };
+    });
+    assert.deepEqual(shown, held);
+});
+
+test("numbers are unique, ascending and begin with their topic's digit", () => {
+    const numbers = eventNames.map(name => events[name].number);
+    assert.deepEqual(
+        numbers,
+        [...new Set(numbers)].sort((a, b) => a - b),
+    );
+    assert.ok(numbers.every(number => Object.hasOwn(topics, Math.floor(number / 1000))));
+    for (const topic of Object.values(topics)) {
+        assert.ok(page.includes(`## ${topic}\n`), topic);
+    }
+});
+
+test("a sentence names only fields of its event, and no field is a secret's", () => {
+    for (const name of eventNames) {
+        const { text, fields } = events[name];
+        for (const [, field] of text.matchAll(/\{(\w+)\}/g)) {
+            assert.ok(Object.hasOwn(fields, field!), `${name}: ${field}`);
+        }
+        assert.ok(!Object.keys(fields).some(field => /key|secret|ticket|password|token/i.test(field)), name);
+    }
+});
+
+test("an event is written as one JSON line with its number and fields", () => {
+    const lines: string[] = [];
+    logTo(lines, "json").emit("member-dead", { id: "entry-2", incarnation: "ab" });
+    assert.deepEqual(JSON.parse(lines[0]!), {
+        time: "1970-01-01T00:00:00.000Z",
+        level: "warn",
+        event: 2003,
+        name: "member-dead",
+        source: "entry-1",
+        text: "Entry VM entry-2 is taken for dead.",
+        id: "entry-2",
+        incarnation: "ab",
+    });
+});
+
+test("text from outside can't forge a line, and is bounded", () => {
+    const lines: string[] = [];
+    const reason = `x\n1970 ERROR 9001 \u202e${"y".repeat(2 * maxFieldLength)}`;
+    logTo(lines, "text").emit("log-down", { reason });
+    assert.match(
+        lines[0]!,
+        /^1970-01-01T00:00:00.000Z WARN {2}1006 entry-1 .*: x\\u000a1970 ERROR 9001 \\u202ey+\.\.\.\.$/,
+    );
+    assert.ok(lines[0]!.length < maxFieldLength + 120);
+});
+
+test("fields that the catalogue doesn't name are not written", () => {
+    const lines: string[] = [];
+    const fields = { version: 3, ticket: "hidden" };
+    logTo(lines, "json").emit("ready", fields);
+    assert.ok(!lines[0]!.includes("hidden"));
+});
+
+test("events below the level are not written", () => {
+    const lines: string[] = [];
+    const log = logTo(lines, "text", "warn");
+    log.emit("ready", { version: 1 });
+    log.emit("log-down", { reason: "refused" });
+    assert.equal(lines.length, 1);
+});
+
+test("a flood of one event is cut and counted, others still come through", () => {
+    const lines: string[] = [];
+    let now = 0;
+    const log = logTo(lines, "text", "debug", () => now);
+    for (let i = 0; i < maxPerSecond + 7; i++) {
+        log.emit("ready", { version: i });
+    }
+    log.emit("log-down", { reason: "refused" });
+    assert.equal(lines.length, maxPerSecond + 1);
+    now = 1_000;
+    log.emit("ready", { version: 1 });
+    assert.match(lines.at(-2)!, /9002 entry-1 7 more events ready/);
+    assert.match(lines.at(-1)!, /5003/);
+});
--- /dev/null
+++ b/packages/observe/test/metrics.test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    CallMetrics,
+    maxClassLabels,
+    maxServiceLabels,
+    maxTenantLabels,
+    type CallRecord,
+} from "../src/metrics.js";
+
+const record = (changed: Partial<CallRecord> = {}): CallRecord => ({
+    service: "stops-lookup",
+    class: "default",
+    tenant: "agents",
+    outcome: "answered",
+    status: 200,
+    queueMs: 2,
+    serverMs: 11,
+    addedMs: 0.4,
+    hedged: false,
+    retried: false,
+    ...changed,
+});
+
+test("a call's queueing, server time and added time are kept apart", async () => {
+    const metrics = new CallMetrics();
+    metrics.done(record());
+    metrics.done(record({ serverMs: 60_000 }));
+    const views = await metrics.histograms();
+    const filled = views.map(({ by, label, part, count, buckets }) => ({
+        by,
+        label,
+        part,
+        count,
+        ends: buckets.filter(bucket => bucket.count > 0).map(bucket => [bucket.upToMs, bucket.count]),
+    }));
+    const [label, count] = ["default", 2];
+    assert.deepEqual(filled, [
+        { by: "class", label, part: "queue", count, ends: [[2.5, 2]] },
+        {
+            by: "class",
+            label,
+            part: "server",
+            count,
+            ends: [
+                [16, 1],
+                [undefined, 1],
+            ],
+        },
+        { by: "class", label, part: "added", count, ends: [[0.5, 2]] },
+        {
+            by: "tenant",
+            label: "agents",
+            part: "total",
+            count,
+            ends: [
+                [16, 1],
+                [undefined, 1],
+            ],
+        },
+    ]);
+    assert.equal(Math.round(views[1]!.sumMs), 60_011);
+});
+
+test("outcomes, hedges, retries, probes and control bytes are counted", async () => {
+    const metrics = new CallMetrics();
+    metrics.done(record({ outcome: "overloaded", status: 503, retried: true }));
+    metrics.done(record({ hedged: true, tenant: "" }));
+    metrics.probed("stops-lookup", 6);
+    metrics.control("peers", "out", 120);
+    metrics.version(7);
+    metrics.members({ alive: 3, suspect: 0 });
+    const text = await metrics.text();
+    for (const line of [
+        'bm_calls_total{service="stops-lookup",class="default",outcome="overloaded"} 1',
+        'bm_hedged_calls_total{service="stops-lookup"} 1',
+        'bm_retried_calls_total{service="stops-lookup"} 1',
+        'bm_probes_total{service="stops-lookup"} 1',
+        'bm_probe_server_seconds_total{service="stops-lookup"} 0.006',
+        'bm_control_bytes_total{channel="peers",direction="out"} 120',
+        'bm_tenant_seconds_count{service="stops-lookup",tenant="none"} 1',
+        "bm_config_version 7",
+        'bm_members{state="alive"} 3',
+    ]) {
+        assert.ok(text.includes(`${line}\n`), line);
+    }
+});
+
+test("label counts stay bounded, and what has no label of its own is counted as other", async () => {
+    const metrics = new CallMetrics();
+    for (let i = 0; i < 40; i++) {
+        metrics.done(record({ class: `class-${i}`, tenant: `tenant-${i}` }));
+    }
+    const views = await metrics.histograms();
+    const ofClass = views.filter(view => view.part === "queue");
+    const ofTenant = views.filter(view => view.by === "tenant");
+    assert.equal(ofClass.length, maxClassLabels + 1);
+    assert.equal(ofTenant.length, maxTenantLabels + 1);
+    assert.equal(ofClass.find(view => view.label === "other")?.count, 40 - maxClassLabels);
+    for (let i = 0; i < maxServiceLabels + 20; i++) {
+        metrics.probed(`service-${i}`, 1);
+    }
+    const probed = (await metrics.text()).match(/^bm_probes_total\{/gm);
+    assert.equal(probed?.length, maxServiceLabels);
+});
+
+test("a label that could break a line of the metrics is not admitted", async () => {
+    const metrics = new CallMetrics();
+    metrics.done(record({ tenant: 'x"} 1\ny' }));
+    assert.deepEqual(
+        (await metrics.histograms()).filter(view => view.by === "tenant").map(view => view.label),
+        ["other"],
+    );
+});
