--- /dev/null
+++ b/packages/bench/src/fuzz-models.ts
@@ -0,0 +1,6 @@
+/** Every model that the fuzz command runs. */
+
+import type { FuzzModel } from "./fuzz-model.js";
+
+/** The models, one line each. */
+export const fuzzModels: readonly FuzzModel[] = [];
