Probe inside fixed parts of a service's budget

A part computed from the live list breaks when two sides disagree on it, so the part of a process follows from its ordinal, the greatest number of ordinals and the accepted text only. A process that starts or wakes from a pause waits a full window, and reports pass a filter that bounds what a misleading one can do.

--- /dev/null
+++ b/packages/probing/test/probing.test.ts
@@ -0,0 +1,194 @@
+import type { BackendServer, Service } from "@bramleymoor/model/spec";
+import type { LoadReport } from "@bramleymoor/protocol/answer";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ProbeBudget, budgetMsOf, probeDefaults, quotaOf } from "../src/budget.js";
+import { ReportFilter } from "../src/filter.js";
+import { Prober, type ServerBelief, type ServiceBelief } from "../src/prober.js";
+
+const server = (index: number, slots: number): BackendServer => ({
+    address: `10.1.0.${index}:80`,
+    host: `10.1.0.${index}`,
+    port: 80,
+    domain: "d",
+    slots,
+    connections: 200,
+    leaving: false,
+});
+
+const service = (servers: number, slots: number, probeBudget: number): Service => ({
+    name: "stops",
+    dependsOn: [],
+    servers: Array.from({ length: servers }, (_, index) => server(index, slots)),
+    classes: [],
+    chooser: "late-binding",
+    queueLimit: 100,
+    probeBudget,
+    retryBudget: 0,
+    hedgeBudget: 0,
+    ejectShare: 0.3,
+});
+
+const settings = (ordinal: number) => ({ ...probeDefaults, ordinal });
+
+test("the parts of all ordinals cost no more than the budget", () => {
+    for (const share of [0, 0.0001, 0.001, 0.005, 0.02, 0.3]) {
+        const stops = service(14, 2, share);
+        const quotas = Array.from({ length: 40 }, (_, ordinal) => quotaOf(settings(ordinal), stops));
+        const cost = quotas.reduce((sum, quota) => sum + quota, 0) * 2 * probeDefaults.probeCostMs;
+        assert.ok(cost <= budgetMsOf(stops), `${share}`);
+        assert.ok(cost > budgetMsOf(stops) - 2 * probeDefaults.probeCostMs, `${share}`);
+    }
+});
+
+test("a smaller budget gives no ordinal a larger part", () => {
+    for (let slots = 1; slots < 60; slots++) {
+        for (let ordinal = 0; ordinal < 32; ordinal++) {
+            const less = quotaOf(settings(ordinal), service(14, slots, 0.02));
+            const more = quotaOf(settings(ordinal), service(14, slots + 1, 0.02));
+            assert.ok(less <= more);
+        }
+    }
+});
+
+const takenOver = (budget: ProbeBudget, from: number, to: number): readonly number[] => {
+    const taken: number[] = [];
+    for (let now = from; now < to; now += 10) {
+        if (budget.take(now)) {
+            taken.push(now);
+        }
+    }
+    return taken;
+};
+
+test("a new process waits a full window before its first probe, and never bursts", () => {
+    const budget = new ProbeBudget(settings(0), service(14, 20, 0.3), 1000);
+    const taken = takenOver(budget, 1000, 6000);
+    assert.ok(taken.length > 0);
+    assert.ok((taken[0] ?? 0) >= 2250);
+    const gaps = taken.slice(1).map((at, index) => at - (taken[index] ?? 0));
+    assert.ok(gaps.every(gap => gap >= 1250 / budget.quota));
+});
+
+test("a process that was paused waits a full window, and a long pause ends its probing", () => {
+    const budget = new ProbeBudget(settings(0), service(14, 20, 0.3), 0);
+    assert.ok(takenOver(budget, 0, 3000).length > 0);
+    assert.ok((takenOver(budget, 4000, 7000)[0] ?? 0) >= 5250);
+    assert.equal(takenOver(budget, 20_000, 40_000).length, 0);
+    assert.match(budget.explain(40_000), /paused/);
+});
+
+test("a budget too small for one probe gives none, and says so", () => {
+    const budget = new ProbeBudget(settings(0), service(1, 2, 0.001), 0);
+    assert.equal(takenOver(budget, 0, 10_000).length, 0);
+    assert.match(budget.explain(10_000), /too small/);
+});
+
+test("settings that make no sense are refused at once", () => {
+    assert.throws(() => new ProbeBudget(settings(-1), service(1, 2, 0.1), 0), RangeError);
+    assert.throws(() => new ProbeBudget({ ...settings(0), ordinals: 0 }, service(1, 2, 0.1), 0), RangeError);
+});
+
+const belief = (states: readonly ServerBelief["state"][], inFlight = 1): ServiceBelief => ({
+    queued: 0,
+    inFlight,
+    servers: states.map((state, index) => ({
+        address: server(index, 2).address,
+        inFlight: 0,
+        limit: 2,
+        state,
+    })),
+});
+
+const probedOver = (prober: Prober, seen: ServiceBelief, from: number, to: number): readonly string[] => {
+    const probed: string[] = [];
+    for (let now = from; now < to; now += 10) {
+        const address = prober.next(seen, now);
+        if (address !== undefined) {
+            probed.push(address);
+        }
+    }
+    return probed;
+};
+
+test("a draining server, one at its limit and one lent out are never probed", () => {
+    const prober = new Prober(settings(0), service(5, 60, 0.3), 0);
+    const seen = belief(["serving", "draining", "full", "lent", "cold"]);
+    const full = {
+        ...seen,
+        servers: seen.servers.map((each, i) => (i === 4 ? { ...each, inFlight: 2 } : each)),
+    };
+    assert.deepEqual(new Set(probedOver(prober, seen, 0, 20_000)), new Set(["10.1.0.0:80", "10.1.0.4:80"]));
+    assert.deepEqual(probedOver(prober, full, 20_000, 40_000), []);
+});
+
+test("no probe where no decision would change: idle service, or fresh reports", () => {
+    const prober = new Prober(settings(0), service(5, 60, 0.3), 0);
+    assert.deepEqual(probedOver(prober, belief(["serving", "serving"], 0), 0, 5000), []);
+    for (let now = 5000; now < 10_000; now += 10) {
+        prober.heard("10.1.0.0:80", now);
+        prober.heard("10.1.0.1:80", now);
+        assert.equal(prober.next(belief(["serving", "serving"]), now), undefined);
+    }
+});
+
+test("the cost is counted in server time, own time and bytes", () => {
+    const prober = new Prober(settings(0), service(5, 60, 0.3), 0);
+    const count = probedOver(prober, belief(["serving", "serving"]), 0, 5000).length;
+    prober.settle(true, 0.2, 300);
+    prober.settle(false, 0.1, 100);
+    assert.ok(count > 0);
+    assert.equal(prober.cost.serverMs, count * probeDefaults.probeCostMs);
+    assert.equal(prober.cost.bytes, 400);
+    assert.equal(prober.cost.failed, 1);
+});
+
+const report = (inFlight: number, latencyMs = 10): LoadReport => ({ inFlight, latencyMs, draining: false });
+
+test("a report never hides our own requests, nor takes a server's last slot", () => {
+    const filter = new ReportFilter();
+    assert.equal(filter.accept("a", report(0), 0, { inFlight: 3, limit: 6 }, 0)?.inFlight, 3);
+    assert.equal(filter.accept("a", report(999_999), 0, { inFlight: 0, limit: 6 }, 1)?.inFlight, 5);
+    assert.equal(filter.accept("a", report(4), 0, { inFlight: 0, limit: 6 }, 2)?.inFlight, 4);
+});
+
+test("reports from the future, old ones and ones out of order are dropped", () => {
+    const filter = new ReportFilter();
+    const own = { inFlight: 0, limit: 6 };
+    assert.equal(filter.accept("a", report(1), -1, own, 100), undefined);
+    assert.equal(filter.accept("a", report(1), NaN, own, 100), undefined);
+    assert.equal(filter.accept("a", report(1), 5000, own, 6000), undefined);
+    assert.ok(filter.accept("a", report(1), 0, own, 6000));
+    assert.equal(filter.accept("a", report(2), 500, own, 6001), undefined);
+    assert.deepEqual(
+        [...filter.dropped],
+        [
+            ["future", 2],
+            ["old", 1],
+            ["reordered", 1],
+        ],
+    );
+});
+
+test("a frozen report is dropped once our own load shows it, and taken again when it moves", () => {
+    const filter = new ReportFilter();
+    const accepted = Array.from({ length: 20 }, (_, index) => {
+        return filter.accept("a", report(2), 0, { inFlight: index % 2, limit: 6 }, index);
+    });
+    assert.ok(accepted[5]);
+    assert.equal(accepted[19], undefined);
+    assert.ok(filter.accept("a", report(3), 0, { inFlight: 1, limit: 6 }, 21));
+});
+
+test("a report that falls as our load rises is dropped, an honest one is not", () => {
+    const filter = new ReportFilter();
+    let last: LoadReport | undefined;
+    let honest: LoadReport | undefined;
+    for (let index = 0; index < 60; index++) {
+        const inFlight = (index * 7) % 6;
+        last = filter.accept("a", report(6 - inFlight), 0, { inFlight, limit: 6 }, index);
+        honest = filter.accept("b", report(inFlight + (index % 2)), 0, { inFlight, limit: 6 }, index);
+    }
+    assert.equal(last, undefined);
+    assert.ok(honest);
+});
