Tell by gossip which entry VMs are alive

One ping a period to a peer, piggybacked records, indirect pings, suspicion with refutation, and generations that order the runs of one entry VM without agreeing clocks. Dead members are tried again now and then, so two sides of a partition find each other without the platform's list. Tests over a fake network in virtual time cover loss of a node, one bad path, a region apart for five minutes, replacement of every entry VM and paused processes that wake; traffic is not measured yet.

--- /dev/null
+++ b/packages/bench/test/membership.test.ts
@@ -0,0 +1,135 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { GossipNet, peerAddressOf, type Node } from "../src/gossipnet.js";
+
+const seenAlive = (node: Node): readonly string[] => {
+    return node.membership.current.filter(vm => vm.state === "alive").map(vm => vm.incarnation);
+};
+
+const assertAgreed = (net: GossipNet): void => {
+    const all = net.running.map(node => node.vm.incarnation).sort();
+    for (const node of net.running) {
+        assert.deepEqual([...seenAlive(node)].sort(), all, `${node.vm.id} at ${net.now}`);
+    }
+};
+
+test("19 entry VMs find each other through two seeds", async () => {
+    const net = new GossipNet(1);
+    net.startAll(19);
+    await net.run(10_000);
+    assertAgreed(net);
+});
+
+test("a killed entry VM is out everywhere, and its record is forgotten in the end", async () => {
+    const net = new GossipNet(2, undefined, { forgetAfterMs: 60_000 });
+    net.startAll(19);
+    await net.run(10_000);
+    net.nodes[5]!.up = false;
+    await net.run(20_000);
+    assertAgreed(net);
+    await net.run(80_000);
+    assert.ok(net.running.every(node => node.membership.size === 18));
+});
+
+test("one bad path makes nobody suspect, since others vouch", async () => {
+    const net = new GossipNet(3);
+    net.startAll(19);
+    await net.run(10_000);
+    net.partition((from, to) => from === net.nodes[3] && to === net.nodes[4]);
+    for (let second = 0; second < 120; second++) {
+        await net.run(1000);
+        assertAgreed(net);
+    }
+});
+
+test("a region cut off for minutes dies once on each side, and is back once", async () => {
+    const net = new GossipNet(4);
+    net.startAll(21);
+    await net.run(10_000);
+    const watcher = net.nodes[0]!;
+    const states: string[] = [];
+    const other = net.nodes.find(node => node.vm.place.region !== watcher.vm.place.region)!;
+    watcher.membership.members.subscribe(vms => {
+        const state = vms.find(vm => vm.id === other.vm.id)?.state ?? "gone";
+        if (state !== states.at(-1)) {
+            states.push(state);
+        }
+    });
+    net.partition((from, to) => (from.vm.place.region === "r0") !== (to.vm.place.region === "r0"));
+    await net.run(300_000);
+    net.heal();
+    await net.run(60_000);
+    assertAgreed(net);
+    assert.deepEqual(states, ["alive", "suspect", "gone", "alive"]);
+});
+
+test("every entry VM is replaced in turn, and nobody is ever lost for long", async () => {
+    const net = new GossipNet(5);
+    net.startAll(15);
+    await net.run(10_000);
+    for (let index = 0; index < 15; index++) {
+        net.nodes[index]!.membership.leave(net.now);
+        await net.run(3000);
+        net.nodes[index]!.up = false;
+        net.start(index, [peerAddressOf((index + 1) % 15)]);
+        await net.run(5000);
+        assertAgreed(net);
+    }
+});
+
+test("a paused process that wakes refutes its death", async () => {
+    const net = new GossipNet(6);
+    net.startAll(15);
+    await net.run(10_000);
+    net.nodes[4]!.paused = true;
+    await net.run(60_000);
+    assertAgreed(net);
+    net.nodes[4]!.paused = false;
+    await net.run(20_000);
+    assertAgreed(net);
+    assert.ok(net.nodes[4]!.membership.counts.refutations >= 1);
+    assert.ok(net.nodes[4]!.membership.counts.deaths === 0);
+});
+
+test("a paused process that wakes after its replacement yields to it", async () => {
+    const net = new GossipNet(7);
+    net.startAll(15);
+    await net.run(10_000);
+    const old = net.nodes[4]!;
+    old.paused = true;
+    await net.run(30_000);
+    net.start(4, [peerAddressOf(0)]);
+    await net.run(20_000);
+    old.paused = false;
+    await net.run(30_000);
+    assert.ok(old.membership.replaced);
+    for (const node of net.running) {
+        assert.ok(
+            seenAlive(node).includes("run000016") && !seenAlive(node).includes("run000005"),
+            node.vm.id,
+        );
+    }
+});
+
+test("a start with a clock far behind still outranks the run before it", async () => {
+    const net = new GossipNet(8);
+    net.startAll(15);
+    await net.run(1_000_000);
+    net.nodes[4]!.up = false;
+    net.start(4, [peerAddressOf(0)], -1_900_000);
+    await net.run(20_000);
+    assertAgreed(net);
+});
+
+test("a platform's list that says leaving takes an entry VM out, and seeds first contact", async () => {
+    const net = new GossipNet(9);
+    const first = net.start(0, []);
+    net.start(1, []);
+    await net.run(5000);
+    assert.equal(first.membership.current.length, 1);
+    first.membership.hint([{ id: "vm-0001", peerAddress: peerAddressOf(1), leaving: false }], net.now);
+    await net.run(5000);
+    assertAgreed(net);
+    first.membership.hint([{ id: "vm-0001", peerAddress: peerAddressOf(1), leaving: true }], net.now);
+    assert.equal(first.membership.current[1]?.state, "leaving");
+});
--- /dev/null
+++ b/packages/membership/src/beliefs.ts
@@ -0,0 +1,189 @@
+/** What one entry VM believes of all, and how it stands up for itself. */
+
+import type { EntryVm } from "@bramleymoor/model/vm";
+import type { Listing } from "./listing.js";
+import { isLaterRun, vmOf, type MemberRecord } from "./record.js";
+import { Roster } from "./roster.js";
+
+/** Settings of `Beliefs`. */
+export interface BeliefSettings {
+    /** Milliseconds. */
+    readonly periodMs: number;
+    /** Periods that a suspect has to refute, times the decimal logarithm of the number of members. */
+    readonly suspectPeriods: number;
+    /** A dead member's record is kept for so long, and it is tried again now and then; milliseconds. */
+    readonly forgetAfterMs: number;
+}
+
+/** Counters of what an entry VM came to believe. */
+export interface BeliefCounts {
+    /** Times this entry VM had to say that it is alive after all. */
+    readonly refutations: number;
+    /** Members that this entry VM declared dead itself. */
+    readonly deaths: number;
+}
+
+/** Takes records in, refutes wrong ones of this entry VM, and lets suspects and the dead expire. */
+export class Beliefs {
+    readonly roster = new Roster();
+    readonly #settings: BeliefSettings;
+    readonly #listing: Listing;
+    #self: MemberRecord;
+    #replaced = false;
+    #changed = false;
+    #counts: BeliefCounts = { refutations: 0, deaths: 0 };
+
+    constructor(self: MemberRecord, listing: Listing, settings: BeliefSettings, now: number) {
+        this.#self = self;
+        this.#listing = listing;
+        this.#settings = settings;
+        this.roster.put(self, now);
+    }
+
+    /** This entry VM's record of itself. */
+    get self(): MemberRecord {
+        return this.#self;
+    }
+
+    /** Whether a later run with this entry VM's id is alive. */
+    get replaced(): boolean {
+        return this.#replaced;
+    }
+
+    get counts(): BeliefCounts {
+        return this.#counts;
+    }
+
+    /** Ids of all members but this one that are not dead, sorted. */
+    get peers(): readonly string[] {
+        return this.roster.ids.filter(id => id !== this.#self.id);
+    }
+
+    /** Peer addresses of members that died without leaving, or that are only heard of. */
+    lost(seeds: readonly string[]): readonly string[] {
+        const records = [...this.roster.all()].map(entry => entry.record);
+        const live = new Set(records.filter(record => record.health !== "dead").map(peerAddressOf));
+        live.add(this.#self.peerAddress);
+        const dead = records.filter(record => record.health === "dead" && !record.leaving);
+        const all = new Set([...dead.map(peerAddressOf), ...this.#listing.addresses, ...seeds]);
+        return [...all].filter(address => !live.has(address));
+    }
+
+    /** Takes records in; `joined` tells whether this entry VM has been a member for a while. */
+    take(records: readonly MemberRecord[], joined: boolean, now: number): void {
+        for (const record of records) {
+            if (record.id === this.#self.id) {
+                this.#takeOwn(record, joined, now);
+            } else {
+                this.#takeOther(record, now);
+            }
+        }
+    }
+
+    /** Tells the peers a change of this entry VM's own state, as a new word that outranks all earlier ones. */
+    announce(change: Partial<MemberRecord>, now: number): void {
+        this.#self = { ...this.#self, counter: this.#self.counter + 1, ...change };
+        if (!this.#replaced) {
+            this.roster.put(this.#self, now);
+            this.#changed = true;
+        }
+    }
+
+    /** Changes load or payload, which travel along and are not passed on for themselves. */
+    refreshSelf(change: Partial<MemberRecord>): void {
+        this.#self = { ...this.#self, ...change, stamp: this.#self.stamp + 1 };
+        if (!this.#replaced) {
+            this.roster.refresh(this.#self);
+            this.#changed = true;
+        }
+    }
+
+    /** Suspects a member, unless a newer belief of it has come since `record`. */
+    suspect(record: MemberRecord, now: number): void {
+        const held = this.roster.get(record.id);
+        if (held?.health === "alive" && held.incarnation === record.incarnation) {
+            this.#takeOther({ ...held, health: "suspect" }, now);
+        }
+    }
+
+    /** Declares suspects dead and forgets the dead when their time has come. */
+    expire(isolated: boolean, joined: boolean, now: number): void {
+        for (const { record, changedAt } of [...this.roster.all()]) {
+            if (record.health === "suspect" && now - changedAt >= this.#suspicionMs(record, isolated)) {
+                this.#counts = { ...this.#counts, deaths: this.#counts.deaths + 1 };
+                this.take([{ ...record, health: "dead" }], joined, now);
+            }
+            if (record.health === "dead" && now - changedAt >= this.#settings.forgetAfterMs) {
+                this.roster.forget(record.id);
+            }
+        }
+    }
+
+    /** Makes the next `takeChange` true. */
+    markChanged(): void {
+        this.#changed = true;
+    }
+
+    /** Tells whether the view may have changed since the last call. */
+    takeChange(): boolean {
+        const changed = this.#changed;
+        this.#changed = false;
+        return changed;
+    }
+
+    /** Every member that is not dead, sorted by id. */
+    view(): readonly EntryVm[] {
+        const records = this.roster.ids.map(id => this.roster.get(id));
+        return records.flatMap(record => {
+            return record ? [vmOf(record, this.#listing.isLeaving(record.id))] : [];
+        });
+    }
+
+    #takeOther(record: MemberRecord, now: number): void {
+        const merged = this.roster.merge(record, now);
+        if (merged === "changed" || merged === "refreshed") {
+            this.#changed = true;
+        }
+        if (merged === "stale" && this.roster.get(record.id)?.health === "dead") {
+            this.roster.passOn(record.id);
+        }
+    }
+
+    /** Refutes what peers say wrongly of this entry VM, or yields to a later run with the same id. */
+    #takeOwn(record: MemberRecord, joined: boolean, now: number): void {
+        if (record.incarnation === this.#self.incarnation) {
+            this.#refute(record, now);
+            return;
+        }
+        if (!isLaterRun(record, this.#self)) {
+            return;
+        }
+        if (record.health === "dead" || !joined) {
+            this.#replaced = false;
+            this.announce({ generation: record.generation + 1 }, now);
+            return;
+        }
+        this.#replaced = true;
+        this.#takeOther(record, now);
+    }
+
+    #refute(record: MemberRecord, now: number): void {
+        const doubted = record.health !== "alive" && record.generation === this.#self.generation;
+        if (doubted && record.counter >= this.#self.counter) {
+            this.#counts = { ...this.#counts, refutations: this.#counts.refutations + 1 };
+            this.announce({ counter: record.counter + 1 }, now);
+        }
+    }
+
+    /** How long a suspect may refute; long while this entry VM hears nobody, since then the fault is its own. */
+    #suspicionMs(record: MemberRecord, isolated: boolean): number {
+        const lacking = this.#listing.lacks(record.id);
+        if (isolated && !lacking) {
+            return this.#settings.forgetAfterMs;
+        }
+        const spread = Math.max(1, Math.log10(this.roster.ids.length));
+        return this.#settings.suspectPeriods * this.#settings.periodMs * spread * (lacking ? 0.5 : 1);
+    }
+}
+
+const peerAddressOf = (record: MemberRecord): string => record.peerAddress;
