Serve callers through one task per call, with tickets and the at-most-once table

The thin path needs a callers' port that the entry process can put on top of a dispatcher. One async task runs a call from its headers to its last byte; a non-idempotent one goes through the ticket's issuer and the table before anything can be refused, because a retry told "not run" by a check that comes before the table could be wrong. The attempt number fences: after "not run" was told for an attempt, no older copy ever runs; the kinds not-decided (full table, later attempt) and caller-gone are new for this reason. Ruled out: an index of tickets by the peers' shared key; a key of the incarnation suffices, since nobody else judges a ticket.

--- a/packages/protocol/src/kinds.ts
+++ b/packages/protocol/src/kinds.ts
@@ -76,6 +76,13 @@
         "The entry VM that issued the ticket can't be reached now.",
     ),
     "table-full": row(503, "not run", "same", "The at-most-once table is full."),
+    "not-decided": row(
+        503,
+        "outcome unknown",
+        "same",
+        "The at-most-once table is full, so an earlier attempt's end can't be told.",
+    ),
+    "caller-gone": row(499, "not run", "same", "The caller went away before the request was sent."),
     "request-conflict": row(422, "not run", "never", "This request id was used before with another request."),
     "answer-not-kept": row(
         409,
--- /dev/null
+++ b/packages/proxy/src/answers.ts
@@ -0,0 +1,69 @@
+/** Writes the answers that are the system's own. */
+
+import type { ServerResponse } from "node:http";
+import type { ErrorBody } from "@bramleymoor/protocol/answer";
+import { answerHeaders } from "@bramleymoor/protocol/headers";
+import { CallError } from "@bramleymoor/protocol/kinds";
+
+/** Reads any failure as a CallError. */
+export const asCallError = (err: unknown): CallError =>
+    err instanceof CallError ? err : new CallError("internal", err instanceof Error ? err.message : "");
+
+/** Body of an error's answer. */
+export const errorBody = (error: CallError): ErrorBody => ({
+    error: error.kind,
+    ran: error.row.ran,
+    retry: error.row.retry,
+    ...(error.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs }),
+    message: error.message,
+});
+
+/** Headers of an error's answer, for a JSON text of this many bytes. */
+export const errorHeaders = (error: CallError, bytes: number): string[] => {
+    const headers = [
+        "Content-Type",
+        "application/json",
+        "Content-Length",
+        String(bytes),
+        answerHeaders.error,
+        error.kind,
+        answerHeaders.ran,
+        error.row.ran,
+    ];
+    if (error.retryAfterMs !== undefined) {
+        headers.push(answerHeaders.retryAfter, String(error.retryAfterMs));
+        headers.push("Retry-After", String(Math.ceil(error.retryAfterMs / msPerSecond)));
+    }
+    return headers;
+};
+
+const msPerSecond = 1000;
+
+/** Answers with an error; does nothing if an answer has begun already. */
+export const answerError = (res: ServerResponse, error: CallError, extra: readonly string[]): void => {
+    if (res.headersSent || res.destroyed) {
+        return;
+    }
+    const text = JSON.stringify(errorBody(error));
+    res.writeHead(error.row.status, [...errorHeaders(error, Buffer.byteLength(text)), ...extra]);
+    res.end(text);
+};
+
+/** A whole HTTP answer as text, for sockets that have no ServerResponse. */
+export const rawError = (error: CallError, reason: string): string => {
+    const text = JSON.stringify(errorBody(error));
+    const headers = [...errorHeaders(error, Buffer.byteLength(text)), "Connection", "close"];
+    const lines = [`HTTP/1.1 ${error.row.status} ${reason}`];
+    for (let i = 0; i + 1 < headers.length; i += 2) {
+        lines.push(`${headers[i]}: ${headers[i + 1]}`);
+    }
+    return `${lines.join("\r\n")}\r\n\r\n${text}`;
+};
+
+/** Answers with JSON. */
+export const answerJson = (res: ServerResponse, value: unknown, extra: readonly string[]): void => {
+    const text = JSON.stringify(value);
+    const length = String(Buffer.byteLength(text));
+    res.writeHead(200, ["Content-Type", "application/json", "Content-Length", length, ...extra]);
+    res.end(text);
+};
--- /dev/null
+++ b/packages/proxy/src/body.ts
@@ -0,0 +1,129 @@
+/** A caller's request body: none, small and held, or streamed once. */
+
+import { createHash, type Hash } from "node:crypto";
+import type { ClientRequest, IncomingMessage, ServerResponse } from "node:http";
+import { CallError } from "@bramleymoor/protocol/kinds";
+import { hasBody } from "./request.js";
+import { trailerPairs } from "./headers.js";
+
+/** Bodies up to this size are read before a slot is asked for, and can be sent again. */
+export const smallBodyBytes = 16_384;
+
+/** The body of one call. */
+export class CallBody {
+    readonly #req: IncomingMessage;
+    readonly #res: ServerResponse;
+    readonly #hash: Hash | undefined;
+    readonly #length: string | undefined;
+    readonly #streamed: boolean;
+    #held: Buffer | undefined = undefined;
+    #started = false;
+    #digest: string | undefined = undefined;
+
+    /** @param digestOf what the digest covers before the body; undefined for no digest */
+    constructor(req: IncomingMessage, res: ServerResponse, digestOf: string | undefined) {
+        this.#req = req;
+        this.#res = res;
+        this.#hash = digestOf === undefined ? undefined : createHash("sha256").update(digestOf).update("\n");
+        this.#length = req.headers["content-length"];
+        this.#streamed = hasBody(req) && !(Number(this.#length) <= smallBodyBytes);
+    }
+
+    /** Whether it can be sent (again) to a backend server. */
+    get replayable(): boolean {
+        return !this.#streamed || !this.#started;
+    }
+
+    /** Whether it can be sent to two backend servers at the same time. */
+    get copyable(): boolean {
+        return !this.#streamed;
+    }
+
+    /** Digest of the whole body; undefined until it has been read, or if none was asked for. */
+    get digest(): string | undefined {
+        return this.#digest;
+    }
+
+    /** Reads a small body whole; does nothing for a streamed one. Fails if the caller goes away. */
+    async hold(): Promise<void> {
+        if (this.#streamed) {
+            return;
+        }
+        if (hasBody(this.#req)) {
+            this.#held = await this.#readAll();
+        }
+        this.#digested();
+    }
+
+    /** Reads a body to its end for its digest alone. */
+    async skim(): Promise<void> {
+        await this.#read(chunk => this.#hash?.update(chunk));
+        this.#digested();
+    }
+
+    /** Headers that frame the body towards a backend server. */
+    framing(): string[] {
+        if (!this.#streamed) {
+            return this.#held || this.#length !== undefined
+                ? ["Content-Length", String(this.#held?.length ?? 0)]
+                : [];
+        }
+        return this.#length === undefined
+            ? ["Transfer-Encoding", "chunked"]
+            : ["Content-Length", this.#length];
+    }
+
+    /** Writes the body to an open request; a streamed one follows the reader's pace. */
+    send(out: ClientRequest): void {
+        if (!this.#streamed) {
+            out.end(this.#held);
+            return;
+        }
+        this.#begin();
+        this.#started = true;
+        const req = this.#req;
+        req.on("data", (chunk: Buffer) => {
+            this.#hash?.update(chunk);
+            if (!out.destroyed && !out.write(chunk)) {
+                req.pause();
+            }
+        });
+        out.on("close", () => req.resume());
+        out.on("drain", () => req.resume());
+        req.on("end", () => this.#finish(out));
+    }
+
+    #finish(out: ClientRequest): void {
+        this.#digested();
+        if (this.#length === undefined && this.#req.rawTrailers.length > 0) {
+            out.addTrailers(trailerPairs(this.#req.rawTrailers));
+        }
+        out.end();
+    }
+
+    #digested(): void {
+        this.#digest = this.#hash?.update(this.#held ?? "").digest("base64url");
+    }
+
+    #begin(): void {
+        if (this.#req.headers.expect !== undefined && !this.#res.headersSent) {
+            this.#res.writeContinue();
+        }
+    }
+
+    #read(take: (chunk: Buffer) => void): Promise<void> {
+        this.#begin();
+        const req = this.#req;
+        return new Promise((resolve, reject) => {
+            req.on("data", take);
+            req.on("end", resolve);
+            req.on("close", () => reject(new CallError("caller-gone")));
+        });
+    }
+
+    async #readAll(): Promise<Buffer> {
+        const chunks: Buffer[] = [];
+        await this.#read(chunk => chunks.push(chunk));
+        return chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks);
+    }
+}
--- /dev/null
+++ b/packages/proxy/src/guard.ts
@@ -0,0 +1,90 @@
+/** The way of a non-idempotent request through tickets and the at-most-once table. */
+
+import type { ServerResponse } from "node:http";
+import type { RequestClass } from "@bramleymoor/model/spec";
+import type { Outcome } from "@bramleymoor/once/entry";
+import type { Claim } from "@bramleymoor/once/table";
+import { readTicket, type Ticket } from "@bramleymoor/once/tickets";
+import { answerHeaders } from "@bramleymoor/protocol/headers";
+import { CallError } from "@bramleymoor/protocol/kinds";
+import type { CallHeaders } from "./request.js";
+import type { CallParts } from "./services.js";
+
+/** Decides whether a request needs the table, and who may run it. */
+export class Guard {
+    readonly #parts: CallParts;
+    readonly #headers: CallHeaders;
+    readonly #ticket: Ticket | undefined;
+    readonly #class: RequestClass | undefined;
+
+    /** @param cls undefined while the request's service isn't known here; then a ticket decides */
+    constructor(parts: CallParts, headers: CallHeaders, cls: RequestClass | undefined) {
+        this.#parts = parts;
+        this.#headers = headers;
+        this.#class = cls;
+        this.#ticket = headers.ticket === undefined ? undefined : readTicket(headers.ticket);
+    }
+
+    /** A request that the table remembers stays guarded, whatever the accepted text says of it now. */
+    get needed(): boolean {
+        const { requestId } = this.#headers;
+        if (this.#class && !this.#class.idempotent) {
+            return true;
+        }
+        if (!this.#ticket || requestId === undefined) {
+            return false;
+        }
+        return !this.#class || this.#parts.once.has(this.#ticket.callerPart, requestId);
+    }
+
+    /**
+     * The caller address of the entry VM that alone may run the request; undefined if that is this one.
+     *
+     * @throws CallError request-id-missing, ticket-unreadable, issuer-gone, issuer-unreachable
+     */
+    otherIssuer(): string | undefined {
+        const { requestId, ticket, forwarded } = this.#headers;
+        if (requestId === undefined || ticket === undefined) {
+            throw new CallError("request-id-missing");
+        }
+        if (!this.#ticket) {
+            throw new CallError("ticket-unreadable");
+        }
+        if (this.#ticket.incarnation === this.#parts.tickets.incarnation) {
+            return undefined;
+        }
+        const found = forwarded ? "gone" : this.#parts.issuer(this.#ticket.incarnation);
+        if (found === "gone") {
+            throw new CallError("issuer-gone");
+        }
+        if (found === "unreachable") {
+            throw new CallError("issuer-unreachable", "", unreachableRetryMs);
+        }
+        return found;
+    }
+
+    /**
+     * Claims the request in the table.
+     *
+     * @throws CallError ticket-unreadable, ticket-expired, request-conflict, table-full, not-decided
+     */
+    claim(target: string, now: number): Claim {
+        const { requestId = "", ticket = "", attempt } = this.#headers;
+        const { callerPart, expiresAt } = this.#parts.tickets.check(ticket, now);
+        return this.#parts.once.claim({ callerPart, requestId, expiresAt, attempt, target }, now);
+    }
+
+    /** Gives a duplicate its request's outcome. */
+    replay(outcome: Outcome, res: ServerResponse, extra: readonly string[]): void {
+        if (outcome.kind === "not-kept") {
+            throw new CallError("answer-not-kept");
+        }
+        if (outcome.kind !== "answered") {
+            throw outcome.error;
+        }
+        res.writeHead(outcome.status, [...outcome.headers, answerHeaders.replayed, "1", ...extra]);
+        res.end(outcome.body);
+    }
+}
+
+const unreachableRetryMs = 1000;
--- /dev/null
+++ b/packages/proxy/src/headers.ts
@@ -0,0 +1,110 @@
+/** Which headers go on to a backend server and back to a caller, as raw arrays of names and values by turns. */
+
+import { answerHeaders, callHeaders } from "@bramleymoor/protocol/headers";
+
+const hopByHop = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/** Dropped from a request: what belongs to the connection, and what the entry VM writes itself. */
+const requestDropped: ReadonlySet<string> = new Set([
+    ...hopByHop,
+    "content-length",
+    "expect",
+    "host",
+    "http2-settings",
+    callHeaders.deadline,
+    callHeaders.depth,
+    callHeaders.forwarded,
+    callHeaders.retryBudget,
+    callHeaders.ticket,
+]);
+
+/** Dropped from a request that goes to the issuing entry VM, which reads the ticket and the depth itself. */
+const passedDropped: ReadonlySet<string> = new Set(
+    [...requestDropped].filter(name => name !== callHeaders.ticket && name !== callHeaders.depth),
+);
+
+/** Dropped from a backend server's answer: bm- headers that only an entry VM may set, or alone reads. */
+const answerDropped: ReadonlySet<string> = new Set([
+    ...hopByHop,
+    answerHeaders.error,
+    answerHeaders.load,
+    answerHeaders.ran,
+    answerHeaders.refused,
+    answerHeaders.replayed,
+]);
+
+const passedAnswerDropped: ReadonlySet<string> = new Set(hopByHop);
+
+const noNames: ReadonlySet<string> = new Set();
+
+/** Names that a Connection header lists; framing can't be taken away by it. */
+const listedNames = (connection: string | undefined): ReadonlySet<string> => {
+    if (connection === undefined || connection === "keep-alive" || connection === "close") {
+        return noNames;
+    }
+    const names = connection.split(",").map(name => name.trim().toLowerCase());
+    return new Set(names.filter(name => name !== "content-length"));
+};
+
+const without = (
+    raw: readonly string[],
+    dropped: ReadonlySet<string>,
+    listed: ReadonlySet<string>,
+): string[] => {
+    const kept: string[] = [];
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+        const name = raw[i] ?? "";
+        const lower = name.toLowerCase();
+        if (!dropped.has(lower) && !listed.has(lower)) {
+            kept.push(name, raw[i + 1] ?? "");
+        }
+    }
+    return kept;
+};
+
+/** Headers of a caller's request that go on to a backend server. */
+export const requestHeaders = (raw: readonly string[], connection: string | undefined): string[] =>
+    without(raw, requestDropped, listedNames(connection));
+
+/** Headers of a caller's request that go on to the issuing entry VM. */
+export const passedRequestHeaders = (raw: readonly string[], connection: string | undefined): string[] =>
+    without(raw, passedDropped, listedNames(connection));
+
+/** Headers of a backend server's answer that go on to the caller. */
+export const answerHeadersFor = (raw: readonly string[], connection: string | undefined): string[] =>
+    without(raw, answerDropped, listedNames(connection));
+
+/** Headers of the issuing entry VM's answer that go on to the caller. */
+export const passedAnswerHeaders = (raw: readonly string[], connection: string | undefined): string[] =>
+    without(raw, passedAnswerDropped, listedNames(connection));
+
+/** Trailers that go on, as pairs. */
+export const trailerPairs = (raw: readonly string[]): [string, string][] => {
+    const kept = without(raw, trailerDropped, noNames);
+    const pairs: [string, string][] = [];
+    for (let i = 0; i + 1 < kept.length; i += 2) {
+        pairs.push([kept[i] ?? "", kept[i + 1] ?? ""]);
+    }
+    return pairs;
+};
+
+const trailerDropped: ReadonlySet<string> = new Set([
+    ...answerDropped,
+    ...requestDropped,
+    "trailer",
+    "authorization",
+    "set-cookie",
+    "cache-control",
+    "content-encoding",
+    "content-type",
+    "content-range",
+]);
--- /dev/null
+++ b/packages/proxy/src/relay.ts
@@ -0,0 +1,136 @@
+/** Streams an answer to a caller at the caller's pace. */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { trailerPairs } from "./headers.js";
+
+/** How a relay ended. */
+export type RelayEnd = "whole" | "broken" | "caller-gone";
+
+/** Collects a small answer's body for the at-most-once table. */
+export class Keep {
+    readonly #maxBytes: number;
+    #chunks: Buffer[] | undefined = [];
+    #bytes = 0;
+
+    constructor(maxBytes: number) {
+        this.#maxBytes = maxBytes;
+    }
+
+    /** The whole body; undefined if it is too large. */
+    get body(): Uint8Array | undefined {
+        return this.#chunks && Buffer.concat(this.#chunks);
+    }
+
+    /** Whether everything so far is held. */
+    get whole(): boolean {
+        return this.#chunks !== undefined;
+    }
+
+    /** Takes the next part; false once the body has grown too large. */
+    add(chunk: Buffer): boolean {
+        this.#bytes += chunk.length;
+        if (this.#bytes > this.#maxBytes) {
+            this.#chunks = undefined;
+        }
+        this.#chunks?.push(chunk);
+        return this.#chunks !== undefined;
+    }
+}
+
+/** Copies one answer. */
+export class Relay {
+    readonly #from: IncomingMessage;
+    readonly #to: ServerResponse;
+    readonly #keep: Keep | undefined;
+    #resolve: (end: RelayEnd) => void = () => undefined;
+    #bytes = 0;
+
+    /** @param keep goes on reading for the table when the caller has gone */
+    constructor(from: IncomingMessage, to: ServerResponse, keep: Keep | undefined) {
+        this.#from = from;
+        this.#to = to;
+        this.#keep = keep;
+    }
+
+    /** Body bytes copied so far. */
+    get bytes(): number {
+        return this.#bytes;
+    }
+
+    /**
+     * Copies until the last byte has been handed over or either side has gone. When the answer breaks off, the
+     * caller's connection is broken too, so that a short body never looks complete.
+     */
+    run(status: number, headers: string[]): Promise<RelayEnd> {
+        return new Promise(resolve => {
+            this.#resolve = resolve;
+            this.#watch();
+            if (!this.#to.destroyed) {
+                this.#to.writeHead(status, headers);
+            }
+            this.#from.on("data", (chunk: Buffer) => this.#copy(chunk));
+        });
+    }
+
+    #watch(): void {
+        const from = this.#from;
+        const to = this.#to;
+        from.on("end", () => this.#ended());
+        from.on("error", () => this.#broke());
+        from.on("close", () => this.#broke());
+        to.on("drain", () => from.resume());
+        to.on("close", () => this.#callerGone());
+        if (to.destroyed) {
+            this.#callerGone();
+        }
+    }
+
+    #copy(chunk: Buffer): void {
+        this.#bytes += chunk.length;
+        const kept = this.#keep?.add(chunk) ?? false;
+        if (this.#to.destroyed) {
+            if (!kept) {
+                this.#resolve("caller-gone");
+            }
+            return;
+        }
+        if (!this.#to.write(chunk)) {
+            this.#from.pause();
+        }
+    }
+
+    #ended(): void {
+        if (!this.#from.complete) {
+            this.#broke();
+            return;
+        }
+        if (this.#from.rawTrailers.length > 0 && this.#to.chunkedEncoding) {
+            this.#to.addTrailers(trailerPairs(this.#from.rawTrailers));
+        }
+        this.#to.end();
+        this.#resolve("whole");
+    }
+
+    #broke(): void {
+        if (!this.#from.complete) {
+            breakOff(this.#to);
+            this.#resolve("broken");
+        }
+    }
+
+    #callerGone(): void {
+        if (!this.#to.writableFinished && !this.#keep?.whole) {
+            this.#resolve("caller-gone");
+            return;
+        }
+        this.#from.resume();
+    }
+}
+
+/** Breaks a caller's connection so that it notices; HTTP/1.0 takes a plain end for the body's end. */
+const breakOff = (to: ServerResponse): void => {
+    if (to.req.httpVersion === "1.0") {
+        to.socket?.resetAndDestroy();
+    }
+    to.destroy();
+};
--- /dev/null
+++ b/packages/proxy/src/round.ts
@@ -0,0 +1,169 @@
+/** One submission of a call to its dispatcher: sends to the granted slots, and takes the first answer. */
+
+import type { IncomingMessage } from "node:http";
+import type { Call, Dispatcher, Slot, SlotResult } from "@bramleymoor/dispatch/types";
+import { answerHeaders } from "@bramleymoor/protocol/headers";
+import { parseLoadHeader } from "@bramleymoor/protocol/answer";
+import { CallError } from "@bramleymoor/protocol/kinds";
+import type { Subscription } from "rxjs";
+import { ExchangeError, type BackendClient, type Exchange, type Outgoing } from "./backend.js";
+
+/** A slot with the request that uses it; settled exactly once. */
+export class Sending {
+    readonly slot: Slot;
+    readonly exchange: Exchange;
+    readonly #dispatcher: Dispatcher;
+    readonly #clock: () => number;
+    #settled = false;
+
+    constructor(slot: Slot, exchange: Exchange, dispatcher: Dispatcher, clock: () => number) {
+        this.slot = slot;
+        this.exchange = exchange;
+        this.#dispatcher = dispatcher;
+        this.#clock = clock;
+    }
+
+    /** Tells the dispatcher how the request ended; later calls do nothing. */
+    settle(result: SlotResult): void {
+        if (!this.#settled) {
+            this.#settled = true;
+            this.#dispatcher.settle(this.slot, result, this.#clock());
+        }
+    }
+
+    /** Breaks the request off and settles its slot. */
+    abort(result: SlotResult): void {
+        this.settle(result);
+        this.exchange.abort(result);
+    }
+}
+
+/** How a round ended, when it wasn't refused by the dispatcher. */
+export type RoundEnd =
+    | { readonly kind: "answer"; readonly sending: Sending; readonly answer: IncomingMessage }
+    | { readonly kind: "failed"; readonly slot: Slot; readonly error: ExchangeError };
+
+/** What a round needs from its call. */
+export interface RoundParts {
+    readonly dispatcher: Dispatcher;
+    readonly client: BackendClient;
+    readonly clock: () => number;
+    /** Whether a second copy may be sent while the first one runs. */
+    readonly copyable: boolean;
+    /** Writes the request for a slot. */
+    readonly outgoing: (slot: Slot) => Outgoing;
+}
+
+/** Races the slots that a dispatcher grants to one call. */
+export class Round {
+    readonly #parts: RoundParts;
+    readonly #running = new Set<Sending>();
+    #subscription: Subscription | undefined = undefined;
+    #resolve: (end: RoundEnd) => void = () => undefined;
+    #reject: (error: CallError) => void = () => undefined;
+    #over = false;
+
+    constructor(parts: RoundParts) {
+        this.#parts = parts;
+    }
+
+    /** Whether a byte of the request may have reached a server that is still at work on it. */
+    get sent(): boolean {
+        return [...this.#running].some(sending => sending.exchange.sent);
+    }
+
+    /** Whether a request has gone out whole. */
+    get wholeSent(): boolean {
+        return [...this.#running].some(sending => sending.exchange.wholeSent);
+    }
+
+    /** Submits the call; rejects with the dispatcher's CallError, or with the one given to cancel. */
+    run(call: Call): Promise<RoundEnd> {
+        return new Promise((resolve, reject) => {
+            this.#resolve = resolve;
+            this.#reject = reject;
+            const { dispatcher, clock } = this.#parts;
+            const subscription = dispatcher.submit(call, clock()).subscribe({
+                next: slot => this.#granted(slot),
+                error: (err: unknown) => this.#refused(err),
+            });
+            this.#subscription = subscription;
+            if (this.#over) {
+                subscription.unsubscribe();
+            }
+        });
+    }
+
+    /** Ends the round; slots are settled with `result`. */
+    cancel(error: CallError, result: SlotResult): void {
+        if (!this.#over) {
+            this.#end();
+            this.#reject(error);
+            this.#abortAll(result);
+        }
+    }
+
+    #granted(slot: Slot): void {
+        const { dispatcher, client, clock, copyable } = this.#parts;
+        if (this.#over || (this.#running.size > 0 && !copyable)) {
+            dispatcher.settle(slot, { kind: "cancelled" }, clock());
+            return;
+        }
+        const sending = new Sending(slot, client.send(this.#parts.outgoing(slot)), dispatcher, clock);
+        this.#running.add(sending);
+        sending.exchange.head.then(
+            answer => this.#answered(sending, answer),
+            (err: unknown) => this.#failed(sending, err),
+        );
+    }
+
+    #answered(sending: Sending, answer: IncomingMessage): void {
+        const { dispatcher, clock } = this.#parts;
+        if (this.#over) {
+            sending.abort({ kind: "cancelled" });
+            return;
+        }
+        this.#running.delete(sending);
+        this.#end();
+        this.#abortAll({ kind: "cancelled" });
+        this.#report(sending.slot, answer);
+        dispatcher.answering(sending.slot, clock());
+        this.#resolve({ kind: "answer", sending, answer });
+    }
+
+    #failed(sending: Sending, err: unknown): void {
+        this.#running.delete(sending);
+        const error = err instanceof ExchangeError ? err : new ExchangeError({ kind: "lost" });
+        sending.settle(error.result);
+        if (!this.#over && this.#running.size === 0) {
+            this.#end();
+            this.#resolve({ kind: "failed", slot: sending.slot, error });
+        }
+    }
+
+    #refused(err: unknown): void {
+        if (!this.#over && this.#running.size === 0) {
+            this.#end();
+            this.#reject(err instanceof CallError ? err : new CallError("internal", String(err)));
+        }
+    }
+
+    #report(slot: Slot, answer: IncomingMessage): void {
+        const text = answer.headers[answerHeaders.load];
+        const report = typeof text === "string" ? parseLoadHeader(text) : undefined;
+        if (report) {
+            this.#parts.dispatcher.report(slot.server.address, report, 0, this.#parts.clock());
+        }
+    }
+
+    #end(): void {
+        this.#over = true;
+        this.#subscription?.unsubscribe();
+    }
+
+    #abortAll(result: SlotResult): void {
+        const running = [...this.#running];
+        this.#running.clear();
+        running.forEach(sending => sending.abort(result));
+    }
+}
--- /dev/null
+++ b/packages/proxy/src/services.ts
@@ -0,0 +1,71 @@
+/** What the proxy needs from the rest of an entry process. */
+
+import type { Dispatcher } from "@bramleymoor/dispatch/types";
+import type { Service } from "@bramleymoor/model/spec";
+import type { Issuer } from "@bramleymoor/once/tickets";
+import type { OnceTable } from "@bramleymoor/once/table";
+import type { AddressAnswer } from "@bramleymoor/protocol/answer";
+import type { CallObserver } from "./observer.js";
+
+/** A service as this entry VM serves it now. */
+export interface Route {
+    readonly service: Service;
+    readonly dispatcher: Dispatcher;
+}
+
+/** The accepted text as the proxy sees it. */
+export interface Services {
+    /**
+     * Finds a service; undefined if the accepted text has none of this name.
+     *
+     * @throws CallError not-ready while no text is accepted
+     */
+    route(service: string): Route | undefined;
+    /**
+     * Answers "which addresses", with a fresh ticket; `asker` is the caller's IP number.
+     *
+     * @throws CallError unknown-service, not-ready
+     */
+    addresses(service: string, asker: string): AddressAnswer;
+}
+
+/** Caller address ("IP:port") of the entry VM that runs an incarnation, or why there is none. */
+export type FindIssuer = (incarnation: string) => string | "gone" | "unreachable";
+
+/** Collaborators of a CallServer. */
+export interface CallParts {
+    readonly services: Services;
+    readonly tickets: Issuer;
+    readonly once: OnceTable;
+    readonly issuer: FindIssuer;
+    /** Monotonic milliseconds; the same clock as that of tickets, table and dispatchers. */
+    readonly clock: () => number;
+    readonly observer: CallObserver;
+}
+
+/** Bounds of a CallServer. */
+export interface CallLimits {
+    /** Connections to one backend server at most. */
+    readonly maxConnections: number;
+    /** Idle connections to backend servers are closed after this time, in milliseconds. */
+    readonly idleMs: number;
+    /** The same for the connections that carry non-idempotent requests. */
+    readonly guardedIdleMs: number;
+    readonly connectTimeoutMs: number;
+    /** Time for a caller to send its request's head, in milliseconds. */
+    readonly headTimeoutMs: number;
+    /** An idle caller connection is closed after this time, in milliseconds. */
+    readonly callerIdleMs: number;
+    readonly maxHeadBytes: number;
+}
+
+/** Bounds that suit backend servers which keep idle connections open for 5 s or more. */
+export const defaultLimits: CallLimits = {
+    maxConnections: 64,
+    idleMs: 4000,
+    guardedIdleMs: 1000,
+    connectTimeoutMs: 1000,
+    headTimeoutMs: 10_000,
+    callerIdleMs: 30_000,
+    maxHeadBytes: 16_384,
+};
--- /dev/null
+++ b/packages/proxy/test/calls.test.ts
@@ -0,0 +1,91 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import type { Backend } from "@bramleymoor/testkit/backend";
+import { startBackend, type BackendKnobs } from "@bramleymoor/testkit/backend";
+import { ask, order, startProxy, type Proxy, type ProxyOptions } from "./setup.js";
+
+interface Stage {
+    readonly proxy: Proxy;
+    readonly backends: readonly Backend[];
+}
+
+const stage = async (
+    t: TestContext,
+    knobs: readonly Partial<BackendKnobs>[] = [{}],
+    options: Partial<ProxyOptions> = {},
+): Promise<Stage> => {
+    const backends = await Promise.all(knobs.map(knob => startBackend(knob)));
+    const proxy = await startProxy({ ports: backends.map(backend => backend.port), ...options });
+    t.after(async () => {
+        await Promise.all(backends.map(backend => backend.close()));
+        await proxy.server.stop(0);
+    });
+    return { proxy, backends };
+};
+
+test("a call gets its backend server's answer, and its slot is settled", async t => {
+    const { proxy, backends } = await stage(t);
+    const answer = await ask(proxy.port, { headers: { "bm-request-id": "r1" } });
+    assert.equal(answer.status, 200);
+    assert.equal(answer.text, "ran r1");
+    assert.equal(answer.headers["bm-load"], undefined);
+    assert.deepEqual(backends[0]?.counts.runs, { r1: 1 });
+    assert.deepEqual(
+        proxy.dispatcher.settled.map(({ result }) => result),
+        [{ kind: "answered", status: 200 }],
+    );
+    assert.deepEqual(proxy.dispatcher.reports, [backends[0]?.address]);
+    assert.equal(proxy.records[0]?.end, "answered");
+});
+
+test("addresses are answered with a ticket", async t => {
+    const { proxy } = await stage(t);
+    const answer = await ask(proxy.port, { path: "/v1/addresses/desk" });
+    const parsed = JSON.parse(answer.text) as { addresses: string[]; ticket: string };
+    assert.deepEqual(parsed.addresses, [proxy.address]);
+    assert.equal(proxy.issuer.check(parsed.ticket, 0).incarnation, "inc-a");
+});
+
+test("an order runs once however often it is repeated, and each gets the answer", async t => {
+    const { proxy, backends } = await stage(t);
+    const ticket = proxy.ticket();
+    const answers = await Promise.all([1, 2, 3].map(() => order(proxy, "o1", { ticket })));
+    answers.push(await order(proxy, "o1", { ticket }));
+    assert.deepEqual(
+        answers.map(answer => answer.text),
+        Array.from(answers, () => "ran o1"),
+    );
+    assert.deepEqual(backends[0]?.counts.runs, { o1: 1 });
+    assert.equal(answers.filter(answer => answer.headers["bm-replayed"] === "1").length, 3);
+});
+
+test("an idempotent call is sent again when its server refuses, can't be reached, or is lost", async t => {
+    const closed = await startBackend();
+    await closed.close();
+    const { proxy, backends } = await stage(t, [{ draining: true }, { cut: "after-reading" }, {}]);
+    const first = await ask(proxy.port, { method: "PUT", body: "x", headers: { "bm-request-id": "r" } });
+    assert.equal(first.status, 200);
+    assert.equal(backends[2]?.counts.ran, 1);
+    assert.deepEqual(
+        proxy.dispatcher.settled.map(({ result }) => result.kind),
+        ["refused", "lost", "answered"],
+    );
+    const gone = await startProxy({ ports: [closed.port] });
+    t.after(() => gone.server.stop(0));
+    const refused = await ask(gone.port);
+    assert.equal(refused.headers["bm-error"], "connect-failed");
+    assert.equal(refused.headers["bm-ran"], "not run");
+    assert.equal(gone.dispatcher.settled.length, 3);
+});
+
+test("the first of two copies wins; the other is cancelled", async t => {
+    const { proxy, backends } = await stage(t, [{ serviceMs: 60_000 }, {}]);
+    proxy.dispatcher.hedging = true;
+    const answer = await ask(proxy.port, { method: "PUT", body: "small" });
+    assert.equal(answer.status, 200);
+    assert.deepEqual(proxy.dispatcher.settled.map(({ slot, result }) => [slot.hedge, result.kind]).sort(), [
+        [false, "cancelled"],
+        [true, "answered"],
+    ]);
+    assert.equal(backends[1]?.counts.ran, 1);
+});
--- /dev/null
+++ b/packages/proxy/test/setup.ts
@@ -0,0 +1,252 @@
+/** Builders for the proxy's tests: a call server over stand-ins, with a plain dispatcher. */
+
+import { randomBytes } from "node:crypto";
+import type { Agent } from "node:http";
+import { request, type IncomingMessage } from "node:http";
+import { connect } from "node:net";
+import type { Call, Dispatcher, Slot, SlotResult } from "@bramleymoor/dispatch/types";
+import type { BackendServer, RequestClass, Service } from "@bramleymoor/model/spec";
+import { OnceTable, type OnceLimits } from "@bramleymoor/once/table";
+import { Issuer } from "@bramleymoor/once/tickets";
+import type { CallError } from "@bramleymoor/protocol/kinds";
+import { Observable } from "rxjs";
+import type { CallRecord } from "../src/observer.js";
+import { CallServer } from "../src/server.js";
+import type { CallLimits, FindIssuer } from "../src/services.js";
+
+const cls = (name: string, methods: readonly string[], path: string, idempotent: boolean): RequestClass => ({
+    name,
+    methods,
+    path,
+    idempotent,
+    priority: 0,
+    deadlineMs: 5000,
+});
+
+export const serverAt = (port: number): BackendServer => ({
+    address: `127.0.0.1:${port}`,
+    host: "127.0.0.1",
+    port,
+    domain: "a",
+    slots: 2,
+    connections: 200,
+    leaving: false,
+});
+
+const serviceOf = (ports: readonly number[]): Service => ({
+    name: "desk",
+    dependsOn: [],
+    servers: ports.map(serverAt),
+    classes: [cls("order", ["POST"], "/orders", false), cls("rest", [], "/", true)],
+    chooser: "round-robin",
+    queueLimit: 100,
+    probeBudget: 0,
+    retryBudget: 0.1,
+    hedgeBudget: 0.1,
+    ejectShare: 0.5,
+});
+
+/** Grants each call the next server that it hasn't tried; can hold calls back and emit hedges on demand. */
+export class PlainDispatcher implements Dispatcher {
+    readonly granted: Slot[] = [];
+    readonly settled: { readonly slot: Slot; readonly result: SlotResult }[] = [];
+    readonly reports: string[] = [];
+    readonly queued: (() => void)[] = [];
+    holding = false;
+    hedging = false;
+    refuse: CallError | undefined = undefined;
+    readonly #servers: readonly BackendServer[];
+
+    constructor(servers: readonly BackendServer[]) {
+        this.#servers = servers;
+    }
+
+    submit(call: Call, now: number): Observable<Slot> {
+        return new Observable(subscriber => {
+            if (this.refuse) {
+                subscriber.error(this.refuse);
+                return;
+            }
+            const grant = (hedge: boolean): void => {
+                const free = this.#servers.filter(server => !call.tried.includes(server.address));
+                const server = hedge ? this.#servers[1] : (free[0] ?? this.#servers[0]);
+                if (server && !subscriber.closed) {
+                    const slot: Slot = { server, call, grantedAt: now, hedge };
+                    this.granted.push(slot);
+                    subscriber.next(slot);
+                }
+            };
+            if (this.holding) {
+                this.queued.push(() => grant(false));
+                return;
+            }
+            grant(false);
+            if (this.hedging) {
+                grant(true);
+            }
+        });
+    }
+
+    settle(slot: Slot, result: SlotResult): void {
+        this.settled.push({ slot, result });
+    }
+
+    answering(): void {}
+
+    report(address: string): void {
+        this.reports.push(address);
+    }
+
+    follow(): void {}
+
+    leaving(): void {}
+
+    tick(): number {
+        return Infinity;
+    }
+
+    view(): never {
+        throw new Error("not used here");
+    }
+}
+
+export interface ProxyOptions {
+    readonly ports: readonly number[];
+    readonly limits?: Partial<CallLimits>;
+    readonly once?: Partial<OnceLimits>;
+    readonly incarnation?: string;
+    readonly issuer?: FindIssuer;
+    readonly ticketLifeMs?: number;
+}
+
+/** A call server with all that it needs. */
+export class Proxy {
+    readonly dispatcher: PlainDispatcher;
+    readonly records: CallRecord[] = [];
+    readonly issuer: Issuer;
+    readonly table: OnceTable;
+    readonly server: CallServer;
+    service: Service | undefined;
+    /** Added to the clock, to let time pass at will. */
+    skewMs = 0;
+    port = 0;
+
+    constructor(options: ProxyOptions) {
+        const incarnation = options.incarnation ?? "inc-a";
+        const clock = (): number => performance.now() + this.skewMs;
+        this.service = serviceOf(options.ports);
+        this.dispatcher = new PlainDispatcher(this.service.servers);
+        this.table = new OnceTable({ maxEntries: 100, keepBytes: 4096, maxKeptBytes: 1e6, ...options.once });
+        const lifeMs = options.ticketLifeMs ?? 60_000;
+        this.issuer = new Issuer({ incarnation, key: randomBytes(32), lifeMs, randomBytes });
+        this.server = new CallServer(
+            {
+                services: {
+                    route: name =>
+                        this.service && name === this.service.name
+                            ? { service: this.service, dispatcher: this.dispatcher }
+                            : undefined,
+                    addresses: service => ({
+                        service,
+                        addresses: [this.address],
+                        ttlMs: 1000,
+                        ticket: this.issuer.issue(clock()),
+                        version: 1,
+                    }),
+                },
+                tickets: this.issuer,
+                once: this.table,
+                issuer: options.issuer ?? (() => "gone"),
+                clock,
+                observer: { callDone: record => this.records.push(record), badRequest: () => undefined },
+            },
+            options.limits,
+        );
+        this.ticket = () => this.issuer.issue(clock());
+    }
+
+    readonly ticket: () => string;
+
+    get address(): string {
+        return `127.0.0.1:${this.port}`;
+    }
+}
+
+export const startProxy = async (options: ProxyOptions): Promise<Proxy> => {
+    const proxy = new Proxy(options);
+    proxy.port = await proxy.server.listen(0, "127.0.0.1");
+    return proxy;
+};
+
+export interface Answer {
+    readonly status: number;
+    readonly headers: IncomingMessage["headers"];
+    readonly trailers: NodeJS.Dict<string>;
+    readonly text: string;
+    /** Whether the answer came whole. */
+    readonly whole: boolean;
+}
+
+export interface Ask {
+    readonly method?: string;
+    readonly path?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+    readonly agent?: Agent;
+}
+
+/** One request; rejects only if no answer begins. */
+export const ask = (port: number, what: Ask = {}): Promise<Answer> =>
+    new Promise((resolve, reject) => {
+        const { method = "GET", path = "/v1/call/desk/list", headers = {}, body, agent } = what;
+        const req = request(
+            { host: "127.0.0.1", port, method, path, headers, agent: agent ?? false },
+            res => {
+                const chunks: Buffer[] = [];
+                res.on("data", (chunk: Buffer) => chunks.push(chunk));
+                res.on("error", () => undefined);
+                res.on("close", () =>
+                    resolve({
+                        status: res.statusCode ?? 0,
+                        headers: res.headers,
+                        trailers: res.trailers,
+                        text: Buffer.concat(chunks).toString("latin1"),
+                        whole: res.complete,
+                    }),
+                );
+            },
+        );
+        req.on("error", reject);
+        req.end(body);
+    });
+
+/** An order: a non-idempotent call. */
+export const order = (
+    proxy: Proxy,
+    id: string,
+    more: Ask & { readonly ticket?: string } = {},
+): Promise<Answer> =>
+    ask(proxy.port, {
+        method: "POST",
+        path: "/v1/call/desk/orders",
+        body: `order ${id}`,
+        ...more,
+        headers: { "bm-ticket": more.ticket ?? proxy.ticket(), "bm-request-id": id, ...more.headers },
+    });
+
+/** Writes raw bytes and gives all that comes back until the other side closes. */
+export const raw = (port: number, text: string): Promise<string> =>
+    new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1", () => socket.write(text, "latin1"));
+        let got = "";
+        socket.on("data", chunk => (got += chunk.toString("latin1")));
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve(got));
+    });
+
+/** Waits until `done` says so, looking at each turn of the event loop. */
+export const until = async (done: () => boolean): Promise<void> => {
+    while (!done()) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+};
