Run the whole path: an entry process from settings to planned stop

A call for a service dispatched elsewhere is passed on once; an order is run by its ticket's issuer whoever dispatches the service.

--- /dev/null
+++ b/packages/bench/src/fleet.ts
@@ -0,0 +1,210 @@
+/** A whole deployment on loopback as separate processes: platform stand-in, backend servers, entry VMs. */
+
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { HttpPlatform } from "@bramleymoor/platform/http";
+import type { ListedVm } from "@bramleymoor/platform/vms";
+import type { BackendCounts, BackendKnobs } from "@bramleymoor/testkit/backend";
+import { builtScript, Child } from "./child.js";
+import { monotonicMs } from "./clock.js";
+
+const callerPort = 7_080;
+const operatorPort = 7_081;
+const peerPort = 7_082;
+const startTimeoutMs = 30_000;
+
+/** The shared key of every fleet; it guards loopback ports of one run. */
+export const fleetKey = "fleet-key-0123456789";
+
+/** How one entry VM of a fleet differs from the others. */
+export interface EntryOptions {
+    readonly id: string;
+    /** IP number on loopback. */
+    readonly host: string;
+    readonly ordinal: number;
+    readonly domain: string;
+    readonly ttlMs: number;
+    readonly logLevel: string;
+}
+
+/** One entry VM's process. */
+export class EntryChild {
+    readonly options: EntryOptions;
+    #child: Child;
+    readonly #start: () => Child;
+
+    constructor(options: EntryOptions, start: () => Child) {
+        this.options = options;
+        this.#start = start;
+        this.#child = start();
+    }
+
+    /** "IP:port" for callers. */
+    get callers(): string {
+        return `${this.options.host}:${callerPort}`;
+    }
+
+    /** "IP:port" for operators. */
+    get operators(): string {
+        return `${this.options.host}:${operatorPort}`;
+    }
+
+    /** The running process. */
+    get child(): Child {
+        return this.#child;
+    }
+
+    /** Resolves when the process serves an accepted text. */
+    async ready(): Promise<void> {
+        await this.#child.line(/"name":"ready"/, startTimeoutMs);
+    }
+
+    /** Starts a new process in place of the ended one. */
+    restart(): void {
+        this.#child = this.#start();
+    }
+
+    /** Asks the operators' port. */
+    async ask<T>(path: string): Promise<T> {
+        const headers = { authorization: `Bearer ${fleetKey}` };
+        const res = await fetch(`http://${this.operators}${path}`, { headers });
+        return (await res.json()) as T;
+    }
+}
+
+/** One process with backend server stand-ins. */
+export class BackendsChild {
+    readonly child: Child;
+    readonly ports: readonly number[];
+    readonly #admin: number;
+
+    constructor(child: Child, ports: readonly number[], admin: number) {
+        this.child = child;
+        this.ports = ports;
+        this.#admin = admin;
+    }
+
+    /** Sets knobs of the stand-in on `port`, or of all. */
+    async turn(knobs: Partial<BackendKnobs>, port?: number): Promise<void> {
+        const body = JSON.stringify(port === undefined ? knobs : { port, ...knobs });
+        await fetch(`http://127.0.0.1:${this.#admin}/knobs`, { method: "POST", body });
+    }
+
+    /** What each stand-in has seen. */
+    async counts(): Promise<readonly (BackendCounts & { readonly port: number })[]> {
+        const res = await fetch(`http://127.0.0.1:${this.#admin}/counts`);
+        return (await res.json()) as readonly (BackendCounts & { readonly port: number })[];
+    }
+}
+
+/** The deployment. */
+export class Fleet {
+    readonly platform: HttpPlatform;
+    readonly platformUrl: string;
+    readonly #folder: string;
+    readonly #children: Child[] = [];
+    readonly #entries: EntryChild[] = [];
+
+    private constructor(platformUrl: string, platformChild: Child) {
+        this.platformUrl = platformUrl;
+        this.platform = new HttpPlatform(platformUrl);
+        this.#folder = mkdtempSync(join(tmpdir(), "bramleymoor-"));
+        this.#children.push(platformChild);
+    }
+
+    /** Starts the platform's stand-in. */
+    static async start(): Promise<Fleet> {
+        const child = new Child(builtScript("testkit", "platform-main"), ["--port", "0"]);
+        const url = await child.line(/^http:/, startTimeoutMs);
+        return new Fleet(url, child);
+    }
+
+    /** Every entry VM started so far. */
+    get entries(): readonly EntryChild[] {
+        return this.#entries;
+    }
+
+    /** Starts `count` backend servers in one process. */
+    async backends(count: number, knobs: Partial<BackendKnobs>): Promise<BackendsChild> {
+        const child = new Child(builtScript("testkit", "backend-main"), [
+            String(count),
+            JSON.stringify(knobs),
+        ]);
+        this.#children.push(child);
+        const line = await child.line(/"admin"/, startTimeoutMs);
+        const { admin, ports } = JSON.parse(line) as { admin: number; ports: readonly number[] };
+        return new BackendsChild(child, ports, admin);
+    }
+
+    /** Starts entry VMs, spread over `domains`, without waiting until they serve. */
+    startEntries(count: number, domains: readonly string[], ttlMs: number, logLevel = "info"): void {
+        const net = `127.${1 + (process.pid % 250)}.${Math.floor(monotonicMs()) % 250}`;
+        for (let i = 0; i < count; i++) {
+            const options: EntryOptions = {
+                id: `entry-${i + 1}`,
+                host: `${net}.${i + 1}`,
+                ordinal: i,
+                domain: domains[i % domains.length] ?? "default",
+                ttlMs,
+                logLevel,
+            };
+            this.#entries.push(new EntryChild(options, () => this.#entryProcess(options)));
+        }
+    }
+
+    /** Puts the entry VMs into the platform's list; those named in `leaving` as leaving. */
+    async list(leaving: ReadonlySet<string> = new Set()): Promise<void> {
+        const vms: readonly ListedVm[] = this.#entries.map(({ options }) => ({
+            id: options.id,
+            peerAddress: `${options.host}:${peerPort}`,
+            callerAddress: `${options.host}:${callerPort}`,
+            region: "default",
+            domain: options.domain,
+            role: "entry",
+            leaving: leaving.has(options.id),
+        }));
+        await this.turnPlatform("/test/vms", vms);
+    }
+
+    /** Turns the platform stand-in's knobs. */
+    async turnPlatform(path: "/test/knobs" | "/test/vms", body: unknown): Promise<void> {
+        await fetch(`${this.platformUrl}${path}`, { method: "POST", body: JSON.stringify(body) });
+    }
+
+    /** Stops every process at once. */
+    async stop(): Promise<void> {
+        const all = [...this.#entries.map(entry => entry.child), ...this.#children];
+        for (const child of all) {
+            child.signal("SIGKILL");
+        }
+        await Promise.all(all.map(child => child.exited));
+        rmSync(this.#folder, { recursive: true, force: true });
+    }
+
+    #entryProcess(options: EntryOptions): Child {
+        const file = join(this.#folder, `${options.id}.ini`);
+        writeFileSync(file, settingsOf(options, this.platformUrl));
+        return new Child(builtScript("entry", "bramleymoord"), [file]);
+    }
+}
+
+const settingsOf = (options: EntryOptions, platformUrl: string): string =>
+    [
+        "[entry]",
+        `id = ${options.id}`,
+        `ordinal = ${options.ordinal}`,
+        `domain = ${options.domain}`,
+        "[ports]",
+        `callers = ${options.host}:${callerPort}`,
+        `operators = ${options.host}:${operatorPort}`,
+        `peers = ${options.host}:${peerPort}`,
+        "[peers]",
+        `key = ${fleetKey}`,
+        "[platform]",
+        `url = ${platformUrl}`,
+        "[callers]",
+        `ttl-ms = ${options.ttlMs}`,
+        "[log]",
+        `level = ${options.logLevel}`,
+    ].join("\n");
--- /dev/null
+++ b/packages/entry/src/bramleymoord.ts
@@ -0,0 +1,65 @@
+#!/usr/bin/env node
+/** The entry process: bramleymoord SETTINGS.INI. SIGTERM is a planned stop; a second one ends it at once. */
+
+import { EventLog } from "@bramleymoor/observe/events";
+import { HttpPlatform } from "@bramleymoor/platform/http";
+import { MemoryPlatform } from "@bramleymoor/platform/memory";
+import { monotonicMs, wallClockMs } from "./clock.js";
+import { EntryNode, type Platform } from "./node.js";
+import { readSettings, SettingsError, type Settings } from "./settings.js";
+
+const exitSettings = 2;
+const exitStart = 3;
+const exitCut = 4;
+
+const write = (line: string): void => {
+    process.stdout.write(`${line}\n`);
+};
+
+const settingsOrExit = (): Settings => {
+    const [file, ...rest] = process.argv.slice(2);
+    if (file === undefined || rest.length > 0) {
+        process.stderr.write("usage: bramleymoord SETTINGS.INI\n");
+        process.exit(exitSettings);
+    }
+    try {
+        return readSettings(file);
+    } catch (err) {
+        process.stderr.write(`${err instanceof SettingsError ? err.message : String(err)}\n`);
+        process.exit(exitSettings);
+    }
+};
+
+const platformOf = (settings: Settings, events: EventLog): Platform => {
+    const { url } = settings.platform;
+    if (url !== undefined) {
+        return new HttpPlatform(url);
+    }
+    events.emit("platform-embedded", {});
+    return new MemoryPlatform({ now: monotonicMs });
+};
+
+const run = async (): Promise<void> => {
+    const settings = settingsOrExit();
+    const { level, format } = settings.log;
+    const events = new EventLog({ source: settings.entry.id, format, level, write, clock: wallClockMs });
+    const node = new EntryNode(settings, platformOf(settings, events), events);
+    let asked = 0;
+    const stop = (signal: NodeJS.Signals): void => {
+        asked++;
+        if (asked > 1) {
+            process.exit(exitCut);
+        }
+        void node.stop(signal).then(() => process.exit(0));
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+    try {
+        await node.start();
+    } catch (err) {
+        events.emit("port-unavailable", { address: "a configured port", reason: String(err) });
+        process.exit(exitStart);
+    }
+};
+
+await run();
--- /dev/null
+++ b/packages/entry/src/demandbook.ts
@@ -0,0 +1,53 @@
+/** Calls per second of each service as its dispatchers report them, and how many dispatchers it wants. */
+
+import { Demand } from "@bramleymoor/placement/demand";
+
+const rateLifeMs = 15_000;
+
+interface Rate {
+    readonly perSecond: number;
+    readonly heardAt: number;
+}
+
+/** Adds up what a service's dispatchers see. */
+export class DemandBook {
+    readonly #demand = new Demand();
+    readonly #rates = new Map<string, Map<string, Rate>>();
+
+    /** Takes the calls per second that one dispatcher of a service sees. */
+    heard(service: string, vm: string, perSecond: number, now: number): void {
+        const rates = this.#rates.get(service) ?? new Map<string, Rate>();
+        rates.set(vm, { perSecond, heardAt: now });
+        this.#rates.set(service, rates);
+    }
+
+    /** Dispatchers that the service wants. */
+    want(service: string): number {
+        return this.#demand.want(service);
+    }
+
+    /** Drops old rates and takes the sums of the others as the demand. */
+    update(now: number): void {
+        for (const [service, rates] of this.#rates) {
+            let sum = 0;
+            for (const [vm, rate] of rates) {
+                if (now - rate.heardAt > rateLifeMs) {
+                    rates.delete(vm);
+                } else {
+                    sum += rate.perSecond;
+                }
+            }
+            this.#demand.observe(service, sum, now);
+        }
+    }
+
+    /** Forgets services that the accepted text no longer has. */
+    keep(services: ReadonlyMap<string, unknown>): void {
+        for (const service of this.#rates.keys()) {
+            if (!services.has(service)) {
+                this.#rates.delete(service);
+            }
+        }
+        this.#demand.keep(new Set(services.keys()));
+    }
+}
--- /dev/null
+++ b/packages/entry/src/hosted.ts
@@ -0,0 +1,72 @@
+/** One service that this entry VM dispatches: its dispatcher, its prober, and the demand seen for it. */
+
+import type { Random } from "@bramleymoor/dispatch/random";
+import { ServiceDispatcher } from "@bramleymoor/dispatch/dispatcher";
+import type { Dispatcher, DispatchView, Share } from "@bramleymoor/dispatch/types";
+import type { Service } from "@bramleymoor/model/spec";
+
+const msPerSecond = 1_000;
+
+/** A service under dispatch in this process. */
+export class Hosted {
+    readonly dispatcher: Dispatcher;
+    #service: Service;
+    #share: Share;
+    #calls = 0;
+    #ratedAt: number;
+    #rate = 0;
+
+    constructor(service: Service, share: Share, random: Random, now: number) {
+        this.#service = service;
+        this.#share = share;
+        this.#ratedAt = now;
+        this.dispatcher = new ServiceDispatcher(service, share, random, now);
+    }
+
+    /** The service as last accepted. */
+    get service(): Service {
+        return this.#service;
+    }
+
+    /** This entry VM's share of the service's slots. */
+    get share(): Share {
+        return this.#share;
+    }
+
+    /** Calls per second in the last rated period. */
+    get rate(): number {
+        return this.#rate;
+    }
+
+    /** Follows a newly accepted text or a new share. */
+    follow(service: Service, share: Share, now: number): void {
+        const same = service === this.#service && sameShare(share, this.#share);
+        this.#service = service;
+        this.#share = share;
+        if (!same) {
+            this.dispatcher.follow(service, share, now);
+        }
+    }
+
+    /** Counts one call. */
+    counted(): void {
+        this.#calls++;
+    }
+
+    /** Ends the running period and gives its calls per second. */
+    rerate(now: number): number {
+        const periodMs = Math.max(1, now - this.#ratedAt);
+        this.#rate = (this.#calls * msPerSecond) / periodMs;
+        this.#calls = 0;
+        this.#ratedAt = now;
+        return this.#rate;
+    }
+
+    /** Whether calls are queued or in flight. */
+    busy(now: number): boolean {
+        const view: DispatchView = this.dispatcher.view(now);
+        return view.queued > 0 || view.inFlight > 0;
+    }
+}
+
+const sameShare = (a: Share, b: Share): boolean => a.index === b.index && a.count === b.count;
--- /dev/null
+++ b/packages/entry/src/node.ts
@@ -0,0 +1,261 @@
+/** One entry process: its parts wired together, its start, its periodic tasks, and its planned stop. */
+
+import { randomBytes } from "node:crypto";
+import { Follower } from "@bramleymoor/config/follower";
+import { SeededRandom, type Random } from "@bramleymoor/dispatch/random";
+import { Membership, membershipDefaults } from "@bramleymoor/membership/membership";
+import type { EntryVm } from "@bramleymoor/model/vm";
+import type { EventLog } from "@bramleymoor/observe/events";
+import { CallMetrics } from "@bramleymoor/observe/metrics";
+import { OnceTable } from "@bramleymoor/once/table";
+import { Issuer } from "@bramleymoor/once/tickets";
+import type { LogService } from "@bramleymoor/platform/log";
+import type { VmList } from "@bramleymoor/platform/vms";
+import { CallServer } from "@bramleymoor/proxy/server";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { delay, monotonicMs, wallClockMs } from "./clock.js";
+import { SharedKey } from "./key.js";
+import { OperatorsServer, type NodeState } from "./operators.js";
+import { PeerClient } from "./peerclient.js";
+import { ConfigPeers, Peering } from "./peering.js";
+import { PeerServer } from "./peers.js";
+import { Periods } from "./periods.js";
+import { Report } from "./report.js";
+import { ServiceTable } from "./services.js";
+import type { Endpoint, Settings } from "./settings.js";
+import { Watch } from "./watch.js";
+
+const peerTimeoutMs = 1_000;
+const newcomerMs = 10_000;
+const leaveSpreadMs = 3_000;
+const onceKeepBytes = 16_384;
+const onceKeptBytes = 16 * 1024 * 1024;
+const incarnationBytes = 9;
+const ticketKeyBytes = 32;
+
+/** The platform as an entry process uses it. */
+export type Platform = LogService & VmList;
+
+/** Where a node listens, as "IP:port". */
+export interface NodeAddresses {
+    readonly callers: string;
+    readonly operators: string;
+    readonly peers: string;
+}
+
+/** One run of the entry process. */
+export class EntryNode {
+    readonly #settings: Settings;
+    readonly #events: EventLog;
+    readonly #metrics = new CallMetrics();
+    readonly #watch: Watch;
+    readonly #platform: Platform;
+    readonly #incarnation = randomBytes(incarnationBytes).toString("base64url");
+    readonly #random: Random = new SeededRandom(randomBytes(4).readInt32LE());
+    readonly #tickets: Issuer;
+    readonly #once: OnceTable;
+    readonly #client: PeerClient;
+    readonly #services: ServiceTable;
+    readonly #callServer: CallServer;
+    readonly #peerServer: PeerServer;
+    readonly #operatorsServer: OperatorsServer;
+    readonly #startedAt = monotonicMs();
+    readonly #ended = new AbortController();
+    #self: EntryVm | undefined;
+    #membership: Membership | undefined;
+    #peering: Peering | undefined;
+    #state: NodeState = "starting";
+
+    /** @param platform the platform's services, or an in-memory form of them */
+    constructor(settings: Settings, platform: Platform, events: EventLog) {
+        this.#settings = settings;
+        this.#platform = platform;
+        this.#events = events;
+        this.#watch = new Watch(events, this.#metrics);
+        const { callers, sharedKey } = settings;
+        const key = new SharedKey(sharedKey);
+        this.#tickets = new Issuer({
+            incarnation: this.#incarnation,
+            key: randomBytes(ticketKeyBytes),
+            lifeMs: callers["ticket-ms"],
+            randomBytes,
+        });
+        this.#once = new OnceTable({
+            maxEntries: callers["once-entries"],
+            keepBytes: onceKeepBytes,
+            maxKeptBytes: onceKeptBytes,
+        });
+        this.#client = new PeerClient(key, peerTimeoutMs);
+        this.#services = this.#makeServices();
+        this.#callServer = this.#makeCallServer();
+        this.#peerServer = new PeerServer(
+            () => this.#peering,
+            key,
+            address => events.emit("peer-refused", { address, reason: "no or a wrong shared key" }),
+        );
+        const report = new Report({
+            self: () => this.#vm,
+            state: () => this.#state,
+            members: () => this.#membership?.current ?? [],
+            services: this.#services,
+            metrics: this.#metrics,
+            controlBytes: () => this.#peerServer.bytes + this.#client.bytes,
+            clock: monotonicMs,
+        });
+        this.#operatorsServer = new OperatorsServer(report, key);
+    }
+
+    /** Listens on the three ports, joins the peers and follows the accepted text. */
+    async start(): Promise<NodeAddresses> {
+        const addresses = await this.#listen();
+        const { entry } = this.#settings;
+        this.#self = {
+            id: entry.id,
+            incarnation: this.#incarnation,
+            place: { region: entry.region, domain: entry.domain },
+            callerAddress: addresses.callers,
+            peerAddress: addresses.peers,
+            state: "alive",
+            load: 0,
+        };
+        const membership = this.#join(this.#self);
+        const follower = this.#follow();
+        this.#peering = new Peering({ membership, follower, services: this.#services, clock: monotonicMs });
+        this.#events.emit("started", { id: entry.id, incarnation: this.#incarnation, ...addresses });
+        this.#startPeriods(membership, follower);
+        return addresses;
+    }
+
+    /**
+     * Planned stop: out of the answers first, then serving the holders of old answers until those have expired,
+     * then waiting for the last byte of every call in flight.
+     */
+    async stop(signal: string): Promise<void> {
+        if (this.#state === "stopping") {
+            return;
+        }
+        this.#state = "stopping";
+        this.#events.emit("stop-asked", { signal });
+        this.#membership?.leave(monotonicMs());
+        const expiredMs = this.#settings.callers["ttl-ms"] + leaveSpreadMs;
+        await this.#callServer.stop(expiredMs);
+        this.#ended.abort();
+        this.#client.close();
+        await Promise.all([this.#peerServer.close(), this.#operatorsServer.close()]);
+        this.#events.emit("stopped", { cut: 0 });
+    }
+
+    get #vm(): EntryVm {
+        if (!this.#self) {
+            throw new Error("the node has not started");
+        }
+        return this.#self;
+    }
+
+    async #listen(): Promise<NodeAddresses> {
+        const { callers, operators, peers } = this.#settings.ports;
+        const on = async (server: { listen(port: number, host: string): Promise<number> }, at: Endpoint) =>
+            `${at.host}:${await server.listen(at.port, at.host)}`;
+        return {
+            callers: await on(this.#callServer, callers),
+            operators: await on(this.#operatorsServer, operators),
+            peers: await on(this.#peerServer, peers),
+        };
+    }
+
+    #makeServices(): ServiceTable {
+        return new ServiceTable({
+            self: () => this.#vm,
+            ttlMs: this.#settings.callers["ttl-ms"],
+            random: this.#random,
+            clock: monotonicMs,
+            issueTicket: now => this.#tickets.issue(now),
+            askPeer: async (peer, service) => await this.#client.addresses(peer.peerAddress, service),
+            stopping: () => this.#state === "stopping",
+        });
+    }
+
+    #makeCallServer(): CallServer {
+        return new CallServer({
+            services: this.#services,
+            tickets: this.#tickets,
+            once: this.#once,
+            issuer: incarnation => this.#findIssuer(incarnation),
+            clock: monotonicMs,
+            observer: this.#watch,
+        });
+    }
+
+    #findIssuer(incarnation: string): string | "gone" | "unreachable" {
+        const found = this.#membership?.current.find(vm => vm.incarnation === incarnation);
+        if (found) {
+            return found.callerAddress;
+        }
+        return monotonicMs() - this.#startedAt < newcomerMs ? "unreachable" : "gone";
+    }
+
+    #join(self: EntryVm): Membership {
+        const transport = {
+            send: async (address: string, msg: Parameters<PeerClient["gossip"]>[1]) =>
+                await this.#client.gossip(address, msg),
+        };
+        const settings = {
+            ...membershipDefaults,
+            cluster: this.#settings.peers.cluster,
+            startedAt: wallClockMs(),
+            seeds: [],
+        };
+        const random = xoroshiro128plus(randomBytes(4).readInt32LE());
+        const membership = new Membership(self, transport, settings, random, monotonicMs());
+        membership.members.subscribe(list => {
+            this.#watch.members(list);
+            this.#services.setMembers(list, monotonicMs());
+            this.#client.keepOnly(new Set(list.map(vm => vm.peerAddress)));
+        });
+        this.#membership = membership;
+        return membership;
+    }
+
+    #follow(): Follower {
+        const others = (): readonly EntryVm[] =>
+            (this.#membership?.current ?? []).filter(vm => vm.id !== this.#vm.id && vm.state !== "dead");
+        const follower = new Follower({
+            log: this.#platform,
+            peers: new ConfigPeers(this.#client, others, this.#random),
+            events: event => this.#watch.config(event),
+            random: () => this.#random.next(),
+        });
+        follower.changes.subscribe(accepted => {
+            this.#watch.accepted(accepted);
+            this.#services.follow(accepted, monotonicMs());
+            this.#ready(accepted.number);
+        });
+        return follower;
+    }
+
+    #ready(version: number): void {
+        if (this.#state === "starting") {
+            this.#state = "serving";
+            this.#events.emit("ready", { version });
+        }
+    }
+
+    #startPeriods(membership: Membership, follower: Follower): void {
+        const periods = new Periods({
+            membership,
+            services: this.#services,
+            once: this.#once,
+            client: this.#client,
+            vmList: this.#platform,
+            events: this.#events,
+            self: this.#vm,
+            clock: monotonicMs,
+            delay,
+        });
+        const failed = (err: unknown): void => {
+            this.#events.emit("internal-error", { doing: "a periodic task", reason: String(err) });
+        };
+        periods.run(this.#ended.signal).catch(failed);
+        follower.run(this.#ended.signal).catch(failed);
+    }
+}
--- /dev/null
+++ b/packages/entry/src/peering.ts
@@ -0,0 +1,81 @@
+/** This entry VM's side of what peers ask and are asked: membership, accepted texts, answers, dispatch hints. */
+
+import type { Follower } from "@bramleymoor/config/follower";
+import type { Offer, PeerQuestion, Peers } from "@bramleymoor/config/peers";
+import type { Random } from "@bramleymoor/dispatch/random";
+import type { Membership } from "@bramleymoor/membership/membership";
+import type { GossipMessage, GossipReply } from "@bramleymoor/membership/messages";
+import type { EntryVm } from "@bramleymoor/model/vm";
+import type { AddressAnswer } from "@bramleymoor/protocol/answer";
+import type { PeerClient } from "./peerclient.js";
+import type { PeerHint, PeerService } from "./peers.js";
+import type { ServiceTable } from "./services.js";
+
+/** Asks members for accepted texts, as the configuration follower wants it. */
+export class ConfigPeers implements Peers {
+    readonly #client: PeerClient;
+    readonly #others: () => readonly EntryVm[];
+    readonly #random: Random;
+
+    /** @param others reachable members but for this entry VM itself */
+    constructor(client: PeerClient, others: () => readonly EntryVm[], random: Random) {
+        this.#client = client;
+        this.#others = others;
+        this.#random = random;
+    }
+
+    async ask(question: PeerQuestion, count: number): Promise<readonly Offer[]> {
+        const asked = pick(this.#others(), count, this.#random);
+        const answers = await Promise.allSettled(
+            asked.map(vm => this.#client.config(vm.peerAddress, question)),
+        );
+        return answers.flatMap(answer =>
+            answer.status === "fulfilled" && answer.value ? [answer.value] : [],
+        );
+    }
+}
+
+/** What the answers to peers are made from. */
+export interface PeeringParts {
+    readonly membership: Membership;
+    readonly follower: Follower;
+    readonly services: ServiceTable;
+    readonly clock: () => number;
+}
+
+/** Answers peers. */
+export class Peering implements PeerService {
+    readonly #parts: PeeringParts;
+
+    constructor(parts: PeeringParts) {
+        this.#parts = parts;
+    }
+
+    async gossip(msg: GossipMessage): Promise<GossipReply> {
+        return await this.#parts.membership.receive(msg, this.#parts.clock());
+    }
+
+    config(question: PeerQuestion): Offer | undefined {
+        return this.#parts.follower.answer(question);
+    }
+
+    addresses(service: string): AddressAnswer | undefined {
+        return this.#parts.services.own(service);
+    }
+
+    hint(hint: PeerHint): void {
+        const { services, clock } = this.#parts;
+        for (const { service, perSecond } of hint.rates) {
+            services.peerRate(service, hint.from, perSecond, clock());
+        }
+    }
+}
+
+const pick = <T>(items: readonly T[], count: number, random: Random): readonly T[] => {
+    const left = [...items];
+    const picked: T[] = [];
+    while (left.length > 0 && picked.length < count) {
+        picked.push(...left.splice(Math.floor(random.next() * left.length), 1));
+    }
+    return picked;
+};
--- /dev/null
+++ b/packages/entry/src/periods.ts
@@ -0,0 +1,139 @@
+/** The periodic tasks of an entry process, each a loop of its own. */
+
+import type { Membership } from "@bramleymoor/membership/membership";
+import type { EntryVm } from "@bramleymoor/model/vm";
+import type { EventLog } from "@bramleymoor/observe/events";
+import type { OnceTable } from "@bramleymoor/once/table";
+import type { ListedVm, VmList } from "@bramleymoor/platform/vms";
+import type { PeerClient } from "./peerclient.js";
+import type { ServiceTable } from "./services.js";
+
+const dispatchPeriodMs = 5;
+const listPeriodMs = 1_000;
+const ratePeriodMs = 5_000;
+const sweepPeriodMs = 1_000;
+
+/** What the tasks work on. */
+export interface PeriodsParts {
+    readonly membership: Membership;
+    readonly services: ServiceTable;
+    readonly once: OnceTable;
+    readonly client: PeerClient;
+    readonly vmList: VmList;
+    readonly events: EventLog;
+    readonly self: EntryVm;
+    readonly clock: () => number;
+    readonly delay: (ms: number, signal: AbortSignal) => Promise<void>;
+}
+
+/** Runs the tasks. */
+export class Periods {
+    readonly #parts: PeriodsParts;
+    #listDownAt: number | undefined;
+
+    constructor(parts: PeriodsParts) {
+        this.#parts = parts;
+    }
+
+    /** Runs every task until the signal aborts; rejects if one of them fails. */
+    async run(signal: AbortSignal): Promise<void> {
+        await Promise.all([
+            this.#every(dispatchPeriodMs, signal, now => this.#dispatch(now)),
+            this.#every(listPeriodMs, signal, now => this.#readList(now)),
+            this.#every(ratePeriodMs, signal, now => this.#rate(now)),
+            this.#every(sweepPeriodMs, signal, now => this.#parts.once.sweep(now)),
+            this.#gossip(signal),
+        ]);
+    }
+
+    async #every(ms: number, signal: AbortSignal, act: (now: number) => void | Promise<void>): Promise<void> {
+        while (!signal.aborted) {
+            await act(this.#parts.clock());
+            await this.#parts.delay(ms, signal);
+        }
+    }
+
+    async #gossip(signal: AbortSignal): Promise<void> {
+        const { membership, clock, delay } = this.#parts;
+        while (!signal.aborted) {
+            const next = membership.tick(clock());
+            await delay(Math.max(1, next - clock()), signal);
+        }
+    }
+
+    #dispatch(now: number): void {
+        for (const hosted of this.#parts.services.hosted) {
+            hosted.dispatcher.tick(now);
+        }
+    }
+
+    async #readList(now: number): Promise<void> {
+        const { vmList, membership, services, clock } = this.#parts;
+        try {
+            const listed = await vmList.list();
+            this.#listUp(now);
+            membership.hint(listed.filter(isEntry), clock());
+            services.setLeaving(
+                new Set(listed.filter(isLeavingBackend).map(vm => vm.callerAddress)),
+                clock(),
+            );
+        } catch (err) {
+            this.#listDown(now, err);
+        }
+    }
+
+    #listUp(now: number): void {
+        if (this.#listDownAt !== undefined) {
+            this.#parts.events.emit("vm-list-up", { downMs: Math.round(now - this.#listDownAt) });
+            this.#listDownAt = undefined;
+        }
+    }
+
+    #listDown(now: number, err: unknown): void {
+        if (this.#listDownAt === undefined) {
+            this.#listDownAt = now;
+            this.#parts.events.emit("vm-list-down", { reason: String(err) });
+        }
+    }
+
+    #rate(now: number): void {
+        const { services, membership } = this.#parts;
+        services.rerate(now);
+        membership.setLoad(services.rate);
+        for (const [peer, rates] of this.#ratesByPeer()) {
+            this.#tell(peer, rates);
+        }
+    }
+
+    // One message for each other dispatcher, whatever number of services both dispatch.
+    #ratesByPeer(): ReadonlyMap<EntryVm, readonly ServiceRate[]> {
+        const { services, self } = this.#parts;
+        const byId = new Map<string, EntryVm>();
+        const rates = new Map<EntryVm, readonly ServiceRate[]>();
+        for (const { service, rate } of services.hosted) {
+            for (const placed of services.placed(service.name)) {
+                const vm = byId.get(placed.id) ?? placed;
+                byId.set(placed.id, vm);
+                if (vm.id !== self.id) {
+                    rates.set(vm, [...(rates.get(vm) ?? []), { service: service.name, perSecond: rate }]);
+                }
+            }
+        }
+        return rates;
+    }
+
+    #tell(peer: EntryVm, rates: readonly ServiceRate[]): void {
+        const { client, self } = this.#parts;
+        // A lost message costs nothing: the next period sends a newer one.
+        client.hint(peer.peerAddress, { v: 1, from: self.id, rates }).catch(() => undefined);
+    }
+}
+
+interface ServiceRate {
+    readonly service: string;
+    readonly perSecond: number;
+}
+
+const isEntry = (vm: ListedVm): boolean => vm.role === "entry";
+
+const isLeavingBackend = (vm: ListedVm): boolean => vm.role === "backend" && vm.leaving;
--- /dev/null
+++ b/packages/entry/src/report.ts
@@ -0,0 +1,68 @@
+/** What the operators' port shows of an entry process. */
+
+import type { EntryVm } from "@bramleymoor/model/vm";
+import type { CallMetrics } from "@bramleymoor/observe/metrics";
+import type { Explanation, NodeState, NodeStatus, Operations } from "./operators.js";
+import type { ServiceTable } from "./services.js";
+
+const microsecondsPerMs = 1_000;
+
+/** What a report is made from. */
+export interface ReportParts {
+    readonly self: () => EntryVm;
+    readonly state: () => NodeState;
+    readonly members: () => readonly EntryVm[];
+    readonly services: ServiceTable;
+    readonly metrics: CallMetrics;
+    readonly controlBytes: () => number;
+    readonly clock: () => number;
+}
+
+/** Reports on one entry process. */
+export class Report implements Operations {
+    readonly #parts: ReportParts;
+
+    constructor(parts: ReportParts) {
+        this.#parts = parts;
+    }
+
+    status(): NodeStatus {
+        const { self, state, members, services, controlBytes, clock } = this.#parts;
+        const { accepted } = services;
+        const now = clock();
+        const { user, system } = process.cpuUsage();
+        return {
+            id: self().id,
+            incarnation: self().incarnation,
+            state: state(),
+            version: accepted && { number: accepted.number, digest: accepted.digest },
+            members: members(),
+            services: services.hosted.map(hosted => hosted.dispatcher.view(now)),
+            controlBytes: controlBytes(),
+            rssBytes: process.memoryUsage.rss(),
+            cpuMs: (user + system) / microsecondsPerMs,
+        };
+    }
+
+    explain(service: string): Explanation | undefined {
+        const { services, clock } = this.#parts;
+        if (!services.accepted?.spec.services.has(service)) {
+            return undefined;
+        }
+        const hosted = services.find(service);
+        return {
+            service,
+            dispatchers: services.placed(service).map(vm => vm.id),
+            view: hosted?.dispatcher.view(clock()),
+            notes: hosted ? [] : ["This entry VM does not dispatch the service; ask one of the dispatchers."],
+        };
+    }
+
+    async metrics(): Promise<string> {
+        return await this.#parts.metrics.text();
+    }
+
+    async histograms(): Promise<unknown> {
+        return await this.#parts.metrics.histograms();
+    }
+}
--- /dev/null
+++ b/packages/entry/src/services.ts
@@ -0,0 +1,244 @@
+/** The services of the accepted text as this entry VM serves them: which it dispatches, who dispatches the rest. */
+
+import type { Accepted } from "@bramleymoor/config/version";
+import type { Random } from "@bramleymoor/dispatch/random";
+import type { Share } from "@bramleymoor/dispatch/types";
+import type { Service } from "@bramleymoor/model/spec";
+import type { EntryVm } from "@bramleymoor/model/vm";
+import { place, shareOf } from "@bramleymoor/placement/placement";
+import type { AddressAnswer } from "@bramleymoor/protocol/answer";
+import { CallError } from "@bramleymoor/protocol/kinds";
+import type { Dispatched, Route, Services } from "@bramleymoor/proxy/services";
+import { DemandBook } from "./demandbook.js";
+import { Hosted } from "./hosted.js";
+
+const keepAfterMovedMs = 60_000;
+
+/** What the service table needs from the rest of the process. */
+export interface ServicesParts {
+    /** This entry VM; called only once the process listens. */
+    readonly self: () => EntryVm;
+    /** How long callers may keep an answer, in milliseconds. */
+    readonly ttlMs: number;
+    readonly random: Random;
+    readonly clock: () => number;
+    /** Issues a ticket of this incarnation. */
+    readonly issueTicket: (now: number) => string;
+    /** Asks another entry VM for its own answer; rejects when it can't be reached. */
+    readonly askPeer: (peer: EntryVm, service: string) => Promise<AddressAnswer | undefined>;
+    /** Whether a planned stop has begun. */
+    readonly stopping: () => boolean;
+}
+
+interface Row {
+    readonly hosted: Hosted;
+    /** When the service was last found placed elsewhere; undefined while it is placed here. */
+    readonly movedAt: number | undefined;
+}
+
+/** Implements the proxy's view of the services. */
+export class ServiceTable implements Services {
+    readonly #parts: ServicesParts;
+    readonly #rows = new Map<string, Row>();
+    readonly #demand = new DemandBook();
+    #accepted: Accepted | undefined;
+    #members: readonly EntryVm[] = [];
+    #leaving: ReadonlySet<string> = new Set();
+
+    constructor(parts: ServicesParts) {
+        this.#parts = parts;
+    }
+
+    /** The accepted version followed; undefined before the first one. */
+    get accepted(): Accepted | undefined {
+        return this.#accepted;
+    }
+
+    /** Every service dispatched here. */
+    get hosted(): readonly Hosted[] {
+        return [...this.#rows.values()].map(row => row.hosted);
+    }
+
+    /** Calls per second of all services dispatched here. */
+    get rate(): number {
+        return this.hosted.reduce((sum, hosted) => sum + hosted.rate, 0);
+    }
+
+    /** Follows a newly accepted text. */
+    follow(accepted: Accepted, now: number): void {
+        this.#accepted = accepted;
+        this.#demand.keep(accepted.spec.services);
+        this.#placeAll(now);
+    }
+
+    /** Follows the list of members. */
+    setMembers(members: readonly EntryVm[], now: number): void {
+        this.#members = members;
+        this.#placeAll(now);
+    }
+
+    /** Follows the backend servers that the platform's list says are leaving, by "IP:port". */
+    setLeaving(addresses: ReadonlySet<string>, now: number): void {
+        this.#leaving = addresses;
+        for (const hosted of this.hosted) {
+            hosted.dispatcher.leaving(addresses, now);
+        }
+    }
+
+    /** Takes the calls per second that another dispatcher of a service sees. */
+    peerRate(service: string, peer: string, perSecond: number, now: number): void {
+        this.#demand.heard(service, peer, perSecond, now);
+    }
+
+    /** Ends the rated period of every service, and places the services by the demand seen. */
+    rerate(now: number): void {
+        for (const hosted of this.hosted) {
+            this.#demand.heard(hosted.service.name, this.#parts.self().id, hosted.rerate(now), now);
+        }
+        this.#demand.update(now);
+        this.#placeAll(now);
+    }
+
+    /** Entry VMs that dispatch a service as this one believes, first one first. */
+    placed(service: string): readonly EntryVm[] {
+        return place(service, this.#members, this.#demand.want(service));
+    }
+
+    /** The service as dispatched here; undefined if it isn't. */
+    find(service: string): Hosted | undefined {
+        return this.#rows.get(service)?.hosted;
+    }
+
+    route(name: string, forwarded: boolean): Route | undefined {
+        const service = this.#service(name);
+        if (!service) {
+            return undefined;
+        }
+        const others = this.find(name) ? [] : this.#others(name);
+        if (forwarded || others.length === 0) {
+            return this.here(name);
+        }
+        return { service, passTo: others.map(vm => vm.callerAddress) };
+    }
+
+    here(name: string): Dispatched {
+        const service = this.#service(name);
+        if (!service) {
+            throw new CallError("unknown-service", `"${name}"`);
+        }
+        const hosted = this.find(name) ?? this.#host(service, aloneShare, this.#parts.clock());
+        hosted.counted();
+        return { service, dispatcher: hosted.dispatcher };
+    }
+
+    async addresses(name: string): Promise<AddressAnswer> {
+        if (!this.#service(name)) {
+            throw new CallError("unknown-service", `"${name}"`);
+        }
+        const placed = this.placed(name);
+        const first = Math.floor(this.#parts.random.next() * placed.length);
+        const order = [...placed.slice(first), ...placed.slice(0, first)];
+        for (const vm of order) {
+            const answer = this.#isSelf(vm) ? this.own(name) : await this.#ask(vm, name);
+            if (answer) {
+                return answer;
+            }
+        }
+        return this.#lastResort(name);
+    }
+
+    /** This entry VM's own answer, with itself as the first address; undefined while it is stopping. */
+    own(name: string): AddressAnswer | undefined {
+        const { self, ttlMs, clock, issueTicket, stopping } = this.#parts;
+        if (stopping() || !this.#accepted || !this.#service(name)) {
+            return undefined;
+        }
+        const others = this.#others(name).map(vm => vm.callerAddress);
+        return {
+            service: name,
+            addresses: [self().callerAddress, ...others],
+            ttlMs,
+            ticket: issueTicket(clock()),
+            version: this.#accepted.number,
+        };
+    }
+
+    #lastResort(name: string): AddressAnswer {
+        const answer = this.own(name);
+        if (!answer) {
+            throw new CallError("stopping");
+        }
+        return answer;
+    }
+
+    async #ask(vm: EntryVm, name: string): Promise<AddressAnswer | undefined> {
+        try {
+            return await this.#parts.askPeer(vm, name);
+        } catch {
+            return undefined;
+        }
+    }
+
+    #service(name: string): Service | undefined {
+        if (!this.#accepted) {
+            throw new CallError("not-ready");
+        }
+        return this.#accepted.spec.services.get(name);
+    }
+
+    #others(name: string): readonly EntryVm[] {
+        return this.placed(name).filter(vm => !this.#isSelf(vm));
+    }
+
+    #isSelf(vm: EntryVm): boolean {
+        return vm.id === this.#parts.self().id;
+    }
+
+    #placeAll(now: number): void {
+        const services = this.#accepted?.spec.services ?? noServices;
+        for (const service of services.values()) {
+            this.#placeOne(service, now);
+        }
+        for (const name of this.#rows.keys()) {
+            if (!services.has(name)) {
+                this.#rows.delete(name);
+            }
+        }
+    }
+
+    // A service that has moved away is still dispatched for callers who hold an old answer.
+    #placeOne(service: Service, now: number): void {
+        const share = shareOf(this.#parts.self(), this.placed(service.name));
+        const row = this.#rows.get(service.name);
+        if (share) {
+            this.#host(service, share, now);
+        } else if (row) {
+            this.#moved(service, row, now);
+        }
+    }
+
+    #moved(service: Service, row: Row, now: number): void {
+        const movedAt = row.movedAt ?? now;
+        if (now - movedAt > keepAfterMovedMs && !row.hosted.busy(now)) {
+            this.#rows.delete(service.name);
+            return;
+        }
+        row.hosted.follow(service, row.hosted.share, now);
+        this.#rows.set(service.name, { hosted: row.hosted, movedAt });
+    }
+
+    #host(service: Service, share: Share, now: number): Hosted {
+        const known = this.find(service.name);
+        const hosted = known ?? new Hosted(service, share, this.#parts.random, now);
+        if (known) {
+            known.follow(service, share, now);
+        } else {
+            hosted.dispatcher.leaving(this.#leaving, now);
+        }
+        this.#rows.set(service.name, { hosted, movedAt: undefined });
+        return hosted;
+    }
+}
+
+const aloneShare: Share = { index: 0, count: 1 };
+const noServices: ReadonlyMap<string, Service> = new Map();
--- /dev/null
+++ b/packages/entry/test/settings.test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SharedKey } from "../src/key.js";
+import { parseSettings, SettingsError } from "../src/settings.js";
+
+const good = [
+    "[entry]",
+    "id = entry-1",
+    "[ports]",
+    "callers = 127.0.0.1:0",
+    "operators = 127.0.0.1:0",
+    "peers = 127.0.0.1:0",
+    "[peers]",
+    "key = 0123456789abcdef",
+];
+
+const failure = (lines: readonly string[]): string => {
+    try {
+        parseSettings(lines.join("\n"), "node.ini");
+    } catch (err) {
+        assert.ok(err instanceof SettingsError);
+        return err.message;
+    }
+    return assert.fail("the settings were accepted");
+};
+
+test("the smallest settings get defaults", () => {
+    const settings = parseSettings(good.join("\n"), "node.ini");
+    assert.deepEqual(settings.ports.callers, { host: "127.0.0.1", port: 0 });
+    assert.equal(settings.callers["ttl-ms"], 5_000);
+    assert.equal(settings.entry.domain, "default");
+    assert.equal(settings.sharedKey, "0123456789abcdef");
+});
+
+test("an unknown key is refused with file, line and a suggestion", () => {
+    const text = failure([...good, "[callers]", "tll-ms = 5"]);
+    assert.match(text, /^node\.ini:10: .*tll-ms.*Did you mean "ttl-ms"\?/m);
+});
+
+test("every error is told at once", () => {
+    const text = failure([
+        "[entry]",
+        "id = bad name",
+        "[ports]",
+        "callers = here:1",
+        "peers = 1.2.3.4:99999",
+        "[plat]",
+    ]);
+    for (const part of ["node.ini:2:", "node.ini:4:", "node.ini:5:", "node.ini:6:", "without operators"]) {
+        assert.ok(text.includes(part), `${part} in ${text}`);
+    }
+});
+
+test("a key and a key file exclude each other, and one is needed", () => {
+    assert.match(failure([...good, "key-file = nowhere"]), /exactly one of key and key-file/);
+    assert.match(failure(good.slice(0, 6)), /exactly one of key and key-file/);
+});
+
+test("a shared key accepts itself alone", () => {
+    const key = new SharedKey("0123456789abcdef");
+    assert.ok(key.accepts(key.authorization));
+    for (const shown of [undefined, "", "Bearer ", "Bearer 0123456789abcdeg", "0123456789abcdef"]) {
+        assert.equal(key.accepts(shown), false);
+    }
+    assert.throws(() => new SharedKey("short"), RangeError);
+});
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -102,16 +102,15 @@
         if (url.startsWith(callPrefix)) {
             await new CallTask(this.#parts, req, res).run();
         } else {
-            this.#answer(req, res, url);
+            await this.#answer(req, res, url);
         }
     }
 
-    #answer(req: IncomingMessage, res: ServerResponse, url: string): void {
+    async #answer(req: IncomingMessage, res: ServerResponse, url: string): Promise<void> {
         const { extraHeaders, services } = this.#parts;
         try {
             const service = addressesOf(req.method, url);
-            const asker = req.socket.remoteAddress ?? "";
-            answerJson(res, services.addresses(service, asker), extraHeaders());
+            answerJson(res, await services.addresses(service), extraHeaders());
         } catch (err) {
             answerError(res, asCallError(err), extraHeaders());
         }
--- a/packages/proxy/src/services.ts
+++ b/packages/proxy/src/services.ts
@@ -7,26 +7,43 @@
 import type { AddressAnswer } from "@bramleymoor/protocol/answer";
 import type { CallObserver } from "./observer.js";
 
-/** A service as this entry VM serves it now. */
-export interface Route {
+/** A service that this entry VM dispatches. */
+export interface Dispatched {
     readonly service: Service;
     readonly dispatcher: Dispatcher;
 }
 
+/** A service that other entry VMs dispatch. */
+export interface Elsewhere {
+    readonly service: Service;
+    /** Their caller addresses ("IP:port"), best first; at least one. */
+    readonly passTo: readonly string[];
+}
+
+/** A service as this entry VM serves it now. */
+export type Route = Dispatched | Elsewhere;
+
 /** The accepted text as the proxy sees it. */
 export interface Services {
     /**
      * Finds a service; undefined if the accepted text has none of this name.
      *
+     * @param forwarded the call came from another entry VM, so it may not be passed on again
      * @throws CallError not-ready while no text is accepted
      */
-    route(service: string): Route | undefined;
+    route(service: string, forwarded: boolean): Route | undefined;
+    /**
+     * Finds a service for a call that only this entry VM may run.
+     *
+     * @throws CallError not-ready, unknown-service
+     */
+    here(service: string): Dispatched;
     /**
-     * Answers "which addresses", with a fresh ticket; `asker` is the caller's IP number.
+     * Answers "which addresses", with a fresh ticket of the entry VM that the answer names first.
      *
-     * @throws CallError unknown-service, not-ready
+     * @throws CallError unknown-service, not-ready, stopping
      */
-    addresses(service: string, asker: string): AddressAnswer;
+    addresses(service: string): Promise<AddressAnswer>;
 }
 
 /** Caller address ("IP:port") of the entry VM that runs an incarnation, or why there is none. */
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -14,7 +14,7 @@
 import { Guard } from "./guard.js";
 import { answerHeadersFor, requestHeaders } from "./headers.js";
 import type { CallEnd } from "./observer.js";
-import type { Passing } from "./passing.js";
+import type { PassFailure, Passing } from "./passing.js";
 import { Keep, Relay, type RelayEnd } from "./relay.js";
 import {
     checkDepth,
@@ -25,7 +25,7 @@
     type CallTarget,
 } from "./request.js";
 import { Round, type RoundEnd, type Sending } from "./round.js";
-import type { CallParts, Route } from "./services.js";
+import type { CallParts, Dispatched, Route } from "./services.js";
 import type { Due, Sweep } from "./sweep.js";
 import { Timing } from "./timing.js";
 
@@ -91,23 +91,26 @@
         const headers = readHeaders(this.#req.headers);
         this.#timing.service = target.service;
         this.#timing.tenant = headers.tenant;
-        const route = this.#route(target.service);
+        const route = this.#route(target.service, headers.forwarded);
         const cls = this.#class(route, target, headers);
         this.#setDeadline(headers, cls);
         const guard = new Guard(this.#parts, headers, cls);
         if (!guard.needed) {
-            return this.#serve(routed(route), classed(cls), target, headers);
+            const found = routed(route);
+            return "passTo" in found
+                ? this.#pass(found.passTo[0] ?? "", "server-lost")
+                : this.#serve(found, classed(cls), target, headers);
         }
         const issuer = guard.otherIssuer();
         if (issuer !== undefined) {
-            return this.#pass(issuer);
+            return this.#pass(issuer, "issuer-unreachable");
         }
         const digestOf = `${this.#method} ${target.service}${target.path}`;
         const claim = guard.claim(digestOf, this.#parts.clock());
         if (claim.kind === "run") {
             this.#run = claim.run;
             return this.#runOnce(claim.run, () =>
-                this.#serve(routed(route), classed(cls), target, headers, digestOf),
+                this.#serve(this.#here(route), classed(cls), target, headers, digestOf),
             );
         }
         const outcome = await this.#outcomeOf(claim.duplicate, digestOf);
@@ -132,14 +135,20 @@
         }
     }
 
-    #route(service: string): Route | CallError {
+    #route(service: string, forwarded: boolean): Route | CallError {
         try {
-            return this.#parts.services.route(service) ?? new CallError("unknown-service");
+            return this.#parts.services.route(service, forwarded) ?? new CallError("unknown-service");
         } catch (err) {
             return asCallError(err);
         }
     }
 
+    /** Only the issuer of a request's ticket may run it, whoever dispatches the service now. */
+    #here(route: Route | CallError): Dispatched {
+        const found = routed(route);
+        return "passTo" in found ? this.#parts.services.here(found.service.name) : found;
+    }
+
     #class(route: Route | CallError, target: CallTarget, headers: CallHeaders): RequestClass | undefined {
         if (route instanceof CallError) {
             return undefined;
@@ -155,7 +164,7 @@
     }
 
     async #serve(
-        route: Route,
+        route: Dispatched,
         cls: RequestClass,
         target: CallTarget,
         headers: CallHeaders,
@@ -186,7 +195,7 @@
         }
     }
 
-    async #try(route: Route, call: Call, outgoing: (slot: Slot) => Outgoing): Promise<RoundEnd> {
+    async #try(route: Dispatched, call: Call, outgoing: (slot: Slot) => Outgoing): Promise<RoundEnd> {
         const { client, clock } = this.#parts;
         const copyable = call.class.idempotent;
         const round = new Round({ dispatcher: route.dispatcher, client, clock, copyable, outgoing });
@@ -261,9 +270,9 @@
         this.#run.answered(status, headers, end === "whole" ? keep?.body : undefined);
     }
 
-    async #pass(issuer: string): Promise<CallEnd> {
+    async #pass(to: string, failure: PassFailure): Promise<CallEnd> {
         this.#lateKind = "deadline-sent";
-        const passed = this.#parts.passing.pass(issuer, this.#req, this.#res, this.#deadlineAt);
+        const passed = this.#parts.passing.pass(to, this.#req, this.#res, this.#deadlineAt, failure);
         this.#giveUp = error => passed.abort(error);
         const answer = await passed.answer;
         this.#giveUp = () => undefined;
--- a/packages/proxy/test/calls.test.ts
+++ b/packages/proxy/test/calls.test.ts
@@ -46,6 +46,25 @@
     assert.equal(proxy.issuer.check(parsed.ticket, 0).incarnation, "inc-a");
 });
 
+test("a call for a service dispatched elsewhere is passed on once", async t => {
+    const there = await stage(t, [{}], { passTo: () => [here.proxy.address] });
+    const here: Stage = await stage(t, [{}], { passTo: () => [there.proxy.address] });
+    const answer = await ask(here.proxy.port, { headers: { "bm-request-id": "r1" } });
+    assert.equal(answer.text, "ran r1");
+    assert.deepEqual(there.backends[0]?.counts.runs, { r1: 1 });
+    assert.deepEqual(here.backends[0]?.counts.runs, {});
+    assert.equal(here.proxy.records[0]?.end, "passed");
+});
+
+test("the issuer of an order's ticket runs it, whoever dispatches the service", async t => {
+    const other = await stage(t);
+    const issuer = await stage(t, [{}], { passTo: () => [other.proxy.address] });
+    const answer = await order(issuer.proxy, "o1");
+    assert.equal(answer.text, "ran o1");
+    assert.deepEqual(issuer.backends[0]?.counts.runs, { o1: 1 });
+    assert.deepEqual(other.backends[0]?.counts.runs, {});
+});
+
 test("an order runs once however often it is repeated, and each gets the answer", async t => {
     const { proxy, backends } = await stage(t);
     const ticket = proxy.ticket();
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -8,7 +8,7 @@
 import type { BackendServer, RequestClass, Service } from "@bramleymoor/model/spec";
 import { OnceTable, type OnceLimits } from "@bramleymoor/once/table";
 import { Issuer } from "@bramleymoor/once/tickets";
-import type { CallError } from "@bramleymoor/protocol/kinds";
+import { CallError } from "@bramleymoor/protocol/kinds";
 import { Observable } from "rxjs";
 import type { CallRecord } from "../src/observer.js";
 import { CallServer } from "../src/server.js";
@@ -117,6 +117,8 @@
     readonly incarnation?: string;
     readonly issuer?: FindIssuer;
     readonly ticketLifeMs?: number;
+    /** Caller addresses of the entry VMs that dispatch the service instead of this one. */
+    readonly passTo?: () => readonly string[];
 }
 
 /** A call server with all that it needs. */
@@ -142,17 +144,30 @@
         this.server = new CallServer(
             {
                 services: {
-                    route: name =>
-                        this.service && name === this.service.name
-                            ? { service: this.service, dispatcher: this.dispatcher }
-                            : undefined,
-                    addresses: service => ({
-                        service,
-                        addresses: [this.address],
-                        ttlMs: 1000,
-                        ticket: this.issuer.issue(clock()),
-                        version: 1,
-                    }),
+                    route: (name, forwarded) => {
+                        const { service } = this;
+                        if (!service || name !== service.name) {
+                            return undefined;
+                        }
+                        const passTo = options.passTo?.();
+                        return passTo && !forwarded
+                            ? { service, passTo }
+                            : { service, dispatcher: this.dispatcher };
+                    },
+                    here: () => {
+                        if (!this.service) {
+                            throw new CallError("unknown-service");
+                        }
+                        return { service: this.service, dispatcher: this.dispatcher };
+                    },
+                    addresses: service =>
+                        Promise.resolve({
+                            service,
+                            addresses: [this.address],
+                            ttlMs: 1000,
+                            ticket: this.issuer.issue(clock()),
+                            version: 1,
+                        }),
                 },
                 tickets: this.issuer,
                 once: this.table,
