Give each event of configuration a number of its own

The follower tells twelve different things; written as one event they couldn't be told apart by number. Each has now its own row in the catalogue with the follower's sentence as its detail. The rows that nothing can emit as they stood are dropped rather than kept as a promise.

--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -36,6 +36,8 @@
     9: "Faults",
 } as const;
 
+const detail = { detail: "string" } as const;
+
 /** Every event. */
 export const events = {
     "config-accepted": row(1001, "info", "Version {version} accepted, digest {digest}, by {author}.", {
@@ -43,33 +45,25 @@
         digest: "string",
         author: "string",
     }),
-    "config-record-skipped": row(1002, "warn", "Record at offset {offset} skipped: {reason}.", {
-        offset: "number",
+    "config-unknown": row(1002, "warn", "No accepted configuration known yet: {reason}.", {
         reason: "string",
     }),
-    "config-checkpoint-written": row(1003, "info", "Checkpoint of version {version} written at {offset}.", {
-        version: "number",
-        offset: "number",
-    }),
-    "config-from-peer": row(1004, "info", "Version {version} taken from peer {peer}.", {
-        version: "number",
-        peer: "string",
-    }),
-    "config-unknown": row(1005, "warn", "No accepted configuration known yet: {reason}.", {
-        reason: "string",
-    }),
-    "log-down": row(1006, "warn", "The platform's log can't be read: {reason}.", { reason: "string" }),
-    "log-up": row(1007, "info", "The platform's log can be read again, after {downMs} ms.", {
-        downMs: "number",
-    }),
-    "config-grammar-unknown": row(1008, "warn", "Record at offset {offset} has grammar {grammar}; upgrade.", {
-        offset: "number",
-        grammar: "number",
-    }),
-    "vm-list-down": row(1009, "warn", "The platform's VM list can't be read: {reason}.", {
+    "config-version-accepted": row(1003, "debug", "{detail}", detail),
+    "config-record-skipped": row(1004, "warn", "{detail}", detail),
+    "config-version-from-peer": row(1005, "info", "{detail}", detail),
+    "config-offer-skipped": row(1006, "warn", "{detail}", detail),
+    "config-checkpoint-appended": row(1007, "info", "{detail}", detail),
+    "config-checkpoint-skipped": row(1008, "warn", "{detail}", detail),
+    "config-log-unavailable": row(1009, "warn", "{detail}", detail),
+    "config-log-back": row(1010, "info", "{detail}", detail),
+    "config-log-shrunk": row(1011, "error", "{detail}", detail),
+    "config-records-missing": row(1012, "error", "{detail}", detail),
+    "config-release-outdated": row(1013, "error", "{detail}", detail),
+    "config-version-conflict": row(1014, "error", "{detail}", detail),
+    "vm-list-down": row(1015, "warn", "The platform's VM list can't be read: {reason}.", {
         reason: "string",
     }),
-    "vm-list-up": row(1010, "info", "The platform's VM list can be read again, after {downMs} ms.", {
+    "vm-list-up": row(1016, "info", "The platform's VM list can be read again, after {downMs} ms.", {
         downMs: "number",
     }),
     "member-joined": row(2001, "info", "Entry VM {id} joined from {region}/{domain}.", {
--- a/packages/observe/test/events.test.ts
+++ b/packages/observe/test/events.test.ts
@@ -66,10 +66,10 @@
 test("text from outside can't forge a line, and is bounded", () => {
     const lines: string[] = [];
     const reason = `x\n1970 ERROR 9001 \u202e${"y".repeat(2 * maxFieldLength)}`;
-    logTo(lines, "text").emit("log-down", { reason });
+    logTo(lines, "text").emit("vm-list-down", { reason });
     assert.match(
         lines[0]!,
-        /^1970-01-01T00:00:00.000Z WARN {2}1006 entry-1 .*: x\\u000a1970 ERROR 9001 \\u202ey+\.\.\.\.$/,
+        /^1970-01-01T00:00:00.000Z WARN {2}1015 entry-1 .*: x\\u000a1970 ERROR 9001 \\u202ey+\.\.\.\.$/,
     );
     assert.ok(lines[0]!.length < maxFieldLength + 120);
 });
@@ -85,7 +85,7 @@
     const lines: string[] = [];
     const log = logTo(lines, "text", "warn");
     log.emit("ready", { version: 1 });
-    log.emit("log-down", { reason: "refused" });
+    log.emit("vm-list-down", { reason: "refused" });
     assert.equal(lines.length, 1);
 });
 
@@ -96,7 +96,7 @@
     for (let i = 0; i < maxPerSecond + 7; i++) {
         log.emit("ready", { version: i });
     }
-    log.emit("log-down", { reason: "refused" });
+    log.emit("vm-list-down", { reason: "refused" });
     assert.equal(lines.length, maxPerSecond + 1);
     now = 1_000;
     log.emit("ready", { version: 1 });
