--- /dev/null
+++ b/packages/cli/src/bramleymoor.ts
@@ -0,0 +1,18 @@
+#!/usr/bin/env node
+/** Starts the operators' program. */
+
+import { randomUUID } from "node:crypto";
+import { sleep } from "@bramleymoor/platform/timers";
+import { monotonicMs } from "./clock.js";
+import { Program } from "./program.js";
+import { Terminal } from "./terminal.js";
+
+const program = new Program({
+    terminal: new Terminal(process.stdout, process.stderr, process.env),
+    sleep,
+    random: Math.random,
+    now: monotonicMs,
+    newId: randomUUID,
+});
+
+process.exitCode = await program.run(process.argv.slice(2));
--- /dev/null
+++ b/packages/cli/src/settings.ts
@@ -0,0 +1,118 @@
+/** Where the program finds the platform and the entry VMs: a settings file, overridden by flags. */
+
+import { readFileSync } from "node:fs";
+import { checkKeys, readIni, type IniSection, type KeyTable } from "@bramleymoor/model/ini-file";
+import { formatError, textError, type TextError } from "@bramleymoor/model/text-error";
+import { ValueReader } from "@bramleymoor/model/values";
+import { CliError } from "./exit.js";
+
+/** What a command may need to know. */
+export interface Settings {
+    /** Base URL of the platform's services. */
+    readonly platform: string | undefined;
+    /** "IP:port" of entry VMs' operators' ports. */
+    readonly entries: readonly string[];
+    /** Shown to the operators' ports; never printed. */
+    readonly key: string | undefined;
+}
+
+/** Flags that override the settings file. */
+export interface SettingsFlags {
+    /** The file; `bramleymoor.ini` in the working directory if it exists. */
+    readonly settings?: string;
+    readonly platform?: string;
+    readonly entry?: readonly string[];
+    readonly keyFile?: string;
+}
+
+/** Name of the settings file that is read without being asked for. */
+export const defaultSettingsFile = "bramleymoor.ini";
+
+/**
+ * Reads the settings file and puts the flags over it.
+ *
+ * @throws CliError with every error found
+ */
+export const readSettings = (flags: SettingsFlags): Settings => {
+    const file = readFile(flags);
+    const entries = flags.entry ?? file.entries;
+    const keyFile = flags.keyFile ?? file.keyFile;
+    return {
+        platform: flags.platform ?? file.platform,
+        entries,
+        key: keyFile === undefined ? undefined : readText(keyFile, "key file").trim(),
+    };
+};
+
+/** Reads a file, or tells plainly why not. */
+export const readText = (path: string, what: string): string => {
+    try {
+        return readFileSync(path === "-" ? 0 : path, "utf8");
+    } catch (err) {
+        throw new CliError("usage", `The ${what} ${path} can't be read: ${reasonOf(err)}.`);
+    }
+};
+
+interface FileSettings {
+    readonly platform: string | undefined;
+    readonly entries: readonly string[];
+    readonly keyFile: string | undefined;
+}
+
+const keys: KeyTable = { platform: "once", entry: "repeated", "key-file": "once" };
+
+const urlPattern = /^http:\/\/[^\s/]+$/;
+
+const readFile = (flags: SettingsFlags): FileSettings => {
+    const name = flags.settings ?? defaultSettingsFile;
+    if (flags.settings === undefined && !exists(name)) {
+        return { platform: undefined, entries: [], keyFile: undefined };
+    }
+    const file = readIni(readText(name, "settings file"), name);
+    const errors: TextError[] = [...file.errors];
+    const section = file.sections.find(found => found.name === "") ?? { name: "", line: 1, entries: [] };
+    for (const other of file.sections) {
+        errors.push(...(other === section ? checkKeys(other, keys) : [unwantedSection(other)]));
+    }
+    const settings = readSection(section, errors);
+    if (errors.length > 0) {
+        errors.sort((a, b) => a.line - b.line);
+        throw new CliError("usage", errors.map(err => formatError(name, err)).join("\n"));
+    }
+    return settings;
+};
+
+const unwantedSection = ({ line, name }: IniSection): TextError =>
+    textError(
+        line,
+        `[${name}]`,
+        `only ${Object.keys(keys).join(", ")}, without sections`,
+        "Remove the header.",
+    );
+
+const readSection = (section: IniSection, errors: TextError[]): FileSettings => {
+    const read = new ValueReader(errors);
+    const entries: string[] = [];
+    for (const { key, value, line } of section.entries) {
+        if (key === "entry") {
+            const address = read.address(line, value);
+            entries.push(address?.address ?? value);
+        } else if (key === "platform" && !urlPattern.test(value)) {
+            read.fail(line, value, "a URL such as http://192.0.2.1:7000", "Write it without a path.");
+        }
+    }
+    const value = (key: string): string | undefined =>
+        section.entries.find(entry => entry.key === key)?.value;
+    return { platform: value("platform"), entries, keyFile: value("key-file") };
+};
+
+const exists = (path: string): boolean => {
+    try {
+        readFileSync(path);
+        return true;
+    } catch (err) {
+        return reasonOf(err) !== "ENOENT";
+    }
+};
+
+const reasonOf = (err: unknown): string => (err as NodeJS.ErrnoException).code ?? String(err);
--- /dev/null
+++ b/packages/cli/test/entries.test.ts
@@ -0,0 +1,144 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { exitCodes } from "../src/exit.js";
+import { merge, quantile } from "../src/histograms.js";
+import { entryFor, fileWith, key, run } from "./builders.js";
+
+const server = {
+    address: "192.0.2.10:8080",
+    inFlight: 1,
+    limit: 2,
+    state: "ejected",
+    why: "5 answers in a row failed",
+};
+const view = { service: "stops-lookup", queued: 3, inFlight: 1, servers: [server] };
+const status = {
+    id: "entry-1",
+    incarnation: "i",
+    state: "serving",
+    version: { number: 4, digest: "0123456789abcdef" },
+    members: [{ id: "entry-1", state: "alive", callerAddress: "192.0.2.1:1" }],
+    services: [view],
+    rssBytes: 70_000_000,
+    addedByALaterRelease: 1,
+};
+const explanation = { service: "stops-lookup", dispatchers: ["entry-1"], view, notes: ["share 0 of 1"] };
+const histogram = {
+    service: "stops-lookup",
+    by: "class",
+    label: "default",
+    part: "server",
+    count: 4,
+    sumMs: 20,
+    buckets: [{ upToMs: 2.5, count: 0 }, { upToMs: 4, count: 3 }, { upToMs: 6, count: 0 }, { count: 1 }],
+} as const;
+
+const answers = (path: string): unknown => {
+    const byPath: Readonly<Record<string, unknown>> = {
+        "/status": status,
+        "/explain/stops-lookup": explanation,
+        "/histograms": [histogram],
+    };
+    return byPath[path];
+};
+
+const flagsOf = (addresses: readonly string[]): readonly string[] => [
+    ...addresses.flatMap(address => ["--entry", address]),
+    "--key-file",
+    fileWith(key),
+];
+
+test("status shows each entry VM and each service, as a table or as JSON", async t => {
+    const address = await entryFor(t, answers);
+    const shown = await run(["status", ...flagsOf([address])]);
+    assert.equal(shown.code, 0, shown.err);
+    assert.equal(
+        shown.out,
+        [
+            "ENTRY VM  STATE    VERSION  DIGEST        MEMBERS  SERVICES  MEMORY",
+            "entry-1   serving  4        0123456789ab  1 alive  1         70 MB",
+            "SERVICE       ENTRY VM  QUEUED  IN FLIGHT  BACKEND SERVERS",
+            "stops-lookup  entry-1   3       1          1 ejected",
+            "",
+        ].join("\n"),
+    );
+    const json = await run(["status", "--json", ...flagsOf([address])]);
+    const [first] = JSON.parse(json.out) as readonly { address: string; value: { id: string } }[];
+    assert.deepEqual([first?.address, first?.value.id], [address, "entry-1"]);
+});
+
+test("an entry VM that doesn't answer, or refuses the key, is shown and told by the exit code", async t => {
+    const address = await entryFor(t, answers);
+    const silent = await run(["status", ...flagsOf([address, "127.0.0.1:1"])]);
+    assert.equal(silent.code, exitCodes["entry-unreachable"]);
+    assert.match(silent.out, /127\.0\.0\.1:1 +nothing listens there\n/);
+    const refused = await run(["status", "--entry", address, "--key-file", fileWith("another key")]);
+    assert.equal(refused.code, exitCodes["entry-unreachable"]);
+    assert.match(refused.err, /refuses the key/);
+    assert.ok(!(refused.out + refused.err).includes("another key"));
+});
+
+test("explain tells why each server is or isn't getting work", async t => {
+    const flags = flagsOf([await entryFor(t, answers)]);
+    const told = await run(["explain", "stops-lookup", ...flags]);
+    assert.equal(told.code, 0, told.err);
+    assert.match(told.out, /stops-lookup is dispatched by entry-1\n {2}share 0 of 1\n/);
+    assert.match(told.out, /192\.0\.2\.10:8080 +ejected +1\/2 +5 answers in a row failed/);
+    assert.equal((await run(["explain", "notices", ...flags])).code, exitCodes["not-found"]);
+});
+
+test("histograms of several entry VMs are added up and drawn", async t => {
+    const addresses = [await entryFor(t, answers), await entryFor(t, answers)];
+    const drawn = await run(["histograms", ...flagsOf(addresses)]);
+    assert.equal(drawn.code, 0, drawn.err);
+    assert.equal(
+        drawn.out,
+        [
+            "stops-lookup, class default, server: 8 calls, mean 5.00 ms, p50 <= 4 ms, p99 <= above",
+            `       4 ms         6 ${"#".repeat(50)}`,
+            "       6 ms         0",
+            `      above         2 ${"#".repeat(17)}`,
+            "",
+        ].join("\n"),
+    );
+    const none = await run(["histograms", "--service", "notices", ...flagsOf(addresses)]);
+    assert.equal(none.code, exitCodes["not-found"]);
+});
+
+test("a quantile is the end of the bucket that holds it", () => {
+    const [merged] = merge([histogram]);
+    assert.equal(quantile(merged!, 0.5), 4);
+    assert.equal(quantile(merged!, 0.75), 4);
+    assert.equal(quantile(merged!, 0.76), undefined);
+    assert.equal(quantile({ ...merged!, count: 0, buckets: [] }, 0.5), undefined);
+});
+
+test("settings come from a file, flags go before it, and every error has its line", async t => {
+    const address = await entryFor(t, answers);
+    const good = fileWith(
+        `platform = http://192.0.2.1:7000\nentry = ${address}\nkey-file = ${fileWith(key)}\n`,
+    );
+    assert.equal((await run(["status", "--settings", good])).code, 0);
+    const over = await run(["status", "--settings", good, "--entry", "127.0.0.1:1"]);
+    assert.match(over.err, /127\.0\.0\.1:1: nothing listens there/);
+    const bad = fileWith("entries = x\nentry = entry-1:9\nplatform = https://x\n[more]\n");
+    const refused = await run(["status", "--settings", bad]);
+    assert.equal(refused.code, exitCodes.usage);
+    const lines = refused.err.trimEnd().split("\n");
+    assert.deepEqual(
+        lines.map(line => line.replace(bad, "").split(":")[1]),
+        ["1", "2", "3", "4"],
+    );
+    assert.match(lines[0]!, /Did you mean "entry"\?/);
+});
+
+test("colour and rewriting of lines are for terminals only, and NO_COLOR is heeded", async t => {
+    const flags = flagsOf([await entryFor(t, answers)]);
+    const args = ["explain", "stops-lookup", ...flags];
+    const escape = "\u001b[";
+    const plain = await run(args);
+    assert.ok(!(plain.out + plain.err).includes(escape));
+    const onTerminal = await run(args, true);
+    assert.ok(onTerminal.out.includes(escape) && onTerminal.err.includes(escape));
+    assert.ok(!(await run(args, true, { NO_COLOR: "1" })).out.includes(escape));
+});
--- a/packages/model/src/ini-file.ts
+++ b/packages/model/src/ini-file.ts
@@ -176,14 +176,15 @@
 /** Finds unknown keys, with suggestions, and keys that are given twice. */
 export const checkKeys = (section: IniSection, table: KeyTable): readonly TextError[] => {
     const known = Object.keys(table);
+    const place = section.name === "" ? "" : ` of [${section.name}]`;
     const seen = new Set<string>();
     const errors: TextError[] = [];
     for (const { key, line } of section.entries) {
         if (!Object.hasOwn(table, key)) {
             const mend = suggest(key, known, "Remove the line.");
-            errors.push(textError(line, key, `a key of [${section.name}]: ${known.join(", ")}`, mend));
+            errors.push(textError(line, key, `a key${place}: ${known.join(", ")}`, mend));
         } else if (table[key] === "once" && seen.has(key)) {
-            errors.push(textError(line, key, `${key} once in [${section.name}]`, "Remove one of the lines."));
+            errors.push(textError(line, key, `${key} once`, "Remove one of the lines."));
         }
         seen.add(key);
     }
--- a/packages/model/src/text-error.ts
+++ b/packages/model/src/text-error.ts
@@ -64,7 +64,7 @@
 
 /** Finds the candidate that a misspelt word most likely means; undefined if none is near. */
 export const nearest = (word: string, candidates: Iterable<string>): string | undefined => {
-    const limit = Math.max(2, Math.floor(word.length / 3));
+    const limit = Math.max(2, Math.ceil(word.length / 3));
     const read = word.slice(0, maxQuotedLength).toLowerCase();
     let best: string | undefined;
     let bestDistance = limit + 1;
