--- a/packages/config/src/publisher.ts
+++ b/packages/config/src/publisher.ts
@@ -2,7 +2,7 @@
 
 import { PlatformError, type LogService } from "@bramleymoor/platform/log";
 import { backoffMs, sleep as realSleep, type Random, type Sleep } from "@bramleymoor/platform/timers";
-import type { Change } from "@bramleymoor/model/document";
+import type { Change, Document } from "@bramleymoor/model/document";
 import { parseText } from "@bramleymoor/model/text";
 import { textError, type TextError } from "@bramleymoor/model/text-error";
 import { findBase } from "./base.js";
@@ -43,18 +43,24 @@
     readonly start?: Snapshot | undefined;
 }
 
+/** What a publication is to make of the version that it replaces. */
+interface Wish {
+    readonly document: (version: Accepted) => Document;
+    readonly nextGrammar: (version: Accepted) => number | undefined;
+}
+
 /** One publication on its way. */
 class Publisher {
     readonly #log: LogService;
     readonly #options: PublishOptions;
     readonly #replay: Replay;
-    readonly #text: string;
+    readonly #wish: Wish;
     readonly #baseNumber: number;
     #verdict: Verdict | undefined;
 
-    constructor(log: LogService, text: string, baseNumber: number, options: PublishOptions) {
+    constructor(log: LogService, wish: Wish, baseNumber: number, options: PublishOptions) {
         this.#log = log;
-        this.#text = text;
+        this.#wish = wish;
         this.#baseNumber = baseNumber;
         this.#options = options;
         this.#replay = new Replay(
@@ -65,14 +71,10 @@
     }
 
     async publish(): Promise<PublishResult> {
-        const parsed = parseText(this.#text);
-        if (!parsed.ok) {
-            return { kind: "rejected", errors: parsed.errors };
-        }
         let why = "";
         for (let tries = 0; tries < maxTries; tries++) {
             try {
-                return await this.#try(parsed.document);
+                return await this.#try();
             } catch (err) {
                 if (!(err instanceof PlatformError)) {
                     throw err;
@@ -85,28 +87,31 @@
     }
 
     /** Appends unless the log holds the answer already; fails with a PlatformError. */
-    async #try(document: Accepted["document"]): Promise<PublishResult> {
+    async #try(): Promise<PublishResult> {
         const version = await this.#readToEnd();
-        const settled = this.#settled(version, document);
+        const settled = this.#settled(version);
         if (settled) {
             return settled;
         }
-        const record = formatPublication(this.#publication(version, document));
+        const record = formatPublication(this.#publication(version));
         if (Buffer.byteLength(record) > maxRecordBytes) {
             return { kind: "rejected", errors: [tooLarge(Buffer.byteLength(record))] };
         }
         await this.#log.append(configStream, record);
         const after = await this.#readToEnd();
-        return this.#settled(after, document) ?? { kind: "unknown", why: "the log doesn't show the record" };
+        return this.#settled(after) ?? { kind: "unknown", why: "the log doesn't show the record" };
     }
 
-    #publication(version: Accepted, document: Accepted["document"]): Publication {
+    #publication(version: Accepted): Publication {
+        const document = this.#wish.document(version);
+        const nextGrammar = this.#wish.nextGrammar(version);
         const base = { number: version.number, digest: version.digest };
         const change = version.document.diff(document);
-        return { grammar: version.grammar, id: this.#options.id, base, change, digest: document.digest };
+        const { grammar } = version;
+        return { grammar, id: this.#options.id, base, change, digest: document.digest, nextGrammar };
     }
 
-    #settled(version: Accepted, document: Accepted["document"]): PublishResult | undefined {
+    #settled(version: Accepted): PublishResult | undefined {
         if (this.#verdict?.kind === "accepted") {
             const { number, digest } = this.#verdict.version;
             return { kind: "accepted", number, digest };
@@ -115,7 +120,11 @@
             return { kind: "accepted", number: version.number, digest: version.digest };
         }
         if (version.number !== this.#baseNumber) {
-            return { kind: "lost", winner: version, difference: version.document.diff(document) };
+            return {
+                kind: "lost",
+                winner: version,
+                difference: version.document.diff(this.#wish.document(version)),
+            };
         }
         if (this.#verdict?.kind === "skipped" && this.#verdict.reason !== "superseded base") {
             return { kind: "rejected", errors: this.#verdict.errors };
@@ -161,12 +170,32 @@
  * Publishes a text over version `baseNumber`. Safe to repeat with the same id: each copy names the same base,
  * so at most one can be accepted.
  */
-export const publish = (
+export const publish = async (
     log: LogService,
     text: string,
     baseNumber: number,
     options: PublishOptions,
-): Promise<PublishResult> => new Publisher(log, text, baseNumber, options).publish();
+): Promise<PublishResult> => {
+    const parsed = parseText(text);
+    if (!parsed.ok) {
+        return { kind: "rejected", errors: parsed.errors };
+    }
+    const wish = { document: () => parsed.document, nextGrammar: () => undefined };
+    return new Publisher(log, wish, baseNumber, options).publish();
+};
+
+/**
+ * Puts the next grammar in force over version `baseNumber`, leaving the text as it is. Entry VMs whose release
+ * doesn't know it keep the version they have, so it is published once each of them has been replaced.
+ */
+export const raiseGrammar = (
+    log: LogService,
+    baseNumber: number,
+    options: PublishOptions,
+): Promise<PublishResult> => {
+    const wish: Wish = { document: version => version.document, nextGrammar: version => version.grammar + 1 };
+    return new Publisher(log, wish, baseNumber, options).publish();
+};
 
 const idOfSkipped = (verdict: Verdict): string | undefined =>
     verdict.kind === "skipped" ? verdict.publicationId : undefined;
--- a/packages/config/src/replay.ts
+++ b/packages/config/src/replay.ts
@@ -107,6 +107,9 @@
     /** Takes a peer's answer if it is newer. */
     takeOffer(offer: Offer): void {
         const before = this.#version;
+        if (before && !this.#grammars.has(before.grammar)) {
+            return;
+        }
         if (before && offer.records.length > 0 && !this.#conflicts(offer.head)) {
             this.#takeRecords(before, offer);
         } else {
