--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -63,14 +63,10 @@
 
     /** Headers that frame the body towards a backend server. */
     framing(): string[] {
-        if (!this.#streamed) {
-            return this.#held || this.#length !== undefined
-                ? ["Content-Length", String(this.#held?.length ?? 0)]
-                : [];
+        if (this.#length !== undefined) {
+            return ["Content-Length", this.#length];
         }
-        return this.#length === undefined
-            ? ["Transfer-Encoding", "chunked"]
-            : ["Content-Length", this.#length];
+        return this.#streamed ? ["Transfer-Encoding", "chunked"] : [];
     }
 
     /** Writes the body to an open request; a streamed one follows the reader's pace. */
--- a/packages/proxy/test/calls.test.ts
+++ b/packages/proxy/test/calls.test.ts
@@ -1,27 +1,7 @@
 import assert from "node:assert/strict";
-import { test, type TestContext } from "node:test";
-import type { Backend } from "@bramleymoor/testkit/backend";
-import { startBackend, type BackendKnobs } from "@bramleymoor/testkit/backend";
-import { ask, order, startProxy, type Proxy, type ProxyOptions } from "./setup.js";
-
-interface Stage {
-    readonly proxy: Proxy;
-    readonly backends: readonly Backend[];
-}
-
-const stage = async (
-    t: TestContext,
-    knobs: readonly Partial<BackendKnobs>[] = [{}],
-    options: Partial<ProxyOptions> = {},
-): Promise<Stage> => {
-    const backends = await Promise.all(knobs.map(knob => startBackend(knob)));
-    const proxy = await startProxy({ ports: backends.map(backend => backend.port), ...options });
-    t.after(async () => {
-        await Promise.all(backends.map(backend => backend.close()));
-        await proxy.server.stop(0);
-    });
-    return { proxy, backends };
-};
+import { test } from "node:test";
+import { startBackend } from "@bramleymoor/testkit/backend";
+import { ask, order, stage, startProxy, type Stage } from "./setup.js";
 
 test("a call gets its backend server's answer, and its slot is settled", async t => {
     const { proxy, backends } = await stage(t);
--- /dev/null
+++ b/packages/proxy/test/issuer-main.ts
@@ -0,0 +1,6 @@
+/** A call server as a process of its own, to be paused or killed. Usage: node issuer-main.js BACKEND-PORT */
+
+import { startProxy } from "./setup.js";
+
+const proxy = await startProxy({ ports: [Number(process.argv[2])], incarnation: "inc-child" });
+console.log(JSON.stringify({ port: proxy.port, ticket: proxy.ticket() }));
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -4,11 +4,13 @@
 import type { Agent } from "node:http";
 import { request, type IncomingMessage } from "node:http";
 import { connect } from "node:net";
+import type { TestContext } from "node:test";
 import type { Call, Dispatcher, Slot, SlotResult } from "@bramleymoor/dispatch/types";
 import type { BackendServer, RequestClass, Service } from "@bramleymoor/model/spec";
 import { OnceTable, type OnceLimits } from "@bramleymoor/once/table";
 import { Issuer } from "@bramleymoor/once/tickets";
 import { CallError } from "@bramleymoor/protocol/kinds";
+import { startBackend, type Backend, type BackendKnobs } from "@bramleymoor/testkit/backend";
 import { Observable } from "rxjs";
 import type { CallRecord } from "../src/observer.js";
 import { CallServer } from "../src/server.js";
@@ -193,6 +195,26 @@
     return proxy;
 };
 
+export interface Stage {
+    readonly proxy: Proxy;
+    readonly backends: readonly Backend[];
+}
+
+/** Stand-ins with a call server before them, all stopped when the test is over. */
+export const stage = async (
+    t: TestContext,
+    knobs: readonly Partial<BackendKnobs>[] = [{}],
+    options: Partial<ProxyOptions> = {},
+): Promise<Stage> => {
+    const backends = await Promise.all(knobs.map(knob => startBackend(knob)));
+    const proxy = await startProxy({ ports: backends.map(backend => backend.port), ...options });
+    t.after(async () => {
+        await Promise.all(backends.map(backend => backend.close()));
+        await proxy.server.stop(0);
+    });
+    return { proxy, backends };
+};
+
 export interface Answer {
     readonly status: number;
     readonly headers: IncomingMessage["headers"];
