Time a call only where it is dispatched

In a run with three entry VMs one call came up twice in the histograms: once where it was dispatched and once where it was passed on, there with the other's whole time as its server time. A call that is passed on is now an outcome of its own and enters no histogram, so that the sum over all entry VMs counts each call once.

--- a/packages/cli/src/histograms.ts
+++ b/packages/cli/src/histograms.ts
@@ -3,6 +3,7 @@
 import type { Context } from "./context.js";
 import { Entries, values, type EntryHistogram } from "./entries.js";
 import { CliError } from "./exit.js";
+import { counted } from "./terminal.js";
 
 /** Flags of `histograms`. */
 export interface HistogramFlags {
@@ -15,7 +16,7 @@
 export const histograms = async (context: Context, flags: HistogramFlags): Promise<void> => {
     const { terminal } = context;
     const entries = new Entries(context.settings);
-    terminal.progress(`Asking ${entries.count} entry VMs...`);
+    terminal.progress(`Asking ${counted(entries.count, "entry VM")}...`);
     const answers = await entries.histograms();
     const merged = merge(values(answers).flat()).filter(found => wanted(found, flags));
     if (flags.service !== undefined && merged.length === 0) {
--- a/packages/cli/src/status.ts
+++ b/packages/cli/src/status.ts
@@ -11,13 +11,13 @@
 } from "./entries.js";
 import { CliError } from "./exit.js";
 import { shortDigest } from "./publishing.js";
-import { table, type Terminal, type Tone } from "./terminal.js";
+import { counted, table, type Terminal, type Tone } from "./terminal.js";
 
 /** `status`: version, members, services, backend servers and queue of each entry VM. */
 export const status = async (context: Context, json: boolean): Promise<void> => {
     const { terminal } = context;
     const entries = new Entries(context.settings);
-    terminal.progress(`Asking ${entries.count} entry VMs...`);
+    terminal.progress(`Asking ${counted(entries.count, "entry VM")}...`);
     const answers = await entries.status();
     if (json) {
         terminal.print(JSON.stringify(answers));
@@ -35,7 +35,7 @@
 export const explain = async (context: Context, service: string, json: boolean): Promise<void> => {
     const { terminal } = context;
     const entries = new Entries(context.settings);
-    terminal.progress(`Asking ${entries.count} entry VMs...`);
+    terminal.progress(`Asking ${counted(entries.count, "entry VM")}...`);
     const answers = await entries.explain(service);
     if (answers.every(answer => answer.status === httpNotFound)) {
         throw new CliError("not-found", `No entry VM knows a service "${service}".`);
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -4,8 +4,11 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 import { LabelBound, otherLabel } from "./labels.js";
 
-/** How a call ended: answered whole, refused by kind, or cut on one side. */
-export type Outcome = ErrorKind | "answered" | "caller-gone" | "body-broken";
+/**
+ * How a call ended: answered whole by a backend server or once more from the at-most-once table, passed on to the
+ * entry VM that records it, refused by kind, or cut on one side.
+ */
+export type Outcome = ErrorKind | "answered" | "replayed" | "passed-on" | "caller-gone" | "body-broken";
 
 /** What is recorded of a finished call. */
 export interface CallRecord {
@@ -100,13 +103,19 @@
     /** Records a finished call. */
     done(record: CallRecord): void {
         const labels = this.#bounds.classLabels(record.service, record.class);
+        this.#outcomes.inc({ ...labels, outcome: record.outcome });
+        if (record.outcome !== "passed-on") {
+            this.#times(record, labels);
+        }
+    }
+
+    #times(record: CallRecord, labels: ClassLabels): void {
         const { service } = labels;
         this.#parts.queue.observe(labels, record.queueMs / msPerSecond);
         this.#parts.server.observe(labels, record.serverMs / msPerSecond);
         this.#parts.added.observe(labels, record.addedMs / msPerSecond);
         const totalMs = record.queueMs + record.serverMs + record.addedMs;
         this.#tenants.observe(this.#bounds.tenantLabels(service, record.tenant), totalMs / msPerSecond);
-        this.#outcomes.inc({ ...labels, outcome: record.outcome });
         if (record.hedged) {
             this.#hedges.inc({ service });
         }
@@ -189,6 +198,11 @@
 /** Label of calls whose caller named no tenant. */
 const noTenant = "none";
 
+interface ClassLabels {
+    readonly service: string;
+    readonly class: string;
+}
+
 interface ServiceBounds {
     readonly classes: LabelBound;
     readonly tenants: LabelBound;
@@ -202,7 +216,7 @@
         return this.#services.label(name);
     }
 
-    classLabels(name: string, requestClass: string): { readonly service: string; readonly class: string } {
+    classLabels(name: string, requestClass: string): ClassLabels {
         const service = this.service(name);
         return { service, class: this.#of(service).classes.label(requestClass) };
     }
--- a/packages/observe/test/metrics.test.ts
+++ b/packages/observe/test/metrics.test.ts
@@ -86,6 +86,13 @@
     }
 });
 
+test("a call that was passed on is counted, but timed only where it was dispatched", async () => {
+    const metrics = new CallMetrics();
+    metrics.done(record({ outcome: "passed-on" }));
+    assert.deepEqual(await metrics.histograms(), []);
+    assert.match(await metrics.text(), /bm_calls_total\{.*outcome="passed-on"\} 1\n/);
+});
+
 test("label counts stay bounded, and what has no label of its own is counted as other", async () => {
     const metrics = new CallMetrics();
     for (let i = 0; i < 40; i++) {
