Measure what the entry process adds to a call

Adds `measure added`: capacity in closed loop, added time in open loop at a third and at two thirds of it, memory at rest and with 1,000 downloads left half read, each direct and through bramleymoord in one run with a client process of its own.

--- /dev/null
+++ b/packages/bench/src/added.ts
@@ -0,0 +1,150 @@
+/** Measures what an entry VM adds to a call: through bramleymoord against direct, same client, same run. */
+
+import { readFileSync } from "node:fs";
+import { get, type IncomingMessage } from "node:http";
+import { Command } from "commander";
+import { builtScript, Child } from "./child.js";
+import { delay } from "./clock.js";
+import { Fleet, type BackendsChild, type EntryChild } from "./fleet.js";
+import type { LoadSummary } from "./loadchild.js";
+
+const service = "echo";
+const serverCount = 4;
+const slotsPerServer = 512;
+const concurrency = 64;
+const capacityMs = 5_000;
+const latencyMs = 8_000;
+const warmUpMs = 3_000;
+const downloads = 1_000;
+const downloadBytes = 1_048_576;
+const downloadPauseMs = 1_000;
+const settleMs = 2_000;
+const targetAddedMs = 1.8;
+const kilobytesPerMegabyte = 1_024;
+
+interface Rig {
+    readonly fleet: Fleet;
+    readonly entry: EntryChild;
+    readonly through: string;
+    readonly direct: string;
+    readonly backends: BackendsChild;
+}
+
+/** The "added" subcommand. */
+export const addedCommand = (): Command =>
+    new Command("added")
+        .description("time added to a call by the entry process, its capacity and its memory")
+        .option("--seed <n>", "seed of the arrivals", "1")
+        .action(async ({ seed }: { readonly seed: string }) => {
+            await measure(Number(seed));
+        });
+
+const measure = async (seed: number): Promise<void> => {
+    const rig = await start();
+    try {
+        const rssIdleMb = rssOf(rig.entry);
+        await load(rig.through, ["closed", concurrency, warmUpMs]);
+        const direct = await load(rig.direct, ["closed", concurrency, capacityMs]);
+        const through = await load(rig.through, ["closed", concurrency, capacityMs]);
+        console.log(`capacity: direct ${direct.perSecond}/s, through ${through.perSecond}/s`);
+        const third = await compare(rig, through.perSecond / 3, seed);
+        const twoThirds = await compare(rig, (through.perSecond * 2) / 3, seed);
+        const rssDownloadsMb = await downloading(rig);
+        const held = twoThirds.p99 <= targetAddedMs && third.p99 <= targetAddedMs;
+        console.log(
+            `target added p99 under ${targetAddedMs} ms up to two thirds: ${held ? "held" : "missed"}`,
+        );
+        console.log(
+            JSON.stringify({
+                addedP50Ms: round(twoThirds.p50),
+                addedP99Ms: round(twoThirds.p99),
+                addedP50MsAtThird: round(third.p50),
+                addedP99MsAtThird: round(third.p99),
+                callsPerSecond: through.perSecond,
+                directCallsPerSecond: direct.perSecond,
+                rssIdleMb,
+                rssDownloadsMb,
+            }),
+        );
+    } finally {
+        await rig.fleet.stop();
+    }
+};
+
+const start = async (): Promise<Rig> => {
+    const fleet = await Fleet.start();
+    const backends = await fleet.backends(serverCount, { serviceMs: 0, slots: slotsPerServer });
+    const servers = backends.ports.map(
+        port => `server = 127.0.0.1:${port} slots=${slotsPerServer} connections=${slotsPerServer}`,
+    );
+    const text = [`[service ${service}]`, "queue-limit = 10000", ...servers].join("\n");
+    await fleet.publish(text, 0, "added-1");
+    fleet.startEntries(1, ["a"], 1_000);
+    await fleet.list();
+    const [entry] = fleet.entries;
+    const [port] = backends.ports;
+    if (!entry || port === undefined) {
+        throw new Error("the fleet has no entry VM or no backend server");
+    }
+    await entry.ready();
+    const through = `http://${entry.callers}/v1/call/${service}/x`;
+    return { fleet, entry, through, direct: `http://127.0.0.1:${port}/x`, backends };
+};
+
+const load = async (url: string, args: readonly (string | number)[]): Promise<LoadSummary> => {
+    const child = new Child(builtScript("bench", "loadchild"), [url, ...args.map(String)]);
+    const summary = JSON.parse(await child.line(/^\{/, 60_000)) as LoadSummary;
+    await child.exited;
+    if (summary.failed > 0) {
+        throw new Error(`${summary.failed} calls failed: ${child.tail.join("\n")}`);
+    }
+    return summary;
+};
+
+interface Added {
+    readonly p50: number;
+    readonly p99: number;
+}
+
+const compare = async (rig: Rig, rate: number, seed: number): Promise<Added> => {
+    const args = ["open", Math.round(rate), latencyMs, seed] as const;
+    const direct = await load(rig.direct, args);
+    const through = await load(rig.through, args);
+    const added = { p50: through.p50Ms - direct.p50Ms, p99: through.p99Ms - direct.p99Ms };
+    console.log(
+        `at ${args[1]}/s: direct p50 ${round(direct.p50Ms)} p99 ${round(direct.p99Ms)} p99.9 ${round(direct.p999Ms)} ms; ` +
+            `through p50 ${round(through.p50Ms)} p99 ${round(through.p99Ms)} p99.9 ${round(through.p999Ms)} ms; ` +
+            `added p50 ${round(added.p50)} p99 ${round(added.p99)} ms`,
+    );
+    return added;
+};
+
+// Each download is left half read: the callers are slow, and the entry VM must not take in what they don't.
+const downloading = async (rig: Rig): Promise<number> => {
+    await rig.backends.turn({ answerBytes: downloadBytes, chunkPauseMs: downloadPauseMs });
+    const open = await Promise.all(Array.from({ length: downloads }, () => startDownload(rig.through)));
+    await delay(settleMs);
+    const rss = rssOf(rig.entry);
+    for (const res of open) {
+        res.destroy();
+    }
+    return rss;
+};
+
+const startDownload = async (url: string): Promise<IncomingMessage> =>
+    await new Promise((resolve, reject) => {
+        const req = get(url, { agent: false }, res => {
+            res.once("data", () => res.pause());
+            res.on("error", () => undefined);
+            resolve(res);
+        });
+        req.on("error", reject);
+    });
+
+const rssOf = (entry: EntryChild): number => {
+    const status = readFileSync(`/proc/${entry.child.pid}/status`, "utf8");
+    const kilobytes = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+    return Math.round(kilobytes / kilobytesPerMegabyte);
+};
+
+const round = (ms: number): number => Math.round(ms * 1_000) / 1_000;
--- a/packages/bench/src/child.ts
+++ b/packages/bench/src/child.ts
@@ -21,6 +21,9 @@
             stdio: ["ignore", "pipe", "pipe"],
         });
         this.exited = new Promise(resolve => this.#process.once("exit", code => resolve(code ?? -1)));
+        const kill = (): void => this.signal("SIGKILL");
+        process.once("exit", kill);
+        void this.exited.then(() => process.off("exit", kill));
         for (const stream of [this.#process.stdout, this.#process.stderr]) {
             if (stream) {
                 createInterface({ input: stream }).on("line", line => this.#heard(line));
@@ -46,8 +49,15 @@
         }
         const found = new Promise<string>(resolve => this.#waiting.push({ pattern, found: resolve }));
         const ended = this.exited.then(code => this.#fail(`ended with ${code} before printing ${pattern}`));
-        const late = delay(ms).then(() => this.#fail(`did not print ${pattern} within ${ms} ms`));
-        return await Promise.race([found, ended, late]);
+        const timer = new AbortController();
+        const late = delay(ms, timer.signal).then(() =>
+            this.#fail(`did not print ${pattern} within ${ms} ms`),
+        );
+        try {
+            return await Promise.race([found, ended, late]);
+        } finally {
+            timer.abort();
+        }
     }
 
     /** Sends a signal. */
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -3,6 +3,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { publish } from "@bramleymoor/config/publisher";
 import { HttpPlatform } from "@bramleymoor/platform/http";
 import type { ListedVm } from "@bramleymoor/platform/vms";
 import type { BackendCounts, BackendKnobs } from "@bramleymoor/testkit/backend";
@@ -13,6 +14,7 @@
 const operatorPort = 7_081;
 const peerPort = 7_082;
 const startTimeoutMs = 30_000;
+const maxShownCharacters = 500;
 
 /** The shared key of every fleet; it guards loopback ports of one run. */
 export const fleetKey = "fleet-key-0123456789";
@@ -26,6 +28,8 @@
     readonly domain: string;
     readonly ttlMs: number;
     readonly logLevel: string;
+    /** Arguments for Node itself, such as --cpu-prof. */
+    readonly nodeArgs: readonly string[];
 }
 
 /** One entry VM's process. */
@@ -138,7 +142,12 @@
     }
 
     /** Starts entry VMs, spread over `domains`, without waiting until they serve. */
-    startEntries(count: number, domains: readonly string[], ttlMs: number, logLevel = "info"): void {
+    startEntries(
+        count: number,
+        domains: readonly string[],
+        ttlMs: number,
+        { logLevel = "info", nodeArgs = [] }: Partial<EntryOptions> = {},
+    ): void {
         const net = `127.${1 + (process.pid % 250)}.${Math.floor(monotonicMs()) % 250}`;
         for (let i = 0; i < count; i++) {
             const options: EntryOptions = {
@@ -148,6 +157,7 @@
                 domain: domains[i % domains.length] ?? "default",
                 ttlMs,
                 logLevel,
+                nodeArgs,
             };
             this.#entries.push(new EntryChild(options, () => this.#entryProcess(options)));
         }
@@ -167,6 +177,19 @@
         await this.turnPlatform("/test/vms", vms);
     }
 
+    /**
+     * Publishes a text on top of version `base`; gives the accepted version's number.
+     *
+     * @throws Error unless it was accepted
+     */
+    async publish(text: string, base: number, id: string): Promise<number> {
+        const result = await publish(this.platform, text, base, { id, random: Math.random });
+        if (result.kind !== "accepted") {
+            throw new Error(`publication ${id}: ${JSON.stringify(result).slice(0, maxShownCharacters)}`);
+        }
+        return result.number;
+    }
+
     /** Turns the platform stand-in's knobs. */
     async turnPlatform(path: "/test/knobs" | "/test/vms", body: unknown): Promise<void> {
         await fetch(`${this.platformUrl}${path}`, { method: "POST", body: JSON.stringify(body) });
@@ -185,7 +208,7 @@
     #entryProcess(options: EntryOptions): Child {
         const file = join(this.#folder, `${options.id}.ini`);
         writeFileSync(file, settingsOf(options, this.platformUrl));
-        return new Child(builtScript("entry", "bramleymoord"), [file]);
+        return new Child(builtScript("entry", "bramleymoord"), [file], options.nodeArgs);
     }
 }
 
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,12 +1,14 @@
 /** Entry of `npm run measure`: one subcommand a measurement, each in a file of its own. */
 
 import { Command } from "commander";
+import { addedCommand } from "./added.js";
 import { configCommand } from "./configcost.js";
 import { policyCommand } from "./policy.js";
 import { recordCommand } from "./tracecommand.js";
 
 const program = new Command("measure");
-program.addCommand(policyCommand());
+program.addCommand(addedCommand());
 program.addCommand(configCommand());
+program.addCommand(policyCommand());
 program.addCommand(recordCommand());
 await program.parseAsync();
