Divide the retry budget, retry within it, and pass calls on to the next dispatcher

Retries were bounded by a constant, and the whole budget was told to every level of the call tree, so that levels could multiply them. The budget is now divided at each attempt by the dispatch package's rule, and debited to the service's share; an idempotent call's 502 or 503 counts as a failure that may be tried again. Passing on uses the same exchange as sending to a backend server: it gains the connect timeout and knows whether a byte was sent, so an unreachable dispatcher is followed by the next one.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -89,6 +89,11 @@
         super(`exchange ended: ${result.kind}`);
         this.name = "ExchangeError";
     }
+
+    /** Whether the server did not start: it said so, or no byte can have reached it. */
+    get notStarted(): boolean {
+        return this.result.kind === "refused" || this.result.kind === "connect-failed";
+    }
 }
 
 /** One request to one backend server and its answer. */
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -46,7 +46,7 @@
 
     /** Reads a small body whole; does nothing for a streamed one. Fails if the caller goes away. */
     async hold(): Promise<void> {
-        if (this.#streamed) {
+        if (this.#streamed || this.#held) {
             return;
         }
         if (hasBody(this.#req)) {
--- a/packages/proxy/src/request.ts
+++ b/packages/proxy/src/request.ts
@@ -31,7 +31,7 @@
 /** Used when the caller names no tenant. */
 export const unnamedTenant = "-";
 
-const defaultRetryBudget = 2;
+const defaultRetryBudget = 4;
 const maxDeadlineMs = 86_400_000;
 const maxAttempt = 1_000_000;
 const maxRetryBudget = 100;
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -7,7 +7,7 @@
 import { CallError } from "@bramleymoor/protocol/kinds";
 import { answerError, answerJson, asCallError, rawError } from "./answers.js";
 import { BackendClient } from "./backend.js";
-import { Passing } from "./passing.js";
+import { Retries } from "./retries.js";
 import { defaultLimits, type CallLimits, type CallParts } from "./services.js";
 import { Sweep } from "./sweep.js";
 import { CallTask, type TaskParts } from "./task.js";
@@ -30,7 +30,7 @@
             ...parts,
             sweep,
             client: new BackendClient(this.#limits, sweep, parts.clock),
-            passing: new Passing(this.#limits.maxConnections, this.#limits.idleMs, parts.clock),
+            retries: new Retries(),
             extraHeaders: () => (this.#stopping ? closing : open),
             nextId: () => ++this.#lastId,
         };
@@ -65,7 +65,6 @@
         await closed;
         await Promise.all(this.#running);
         this.#parts.client.close();
-        this.#parts.passing.close();
     }
 
     #createServer(): Server {
--- a/packages/proxy/test/calls.test.ts
+++ b/packages/proxy/test/calls.test.ts
@@ -36,6 +36,19 @@
     assert.equal(here.proxy.records[0]?.end, "passed");
 });
 
+test("a call is passed on to the next entry VM while the first can't be reached", async t => {
+    const there = await stage(t);
+    const closed = await startBackend();
+    await closed.close();
+    const passTo = [closed.address, there.proxy.address];
+    const here = await stage(t, [{}], { passTo: () => passTo });
+    const put = { method: "PUT", body: "x", headers: { "bm-request-id": "r1" } };
+    assert.equal((await ask(here.proxy.port, put)).text, "ran r1");
+    passTo.pop();
+    const none = await ask(here.proxy.port, put);
+    assert.deepEqual([none.headers["bm-error"], none.headers["bm-ran"]], ["no-server", "not run"]);
+});
+
 test("the issuer of an order's ticket runs it, whoever dispatches the service", async t => {
     const other = await stage(t);
     const issuer = await stage(t, [{}], { passTo: () => [other.proxy.address] });
@@ -77,6 +90,17 @@
     assert.equal(gone.dispatcher.settled.length, 3);
 });
 
+test("retries stay within the call's own budget, and an answered 503 is tried again if idempotent", async t => {
+    const { proxy, backends } = await stage(t, [{ failFast: true, failStatus: 503 }, {}]);
+    const put = (budget: string) =>
+        ask(proxy.port, { method: "PUT", body: "x", headers: { "bm-retry-budget": budget } });
+    assert.equal((await put("0")).status, 503);
+    assert.equal((await put("1")).status, 200);
+    assert.equal((await order(proxy, "o")).status, 503);
+    assert.deepEqual([proxy.dispatcher.granted.length, backends[1]?.counts.ran], [4, 1]);
+    assert.equal(proxy.records[1]?.retries, 1);
+});
+
 test("the first of two copies wins; the other is cancelled", async t => {
     const { proxy, backends } = await stage(t, [{ serviceMs: 60_000 }, {}]);
     proxy.dispatcher.hedging = true;
