--- /dev/null
+++ b/packages/bench/src/fuzz-config-world.ts
@@ -0,0 +1,338 @@
+/** Entry VMs, operators and the platform's log in one process on virtual time, with every fault put in. */
+
+import assert from "node:assert/strict";
+import { isDeepStrictEqual } from "node:util";
+import { Checkpointer } from "@bramleymoor/config/checkpointer";
+import { Follower } from "@bramleymoor/config/follower";
+import type { Offer, PeerQuestion, Peers } from "@bramleymoor/config/peers";
+import { publish, type PublishResult } from "@bramleymoor/config/publisher";
+import { configStream } from "@bramleymoor/config/record";
+import type { Snapshot } from "@bramleymoor/config/snapshot";
+import type { Accepted } from "@bramleymoor/config/version";
+import { parseText } from "@bramleymoor/model/text";
+import { PlatformError, type LogBatch, type LogService } from "@bramleymoor/platform/log";
+import { MemoryPlatform } from "@bramleymoor/platform/memory";
+import type { Sleep } from "@bramleymoor/platform/timers";
+import { VirtualTime } from "@bramleymoor/platform/virtual";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { ConfigOracle } from "./fuzz-config-oracle.js";
+
+/** How long the fuzzed log keeps a record, in milliseconds of virtual time. */
+export const retentionMs = 120_000;
+
+const settleMs = 60_000;
+const startMs = 500;
+
+/** The platform, whose config stream the oracle reads along. */
+class WatchedPlatform extends MemoryPlatform {
+    readonly #oracle: ConfigOracle;
+    readonly published: string[] = [];
+
+    constructor(time: VirtualTime, oracle: ConfigOracle) {
+        super({ now: () => time.now(), sleep: time.sleep, retentionMs });
+        this.#oracle = oracle;
+    }
+
+    override put(stream: string, data: string): number {
+        const offset = super.put(stream, data);
+        if (stream === configStream) {
+            this.#oracle.append(offset, data);
+            this.published.push(data);
+        }
+        return offset;
+    }
+}
+
+/** One process's way to the log, with faults of its own. */
+export class FaultyLog implements LogService {
+    cut = false;
+    loseAnswers = 0;
+    /** How many of the next appends seem to fail and take effect later. */
+    delayAppends = 0;
+    readonly #platform: MemoryPlatform;
+    readonly #late: (() => void)[];
+    #resume: (() => void) | undefined;
+    #paused: Promise<void> | undefined;
+
+    /** @param late gets appends that take effect later */
+    constructor(platform: MemoryPlatform, late: (() => void)[]) {
+        this.#platform = platform;
+        this.#late = late;
+    }
+
+    /** Stops or wakes the process: nothing it awaits comes back before it is woken. */
+    setPaused(paused: boolean): void {
+        this.#resume?.();
+        this.#resume = undefined;
+        this.#paused = paused ? new Promise(resolve => (this.#resume = resolve)) : undefined;
+    }
+
+    /** Waits while the process is paused. */
+    async awake(): Promise<void> {
+        await this.#paused;
+    }
+
+    async append(stream: string, data: string): Promise<number> {
+        await this.awake();
+        this.#check();
+        if (this.delayAppends > 0 && !this.#platform.down) {
+            this.delayAppends--;
+            this.#late.push(() => this.#platform.put(stream, data));
+            throw new PlatformError("unavailable", "late");
+        }
+        const offset = await this.#platform.append(stream, data);
+        await this.awake();
+        if (this.loseAnswers > 0) {
+            this.loseAnswers--;
+            throw new PlatformError("unavailable", "answer lost");
+        }
+        return offset;
+    }
+
+    async read(
+        stream: string,
+        from: number,
+        limit: number,
+        waitMs: number,
+        signal?: AbortSignal,
+    ): Promise<LogBatch> {
+        await this.awake();
+        this.#check();
+        const batch = await this.#platform.read(stream, from, limit, waitMs, signal);
+        await this.awake();
+        this.#check();
+        return batch;
+    }
+
+    #check(): void {
+        if (this.cut) {
+            throw new PlatformError("unavailable", "cut off");
+        }
+    }
+}
+
+/** One incarnation of an entry VM. */
+export interface FuzzNode {
+    readonly log: FaultyLog;
+    readonly follower: Follower;
+    readonly stop: AbortController;
+    reachable: boolean;
+    paused: boolean;
+    /** What the log held at its start; 0 if the log was down then. */
+    readonly floor: number;
+    /** Newest version number seen served. */
+    seen: number;
+}
+
+interface Outcome {
+    readonly id: string;
+    readonly base: number;
+    readonly result: PublishResult;
+}
+
+/** What was known when an entry VM was started. */
+interface Before {
+    readonly accepted: number;
+    /** Newest version that a peer could tell of. */
+    readonly known: number;
+    readonly peers: boolean;
+}
+
+/** The whole system, and the checks against the oracle. */
+export class ConfigWorld {
+    readonly time = new VirtualTime();
+    readonly oracle = new ConfigOracle();
+    readonly platform = new WatchedPlatform(this.time, this.oracle);
+    readonly nodes: FuzzNode[] = [];
+    /** Snapshots that were current once. */
+    readonly stale: Snapshot[] = [];
+    readonly late: (() => void)[] = [];
+    readonly operators: readonly FaultyLog[];
+    readonly #outcomes: Outcome[] = [];
+    readonly #problems: string[] = [];
+    readonly #random: () => number;
+    #publications = 0;
+
+    constructor(seed: number) {
+        const generator = xoroshiro128plus(seed);
+        this.#random = () => uniformFloat64(generator);
+        this.operators = [0, 1].map(() => new FaultyLog(this.platform, this.late));
+    }
+
+    /** Starts an entry VM, and checks what it serves shortly after. */
+    async start(): Promise<void> {
+        const answering = this.#answering();
+        const known = Math.max(0, ...answering.map(node => node.follower.current?.number ?? 0));
+        const before = { accepted: this.oracle.accepted.length, known, peers: answering.length > 0 };
+        const node = this.#newNode(this.platform.down ? 0 : before.accepted);
+        await this.advance(startMs);
+        this.#checkFresh(node, before);
+    }
+
+    /** Ends an entry VM without notice. */
+    crash(node: FuzzNode): void {
+        node.log.cut = true;
+        node.log.setPaused(false);
+        node.stop.abort();
+        this.nodes.splice(this.nodes.indexOf(node), 1);
+    }
+
+    /** Publishes as one of the operators and goes on without waiting. */
+    publish(operator: number, text: string, base: number): void {
+        const id = `p${this.#publications++}`;
+        const log = this.operators[operator % this.operators.length]!;
+        const options = { id, random: this.#random, sleep: this.time.sleep };
+        void publish(log, text, base, options).then(result => this.#outcomes.push({ id, base, result }));
+    }
+
+    /** Lets virtual time pass, then checks everything. */
+    async advance(ms: number): Promise<void> {
+        await this.time.advance(ms);
+        this.check();
+    }
+
+    /** Checks every entry VM and every answer to an operator against the oracle. */
+    check(): void {
+        assert.deepEqual(this.#problems, []);
+        for (const node of this.nodes) {
+            this.#checkNode(node);
+        }
+        for (const outcome of this.#outcomes) {
+            this.#checkOutcome(outcome);
+        }
+    }
+
+    /** Ends all faults and checks that the newest version that anybody knows is in force everywhere. */
+    async finish(): Promise<void> {
+        this.platform.setDown(false);
+        for (const log of this.operators) {
+            Object.assign(log, { cut: false, loseAnswers: 0, delayAppends: 0 });
+        }
+        for (const node of this.nodes) {
+            node.log.setPaused(false);
+            Object.assign(node, { reachable: true, paused: false });
+            Object.assign(node.log, { cut: false, loseAnswers: 0, delayAppends: 0 });
+        }
+        const kept = (await this.platform.read(configStream, 0, 1, 0)).first;
+        await this.advance(settleMs);
+        const newest = this.oracle.accepted.length;
+        const known = this.nodes.map(node => node.follower.current?.number ?? 0);
+        const expected = kept === 0 ? newest : Math.max(0, ...known);
+        assert.deepEqual(
+            known,
+            this.nodes.map(() => expected),
+            "the newest version isn't in force everywhere",
+        );
+        if (this.nodes.length > 0 && this.nodes.every(node => node.follower.status.progress === "judged")) {
+            await this.#replaceAll(expected);
+        }
+        this.#crashAll();
+        await this.time.advance(settleMs);
+    }
+
+    /** Checks that a checkpoint has outlived the publications when every entry VM is gone at once. */
+    async #replaceAll(expected: number): Promise<void> {
+        await this.advance(2 * retentionMs);
+        this.#crashAll();
+        await this.start();
+        assert.equal(this.nodes[0]?.follower.current?.number ?? 0, expected, "lost with all entry VMs");
+    }
+
+    #crashAll(): void {
+        for (const node of [...this.nodes]) {
+            this.crash(node);
+        }
+    }
+
+    #newNode(floor: number): FuzzNode {
+        const log = new FaultyLog(this.platform, this.late);
+        const stop = new AbortController();
+        const sleep: Sleep = async (ms, signal) => {
+            await this.time.sleep(ms, signal);
+            await log.awake();
+        };
+        const common = { log, events: () => {}, random: this.#random, sleep };
+        const peers: Peers = { ask: (question, count) => this.#ask(node, question, count) };
+        const follower = new Follower({ ...common, peers });
+        const checkpointer = new Checkpointer({ ...common, follower, retentionMs });
+        const node: FuzzNode = { log, follower, stop, reachable: true, paused: false, floor, seen: 0 };
+        follower.changes.subscribe(version => this.#note(node, version));
+        this.nodes.push(node);
+        void follower.run(stop.signal);
+        void checkpointer.run(stop.signal);
+        return node;
+    }
+
+    async #ask(asker: FuzzNode, question: PeerQuestion, count: number): Promise<readonly Offer[]> {
+        const asked = asker.reachable ? this.#answering().filter(node => node !== asker) : [];
+        const turn = Math.floor(this.#random() * asked.length);
+        const chosen = [...asked.slice(turn), ...asked.slice(0, turn)].slice(0, count);
+        const offers = chosen.map(node => node.follower.answer(question));
+        await asker.log.awake();
+        return offers.filter(offer => offer !== undefined);
+    }
+
+    #answering(): readonly FuzzNode[] {
+        return this.nodes.filter(node => node.reachable && !node.paused && node.follower.status.ready);
+    }
+
+    #note(node: FuzzNode, version: Accepted): void {
+        const snapshot = node.follower.snapshot();
+        if (snapshot) {
+            this.stale.push(snapshot);
+        }
+        if (version.number < node.floor && node.follower.status.progress !== "missing") {
+            this.#problems.push(
+                `a fresh entry VM served version ${version.number}, the log held ${node.floor}`,
+            );
+        }
+        if (version.number <= node.seen) {
+            this.#problems.push(`an entry VM went from version ${node.seen} to ${version.number}`);
+        }
+        node.seen = version.number;
+        const whole = parseText(version.document.toString());
+        if (
+            !whole.ok ||
+            whole.document.digest !== version.digest ||
+            !isDeepStrictEqual(whole.spec, version.spec)
+        ) {
+            this.#problems.push(`version ${version.number} isn't what its text says`);
+        }
+    }
+
+    #checkFresh(node: FuzzNode, before: Before): void {
+        const { ready, progress } = node.follower.status;
+        const number = node.follower.current?.number ?? 0;
+        if (!this.platform.down && progress !== "missing") {
+            assert.ok(
+                ready && number >= before.accepted,
+                `fresh at ${number}, the log holds ${before.accepted}`,
+            );
+        } else {
+            assert.equal(ready, before.peers, "a fresh entry VM is ready just if a peer could tell");
+            assert.ok(number >= before.known, `fresh at ${number}, peers know ${before.known}`);
+        }
+    }
+
+    #checkNode(node: FuzzNode): void {
+        const current = node.follower.current;
+        if (current) {
+            assert.equal(this.oracle.fault(current), undefined);
+        }
+        assert.equal(current?.number ?? 0, node.seen, "the version served isn't the newest one told");
+    }
+
+    #checkOutcome({ id, base, result }: Outcome): void {
+        const accepted = this.oracle.accepted.filter(version => version.id === id);
+        assert.ok(accepted.length <= 1, `${id} was accepted ${accepted.length} times`);
+        assert.notEqual(result.kind, "rejected", `${id} is valid`);
+        if (result.kind === "accepted") {
+            assert.equal(accepted[0]?.number, result.number, `${id} was told to be accepted`);
+            assert.equal(result.number, base + 1, `${id} replaced another version than its base`);
+        } else if (result.kind === "lost") {
+            assert.equal(accepted.length, 0, `${id} was told to have lost`);
+            assert.equal(this.oracle.fault(result.winner), undefined);
+        }
+    }
+}
--- a/packages/bench/src/fuzz-model.ts
+++ b/packages/bench/src/fuzz-model.ts
@@ -17,6 +17,8 @@
 export interface FuzzRun {
     readonly seed: number;
     readonly runs: number;
+    /** Stops at the first failure without shrinking it. */
+    readonly endOnFailure?: boolean;
     /** Replays one failure, with the model's replayPath. */
     readonly path?: string | undefined;
     readonly replayPath?: string | undefined;
@@ -25,7 +27,12 @@
 /** A failure, ready to print: what failed, the shrunk commands and how to see it again; undefined if none. */
 export const fuzzOnce = async (model: FuzzModel, run: FuzzRun): Promise<string | undefined> => {
     const path = run.path === undefined ? {} : { path: run.path, endOnFailure: true };
-    const parameters = { seed: run.seed, numRuns: run.runs, ...path };
+    const parameters = {
+        endOnFailure: run.endOnFailure ?? false,
+        seed: run.seed,
+        numRuns: run.runs,
+        ...path,
+    };
     const result = await fc.check(model.property(run.replayPath), parameters);
     if (!result.failed) {
         return undefined;
--- a/packages/bench/src/fuzz-models.ts
+++ b/packages/bench/src/fuzz-models.ts
@@ -1,6 +1,7 @@
 /** Every model that the fuzz command runs. */
 
+import { ConfigFuzz } from "./fuzz-config.js";
 import type { FuzzModel } from "./fuzz-model.js";
 
 /** The models, one line each. */
-export const fuzzModels: readonly FuzzModel[] = [];
+export const fuzzModels: readonly FuzzModel[] = [new ConfigFuzz()];
