--- /dev/null
+++ b/packages/bench/src/loaddeployment.ts
@@ -0,0 +1,86 @@
+/** A deployment on loopback that a load can be sent through. */
+
+import { builtScript, Child } from "./child.js";
+import { Fleet } from "./fleet.js";
+import { textOf, type Mix, type MixService } from "./loadmix.js";
+
+/** Platform stand-in, backend servers of a mix, and entry VMs. */
+export class LoadDeployment {
+    readonly #fleet: Fleet;
+    readonly #backends: readonly Backends[];
+
+    private constructor(fleet: Fleet, backends: readonly Backends[]) {
+        this.#fleet = fleet;
+        this.#backends = backends;
+    }
+
+    /** Starts everything, and resolves when every entry VM serves the mix's text. */
+    static async start(mix: Mix, entries: number): Promise<LoadDeployment> {
+        const fleet = await Fleet.start();
+        const backends = await Promise.all(mix.services.map(startBackends));
+        const addresses = new Map(backends.map(({ service, addresses: own }) => [service, own]));
+        await fleet.publish(textOf(mix, addresses), 0, "load-1");
+        fleet.startEntries(entries, ["a", "b", "c"], answerTtlMs);
+        await fleet.list();
+        await Promise.all(fleet.entries.map(entry => entry.ready()));
+        return new LoadDeployment(fleet, backends);
+    }
+
+    /** "IP:port" of the entry VMs, for callers. */
+    get entries(): readonly string[] {
+        return this.#fleet.entries.map(entry => entry.callers);
+    }
+
+    /** Stops and starts each entry VM in turn, by planned stops. */
+    async roll(): Promise<void> {
+        for (const entry of this.#fleet.entries) {
+            const code = await entry.child.stop(stopTimeoutMs);
+            if (code !== 0) {
+                throw new Error(`${entry.options.id} ended its planned stop with ${code}`);
+            }
+            entry.restart();
+            await entry.ready();
+        }
+    }
+
+    /** How often each request id has run, over all backend servers. */
+    async runs(): Promise<ReadonlyMap<string, number>> {
+        const runs = new Map<string, number>();
+        for (const { admin } of this.#backends) {
+            const res = await fetch(`http://${host}:${admin}/runs`);
+            for (const [id, count] of Object.entries(
+                (await res.json()) as Readonly<Record<string, number>>,
+            )) {
+                runs.set(id, (runs.get(id) ?? 0) + count);
+            }
+        }
+        return runs;
+    }
+
+    /** Stops every process. */
+    async stop(): Promise<void> {
+        await this.#fleet.stop();
+        this.#backends.forEach(({ child }) => child.signal("SIGKILL"));
+        await Promise.all(this.#backends.map(({ child }) => child.exited));
+    }
+}
+
+interface Backends {
+    readonly service: string;
+    readonly child: Child;
+    readonly addresses: readonly string[];
+    readonly admin: number;
+}
+
+const host = "127.0.0.1";
+
+const answerTtlMs = 2_000;
+
+const stopTimeoutMs = 60_000;
+
+const startBackends = async ({ name, servers, slots }: MixService): Promise<Backends> => {
+    const child = new Child(builtScript("bench", "loadserver"), [String(servers), String(slots)]);
+    const line = await child.line(/"admin"/);
+    const { admin, ports } = JSON.parse(line) as { admin: number; ports: readonly number[] };
+    return { service: name, child, admin, addresses: ports.map(port => `${host}:${port}`) };
+};
