Add a caller that keeps answers, tickets and request ids right

A caller of a few lines of fetch leaves out what makes a retry safe, so the caller package shows it: the answer to which addresses kept for its time to live, failover, one ticket and request id with a counted attempt over all retries, retry-after as a lower bound spread upwards, and nothing begun after the deadline. The ticket is renewed only when the last answer said that the request did not run, because an attempt under the old one could still run. Automatic renewal on every ask again was ruled out for that reason.

--- /dev/null
+++ b/packages/caller/src/caller.ts
@@ -0,0 +1,241 @@
+/**
+ * A caller that does it right: keeps the answer to "which addresses" for its time to live, fails over, keeps
+ * ticket and request id on every retry, honours retry-after with jitter, and stops at its deadline.
+ */
+
+import { Agent, type IncomingMessage } from "node:http";
+import { addressAnswerSchema, type AddressAnswer } from "@bramleymoor/protocol/answer";
+import { addressesPrefix, answerHeaders, callHeaders, callPrefix } from "@bramleymoor/protocol/headers";
+import { isErrorKind, kinds, type ErrorKind, type Ran } from "@bramleymoor/protocol/kinds";
+import { pauseMs, type Random } from "./backoff.js";
+import { exchange, LostError, readText } from "./exchange.js";
+
+/** Settings of a Caller. */
+export interface CallerOptions {
+    /** "IP:port" of some entry VMs, to ask which addresses to use. */
+    readonly entries: readonly string[];
+    /** Monotonic milliseconds. */
+    readonly clock: () => number;
+    readonly random: Random;
+    /** Gives a new request id, as crypto.randomUUID does. */
+    readonly newRequestId: () => string;
+    readonly tenant?: string;
+    /** Attempts of one call at most. */
+    readonly maxAttempts?: number;
+}
+
+/** One call. */
+export interface CallRequest {
+    readonly service: string;
+    /** Path and query at the service. */
+    readonly path: string;
+    readonly method?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    /** Kept until the answer comes, for retries. */
+    readonly body?: string | Uint8Array;
+    readonly deadlineMs: number;
+    /** To repeat an earlier call knowingly; otherwise a new one. */
+    readonly requestId?: string;
+}
+
+/** An answer: a backend server's, or the system's own one if `error` is set. */
+export interface CallAnswer {
+    readonly status: number;
+    readonly headers: IncomingMessage["headers"];
+    /** Streams the body; fails if it breaks off. Must be read or destroyed. */
+    readonly body: IncomingMessage;
+    readonly error: ErrorKind | undefined;
+    readonly attempts: number;
+}
+
+/** A call that got no answer at all. */
+export class CallerError extends Error {
+    /** @param ran what is known of the request after all attempts */
+    constructor(
+        message: string,
+        readonly ran: Ran,
+        readonly requestId: string,
+    ) {
+        super(message);
+        this.name = "CallerError";
+    }
+}
+
+interface Kept {
+    readonly answer: AddressAnswer;
+    readonly until: number;
+}
+
+/** What the attempts of one call have in common. */
+interface Attempts {
+    readonly request: CallRequest;
+    readonly requestId: string;
+    readonly deadlineAt: number;
+    ticket: string | undefined;
+    attempt: number;
+    /** Index into the answer's addresses. */
+    address: number;
+    ran: Ran;
+}
+
+/** Calls services through the entry VMs. */
+export class Caller {
+    readonly #options: CallerOptions;
+    readonly #agent = new Agent({ keepAlive: true });
+    readonly #kept = new Map<string, Kept>();
+
+    constructor(options: CallerOptions) {
+        if (options.entries.length === 0) {
+            throw new RangeError("a caller needs the address of one entry VM or more");
+        }
+        this.#options = options;
+    }
+
+    /**
+     * Makes a call. Retries as each answer's error kind allows, until the deadline.
+     *
+     * @throws CallerError if no answer came
+     */
+    async call(request: CallRequest): Promise<CallAnswer> {
+        const { clock, newRequestId, maxAttempts = defaultMaxAttempts } = this.#options;
+        const attempts: Attempts = {
+            request,
+            requestId: request.requestId ?? newRequestId(),
+            deadlineAt: clock() + request.deadlineMs,
+            ticket: undefined,
+            attempt: 1,
+            address: 0,
+            ran: "not run",
+        };
+        for (;;) {
+            const answer = await this.#attempt(attempts);
+            const last = attempts.attempt >= maxAttempts;
+            if (answer && (last || !answer.error || kinds[answer.error].retry === "never")) {
+                return answer;
+            }
+            const wait = pauseMs(attempts.attempt, retryAfterOf(answer), this.#options.random);
+            if (last || clock() + wait >= attempts.deadlineAt) {
+                return lastAnswer(answer, attempts);
+            }
+            answer?.body.destroy();
+            await new Promise(resolve => setTimeout(resolve, wait));
+            this.#prepareNext(attempts, answer?.error);
+        }
+    }
+
+    /** Closes idle connections. */
+    close(): void {
+        this.#agent.destroy();
+    }
+
+    /** The address answer that the caller holds, or a fresh one. */
+    async addresses(service: string, deadlineAt: number): Promise<AddressAnswer> {
+        const kept = this.#kept.get(service);
+        if (kept && this.#options.clock() < kept.until) {
+            return kept.answer;
+        }
+        const askedAt = this.#options.clock();
+        const answer = await this.#ask(service, deadlineAt);
+        this.#kept.set(service, { answer, until: askedAt + answer.ttlMs });
+        return answer;
+    }
+
+    async #ask(service: string, deadlineAt: number): Promise<AddressAnswer> {
+        const { entries, random, clock } = this.#options;
+        const first = Math.floor(random() * entries.length);
+        for (let i = 0; i < entries.length; i++) {
+            const entry = entries[(first + i) % entries.length] ?? "";
+            const timeoutMs = Math.min(askTimeoutMs, deadlineAt - clock());
+            const path = `${addressesPrefix}${service}`;
+            const answer = await exchange({
+                address: entry,
+                method: "GET",
+                path,
+                timeoutMs,
+                agent: this.#agent,
+            })
+                .then(readText)
+                .catch(() => undefined);
+            const parsed = answer?.status === 200 ? addressAnswerSchema.safeParse(answer.json) : undefined;
+            if (parsed?.success) {
+                return parsed.data;
+            }
+        }
+        throw new LostError("no entry VM told which addresses to use", false);
+    }
+
+    async #attempt(attempts: Attempts): Promise<CallAnswer | undefined> {
+        try {
+            const { service } = attempts.request;
+            const { addresses, ticket } = await this.addresses(service, attempts.deadlineAt);
+            attempts.ticket ??= ticket;
+            const address = addresses[attempts.address % addresses.length] ?? "";
+            return await this.#send(address, attempts);
+        } catch (err) {
+            const sent = !(err instanceof LostError) || err.sent;
+            attempts.ran = sent ? "outcome unknown" : attempts.ran;
+            return undefined;
+        }
+    }
+
+    async #send(address: string, attempts: Attempts): Promise<CallAnswer> {
+        const { request, attempt } = attempts;
+        const timeoutMs = attempts.deadlineAt - this.#options.clock();
+        const res = await exchange({
+            address,
+            method: request.method ?? "GET",
+            path: `${callPrefix}${request.service}${request.path}`,
+            headers: this.#headers(attempts, timeoutMs),
+            body: request.body,
+            timeoutMs,
+            agent: this.#agent,
+        });
+        const kind = res.headers[answerHeaders.error];
+        const error = typeof kind === "string" && isErrorKind(kind) ? kind : undefined;
+        if (error) {
+            attempts.ran = kinds[error].ran;
+        }
+        return { status: res.statusCode ?? 0, headers: res.headers, body: res, error, attempts: attempt };
+    }
+
+    #headers(attempts: Attempts, timeoutMs: number): Record<string, string> {
+        const { tenant } = this.#options;
+        return {
+            ...attempts.request.headers,
+            ...(tenant === undefined ? {} : { [callHeaders.tenant]: tenant }),
+            [callHeaders.deadline]: String(Math.max(1, Math.floor(timeoutMs))),
+            [callHeaders.requestId]: attempts.requestId,
+            [callHeaders.ticket]: attempts.ticket ?? "",
+            [callHeaders.attempt]: String(attempts.attempt),
+        };
+    }
+
+    /** The ticket stays the same for as long as an attempt under it may have run. */
+    #prepareNext(attempts: Attempts, error: ErrorKind | undefined): void {
+        attempts.attempt++;
+        const at = error ? kinds[error].retry : "other";
+        if (at !== "same") {
+            attempts.address++;
+        }
+        if (at === "ask again") {
+            this.#kept.delete(attempts.request.service);
+            attempts.address = 0;
+            attempts.ticket = attempts.ran === "not run" ? undefined : attempts.ticket;
+        }
+    }
+}
+
+const defaultMaxAttempts = 4;
+const askTimeoutMs = 1000;
+
+const retryAfterOf = (answer: CallAnswer | undefined): number | undefined => {
+    const ms = Number(answer?.headers[answerHeaders.retryAfter] ?? NaN);
+    return Number.isFinite(ms) ? ms : undefined;
+};
+
+const lastAnswer = (answer: CallAnswer | undefined, attempts: Attempts): CallAnswer => {
+    if (answer) {
+        return answer;
+    }
+    throw new CallerError("no answer within attempts and deadline", attempts.ran, attempts.requestId);
+};
