Remember refusals of a full table, so that not run stays true whatever is repeated

A request refused because the table was full left no trace, so a delayed copy of it could run later, after its caller had been told that it did not run; only later attempts were answered with care. A tenth of the table's bound is now kept for such refusals, which fence like all others; once that is used up too, the answer is that nothing can be told. Ruled out: fencing all tickets issued before the table was full, which takes no memory but sends every caller back for a new ticket.

--- a/packages/once/src/table.ts
+++ b/packages/once/src/table.ts
@@ -10,7 +10,7 @@
 
 /** Bounds of a table. */
 export interface OnceLimits {
-    /** Requests remembered at most. */
+    /** Requests run and remembered at most; a tenth more may be remembered as refused. */
     readonly maxEntries: number;
     /** Largest answer body kept for a repeat, in bytes. */
     readonly keepBytes: number;
@@ -69,8 +69,8 @@
     /**
      * Claims the right to run a request whose ticket has been checked at `now`.
      *
-     * @throws CallError request-conflict if the id was used for another method or target; table-full, or
-     * not-decided for a later attempt, if there is no room
+     * @throws CallError request-conflict if the id was used for another method or target; table-full if there
+     * is no room, which is remembered like any refusal; not-decided if there is no room even for that
      */
     claim(request: OnceRequest, now: number): Claim {
         this.sweep(now);
@@ -82,7 +82,7 @@
         if (entry.target !== request.target) {
             throw new CallError("request-conflict");
         }
-        if (entry.refusedBefore(request.attempt)) {
+        if (entry.refusedBefore(request.attempt) && this.#entries.size <= this.limits.maxEntries) {
             entry.restart(request.attempt);
             return { kind: "run", run: this.#run(entry) };
         }
@@ -106,12 +106,19 @@
     }
 
     #add(key: string, request: OnceRequest): Entry {
-        if (this.#entries.size >= this.limits.maxEntries) {
-            throw new CallError(request.attempt > 1 ? "not-decided" : "table-full", "", fullRetryMs);
+        const { maxEntries } = this.limits;
+        if (this.#entries.size >= maxEntries + Math.ceil(maxEntries * refusedShare)) {
+            throw new CallError("not-decided", "", fullRetryMs);
         }
+        const full = this.#entries.size >= maxEntries;
         const entry = new Entry(key, request.attempt, request.target);
         this.#entries.set(key, entry);
         this.#expireIn(entry, Math.ceil(request.expiresAt / msPerSecond));
+        if (full) {
+            const error = new CallError("table-full", "", fullRetryMs);
+            entry.end({ kind: "refused", error });
+            throw error;
+        }
         return entry;
     }
 
@@ -152,6 +159,8 @@
 
 const msPerSecond = 1000;
 const fullRetryMs = 1000;
+/** Room beyond maxEntries, as a share of it, for requests that were refused because the table was full. */
+const refusedShare = 0.1;
 
 const keyOf = (callerPart: string, requestId: string): string => `${callerPart} ${requestId}`;
 
--- a/packages/once/test/table.test.ts
+++ b/packages/once/test/table.test.ts
@@ -99,12 +99,19 @@
     assert.throws(() => run.fail(new CallError("internal")), /only once/);
 });
 
-test("a full table refuses a first attempt as not run, and does not judge a later one", () => {
+test("a full table refuses as not run and keeps to it, until it has no room even for that", async () => {
     const once = table({ maxEntries: 1 });
-    runOf(once.claim(request("r"), 0));
-    assert.throws(() => once.claim(request("s"), 1), kind("table-full"));
-    assert.throws(() => once.claim(request("s", { attempt: 2 }), 1), kind("not-decided"));
+    const run = runOf(once.claim(request("r", { expiresAt: 1000 }), 0));
+    assert.throws(() => once.claim(request("s", { attempt: 2 }), 1), kind("table-full"));
+    assert.throws(() => once.claim(request("t"), 1), kind("not-decided"));
     duplicateOf(once.claim(request("r", { attempt: 2 }), 1));
+    const still = duplicateOf(once.claim(request("s", { attempt: 3 }), 2));
+    assert.equal((await still.outcome("d")).kind, "refused");
+    run.fail(new CallError("overloaded"));
+    for (const attempt of [1, 2, 3]) {
+        assert.equal(once.claim(request("s", { attempt }), 1500).kind, "duplicate");
+    }
+    runOf(once.claim(request("s", { attempt: 4 }), 1500));
 });
 
 test("an entry stays until its ticket has expired, and a running one until it has ended", () => {
--- a/packages/protocol/src/kinds.ts
+++ b/packages/protocol/src/kinds.ts
@@ -80,7 +80,7 @@
         503,
         "outcome unknown",
         "same",
-        "The at-most-once table is full, so an earlier attempt's end can't be told.",
+        "The at-most-once table is full; whether an attempt runs can't be told.",
     ),
     "caller-gone": row(499, "not run", "same", "The caller went away before the request was sent."),
     "request-conflict": row(422, "not run", "never", "This request id was used before with another request."),
--- a/packages/proxy/src/guard.ts
+++ b/packages/proxy/src/guard.ts
@@ -10,15 +10,18 @@
 import type { CallHeaders } from "./request.js";
 import type { CallParts } from "./services.js";
 
+/** What a Guard needs of a CallServer's collaborators. */
+export type GuardParts = Pick<CallParts, "tickets" | "once" | "issuer">;
+
 /** Decides whether a request needs the table, and who may run it. */
 export class Guard {
-    readonly #parts: CallParts;
+    readonly #parts: GuardParts;
     readonly #headers: CallHeaders;
     readonly #ticket: Ticket | undefined;
     readonly #class: RequestClass | undefined;
 
     /** @param cls undefined while the request's service isn't known here; then a ticket decides */
-    constructor(parts: CallParts, headers: CallHeaders, cls: RequestClass | undefined) {
+    constructor(parts: GuardParts, headers: CallHeaders, cls: RequestClass | undefined) {
         this.#parts = parts;
         this.#headers = headers;
         this.#class = cls;
--- a/packages/proxy/test/faults.test.ts
+++ b/packages/proxy/test/faults.test.ts
@@ -196,7 +196,9 @@
     const full = await order(proxy, "o2", { ticket });
     assert.deepEqual([kindOf(full), saysNotRun(full)], ["table-full", true]);
     const later = await order(proxy, "o2", { ticket, headers: { "bm-attempt": "2" } });
-    assert.deepEqual([kindOf(later), later.headers["bm-ran"]], ["not-decided", "outcome unknown"]);
+    assert.deepEqual([kindOf(later), saysNotRun(later)], ["table-full", true]);
+    const fuller = await order(proxy, "o3", { ticket });
+    assert.deepEqual([kindOf(fuller), fuller.headers["bm-ran"]], ["not-decided", "outcome unknown"]);
     proxy.skewMs = 70_000;
     const expired = await order(proxy, "o1", { ticket });
     assert.deepEqual([kindOf(expired), expired.headers["bm-ran"]], ["ticket-expired", "outcome unknown"]);
