Fuzz at most once against a small oracle, with thirteen deliberate faults

Tickets, guard and table run as shipped on virtual time with offset clocks, while attempts are copied, delayed, lost and reordered, entry VMs crash, pause, wake and believe wrong things of each other, tables fill and tickets expire.

--- a/packages/bench/src/fuzz-models.ts
+++ b/packages/bench/src/fuzz-models.ts
@@ -1,7 +1,8 @@
 /** Every model that the fuzz command runs. */
 
 import { ConfigFuzz } from "./fuzz-config.js";
+import { OnceFuzz } from "./fuzz-once.js";
 import type { FuzzModel } from "./fuzz-model.js";
 
 /** The models, one line each. */
-export const fuzzModels: readonly FuzzModel[] = [new ConfigFuzz()];
+export const fuzzModels: readonly FuzzModel[] = [new ConfigFuzz(), new OnceFuzz()];
--- /dev/null
+++ b/packages/bench/src/fuzz-once-oracle.ts
@@ -0,0 +1,58 @@
+/** What must hold of every request whatever happens: the oracle of the at-most-once fuzzing. */
+
+import assert from "node:assert/strict";
+
+/** One copy of a caller's request on its way. */
+export interface Copy {
+    /** The caller's ticket and request id: what must run at most once. */
+    readonly identity: string;
+    readonly attempt: number;
+    /** Stands for method, path and body. */
+    readonly content: string;
+}
+
+interface Told {
+    readonly copy: Copy;
+    readonly ran: string;
+}
+
+/** Takes what backend servers ran and callers were told, and fails on a contradiction. */
+export class OnceOracle {
+    readonly #runs: Copy[] = [];
+    readonly #told: Told[] = [];
+
+    /** A backend server starts a request; gives the answer that only its own caller may see. */
+    run(copy: Copy): string {
+        const earlier = this.#runs.find(run => run.identity === copy.identity);
+        assert.equal(earlier, undefined, `${copy.identity} ran twice`);
+        this.#runs.push(copy);
+        this.#told.forEach(told => this.#judge(told));
+        return answerTo(copy);
+    }
+
+    /** A caller gets a backend server's answer, first or again. */
+    answer(copy: Copy, text: string): void {
+        assert.equal(text, answerTo(copy), `${copy.identity} got another request's answer`);
+        this.tell(copy, "ran");
+    }
+
+    /** A caller is told whether its request ran. */
+    tell(copy: Copy, ran: string): void {
+        const told = { copy, ran };
+        this.#told.push(told);
+        this.#judge(told);
+    }
+
+    #judge({ copy, ran }: Told): void {
+        const runs = this.#runs.filter(run => run.identity === copy.identity && run.content === copy.content);
+        if (ran === "ran") {
+            assert.equal(runs.length, 1, `${copy.identity} was told as run but did not run`);
+        }
+        if (ran === "not run") {
+            const wrong = runs.some(run => run.attempt <= copy.attempt);
+            assert.ok(!wrong, `${copy.identity} ran but attempt ${copy.attempt} was told as not run`);
+        }
+    }
+}
+
+const answerTo = (copy: Copy): string => `${copy.identity} ${copy.content}`;
--- a/packages/bench/test/mutations.ts
+++ b/packages/bench/test/mutations.ts
@@ -20,6 +20,18 @@
     replace,
 });
 
+const once = (name: string, file: string, find: string, replace: string): Mutation => ({
+    name,
+    model: "once",
+    file,
+    find,
+    replace,
+});
+
+const table = "once/dist/src/table.js";
+const entry = "once/dist/src/entry.js";
+const guard = "proxy/dist/src/guard.js";
+
 export const mutations: readonly Mutation[] = [
     config(
         "a publication over an old base is accepted",
@@ -69,4 +81,32 @@
         "false",
     ),
     config("no checkpoint is appended", "checkpointer.js", "await this.#isDue(snapshot)", "false"),
+    once(
+        "any entry VM runs a request, whoever issued its ticket",
+        guard,
+        "this.#ticket.incarnation ===",
+        "this.#ticket ||",
+    ),
+    once("a request whose issuer is gone is told as not run", guard, `"issuer-gone"`, `"stopping"`),
+    once("an expired ticket is taken", "once/dist/src/tickets.js", "now >= ticket.expiresAt", "false"),
+    once("callers share request ids", table, "`${callerPart} ${requestId}`", "requestId"),
+    once("an entry is dropped while its ticket is valid", table, "due <= second", "due <= second + 5"),
+    once("a running entry is dropped", table, "entry.running", "false"),
+    once(
+        "a refusal of a full table is not remembered",
+        table,
+        "if (full) {",
+        "if (full) { this.#entries.delete(key);",
+    ),
+    once("a duplicate may have another target", table, "entry.target !== request.target", "false"),
+    once("kept answers have no bound", table, "this.#keptBytes + bytes > this.limits.maxKeptBytes", "false"),
+    once("a duplicate may have another body", entry, "this.#digest === digest", "true"),
+    once("a refused attempt runs after all", entry, "attempt > this.#attempt", "true"),
+    once("an unknown outcome is run again", entry, `this.#outcome?.kind === "refused"`, "this.#outcome"),
+    once(
+        "a waiting attempt that was refused runs after all",
+        entry,
+        "Math.max(this.#attempt, attempt)",
+        "this.#attempt",
+    ),
 ];
