Bound the bytes of membership's news and send health changes short

Whole records were passed on 24 times each at 256 nodes, which kept traffic at 6.9 KB/s a node long after the start.

--- a/packages/membership/src/beliefs.ts
+++ b/packages/membership/src/beliefs.ts
@@ -2,7 +2,7 @@
 
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { Listing } from "./listing.js";
-import { isLaterRun, vmOf, type MemberRecord } from "./record.js";
+import { isLaterRun, supersedes, type HealthRecord, type MemberRecord } from "./record.js";
 import { Roster } from "./roster.js";
 
 /** Settings of `Beliefs`. */
@@ -61,11 +61,12 @@
 
     /** Peer addresses of members that died without leaving, or that are only heard of. */
     lost(seeds: readonly string[]): readonly string[] {
-        const records = [...this.roster.all()].map(entry => entry.record);
-        const live = new Set(records.filter(record => record.health !== "dead").map(peerAddressOf));
+        const live = new Set(this.roster.ids.map(id => this.roster.get(id)?.peerAddress));
         live.add(this.#self.peerAddress);
-        const dead = records.filter(record => record.health === "dead" && !record.leaving);
-        const all = new Set([...dead.map(peerAddressOf), ...this.#listing.addresses, ...seeds]);
+        const doubted = this.roster.doubted.map(entry => entry.record);
+        const dead = doubted.filter(record => record.health === "dead" && !record.leaving);
+        const known = dead.map(record => record.peerAddress);
+        const all = new Set([...known, ...this.#listing.addresses, ...seeds]);
         return [...all].filter(address => !live.has(address));
     }
 
@@ -80,6 +81,19 @@
         }
     }
 
+    /** Takes in what a peer says of life and death, if the rest of that run's record is known. */
+    takeHealth(health: HealthRecord, joined: boolean, now: number): void {
+        const held = health.id === this.#self.id ? this.#self : this.roster.get(health.id);
+        if (held?.incarnation !== health.incarnation) {
+            return;
+        }
+        const record = { ...held, ...health };
+        if (!supersedes(record, held)) {
+            this.roster.echoed(health.id);
+        }
+        this.take([record], joined, now);
+    }
+
     /** Tells the peers a change of this entry VM's own state, as a new word that outranks all earlier ones. */
     announce(change: Partial<MemberRecord>, now: number): void {
         this.#self = { ...this.#self, counter: this.#self.counter + 1, ...change };
@@ -108,7 +122,7 @@
 
     /** Declares suspects dead and forgets the dead when their time has come. */
     expire(isolated: boolean, joined: boolean, now: number): void {
-        for (const { record, changedAt } of [...this.roster.all()]) {
+        for (const { record, changedAt } of this.roster.doubted) {
             if (record.health === "suspect" && now - changedAt >= this.#suspicionMs(record, isolated)) {
                 this.#counts = { ...this.#counts, deaths: this.#counts.deaths + 1 };
                 this.take([{ ...record, health: "dead" }], joined, now);
@@ -133,19 +147,23 @@
 
     /** Every member that is not dead, sorted by id. */
     view(): readonly EntryVm[] {
-        const records = this.roster.ids.map(id => this.roster.get(id));
-        return records.flatMap(record => {
-            return record ? [vmOf(record, this.#listing.isLeaving(record.id))] : [];
+        return this.roster.ids.flatMap(id => {
+            const vm = this.roster.vm(id);
+            return vm ? [this.#asListed(vm)] : [];
         });
     }
 
+    #asListed(vm: EntryVm): EntryVm {
+        return this.#listing.isLeaving(vm.id) ? { ...vm, state: "leaving" } : vm;
+    }
+
     #takeOther(record: MemberRecord, now: number): void {
         const merged = this.roster.merge(record, now);
         if (merged === "changed" || merged === "refreshed") {
             this.#changed = true;
         }
         if (merged === "stale" && this.roster.get(record.id)?.health === "dead") {
-            this.roster.passOn(record.id);
+            this.roster.passOn(record.id, false);
         }
     }
 
@@ -185,5 +203,3 @@
         return this.#settings.suspectPeriods * this.#settings.periodMs * spread * (lacking ? 0.5 : 1);
     }
 }
-
-const peerAddressOf = (record: MemberRecord): string => record.peerAddress;
--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/exchange.ts
@@ -1,33 +1,47 @@
-/** Writes and reads the messages between entry VMs, inside their bounds of size. */
+/** Writes and reads the messages between entry VMs, inside their bounds of size and rate. */
 
+import { Allowance } from "./allowance.js";
 import type { Beliefs } from "./beliefs.js";
 import {
     GossipRefused,
     gossipVersion,
+    isWhole,
     joinBytes,
     messageBytes,
     pack,
+    packHealth,
     unpack,
+    unpackHealth,
     type GossipMessage,
     type GossipReply,
+    type PackedHealth,
     type PackedRecord,
 } from "./messages.js";
 import { isLaterRun, type MemberRecord } from "./record.js";
 
 const frameBytes = 250;
 const agreedPageCount = 2;
+const newsBytesPerSecond = 700;
+const newsBytesSaved = 16_000;
+const helpBytesSpare = 3000;
+const helpBytes = 1000;
+const joinBytesPerSecond = 2000;
 
 /** One side of the messages: fills them with what peers may not know, and takes theirs in. */
 export class Exchange {
     readonly #cluster: string;
     readonly #beliefs: Beliefs;
+    readonly #news: Allowance;
+    readonly #joins: Allowance;
     #joined = false;
     /** Where the peers' lists have been read up to. */
     #after = "";
 
-    constructor(cluster: string, beliefs: Beliefs) {
+    constructor(cluster: string, beliefs: Beliefs, now: number) {
         this.#cluster = cluster;
         this.#beliefs = beliefs;
+        this.#news = new Allowance(newsBytesPerSecond, newsBytesSaved, now);
+        this.#joins = new Allowance(joinBytesPerSecond, 2 * joinBytes, now);
     }
 
     /** Whether this entry VM has been a member for a while, or knows all that a peer knows. */
@@ -50,23 +64,32 @@
     }
 
     /** A message for a member, or for an address where one may be. */
-    message(target: MemberRecord | undefined): GossipMessage {
-        const doubted = target && target.health !== "alive" ? [pack(target)] : [];
-        return {
-            ...this.#frame(doubted, messageBytes - frameBytes),
-            after: this.#after,
-            joining: !this.#joined,
-        };
+    message(target: MemberRecord | undefined, now: number): GossipMessage {
+        const doubted = target && target.health !== "alive" ? [packHealth(target)] : [];
+        const records = [...doubted, ...this.#changes(now)];
+        return { ...this.#frame(), records, after: this.#after, joining: !this.#joined };
+    }
+
+    /** Spends the bytes of asking one helper to ping a member; false if they are better spent on news. */
+    spendHelp(now: number): boolean {
+        if (this.#news.left(now) < helpBytesSpare) {
+            return false;
+        }
+        this.#news.spend(helpBytes);
+        return true;
     }
 
     /** The reply to a message whose records have been taken. */
-    reply(message: GossipMessage, relayed: boolean): GossipReply {
-        const bytes = (message.joining ? joinBytes : messageBytes) - frameBytes;
-        const frame = this.#frame(this.#correction(unpack(message.from)), bytes);
+    reply(message: GossipMessage, relayed: boolean, now: number): GossipReply {
+        const frame = this.#frame();
         const agreed = message.digest === frame.digest;
-        const left = bytes - sizeOf([frame.from, ...frame.records]);
+        const first = [...this.#correction(unpack(message.from)), ...this.#changes(now)];
+        const purse = message.joining && !agreed ? this.#joins : this.#news;
+        const most = message.joining && !agreed ? joinBytes : messageBytes;
+        const left = Math.min(purse.left(now), most - frameBytes - sizeOf(first));
         const page = this.#beliefs.roster.page(message.after, left, agreed ? agreedPageCount : Infinity);
-        return { ...frame, records: [...frame.records, ...page.records], next: page.next, relayed };
+        purse.spend(sizeOf(page.records));
+        return { ...frame, records: [...first, ...page.records], next: page.next, relayed };
     }
 
     /** Takes a message's records. */
@@ -78,12 +101,20 @@
     takeReply(reply: GossipReply, now: number): void {
         this.#after = reply.next;
         this.#take(reply, now);
-        this.#joined ||= reply.digest === this.#beliefs.roster.digest;
+        if (reply.digest === this.#beliefs.roster.digest) {
+            this.#joined = true;
+            this.#beliefs.roster.agreed();
+        }
     }
 
     #take(message: GossipMessage | GossipReply, now: number): void {
-        const records = [...message.records, message.from].map(unpack);
-        this.#beliefs.take(records, this.#joined, now);
+        for (const packed of [...message.records, message.from]) {
+            if (isWhole(packed)) {
+                this.#beliefs.take([unpack(packed)], this.#joined, now);
+            } else {
+                this.#beliefs.takeHealth(unpackHealth(packed), this.#joined, now);
+            }
+        }
     }
 
     /** What this entry VM holds of the sender, if the sender has to answer to it. */
@@ -92,17 +123,22 @@
         return held && (held.health !== "alive" || isLaterRun(held, sender)) ? [pack(held)] : [];
     }
 
-    #frame(first: readonly PackedRecord[], bytes: number) {
-        const from = pack(this.#beliefs.self);
-        const left = bytes - sizeOf([from, ...first]);
+    #changes(now: number): readonly (PackedRecord | PackedHealth)[] {
+        const records = this.#beliefs.roster.changes(Math.min(this.#news.left(now), messageBytes / 2));
+        this.#news.spend(sizeOf(records));
+        return records;
+    }
+
+    #frame() {
         return {
             version: gossipVersion,
             cluster: this.#cluster,
-            from,
+            from: pack(this.#beliefs.self),
             digest: this.#beliefs.roster.digest,
-            records: [...first, ...this.#beliefs.roster.changes(left)],
         } as const;
     }
 }
 
-const sizeOf = (records: readonly PackedRecord[]): number => JSON.stringify(records).length;
+const sizeOf = (records: readonly unknown[]): number => {
+    return records.length === 0 ? 0 : JSON.stringify(records).length;
+};
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -81,7 +81,7 @@
         this.#now = now;
         this.#nextPeriodAt = now;
         this.#beliefs = new Beliefs(recordOf(self, settings.startedAt), this.#listing, settings, now);
-        this.#exchange = new Exchange(settings.cluster, this.#beliefs);
+        this.#exchange = new Exchange(settings.cluster, this.#beliefs, now);
         this.#members = new BehaviorSubject(this.#beliefs.view());
     }
 
@@ -164,7 +164,7 @@
         this.#exchange.takeMessage(message, this.#now);
         this.#publish();
         const relayed = message.relayTo ? await this.#relay(message.relayTo) : false;
-        return this.#exchange.reply(message, relayed);
+        return this.#exchange.reply(message, relayed, this.#now);
     }
 
     /** After a pause, suspects get their time again, and pings begun before it prove nothing. */
@@ -208,7 +208,7 @@
     }
 
     async #ping(peerAddress: string, target: MemberRecord | undefined): Promise<boolean> {
-        const reply = await this.#send(peerAddress, this.#exchange.message(target));
+        const reply = await this.#send(peerAddress, this.#exchange.message(target, this.#now));
         const answered = reply !== undefined && (!target || reply.from[0] === target.id);
         this.#pings++;
         this.#failedPings += answered ? 0 : 1;
@@ -219,7 +219,7 @@
     async #pingThroughOthers(target: MemberRecord): Promise<boolean> {
         const relayTo = { id: target.id, peerAddress: target.peerAddress };
         const others = this.#shuffled(this.#beliefs.peers.filter(id => id !== target.id));
-        const message = { ...this.#exchange.message(target), relayTo };
+        const message = { ...this.#exchange.message(target, this.#now), relayTo };
         const asked = others.slice(0, this.#settings.helpers).map(id => this.#askToRelay(id, message));
         const replies = await Promise.all(asked);
         return replies.includes(true);
@@ -233,7 +233,7 @@
 
     async #relay(target: { readonly id: string; readonly peerAddress: string }): Promise<boolean> {
         const held = this.#beliefs.roster.get(target.id);
-        const reply = await this.#send(target.peerAddress, this.#exchange.message(held));
+        const reply = await this.#send(target.peerAddress, this.#exchange.message(held, this.#now));
         return reply?.from[0] === target.id;
     }
 
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -1,7 +1,7 @@
 /** Messages between entry VMs about who is alive, with their schemas and bounds. */
 
 import { z } from "zod";
-import type { MemberRecord, Payload } from "./record.js";
+import type { HealthRecord, MemberRecord, Payload } from "./record.js";
 
 /** Number of the messages' form; another form is refused. */
 export const gossipVersion = 1;
@@ -22,15 +22,21 @@
     .record(z.string().max(32), z.union([z.string().max(64), z.number()]))
     .refine(payload => JSON.stringify(payload).length <= payloadBytes);
 
+const healthFields = [
+    name, // id
+    name, // incarnation
+    whole, // generation
+    whole, // counter
+    z.union([z.literal(0), z.literal(1), z.literal(2)]), // alive, suspect, dead
+    z.union([z.literal(0), z.literal(1)]), // leaving
+] as const;
+
+const healthSchema = z.tuple(healthFields).readonly();
+
 /** A record on the wire: its fields in a fixed order, since names would double its size. */
 const packedSchema = z
     .tuple([
-        name, // id
-        name, // incarnation
-        whole, // generation
-        whole, // counter
-        z.union([z.literal(0), z.literal(1), z.literal(2)]), // alive, suspect, dead
-        z.union([z.literal(0), z.literal(1)]), // leaving
+        ...healthFields,
         name, // region
         name, // failure domain
         address, // for callers
@@ -44,6 +50,9 @@
 /** A record on the wire. */
 export type PackedRecord = z.infer<typeof packedSchema>;
 
+/** What a record says of life and death, on the wire. */
+export type PackedHealth = z.infer<typeof healthSchema>;
+
 const header = {
     version: z.literal(gossipVersion),
     /** Name of the cluster, or a digest of its name and key. */
@@ -52,7 +61,10 @@
     from: packedSchema,
     /** Digest over all members that the sender believes in. */
     digest: whole,
-    records: z.array(packedSchema).max(recordsAtMost).readonly(),
+    records: z
+        .array(z.union([packedSchema, healthSchema]))
+        .max(recordsAtMost)
+        .readonly(),
 };
 
 /** A message to a peer: schema. */
@@ -96,14 +108,19 @@
 
 const healths = ["alive", "suspect", "dead"] as const;
 
-/** The record in its wire form. */
-export const pack = (record: MemberRecord): PackedRecord => [
+/** What the record says of life and death, in its wire form. */
+export const packHealth = (record: HealthRecord): PackedHealth => [
     record.id,
     record.incarnation,
     record.generation,
     record.counter,
     healthNumber(record),
     record.leaving ? 1 : 0,
+];
+
+/** The record in its wire form. */
+export const pack = (record: MemberRecord): PackedRecord => [
+    ...packHealth(record),
     record.region,
     record.domain,
     record.callerAddress,
@@ -115,23 +132,20 @@
 
 /** The record from its wire form. */
 export const unpack = (packed: PackedRecord): MemberRecord => {
-    const [id, incarnation, generation, counter, health, leaving, region, domain, ...rest] = packed;
-    const [callerAddress, peerAddress, stamp, load, payload] = rest;
-    return {
-        id,
-        incarnation,
-        generation,
-        counter,
-        health: healths[health],
-        leaving: leaving === 1,
-        region,
-        domain,
-        callerAddress,
-        peerAddress,
-        stamp,
-        load,
-        payload,
-    };
+    const [, , , , , , region, domain, callerAddress, peerAddress, stamp, load, payload] = packed;
+    const rest = { region, domain, callerAddress, peerAddress, stamp, load, payload };
+    return { ...unpackHealth(packed), ...rest };
+};
+
+/** What a record says of life and death, from the wire form of either kind. */
+export const unpackHealth = (packed: PackedRecord | PackedHealth): HealthRecord => {
+    const [id, incarnation, generation, counter, health, leaving] = packed;
+    return { id, incarnation, generation, counter, health: healths[health], leaving: leaving === 1 };
+};
+
+/** Tells whether the wire form is that of a whole record. */
+export const isWhole = (packed: PackedRecord | PackedHealth): packed is PackedRecord => {
+    return packed.length > healthFields.length;
 };
 
 /** Throws a TypeError unless the payload fits a record. */
@@ -141,7 +155,7 @@
     }
 };
 
-const healthNumber = (record: MemberRecord): 0 | 1 | 2 => {
+const healthNumber = (record: HealthRecord): 0 | 1 | 2 => {
     if (record.health === "alive") {
         return 0;
     }
--- a/packages/membership/src/record.ts
+++ b/packages/membership/src/record.ts
@@ -5,8 +5,8 @@
 /** Small values that travel with a member's record, such as the version of its accepted text. */
 export type Payload = Readonly<Record<string, string | number>>;
 
-/** A belief of one run of the entry process on one entry VM. */
-export interface MemberRecord {
+/** What a belief says of life and death; enough for a peer that knows the rest of the record. */
+export interface HealthRecord {
     readonly id: string;
     readonly incarnation: string;
     /** Orders the incarnations of one id; the highest one is the entry VM's present run. */
@@ -15,6 +15,10 @@
     readonly counter: number;
     readonly health: "alive" | "suspect" | "dead";
     readonly leaving: boolean;
+}
+
+/** A belief of one run of the entry process on one entry VM. */
+export interface MemberRecord extends HealthRecord {
     readonly region: string;
     readonly domain: string;
     readonly callerAddress: string;
@@ -57,19 +61,19 @@
 };
 
 /** The record as the other packages see it. */
-export const vmOf = (record: MemberRecord, leaving: boolean): EntryVm => ({
+export const vmOf = (record: MemberRecord): EntryVm => ({
     id: record.id,
     incarnation: record.incarnation,
     place: { region: record.region, domain: record.domain },
     callerAddress: record.callerAddress,
     peerAddress: record.peerAddress,
-    state: stateOf(record, leaving),
+    state: stateOf(record),
     load: record.load,
 });
 
-const stateOf = (record: MemberRecord, leaving: boolean): EntryVm["state"] => {
+const stateOf = (record: MemberRecord): EntryVm["state"] => {
     if (record.health === "dead") {
         return "dead";
     }
-    return record.leaving || leaving ? "leaving" : record.health;
+    return record.leaving ? "leaving" : record.health;
 };
--- a/packages/membership/src/roster.ts
+++ b/packages/membership/src/roster.ts
@@ -1,11 +1,13 @@
 /** All records that one entry VM holds, and which of them it still has to pass on. */
 
+import type { EntryVm } from "@bramleymoor/model/vm";
 import { createHash } from "node:crypto";
-import { pack, type PackedRecord } from "./messages.js";
-import { refreshes, supersedes, type MemberRecord } from "./record.js";
+import { pack, packHealth, type PackedHealth, type PackedRecord } from "./messages.js";
+import { refreshes, supersedes, vmOf, type MemberRecord } from "./record.js";
 
 interface Entry {
     readonly record: MemberRecord;
+    readonly vm: EntryVm;
     /** When the health last changed here. */
     readonly changedAt: number;
     readonly digest: number;
@@ -13,19 +15,29 @@
     readonly bytes: number;
 }
 
+/** A changed record that has still to be passed on. */
+interface Pending {
+    readonly sends: number;
+    /** Peers may not know the record at all, so health alone would not do. */
+    readonly whole: boolean;
+}
+
 /** What became of a record that was offered. */
 export type Merged = "changed" | "refreshed" | "known" | "stale";
 
 /** More members than this are not taken in. */
 export const membersAtMost = 4096;
 
-const sendsPerDoubling = 3;
+const extraSends = 4;
+const sendsPerAgreement = 1;
+const sendsPerEcho = 1;
 
 /** Records by id, persistent values replaced whole, with the queue of those to pass on. */
 export class Roster {
     readonly #entries = new Map<string, Entry>();
-    /** Times each changed record has still to be sent. */
-    readonly #sends = new Map<string, number>();
+    readonly #pending = new Map<string, Pending>();
+    /** Ids of suspect and dead members. */
+    readonly #doubted = new Set<string>();
     #digest = 0;
     #ids: readonly string[] | undefined;
 
@@ -49,9 +61,14 @@
         return this.#entries.get(id)?.record;
     }
 
-    /** Every record, dead ones included, with the time of its last change of health. */
-    *all(): Iterable<{ readonly record: MemberRecord; readonly changedAt: number }> {
-        yield* this.#entries.values();
+    /** The member as the other packages see it. */
+    vm(id: string): EntryVm | undefined {
+        return this.#entries.get(id)?.vm;
+    }
+
+    /** Records of suspect and dead members, with the time of that belief. */
+    get doubted(): readonly { readonly record: MemberRecord; readonly changedAt: number }[] {
+        return [...this.#doubted].flatMap(id => this.#entries.get(id) ?? []);
     }
 
     /** Takes a record in if it says more than the one held. A dead one of an unknown id is not kept. */
@@ -73,8 +90,9 @@
 
     /** Holds the record whatever was held before, and passes it on. */
     put(record: MemberRecord, now: number): void {
+        const known = this.#entries.get(record.id)?.record.incarnation === record.incarnation;
         this.#set(record, now);
-        this.passOn(record.id);
+        this.passOn(record.id, !known);
     }
 
     /** Holds new values of load and payload without passing them on. */
@@ -83,13 +101,32 @@
     }
 
     /** Queues a record to be sent to as many peers as it takes to reach all. */
-    passOn(id: string): void {
-        this.#sends.set(id, sendsPerDoubling * Math.ceil(Math.log2(this.#entries.size + 1)));
+    passOn(id: string, whole: boolean): void {
+        const sends = extraSends + Math.ceil(Math.log2(this.#entries.size));
+        this.#pending.set(id, { sends, whole: whole || this.#pending.get(id)?.whole === true });
+    }
+
+    /** Passes a change on less often, after a peer that knew it already sent it here. */
+    echoed(id: string): void {
+        this.#countSends(id, sendsPerEcho);
+    }
+
+    /** Passes changes on less often, after a peer had the same digest; it doesn't tell of suspicions. */
+    agreed(): void {
+        for (const id of [...this.#pending.keys()]) {
+            if (this.get(id)?.health !== "suspect") {
+                this.#countSends(id, sendsPerAgreement);
+            }
+        }
     }
 
     /** Moves the time of every change on, after a pause in which no answer could be seen. */
     postpone(byMs: number): void {
-        for (const [id, entry] of this.#entries) {
+        for (const id of this.#doubted) {
+            const entry = this.#entries.get(id);
+            if (!entry) {
+                continue;
+            }
             this.#entries.set(id, { ...entry, changedAt: entry.changedAt + byMs });
         }
     }
@@ -101,23 +138,24 @@
         }
         this.#digest = (this.#digest ^ shareOf(entry)) >>> 0;
         this.#entries.delete(id);
-        this.#sends.delete(id);
+        this.#pending.delete(id);
+        this.#doubted.delete(id);
         this.#ids = undefined;
     }
 
-    /** Changed records to pass on, those sent least often first, up to `bytes`. */
-    changes(bytes: number): readonly PackedRecord[] {
-        const waiting = [...this.#sends].sort((a, b) => b[1] - a[1]);
-        const records: PackedRecord[] = [];
+    /** Changed records to pass on, those that have waited longest first, up to `bytes`. */
+    changes(bytes: number): readonly (PackedRecord | PackedHealth)[] {
+        const waiting = [...this.#pending.entries()];
+        const records: (PackedRecord | PackedHealth)[] = [];
         let left = bytes;
-        for (const [id, sends] of waiting) {
-            const entry = this.#entries.get(id);
-            if (!entry || entry.bytes > left) {
+        for (const [id, pending] of waiting) {
+            const record = this.#wireForm(id, pending.whole);
+            left -= record ? JSON.stringify(record).length + 1 : 0;
+            if (!record || left < 0) {
                 break;
             }
-            left -= entry.bytes;
-            records.push(entry.packed);
-            this.#countSend(id, sends);
+            records.push(record);
+            this.#countSends(id, 1);
         }
         return records;
     }
@@ -156,23 +194,40 @@
         const packed = pack(record);
         const entry = {
             record,
+            vm: vmOf(record),
             changedAt,
             digest: before && sameRun(before.record, record) ? before.digest : digestOf(record),
             packed,
             bytes: JSON.stringify(packed).length + 1,
         };
         this.#entries.set(record.id, entry);
+        this.#noteDoubt(record);
         this.#digest = (this.#digest ^ (before ? shareOf(before) : 0) ^ shareOf(entry)) >>> 0;
         if ((before?.record.health ?? "dead") === "dead" || record.health === "dead") {
             this.#ids = undefined;
         }
     }
 
-    #countSend(id: string, sends: number): void {
-        if (sends <= 1) {
-            this.#sends.delete(id);
+    #noteDoubt(record: MemberRecord): void {
+        if (record.health === "alive") {
+            this.#doubted.delete(record.id);
+        } else {
+            this.#doubted.add(record.id);
+        }
+    }
+
+    #wireForm(id: string, whole: boolean): PackedRecord | PackedHealth | undefined {
+        const entry = this.#entries.get(id);
+        return entry && !whole ? packHealth(entry.record) : entry?.packed;
+    }
+
+    #countSends(id: string, count: number): void {
+        const pending = this.#pending.get(id);
+        if (!pending || pending.sends <= count) {
+            this.#pending.delete(id);
         } else {
-            this.#sends.set(id, sends - 1);
+            this.#pending.delete(id);
+            this.#pending.set(id, { ...pending, sends: pending.sends - count });
         }
     }
 
