Try newly listed entry VMs at once

Four entry VMs that started together with a list naming all four met in pairs after 3 s and as a whole only later, since listed addresses were tried one in every fifth period. Each address is now tried as soon as it is listed, three at a time, and afterwards now and then as before; in the test over the fake network all four agree within 1 s.

--- a/packages/bench/src/fuzz-models.ts
+++ b/packages/bench/src/fuzz-models.ts
@@ -2,7 +2,14 @@
 
 import { ConfigFuzz } from "./fuzz-config.js";
 import { OnceFuzz } from "./fuzz-once.js";
+import { probingModel } from "./fuzz-probing.js";
+import { membershipModel } from "./fuzz-membership.js";
 import type { FuzzModel } from "./fuzz-model.js";
 
 /** The models, one line each. */
-export const fuzzModels: readonly FuzzModel[] = [new ConfigFuzz(), new OnceFuzz()];
+export const fuzzModels: readonly FuzzModel[] = [
+    new ConfigFuzz(),
+    new OnceFuzz(),
+    membershipModel(),
+    probingModel(),
+];
--- a/packages/bench/test/membership.test.ts
+++ b/packages/bench/test/membership.test.ts
@@ -133,3 +133,17 @@
     first.membership.hint([{ id: "vm-0001", peerAddress: peerAddressOf(1), leaving: true }], net.now);
     assert.equal(first.membership.current[1]?.state, "leaving");
 });
+
+test("entry VMs that start together find all that the platform lists within a second", async () => {
+    const net = new GossipNet(10);
+    const listed = [0, 1, 2, 3].map(index => ({
+        id: `vm-000${index}`,
+        peerAddress: peerAddressOf(index),
+        leaving: false,
+    }));
+    listed.forEach((_, index) => net.start(index, []));
+    await net.run(10);
+    net.nodes.forEach(node => node.membership.hint(listed, net.now));
+    await net.run(1000);
+    assertAgreed(net);
+});
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -36,6 +36,7 @@
 
 const joiningPeriods = 10;
 const retryPeriods = 5;
+const triedAtOnce = 3;
 const pausePeriods = 3;
 const isolatedAfterFailures = 3;
 
@@ -65,6 +66,8 @@
     /** Pings in a row without an answer, while no message came in either. */
     #silence = 0;
     #order: readonly string[] = [];
+    /** Addresses of `#beliefs.lost` that were tried since they were lost. */
+    #tried: ReadonlySet<string> = new Set();
 
     /** @param self as callers and peers reach it; its state and load are not read */
     constructor(
@@ -133,6 +136,7 @@
         this.#listing.take(listed);
         this.#beliefs.markChanged();
         this.#publish();
+        this.#tryNew();
     }
 
     /** Tells the peers that this entry VM is leaving. */
@@ -187,7 +191,8 @@
         if (target) {
             void this.#probe(target);
         }
-        if (!target || this.#periods % retryPeriods === 0) {
+        this.#tryNew();
+        if (this.#periods % retryPeriods === 0) {
             void this.#tryLost();
         }
     }
@@ -237,6 +242,17 @@
         return reply?.from[0] === target.id;
     }
 
+    /** Tries addresses that are listed and were not tried before, a few at a time. */
+    #tryNew(): void {
+        const lost = this.#beliefs.lost(this.#settings.seeds);
+        const fresh = this.#shuffled(lost.filter(address => !this.#tried.has(address)));
+        const next = fresh.slice(0, triedAtOnce);
+        this.#tried = new Set([...lost.filter(address => this.#tried.has(address)), ...next]);
+        for (const address of next) {
+            void this.#ping(address, undefined);
+        }
+    }
+
     /** Tries an address where a lost member may be, so that two sides of a partition find each other. */
     async #tryLost(): Promise<void> {
         const addresses = this.#beliefs.lost(this.#settings.seeds);
