--- a/packages/bench/src/fuzz-config-world.ts
+++ b/packages/bench/src/fuzz-config-world.ts
@@ -10,12 +10,12 @@
 import type { Snapshot } from "@bramleymoor/config/snapshot";
 import type { Accepted } from "@bramleymoor/config/version";
 import { parseText } from "@bramleymoor/model/text";
-import { PlatformError, type LogBatch, type LogService } from "@bramleymoor/platform/log";
 import { MemoryPlatform } from "@bramleymoor/platform/memory";
 import type { Sleep } from "@bramleymoor/platform/timers";
 import { VirtualTime } from "@bramleymoor/platform/virtual";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { FaultyLog } from "./faultylog.js";
 import { ConfigOracle } from "./fuzz-config-oracle.js";
 
 /** How long the fuzzed log keeps a record, in milliseconds of virtual time. */
@@ -44,74 +44,6 @@
     }
 }
 
-/** One process's way to the log, with faults of its own. */
-export class FaultyLog implements LogService {
-    cut = false;
-    loseAnswers = 0;
-    /** How many of the next appends seem to fail and take effect later. */
-    delayAppends = 0;
-    readonly #platform: MemoryPlatform;
-    readonly #late: (() => void)[];
-    #resume: (() => void) | undefined;
-    #paused: Promise<void> | undefined;
-
-    /** @param late gets appends that take effect later */
-    constructor(platform: MemoryPlatform, late: (() => void)[]) {
-        this.#platform = platform;
-        this.#late = late;
-    }
-
-    /** Stops or wakes the process: nothing it awaits comes back before it is woken. */
-    setPaused(paused: boolean): void {
-        this.#resume?.();
-        this.#resume = undefined;
-        this.#paused = paused ? new Promise(resolve => (this.#resume = resolve)) : undefined;
-    }
-
-    /** Waits while the process is paused. */
-    async awake(): Promise<void> {
-        await this.#paused;
-    }
-
-    async append(stream: string, data: string): Promise<number> {
-        await this.awake();
-        this.#check();
-        if (this.delayAppends > 0 && !this.#platform.down) {
-            this.delayAppends--;
-            this.#late.push(() => this.#platform.put(stream, data));
-            throw new PlatformError("unavailable", "late");
-        }
-        const offset = await this.#platform.append(stream, data);
-        await this.awake();
-        if (this.loseAnswers > 0) {
-            this.loseAnswers--;
-            throw new PlatformError("unavailable", "answer lost");
-        }
-        return offset;
-    }
-
-    async read(
-        stream: string,
-        from: number,
-        limit: number,
-        waitMs: number,
-        signal?: AbortSignal,
-    ): Promise<LogBatch> {
-        await this.awake();
-        this.#check();
-        const batch = await this.#platform.read(stream, from, limit, waitMs, signal);
-        await this.awake();
-        this.#check();
-        return batch;
-    }
-
-    #check(): void {
-        if (this.cut) {
-            throw new PlatformError("unavailable", "cut off");
-        }
-    }
-}
-
 /** One incarnation of an entry VM. */
 export interface FuzzNode {
     readonly log: FaultyLog;
@@ -205,6 +137,15 @@
         void publish(log, text, base, options).then(result => this.#outcomes.push({ id, base, result }));
     }
 
+    /** How many publications got each kind of answer. */
+    answers(): Readonly<Record<string, number>> {
+        const counts: Record<string, number> = {};
+        for (const { result } of this.#outcomes) {
+            counts[result.kind] = (counts[result.kind] ?? 0) + 1;
+        }
+        return counts;
+    }
+
     /** Lets virtual time pass, then checks everything. */
     async advance(ms: number): Promise<void> {
         await this.time.advance(ms);
--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -96,9 +96,10 @@
         this.#publish();
     }
 
-    /** The version being served, and how far the log has been judged for it. */
+    /** The accepted version, number 0 included, and how far the log has been judged for it. */
     snapshot(): Snapshot | undefined {
-        const version = this.#current;
+        // The version served may be one step behind what has been judged.
+        const version = this.#ready ? this.#replay.version : undefined;
         return version && snapshotOf(version, this.#replay.upTo);
     }
 
--- a/packages/config/test/builders.ts
+++ b/packages/config/test/builders.ts
@@ -21,6 +21,7 @@
     readonly follower: Follower;
     readonly events: ConfigEvent[];
     readonly stop: AbortController;
+    readonly link: Link;
     reachable: boolean;
 }
 
@@ -52,19 +53,20 @@
         this.log = new MemoryPlatform({ now: () => this.time.now(), sleep: this.time.sleep, retentionMs });
     }
 
-    start(options: { readonly log?: LogService; readonly grammars?: Grammars } = {}): Node {
+    start(options: { readonly grammars?: Grammars } = {}): Node {
         const events: ConfigEvent[] = [];
         const stop = new AbortController();
         const peers: Peers = { ask: async (question, count) => this.#ask(node, question, count) };
+        const link = new Link(this);
         const follower = new Follower({
-            log: options.log ?? this.log,
+            log: link,
             peers,
             events: event => events.push(event),
             random: () => 0.5,
             sleep: this.time.sleep,
             ...(options.grammars ? { grammars: options.grammars } : {}),
         });
-        const node: Node = { follower, events, stop, reachable: true };
+        const node: Node = { follower, events, stop, link, reachable: true };
         this.nodes.push(node);
         void follower.run(stop.signal);
         return node;
--- a/packages/config/test/checkpoint.test.ts
+++ b/packages/config/test/checkpoint.test.ts
@@ -75,6 +75,20 @@
     assert.equal(fresh.follower.current?.number, 1);
 });
 
+test("before the first publication the empty version is checkpointed past skipped records", async () => {
+    const fleet = new Fleet();
+    fleet.log.put("config", "{");
+    const node = fleet.start();
+    await fleet.time.advance(1000);
+    await checkpointerOf(fleet, node, () => 0.5).look();
+    fleet.halt(node);
+    fleet.log.expireBefore("config", 1);
+    const fresh = fleet.start();
+    assert.equal((await fleet.publish(textOf(1), 0, "p1")).kind, "accepted");
+    await fleet.time.advance(1000);
+    assert.equal(fresh.follower.current?.number, 1);
+});
+
 test("a stale checkpoint at the end is followed by a right one before its gap opens", async () => {
     const fleet = new Fleet(retentionMs);
     const node = fleet.start();
--- a/packages/config/test/follower.test.ts
+++ b/packages/config/test/follower.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { appendCheckpoint } from "../src/checkpoint.js";
-import { Fleet, Link, textOf, type Node } from "./builders.js";
+import { Fleet, textOf, type Node } from "./builders.js";
 
 const numberOf = (node: Node): number | undefined => node.follower.current?.number;
 
@@ -49,13 +49,12 @@
 
 test("a node that is cut off from the log follows by its peers within 4 s", async () => {
     const fleet = new Fleet();
-    const link = new Link(fleet);
     fleet.start();
     await fleet.publish(textOf(1), 0, "p1");
-    const apart = fleet.start({ log: link });
+    const apart = fleet.start();
     await fleet.time.advance(1000);
     assert.equal(numberOf(apart), 1);
-    link.hangs = true;
+    apart.link.hangs = true;
     await fleet.time.advance(21_000);
     await fleet.publish(textOf(2), 1, "p2");
     await fleet.time.advance(3900);
@@ -77,10 +76,9 @@
 
 test("a fresh follower prefers a checkpoint to a peer that is behind the gap", async () => {
     const fleet = new Fleet();
-    const link = new Link(fleet);
-    const behind = fleet.start({ log: link });
+    const behind = fleet.start();
     await fleet.publish(textOf(1), 0, "p1");
-    link.hangs = true;
+    behind.link.hangs = true;
     await fleet.time.advance(21_000);
     behind.reachable = false;
     const old = fleet.start();
