Judge servers by their failures and silences

Late binding sent every call of a fast-failing server's time to it, since it always had a free slot; p99 was 32.2 times the bound's (stops lookup, 70%, faults on, one dispatcher, median of 5 seeds). A server that failed or answered late now gets one request at a time, one whose request is older than the service's late age gets none, one that failed twice in a row is ejected for a while, and never more than the stated share is out at once.

--- /dev/null
+++ b/packages/dispatch/src/pool.ts
@@ -0,0 +1,156 @@
+/** The backend servers of one service through one dispatcher: which may get work, and how much. */
+
+import type { BackendServer, Service } from "@bramleymoor/model/spec";
+import type { LoadReport } from "@bramleymoor/protocol/answer";
+import type { Trust } from "./health.js";
+import { LatencyHistogram } from "./latency.js";
+import { ServerState } from "./server.js";
+import type { Call, ServerView, Share, Slot, SlotResult } from "./types.js";
+
+/** Servers of the accepted text, and those no longer in it that still work for us. */
+export class ServerPool {
+    #servers: ReadonlyMap<string, ServerState> = new Map();
+    readonly #gone = new Map<string, ServerState>();
+    readonly #latencies = new LatencyHistogram();
+    #leaving: ReadonlySet<string> = new Set();
+    #ejectShare = 0;
+    #slowAgeMs = Infinity;
+    #slowAgeDue = 0;
+
+    /** Servers of the accepted text. */
+    get servers(): readonly ServerState[] {
+        return [...this.#servers.values()];
+    }
+
+    follow(service: Service, share: Share): void {
+        const before = this.#servers;
+        this.#ejectShare = service.ejectShare;
+        this.#servers = new Map(service.servers.map((it, at) => [it.address, this.#adopt(it, at, share)]));
+        for (const [address, state] of before) {
+            if (!this.#servers.has(address) && state.inFlight > 0) {
+                this.#gone.set(address, state);
+            }
+        }
+        this.leaving(this.#leaving);
+    }
+
+    leaving(addresses: ReadonlySet<string>): void {
+        this.#leaving = addresses;
+        this.#servers.forEach((state, address) => state.markLeaving(addresses.has(address)));
+    }
+
+    report(address: string, report: LoadReport, ageMs: number, now: number): void {
+        this.#state(address)?.report(report, ageMs, now);
+    }
+
+    answering(slot: Slot, now: number): void {
+        if (this.#state(slot.server.address)?.answering(slot)) {
+            this.#latencies.add(now - slot.grantedAt);
+        }
+    }
+
+    /** Takes note of a slot's end; throws if it was settled before. */
+    settle(slot: Slot, result: SlotResult, now: number): void {
+        const { address } = slot.server;
+        if (result.kind === "answered" && result.status < 500) {
+            this.answering(slot, now);
+        }
+        if (!this.#state(address)?.settle(slot, result, this.slowAgeMs(now), now)) {
+            throw new Error(`slot of call ${slot.call.id} at ${address} is already settled`);
+        }
+        if (this.#gone.get(address)?.inFlight === 0) {
+            this.#gone.delete(address);
+        }
+    }
+
+    /** Whether any server may be given work now or later. */
+    anyAvailable(now: number): boolean {
+        return this.servers.some(it => it.available(now));
+    }
+
+    /** Servers that aren't leaving, those not yet tried for the call if there are any. */
+    available(call: Call, now: number): readonly ServerState[] {
+        return untried(
+            this.servers.filter(it => it.available(now)),
+            call,
+        );
+    }
+
+    /** Servers with a free slot for the call, those not yet tried if there are any. */
+    free(call: Call, now: number): readonly ServerState[] {
+        const trusts = this.#trusts(now);
+        const free = this.servers.filter(it => it.inFlight < limitOf(it, trusts, now));
+        return untried(free, call);
+    }
+
+    /** Age beyond which a request without an answer is slow for this service; Infinity while unknown. */
+    slowAgeMs(now: number): number {
+        if (now >= this.#slowAgeDue) {
+            this.#slowAgeDue = now + slowAgeEveryMs;
+            const [median, late] = [this.#latencies.quantile(0.5), this.#latencies.quantile(lateQuantile)];
+            this.#slowAgeMs = median && late ? Math.max(2 * median, late) : Infinity;
+        }
+        return this.#slowAgeMs;
+    }
+
+    view(now: number): readonly ServerView[] {
+        const trusts = this.#trusts(now);
+        return this.servers.map(it => it.view(limitOf(it, trusts, now), trusts.get(it) ?? "full", now));
+    }
+
+    /** Servers not fully trusted. Failing ones up to the share that may be ejected; slow ones unless many are. */
+    #trusts(now: number): ReadonlyMap<ServerState, Trust> {
+        const slowAgeMs = this.slowAgeMs(now);
+        const doubted = this.servers.flatMap((it): readonly [ServerState, Trust][] => {
+            const trust = it.trust(slowAgeMs, now);
+            return trust === "full" ? [] : [[it, trust]];
+        });
+        const most = Math.floor(this.#ejectShare * this.#servers.size);
+        const ejected = doubted.filter(([, trust]) => trust === "ejected").slice(0, most);
+        const slow = doubted.filter(([, trust]) => trust !== "ejected");
+        const silent = slow.filter(([, trust]) => trust === "silent").length;
+        return new Map(ejected.length + silent > most ? ejected : [...ejected, ...slow]);
+    }
+
+    #state(address: string): ServerState | undefined {
+        return this.#servers.get(address) ?? this.#gone.get(address);
+    }
+
+    #adopt(server: BackendServer, at: number, share: Share): ServerState {
+        const owned = ownedSlots(server, at, share);
+        const known = this.#state(server.address);
+        this.#gone.delete(server.address);
+        if (!known) {
+            return new ServerState(server, owned);
+        }
+        known.follow(server, owned);
+        return known;
+    }
+}
+
+const limitOf = (state: ServerState, trusts: ReadonlyMap<ServerState, Trust>, now: number): number => {
+    if (!state.available(now)) {
+        return 0;
+    }
+    const trust = trusts.get(state) ?? "full";
+    return Math.min(state.owned, trustedLimits[trust]);
+};
+
+const trustedLimits: Readonly<Record<Trust, number>> = { full: Infinity, trial: 1, silent: 0, ejected: 0 };
+
+const untried = (states: readonly ServerState[], call: Call): readonly ServerState[] => {
+    const fresh = states.filter(it => !call.tried.includes(it.server.address));
+    return fresh.length > 0 ? fresh : states;
+};
+
+/** Slots of the service are dealt out in turn, so that each dispatcher gets some of most servers. */
+const ownedSlots = (server: BackendServer, at: number, share: Share): number => {
+    let owned = 0;
+    for (let slot = 0; slot < server.slots; slot++) {
+        owned += (at * server.slots + slot) % share.count === share.index ? 1 : 0;
+    }
+    return owned;
+};
+
+const lateQuantile = 0.95;
+const slowAgeEveryMs = 50;
--- a/packages/dispatch/src/server.ts
+++ b/packages/dispatch/src/server.ts
@@ -2,6 +2,7 @@
 
 import type { BackendServer } from "@bramleymoor/model/spec";
 import type { LoadReport } from "@bramleymoor/protocol/answer";
+import { ServerHealth, type Trust } from "./health.js";
 import type { ServerView, Slot, SlotResult } from "./types.js";
 
 /** A backend server through one dispatcher: its slots in flight and what its answers have told. */
@@ -10,9 +11,11 @@
     #owned: number;
     #leaving = false;
     #drainUntil = 0;
-    readonly #slots = new Set<Slot>();
+    #averageMs = 0;
     #peakMs = 0;
     #peakAt = 0;
+    readonly #health = new ServerHealth();
+    readonly #slots = new Set<Slot>();
     #reported: { readonly report: LoadReport; readonly at: number } | undefined;
 
     /** @param owned how many of its slots this dispatcher may use */
@@ -29,13 +32,9 @@
         return this.#slots.size;
     }
 
-    /** Requests that this dispatcher may have in flight here now. */
-    limit(now: number): number {
-        return this.#isLeaving(now) ? 0 : this.#owned;
-    }
-
-    free(now: number): number {
-        return Math.max(0, this.limit(now) - this.#slots.size);
+    /** Slots that this dispatcher may use when the server is trusted. */
+    get owned(): number {
+        return this.#owned;
     }
 
     /** Latest load report; undefined before the first. */
@@ -43,9 +42,18 @@
         return this.#reported?.report;
     }
 
+    /** Recent latency of its answers in milliseconds; 0 before the first. */
+    get averageMs(): number {
+        return this.#averageMs;
+    }
+
     /** False if the server is known to be leaving. */
     available(now: number): boolean {
-        return !this.#isLeaving(now);
+        return !this.#leaving && !this.#server.leaving && now >= this.#drainUntil;
+    }
+
+    trust(slowAgeMs: number, now: number): Trust {
+        return this.#health.trust(slowAgeMs, now);
     }
 
     /** Latency that rises at once and decays slowly, in milliseconds. */
@@ -64,13 +72,20 @@
 
     start(slot: Slot): void {
         this.#slots.add(slot);
+        this.#health.started(slot);
+    }
+
+    /** Takes note of an answer's first byte; false if it came before. */
+    answering(slot: Slot): boolean {
+        return this.#health.answering(slot);
     }
 
     /** Takes note of a slot's end; false if it wasn't in flight. */
-    settle(slot: Slot, result: SlotResult, now: number): boolean {
+    settle(slot: Slot, result: SlotResult, slowAgeMs: number, now: number): boolean {
         if (!this.#slots.delete(slot)) {
             return false;
         }
+        this.#health.ended(slot, result, slowAgeMs, now);
         if (result.kind === "answered") {
             this.#noteLatency(now - slot.grantedAt, now);
         }
@@ -91,15 +106,22 @@
         }
     }
 
-    view(now: number): ServerView {
-        const limit = this.limit(now);
-        const state = this.#isLeaving(now) ? "draining" : this.inFlight >= limit ? "full" : "serving";
-        const why = {
-            draining: "It is leaving.",
-            full: "All its slots are in use.",
-            serving: "It has free slots.",
-        };
-        return { address: this.#server.address, inFlight: this.inFlight, limit, state, why: why[state] };
+    view(limit: number, trust: Trust, now: number): ServerView {
+        const state = this.#viewState(limit, trust, now);
+        return { address: this.#server.address, inFlight: this.inFlight, limit, state, why: reasons[state] };
+    }
+
+    #viewState(limit: number, trust: Trust, now: number): ServerView["state"] {
+        if (!this.available(now)) {
+            return "draining";
+        }
+        if (trust === "ejected" || trust === "silent") {
+            return "ejected";
+        }
+        if (trust === "trial") {
+            return "cold";
+        }
+        return this.inFlight >= limit ? "full" : "serving";
     }
 
     #noteLatency(latencyMs: number, now: number): void {
@@ -107,15 +129,21 @@
         const average = this.#peakMs * weight + latencyMs * (1 - weight);
         this.#peakMs = Math.max(latencyMs, average);
         this.#peakAt = now;
-    }
-
-    #isLeaving(now: number): boolean {
-        return this.#leaving || this.#server.leaving || now < this.#drainUntil;
+        this.#averageMs += (latencyMs - this.#averageMs) * (this.#averageMs === 0 ? 1 : averageWeight);
     }
 }
 
+const reasons: Readonly<Record<ServerView["state"], string>> = {
+    serving: "It has free slots.",
+    full: "All the slots that this entry VM may use are in use.",
+    cold: "Its last answer was late or a failure, or it is new; it gets one request at a time.",
+    ejected: "It has failed several times, or has not answered for long; it gets no new work for now.",
+    draining: "It is leaving.",
+    lent: "Its slots are lent to another entry VM.",
+};
+
 /** How long a server's own word that it is draining holds. */
 const drainMemoryMs = 5_000;
-
 /** Time constant of the peak-sensitive latency average. */
 const peakDecayMs = 1_000;
+const averageWeight = 0.2;
