--- a/packages/bench/src/policy.ts
+++ b/packages/bench/src/policy.ts
@@ -67,6 +67,7 @@
         .option("--seeds <count>", "seeds, of which the median is shown", Number, 1)
         .option("--dispatchers <count>", "entry VMs of the service under late binding", Number, 2)
         .option("--skew <share>", "share of the calls that the first entry VM gets", Number)
+        .option("--faults <which>", "on, off or both", "both")
         .option("--only <choosers>", "choosers to run, apart by commas")
         .action((options: Options) => report(options));
 
@@ -77,6 +78,7 @@
     readonly seeds: number;
     readonly dispatchers: number;
     readonly skew?: number;
+    readonly faults: string;
     readonly only?: string;
 }
 
@@ -87,7 +89,9 @@
     const seeds = Array.from({ length: options.seeds }, (_, at) => options.seed + at);
     const firstShare = options.skew ?? 1 / dispatchers;
     const settings = { deployment, load, seeds, dispatchers, firstShare };
-    const rows = [false, true].flatMap(faults => measureChoosers({ ...settings, faults }, choosers));
+    const rows = (faultChoices[options.faults] ?? [false, true]).flatMap(faults =>
+        measureChoosers({ ...settings, faults }, choosers),
+    );
     console.table(rows.map(formatRow));
     console.log(
         JSON.stringify(
@@ -228,4 +232,6 @@
     ["aqrl", makeDeployment("catalogue", "catalogue.txt", 6_000, makeServers(25, 6, 250))],
 ]);
 
+const faultChoices: Readonly<Record<string, readonly boolean[]>> = { on: [true], off: [false] };
+
 const entryVms = 15;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -119,10 +119,18 @@
     }
 
     #choose(call: Call, now: number): ServerState | undefined {
-        const candidates = this.#chooser.early ? this.#pool.available(call, now) : this.#pool.free(call, now);
+        const candidates = this.#candidates(call, now);
         return candidates.length > 0 ? this.#chooser.choose(candidates, now) : undefined;
     }
 
+    #candidates(call: Call, now: number): readonly ServerState[] {
+        if (this.#chooser.early) {
+            return this.#pool.available(call, now);
+        }
+        const free = this.#pool.free(call, now);
+        return free.length > 0 ? free : this.#pool.ahead(call, now);
+    }
+
     #grant(pending: Pending, state: ServerState, now: number): void {
         const slot: Slot = { server: state.server, call: pending.call, grantedAt: now, hedge: false };
         state.start(slot);
--- a/packages/dispatch/src/pool.ts
+++ b/packages/dispatch/src/pool.ts
@@ -83,6 +83,28 @@
         return untried(free, call);
     }
 
+    /**
+     * Servers with every slot in use that may be sent one request more, so that a slot doesn't idle for the
+     * round trip between two requests; the one likeliest to have a free slot soon comes first.
+     */
+    ahead(call: Call, now: number): readonly ServerState[] {
+        const trusts = this.#trusts(now);
+        const all = this.servers;
+        const owned = all.reduce((sum, it) => sum + it.owned, 0);
+        const sentAhead = all.reduce((sum, it) => sum + Math.max(0, it.inFlight - it.owned), 0);
+        if (sentAhead >= aheadShare * owned) {
+            return [];
+        }
+        const full = all.filter(
+            it => it.available(now) && it.inFlight === it.owned && it.owned > 0 && !trusts.has(it),
+        );
+        const oldest = full.reduce((max, it) => Math.max(max, it.oldestAge(now)), 0);
+        return untried(
+            full.filter(it => it.oldestAge(now) === oldest),
+            call,
+        );
+    }
+
     /** Age beyond which a request without an answer is slow for this service; Infinity while unknown. */
     slowAgeMs(now: number): number {
         if (now >= this.#slowAgeDue) {
@@ -152,5 +174,7 @@
     return owned;
 };
 
+/** Requests sent ahead of a free slot, as a share of the slots. */
+const aheadShare = 0.5;
 const lateQuantile = 0.95;
 const slowAgeEveryMs = 50;
--- a/packages/dispatch/src/server.ts
+++ b/packages/dispatch/src/server.ts
@@ -56,6 +56,11 @@
         return this.#health.trust(slowAgeMs, now);
     }
 
+    /** Age of the oldest request without a first byte, in milliseconds; 0 if there is none. */
+    oldestAge(now: number): number {
+        return this.#health.oldestAge(now);
+    }
+
     /** Latency that rises at once and decays slowly, in milliseconds. */
     peakLatency(now: number): number {
         return this.#peakMs * Math.exp((this.#peakAt - now) / peakDecayMs);
