--- a/packages/bench/src/rig.ts
+++ b/packages/bench/src/rig.ts
@@ -214,6 +214,9 @@
         if (!caller.open.delete(slot)) {
             return false;
         }
+        if (result.kind === "answered") {
+            entry.dispatcher.answering(slot, this.#time.now);
+        }
         entry.dispatcher.settle(slot, result, this.#time.now);
         this.#tick(entry);
         return true;
--- a/packages/dispatch/src/chooser.ts
+++ b/packages/dispatch/src/chooser.ts
@@ -12,7 +12,7 @@
     choose(candidates: readonly ServerState[], now: number): ServerState;
 }
 
-/** The one that ships: fewest in flight among servers with a free slot. */
+/** The one that ships: among servers with a free slot, the one least likely to be slow. */
 export class LateBinding implements Chooser {
     readonly early = false;
     readonly #random: Random;
@@ -21,8 +21,8 @@
         this.#random = random;
     }
 
-    choose(candidates: readonly ServerState[]): ServerState {
-        return leastBy(candidates, it => it.inFlight, this.#random);
+    choose(candidates: readonly ServerState[], now: number): ServerState {
+        return leastBy(candidates, it => it.slowOdds(now), this.#random);
     }
 }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -7,6 +7,7 @@
 import { type Chooser, makeChooser } from "./chooser.js";
 import { CallQueue, type Waiting } from "./queue.js";
 import type { Random } from "./random.js";
+import { HedgeWatch } from "./hedge.js";
 import { ServerPool } from "./pool.js";
 import type { ServerState } from "./server.js";
 import type { Call, Dispatcher, DispatchView, Share, Slot, SlotResult } from "./types.js";
@@ -18,12 +19,14 @@
     #chooser: Chooser;
     readonly #queue = new CallQueue<Pending>();
     readonly #pool = new ServerPool();
+    readonly #hedges: HedgeWatch;
     readonly #active = new Map<number, Pending>();
 
     constructor(service: Service, share: Share, random: Random, now: number) {
         this.#service = service;
         this.#random = random;
         this.#chooser = makeChooser(service.chooser, random);
+        this.#hedges = new HedgeWatch(service.hedgeBudget);
         this.follow(service, share, now);
     }
 
@@ -43,6 +46,7 @@
 
     answering(slot: Slot, now: number): void {
         this.#pool.answering(slot, now);
+        this.#hedges.ended(slot);
     }
 
     report(address: string, report: LoadReport, ageMs: number, now: number): void {
@@ -56,6 +60,7 @@
         }
         this.#service = service;
         this.#pool.follow(service, share);
+        this.#hedges.follow(service.hedgeBudget);
         this.#drain(now);
     }
 
@@ -69,7 +74,7 @@
             pending.subscriber.error(new CallError("deadline-queued"));
         }
         this.#drain(now);
-        return Math.min(this.#queue.nextDeadline, now + idleTickMs);
+        return Math.min(this.#queue.nextDeadline, this.#hedge(now), now + idleTickMs);
     }
 
     view(now: number): DispatchView {
@@ -109,7 +114,7 @@
                 next.subscriber.error(new CallError("deadline-queued"));
                 continue;
             }
-            const state = this.#choose(next.call, now);
+            const state = this.#choose(next, now);
             if (!state) {
                 return;
             }
@@ -118,30 +123,68 @@
         }
     }
 
-    #choose(call: Call, now: number): ServerState | undefined {
-        const candidates = this.#candidates(call, now);
+    #choose(pending: Pending, now: number): ServerState | undefined {
+        const candidates = this.#candidates(pending, now);
         return candidates.length > 0 ? this.#chooser.choose(candidates, now) : undefined;
     }
 
-    #candidates(call: Call, now: number): readonly ServerState[] {
+    #candidates({ call, queuedAt }: Pending, now: number): readonly ServerState[] {
         if (this.#chooser.early) {
             return this.#pool.available(call, now);
         }
-        const free = this.#pool.free(call, now);
-        return free.length > 0 ? free : this.#pool.ahead(call, now);
+        const waitedMs = now - queuedAt;
+        const free = this.#pool.free(call, waitedMs, now);
+        return free.length > 0 ? free : this.#pool.ahead(call, waitedMs, now);
     }
 
     #grant(pending: Pending, state: ServerState, now: number): void {
         const slot: Slot = { server: state.server, call: pending.call, grantedAt: now, hedge: false };
+        this.#active.set(pending.call.id, pending);
+        this.#hedges.granted(slot);
+        this.#open(pending, state, slot);
+    }
+
+    #open(pending: Pending, state: ServerState, slot: Slot): void {
         state.start(slot);
         pending.slots.add(slot);
-        this.#active.set(pending.call.id, pending);
         pending.subscriber.next(slot);
     }
 
+    /** Gives second copies to calls that take long, while slots are idle; tells when the next may be due. */
+    #hedge(now: number): number {
+        const { latencies } = this.#pool;
+        if (this.#chooser.early || !latencies.ready) {
+            return Infinity;
+        }
+        const ageMs = latencies.latencyAt(hedgeFromZ);
+        for (const slow of this.#queue.size > 0 ? [] : this.#hedges.older(ageMs, now)) {
+            if (this.#hedges.affordable && this.#pool.slowOdds(slow, now) > hedgeOdds) {
+                this.#hedgeOne(slow, now);
+            }
+        }
+        return Math.max(now + hedgeStepMs, this.#hedges.nextDue(ageMs));
+    }
+
+    #hedgeOne(slow: Slot, now: number): void {
+        const pending = this.#active.get(slow.call.id);
+        const { address } = slow.server;
+        const idle = this.#pool.free(slow.call, 0, now).filter(it => it.server.address !== address);
+        if (pending && idle.length > 0) {
+            this.#hedges.hedged(slow);
+            const state = this.#chooser.choose(idle, now);
+            this.#open(pending, state, {
+                server: state.server,
+                call: slow.call,
+                grantedAt: now,
+                hedge: true,
+            });
+        }
+    }
+
     #finish(slot: Slot): void {
         const pending = this.#active.get(slot.call.id);
         pending?.slots.delete(slot);
+        this.#hedges.ended(slot);
         if (pending?.slots.size === 0) {
             this.#active.delete(slot.call.id);
             pending.subscriber.complete();
@@ -159,6 +202,13 @@
 }
 
 /** Longest time between two ticks. */
-const idleTickMs = 1_000;
+const idleTickMs = 20;
 const noServerRetryMs = 500;
 const overloadedRetryMs = 100;
+
+/** Calls older than the median, in standard deviations of the log latency, may be hedged. */
+const hedgeFromZ = 0;
+/** Log-odds of a slow server above which a call is hedged. */
+const hedgeOdds = 0;
+/** Time between two looks at calls that may be hedged. */
+const hedgeStepMs = 1;
--- a/packages/dispatch/src/health.ts
+++ b/packages/dispatch/src/health.ts
@@ -1,68 +1,102 @@
 /** What a server's own answers and silences tell about its health. */
 
+import type { LatencyModel } from "./latency.js";
 import type { Slot, SlotResult } from "./types.js";
 
 /** How far a server is trusted with new work. */
 export type Trust =
     /** It may use all its slots. */
     | "full"
-    /** Its last answer was late or a failure; it gets one request at a time until one is good. */
+    /** It is new or its last answer was a failure; it gets one request at a time until one succeeds. */
     | "trial"
-    /** An outstanding request is older than the service's slow age; it gets nothing until it answers. */
-    | "silent"
+    /** It is probably slow now; it gets nothing until that is over. */
+    | "slow"
     /** Failed several times in a row; it gets nothing for a while. */
     | "ejected";
 
 /** Health of one server as one dispatcher sees it. */
 export class ServerHealth {
+    readonly #model: LatencyModel;
     readonly #waiting = new Set<Slot>();
+    /** Log-odds that the server is slow, from what has ended, as of `#oddsAt`. */
+    #odds = priorOdds;
+    #oddsAt = 0;
     #failures = 0;
-    #doubted = false;
+    #doubted: boolean;
     #ejectedUntil = 0;
     #ejections = 0;
 
+    /** @param doubted whether it has to show a good answer before it gets a full share */
+    constructor(model: LatencyModel, doubted: boolean) {
+        this.#model = model;
+        this.#doubted = doubted;
+    }
+
     started(slot: Slot): void {
         this.#waiting.add(slot);
     }
 
-    /** The first byte of an answer is as good as an answer: what follows may be long by nature. False if known. */
-    answering(slot: Slot): boolean {
-        return this.#waiting.delete(slot);
+    /** Counts an answer's first byte, as what follows may be long by nature; false if counted before. */
+    answering(slot: Slot, now: number): boolean {
+        if (!this.#waiting.delete(slot)) {
+            return false;
+        }
+        if (this.#model.ready) {
+            this.#note(this.#model.answerEvidence(now - slot.grantedAt), now);
+        }
+        return true;
     }
 
-    /** @param slowAgeMs latency beyond which an answer counts as late */
-    ended(slot: Slot, result: SlotResult, slowAgeMs: number, now: number): void {
-        const answered = !this.#waiting.delete(slot);
-        if (result.kind === "cancelled") {
-            this.#doubted ||= !answered && now - slot.grantedAt > slowAgeMs;
-        } else if (isFailure(result)) {
+    ended(slot: Slot, result: SlotResult, now: number): void {
+        const silent = this.#waiting.delete(slot);
+        if (silent && this.#model.ready && (result.kind === "cancelled" || result.kind === "timeout")) {
+            this.#note(this.#model.silenceEvidence(now - slot.grantedAt), now);
+        }
+        if (isFailure(result)) {
             this.#failed(now);
-        } else {
-            this.#answered(answered || now - slot.grantedAt <= slowAgeMs);
+        } else if (result.kind === "answered") {
+            this.#failures = 0;
+            this.#ejections = 0;
+            this.#doubted = false;
         }
     }
 
-    /** @param slowAgeMs age beyond which an outstanding request makes its server suspect */
-    trust(slowAgeMs: number, now: number): Trust {
+    /** @param oddsLimit log-odds of being slow above which it gets no new work */
+    trust(oddsLimit: number, now: number): Trust {
         if (now < this.#ejectedUntil) {
             return "ejected";
         }
-        if (this.oldestAge(now) > slowAgeMs) {
-            return "silent";
+        if (this.slowOdds(now) > oddsLimit) {
+            return "slow";
         }
         return this.#doubted ? "trial" : "full";
     }
 
+    /** Log-odds that the server is slow now. */
+    slowOdds(now: number): number {
+        if (!this.#model.ready) {
+            return priorOdds;
+        }
+        let odds = this.#pastOdds(now);
+        for (const slot of this.#waiting) {
+            odds += this.#model.silenceEvidence(now - slot.grantedAt);
+        }
+        return Math.min(maxOdds, odds);
+    }
+
     /** Age of the oldest request without a first byte, in milliseconds; 0 if there is none. */
     oldestAge(now: number): number {
         const [oldest] = this.#waiting;
         return oldest ? now - oldest.grantedAt : 0;
     }
 
-    #answered(inTime: boolean): void {
-        this.#failures = 0;
-        this.#ejections = inTime ? 0 : this.#ejections;
-        this.#doubted = !inTime;
+    #note(evidence: number, now: number): void {
+        this.#odds = Math.max(minOdds, Math.min(maxOdds, this.#pastOdds(now) + evidence));
+        this.#oddsAt = now;
+    }
+
+    #pastOdds(now: number): number {
+        return priorOdds + (this.#odds - priorOdds) * Math.exp((this.#oddsAt - now) / memoryMs);
     }
 
     #failed(now: number): void {
@@ -80,3 +114,9 @@
 const failuresToEject = 2;
 const firstEjectionMs = 250;
 const maxEjectionMs = 5_000;
+/** Log-odds of a server of which nothing is known. */
+const priorOdds = -3.5;
+const minOdds = -5;
+const maxOdds = 6;
+/** Time constant with which past evidence fades. */
+const memoryMs = 300;
--- a/packages/dispatch/src/pool.ts
+++ b/packages/dispatch/src/pool.ts
@@ -3,7 +3,8 @@
 import type { BackendServer, Service } from "@bramleymoor/model/spec";
 import type { LoadReport } from "@bramleymoor/protocol/answer";
 import type { Trust } from "./health.js";
-import { LatencyHistogram } from "./latency.js";
+import { LatencyModel } from "./latency.js";
+import { ServerHealth } from "./health.js";
 import { ServerState } from "./server.js";
 import type { Call, ServerView, Share, Slot, SlotResult } from "./types.js";
 
@@ -11,11 +12,9 @@
 export class ServerPool {
     #servers: ReadonlyMap<string, ServerState> = new Map();
     readonly #gone = new Map<string, ServerState>();
-    readonly #latencies = new LatencyHistogram();
+    readonly #latencies = new LatencyModel();
     #leaving: ReadonlySet<string> = new Set();
     #ejectShare = 0;
-    #slowAgeMs = Infinity;
-    #slowAgeDue = 0;
 
     /** Servers of the accepted text. */
     get servers(): readonly ServerState[] {
@@ -44,7 +43,7 @@
     }
 
     answering(slot: Slot, now: number): void {
-        if (this.#state(slot.server.address)?.answering(slot)) {
+        if (this.#state(slot.server.address)?.answering(slot, now)) {
             this.#latencies.add(now - slot.grantedAt);
         }
     }
@@ -55,7 +54,7 @@
         if (result.kind === "answered" && result.status < 500) {
             this.answering(slot, now);
         }
-        if (!this.#state(address)?.settle(slot, result, this.slowAgeMs(now), now)) {
+        if (!this.#state(address)?.settle(slot, result, now)) {
             throw new Error(`slot of call ${slot.call.id} at ${address} is already settled`);
         }
         if (this.#gone.get(address)?.inFlight === 0) {
@@ -76,9 +75,12 @@
         );
     }
 
-    /** Servers with a free slot for the call, those not yet tried if there are any. */
-    free(call: Call, now: number): readonly ServerState[] {
-        const trusts = this.#trusts(now);
+    /**
+     * Servers with a free slot for a call that has waited so long; the longer the wait, the less it matters that
+     * a server may be slow. Those not yet tried, if there are any.
+     */
+    free(call: Call, waitedMs: number, now: number): readonly ServerState[] {
+        const trusts = this.#trusts(waitedMs, now);
         const free = this.servers.filter(it => it.inFlight < limitOf(it, trusts, now));
         return untried(free, call);
     }
@@ -87,8 +89,11 @@
      * Servers with every slot in use that may be sent one request more, so that a slot doesn't idle for the
      * round trip between two requests; the one likeliest to have a free slot soon comes first.
      */
-    ahead(call: Call, now: number): readonly ServerState[] {
-        const trusts = this.#trusts(now);
+    ahead(call: Call, waitedMs: number, now: number): readonly ServerState[] {
+        if (!this.#latencies.ready || this.#latencies.medianMs > aheadMedianMs) {
+            return [];
+        }
+        const trusts = this.#trusts(waitedMs, now);
         const all = this.servers;
         const owned = all.reduce((sum, it) => sum + it.owned, 0);
         const sentAhead = all.reduce((sum, it) => sum + Math.max(0, it.inFlight - it.owned), 0);
@@ -105,33 +110,33 @@
         );
     }
 
-    /** Age beyond which a request without an answer is slow for this service; Infinity while unknown. */
-    slowAgeMs(now: number): number {
-        if (now >= this.#slowAgeDue) {
-            this.#slowAgeDue = now + slowAgeEveryMs;
-            const [median, late] = [this.#latencies.quantile(0.5), this.#latencies.quantile(lateQuantile)];
-            this.#slowAgeMs = median && late ? Math.max(2 * median, late) : Infinity;
-        }
-        return this.#slowAgeMs;
+    /** Whether the service's latencies are known well enough to judge servers and calls by. */
+    get latencies(): LatencyModel {
+        return this.#latencies;
+    }
+
+    /** Log-odds that the server of a slot is slow now. */
+    slowOdds(slot: Slot, now: number): number {
+        return this.#state(slot.server.address)?.slowOdds(now) ?? -Infinity;
     }
 
     view(now: number): readonly ServerView[] {
-        const trusts = this.#trusts(now);
+        const trusts = this.#trusts(0, now);
         return this.servers.map(it => it.view(limitOf(it, trusts, now), trusts.get(it) ?? "full", now));
     }
 
     /** Servers not fully trusted. Failing ones up to the share that may be ejected; slow ones unless many are. */
-    #trusts(now: number): ReadonlyMap<ServerState, Trust> {
-        const slowAgeMs = this.slowAgeMs(now);
+    #trusts(waitedMs: number, now: number): ReadonlyMap<ServerState, Trust> {
+        const oddsLimit = slowOddsLimit + (waitedMs / this.#latencies.medianMs) * oddsPerWait;
         const doubted = this.servers.flatMap((it): readonly [ServerState, Trust][] => {
-            const trust = it.trust(slowAgeMs, now);
+            const trust = it.trust(oddsLimit, now);
             return trust === "full" ? [] : [[it, trust]];
         });
         const most = Math.floor(this.#ejectShare * this.#servers.size);
         const ejected = doubted.filter(([, trust]) => trust === "ejected").slice(0, most);
         const slow = doubted.filter(([, trust]) => trust !== "ejected");
-        const silent = slow.filter(([, trust]) => trust === "silent").length;
-        return new Map(ejected.length + silent > most ? ejected : [...ejected, ...slow]);
+        const slowest = slow.filter(([, trust]) => trust === "slow").length;
+        return new Map(ejected.length + slowest > most ? ejected : [...ejected, ...slow]);
     }
 
     #state(address: string): ServerState | undefined {
@@ -143,7 +148,7 @@
         const known = this.#state(server.address);
         this.#gone.delete(server.address);
         if (!known) {
-            return new ServerState(server, owned);
+            return new ServerState(server, owned, new ServerHealth(this.#latencies, this.#latencies.ready));
         }
         known.follow(server, owned);
         return known;
@@ -158,7 +163,7 @@
     return Math.min(state.owned, trustedLimits[trust]);
 };
 
-const trustedLimits: Readonly<Record<Trust, number>> = { full: Infinity, trial: 1, silent: 0, ejected: 0 };
+const trustedLimits: Readonly<Record<Trust, number>> = { full: Infinity, trial: 1, slow: 0, ejected: 0 };
 
 const untried = (states: readonly ServerState[], call: Call): readonly ServerState[] => {
     const fresh = states.filter(it => !call.tried.includes(it.server.address));
@@ -175,6 +180,11 @@
 };
 
 /** Requests sent ahead of a free slot, as a share of the slots. */
+/** Median latency above which a round trip is too little to send requests ahead for. */
+const aheadMedianMs = 40;
 const aheadShare = 0.5;
-const lateQuantile = 0.95;
-const slowAgeEveryMs = 50;
+
+/** Log-odds of being slow above which a server gets no call that has just come. */
+const slowOddsLimit = 1.5;
+/** Log-odds added to the limit for each median latency that a call has waited. */
+const oddsPerWait = 10;
--- a/packages/dispatch/src/server.ts
+++ b/packages/dispatch/src/server.ts
@@ -2,7 +2,8 @@
 
 import type { BackendServer } from "@bramleymoor/model/spec";
 import type { LoadReport } from "@bramleymoor/protocol/answer";
-import { ServerHealth, type Trust } from "./health.js";
+import type { ServerHealth } from "./health.js";
+import { type Trust } from "./health.js";
 import type { ServerView, Slot, SlotResult } from "./types.js";
 
 /** A backend server through one dispatcher: its slots in flight and what its answers have told. */
@@ -14,13 +15,14 @@
     #averageMs = 0;
     #peakMs = 0;
     #peakAt = 0;
-    readonly #health = new ServerHealth();
+    readonly #health: ServerHealth;
     readonly #slots = new Set<Slot>();
     #reported: { readonly report: LoadReport; readonly at: number } | undefined;
 
     /** @param owned how many of its slots this dispatcher may use */
-    constructor(server: BackendServer, owned: number) {
+    constructor(server: BackendServer, owned: number, health: ServerHealth) {
         this.#server = server;
+        this.#health = health;
         this.#owned = owned;
     }
 
@@ -52,8 +54,8 @@
         return !this.#leaving && !this.#server.leaving && now >= this.#drainUntil;
     }
 
-    trust(slowAgeMs: number, now: number): Trust {
-        return this.#health.trust(slowAgeMs, now);
+    trust(oddsLimit: number, now: number): Trust {
+        return this.#health.trust(oddsLimit, now);
     }
 
     /** Age of the oldest request without a first byte, in milliseconds; 0 if there is none. */
@@ -61,6 +63,11 @@
         return this.#health.oldestAge(now);
     }
 
+    /** Log-odds that it is slow now. */
+    slowOdds(now: number): number {
+        return this.#health.slowOdds(now);
+    }
+
     /** Latency that rises at once and decays slowly, in milliseconds. */
     peakLatency(now: number): number {
         return this.#peakMs * Math.exp((this.#peakAt - now) / peakDecayMs);
@@ -81,16 +88,16 @@
     }
 
     /** Takes note of an answer's first byte; false if it came before. */
-    answering(slot: Slot): boolean {
-        return this.#health.answering(slot);
+    answering(slot: Slot, now: number): boolean {
+        return this.#health.answering(slot, now);
     }
 
     /** Takes note of a slot's end; false if it wasn't in flight. */
-    settle(slot: Slot, result: SlotResult, slowAgeMs: number, now: number): boolean {
+    settle(slot: Slot, result: SlotResult, now: number): boolean {
         if (!this.#slots.delete(slot)) {
             return false;
         }
-        this.#health.ended(slot, result, slowAgeMs, now);
+        this.#health.ended(slot, result, now);
         if (result.kind === "answered") {
             this.#noteLatency(now - slot.grantedAt, now);
         }
@@ -120,7 +127,7 @@
         if (!this.available(now)) {
             return "draining";
         }
-        if (trust === "ejected" || trust === "silent") {
+        if (trust === "ejected" || trust === "slow") {
             return "ejected";
         }
         if (trust === "trial") {
@@ -141,8 +148,8 @@
 const reasons: Readonly<Record<ServerView["state"], string>> = {
     serving: "It has free slots.",
     full: "All the slots that this entry VM may use are in use.",
-    cold: "Its last answer was late or a failure, or it is new; it gets one request at a time.",
-    ejected: "It has failed several times, or has not answered for long; it gets no new work for now.",
+    cold: "It is new or its last answer was a failure; it gets one request at a time.",
+    ejected: "It has failed several times or is probably slow; it gets no new work for now.",
     draining: "It is leaving.",
     lent: "Its slots are lent to another entry VM.",
 };
