Time only calls that a server answered as server and added time

Such calls have no server time to tell apart, so they now enter the queue's histogram and the count of outcomes only.

--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -104,18 +104,28 @@
     done(record: CallRecord): void {
         const labels = this.#bounds.classLabels(record.service, record.class);
         this.#outcomes.inc({ ...labels, outcome: record.outcome });
-        if (record.outcome !== "passed-on") {
+        if (record.outcome === "passed-on") {
+            return;
+        }
+        this.#parts.queue.observe(labels, record.queueMs / msPerSecond);
+        if (answered.has(record.outcome)) {
             this.#times(record, labels);
         }
+        this.#copies(record, labels.service);
     }
 
+    /** Times of a call whose answer a backend server began; other calls have no server time to tell apart. */
     #times(record: CallRecord, labels: ClassLabels): void {
-        const { service } = labels;
-        this.#parts.queue.observe(labels, record.queueMs / msPerSecond);
         this.#parts.server.observe(labels, record.serverMs / msPerSecond);
         this.#parts.added.observe(labels, record.addedMs / msPerSecond);
         const totalMs = record.queueMs + record.serverMs + record.addedMs;
-        this.#tenants.observe(this.#bounds.tenantLabels(service, record.tenant), totalMs / msPerSecond);
+        this.#tenants.observe(
+            this.#bounds.tenantLabels(labels.service, record.tenant),
+            totalMs / msPerSecond,
+        );
+    }
+
+    #copies(record: CallRecord, service: string): void {
         if (record.hedged) {
             this.#hedges.inc({ service });
         }
@@ -169,6 +179,8 @@
     }
 }
 
+const answered: ReadonlySet<Outcome> = new Set(["answered", "body-broken"]);
+
 /** Parts of a call's time. */
 export type Part = "queue" | "server" | "added";
 
--- a/packages/observe/test/metrics.test.ts
+++ b/packages/observe/test/metrics.test.ts
@@ -93,6 +93,17 @@
     assert.match(await metrics.text(), /bm_calls_total\{.*outcome="passed-on"\} 1\n/);
 });
 
+test("a call that no server answered tells how long it queued, and nothing of server and added time", async () => {
+    const metrics = new CallMetrics();
+    metrics.done(record({ outcome: "overloaded", serverMs: 0 }));
+    metrics.done(record({ outcome: "deadline-sent", serverMs: 0, addedMs: 500 }));
+    const views = await metrics.histograms();
+    assert.deepEqual(
+        views.map(view => [view.part, view.count]),
+        [["queue", 2]],
+    );
+});
+
 test("label counts stay bounded, and what has no label of its own is counted as other", async () => {
     const metrics = new CallMetrics();
     for (let i = 0; i < 40; i++) {
