--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -2,6 +2,7 @@
 
 import { Command } from "commander";
 import { addedCommand } from "./added.js";
+import { checkpointsCommand } from "./checkpointcost.js";
 import { configCommand } from "./configcost.js";
 import { policyCommand } from "./policy.js";
 import { recordCommand } from "./tracecommand.js";
@@ -9,6 +10,7 @@
 const program = new Command("measure");
 program.addCommand(addedCommand());
 program.addCommand(configCommand());
+program.addCommand(checkpointsCommand());
 program.addCommand(policyCommand());
 program.addCommand(recordCommand());
 await program.parseAsync();
