Probe, filter reports and append checkpoints in the entry process

Wires the prober (a look every 50 ms, probes cancelled at 200 ms), the report filter with this process's own requests in flight, and the checkpointer into the node; bounds callers' connections and the drain by their settings; counts cut calls; gives each event of configuration its own number; keeps the key out of settings errors.

--- a/packages/entry/src/hosted.ts
+++ b/packages/entry/src/hosted.ts
@@ -2,25 +2,33 @@
 
 import type { Random } from "@bramleymoor/dispatch/random";
 import { ServiceDispatcher } from "@bramleymoor/dispatch/dispatcher";
-import type { Dispatcher, DispatchView, Share } from "@bramleymoor/dispatch/types";
+import type { Dispatcher, Share } from "@bramleymoor/dispatch/types";
 import type { Service } from "@bramleymoor/model/spec";
+import type { ProbeSettings } from "@bramleymoor/probing/budget";
+import { Prober } from "@bramleymoor/probing/prober";
+import { MeasuredDispatcher } from "./measured.js";
 
 const msPerSecond = 1_000;
 
 /** A service under dispatch in this process. */
 export class Hosted {
     readonly dispatcher: Dispatcher;
+    readonly prober: Prober;
     #service: Service;
     #share: Share;
     #calls = 0;
     #ratedAt: number;
     #rate = 0;
 
-    constructor(service: Service, share: Share, random: Random, now: number) {
+    constructor(service: Service, share: Share, probing: ProbeSettings, random: Random, now: number) {
         this.#service = service;
         this.#share = share;
         this.#ratedAt = now;
-        this.dispatcher = new ServiceDispatcher(service, share, random, now);
+        this.prober = new Prober(probing, service, now);
+        const inner = new ServiceDispatcher(service, share, random, now);
+        this.dispatcher = new MeasuredDispatcher(inner, service, (address, at) =>
+            this.prober.heard(address, at),
+        );
     }
 
     /** The service as last accepted. */
@@ -45,6 +53,7 @@
         this.#share = share;
         if (!same) {
             this.dispatcher.follow(service, share, now);
+            this.prober.follow(service);
         }
     }
 
@@ -64,7 +73,7 @@
 
     /** Whether calls are queued or in flight. */
     busy(now: number): boolean {
-        const view: DispatchView = this.dispatcher.view(now);
+        const view = this.dispatcher.view(now);
         return view.queued > 0 || view.inFlight > 0;
     }
 }
--- /dev/null
+++ b/packages/entry/src/measured.ts
@@ -0,0 +1,76 @@
+/** A dispatcher whose load reports are filtered, and what this entry VM has in flight at each backend server. */
+
+import type { Call, Dispatcher, DispatchView, Share, Slot, SlotResult } from "@bramleymoor/dispatch/types";
+import type { Service } from "@bramleymoor/model/spec";
+import { ReportFilter } from "@bramleymoor/probing/filter";
+import type { LoadReport } from "@bramleymoor/protocol/answer";
+import { tap, type Observable } from "rxjs";
+
+/** Passes everything on to another dispatcher, reports only as far as they may be believed. */
+export class MeasuredDispatcher implements Dispatcher {
+    readonly #inner: Dispatcher;
+    readonly #heard: (address: string, now: number) => void;
+    readonly #filter = new ReportFilter();
+    readonly #inFlight = new Map<string, number>();
+    #slots: ReadonlyMap<string, number>;
+
+    /** @param heard told of every server that a report has come from */
+    constructor(inner: Dispatcher, service: Service, heard: (address: string, now: number) => void) {
+        this.#inner = inner;
+        this.#heard = heard;
+        this.#slots = slotsOf(service);
+    }
+
+    submit(call: Call, now: number): Observable<Slot> {
+        return this.#inner.submit(call, now).pipe(tap(slot => this.#count(slot, 1)));
+    }
+
+    settle(slot: Slot, result: SlotResult, now: number): void {
+        this.#count(slot, -1);
+        this.#inner.settle(slot, result, now);
+    }
+
+    answering(slot: Slot, now: number): void {
+        this.#inner.answering(slot, now);
+    }
+
+    report(address: string, report: LoadReport, ageMs: number, now: number): void {
+        this.#heard(address, now);
+        const own = { inFlight: this.#inFlight.get(address) ?? 0, limit: this.#slots.get(address) ?? 1 };
+        const believed = this.#filter.accept(address, report, ageMs, own, now);
+        if (believed) {
+            this.#inner.report(address, believed, ageMs, now);
+        }
+    }
+
+    follow(service: Service, share: Share, now: number): void {
+        this.#slots = slotsOf(service);
+        this.#filter.keep(new Set(this.#slots.keys()));
+        this.#inner.follow(service, share, now);
+    }
+
+    leaving(addresses: ReadonlySet<string>, now: number): void {
+        this.#inner.leaving(addresses, now);
+    }
+
+    tick(now: number): number {
+        return this.#inner.tick(now);
+    }
+
+    view(now: number): DispatchView {
+        return this.#inner.view(now);
+    }
+
+    #count(slot: Slot, step: 1 | -1): void {
+        const { address } = slot.server;
+        const count = (this.#inFlight.get(address) ?? 0) + step;
+        if (count > 0) {
+            this.#inFlight.set(address, count);
+        } else {
+            this.#inFlight.delete(address);
+        }
+    }
+}
+
+const slotsOf = (service: Service): ReadonlyMap<string, number> =>
+    new Map(service.servers.map(server => [server.address, server.slots]));
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -1,6 +1,7 @@
 /** One entry process: its parts wired together, its start, its periodic tasks, and its planned stop. */
 
 import { randomBytes } from "node:crypto";
+import { Checkpointer } from "@bramleymoor/config/checkpointer";
 import { Follower } from "@bramleymoor/config/follower";
 import { SeededRandom, type Random } from "@bramleymoor/dispatch/random";
 import { Membership, membershipDefaults } from "@bramleymoor/membership/membership";
@@ -11,6 +12,7 @@
 import { Issuer } from "@bramleymoor/once/tickets";
 import type { LogService } from "@bramleymoor/platform/log";
 import type { VmList } from "@bramleymoor/platform/vms";
+import { probeDefaults } from "@bramleymoor/probing/budget";
 import { CallServer } from "@bramleymoor/proxy/server";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { delay, monotonicMs, wallClockMs } from "./clock.js";
@@ -20,6 +22,7 @@
 import { ConfigPeers, Peering } from "./peering.js";
 import { PeerServer } from "./peers.js";
 import { Periods } from "./periods.js";
+import { Probes } from "./probes.js";
 import { Report } from "./report.js";
 import { ServiceTable } from "./services.js";
 import type { Endpoint, Settings } from "./settings.js";
@@ -55,6 +58,7 @@
     readonly #tickets: Issuer;
     readonly #once: OnceTable;
     readonly #client: PeerClient;
+    readonly #probes: Probes;
     readonly #services: ServiceTable;
     readonly #callServer: CallServer;
     readonly #peerServer: PeerServer;
@@ -86,6 +90,9 @@
             maxKeptBytes: onceKeptBytes,
         });
         this.#client = new PeerClient(key, peerTimeoutMs);
+        this.#probes = new Probes(probeDefaults.probeTimeoutMs, monotonicMs, (service, serverMs, bytes) =>
+            this.#watch.probed(service, serverMs, bytes),
+        );
         this.#services = this.#makeServices();
         this.#callServer = this.#makeCallServer();
         this.#peerServer = new PeerServer(
@@ -96,7 +103,7 @@
         const report = new Report({
             self: () => this.#vm,
             state: () => this.#state,
-            members: () => this.#membership?.current ?? [],
+            members: () => this.members,
             services: this.#services,
             metrics: this.#metrics,
             controlBytes: () => this.#peerServer.bytes + this.#client.bytes,
@@ -105,6 +112,11 @@
         this.#operatorsServer = new OperatorsServer(report, key);
     }
 
+    /** Every member that this node believes in, itself included. */
+    get members(): readonly EntryVm[] {
+        return this.#membership?.current ?? [];
+    }
+
     /** Listens on the three ports, joins the peers and follows the accepted text. */
     async start(): Promise<NodeAddresses> {
         const addresses = await this.#listen();
@@ -137,12 +149,16 @@
         this.#state = "stopping";
         this.#events.emit("stop-asked", { signal });
         this.#membership?.leave(monotonicMs());
-        const expiredMs = this.#settings.callers["ttl-ms"] + leaveSpreadMs;
-        await this.#callServer.stop(expiredMs);
+        const { "ttl-ms": ttlMs, "drain-ms": drainMs } = this.#settings.callers;
+        const expiredMs = ttlMs + leaveSpreadMs;
+        const drained = new AbortController();
+        const stopped = this.#callServer.stop(expiredMs).finally(() => drained.abort());
+        await Promise.race([stopped, delay(expiredMs + drainMs, drained.signal)]);
         this.#ended.abort();
         this.#client.close();
+        this.#probes.close();
         await Promise.all([this.#peerServer.close(), this.#operatorsServer.close()]);
-        this.#events.emit("stopped", { cut: 0 });
+        this.#events.emit("stopped", { cut: this.#callServer.inFlight });
     }
 
     get #vm(): EntryVm {
@@ -167,6 +183,11 @@
         return new ServiceTable({
             self: () => this.#vm,
             ttlMs: this.#settings.callers["ttl-ms"],
+            probing: {
+                ...probeDefaults,
+                ordinal: this.#settings.entry.ordinal,
+                ordinals: this.#settings.peers["most-vms"],
+            },
             random: this.#random,
             clock: monotonicMs,
             issueTicket: now => this.#tickets.issue(now),
@@ -176,18 +197,19 @@
     }
 
     #makeCallServer(): CallServer {
-        return new CallServer({
+        const parts = {
             services: this.#services,
             tickets: this.#tickets,
             once: this.#once,
-            issuer: incarnation => this.#findIssuer(incarnation),
+            issuer: (incarnation: string) => this.#findIssuer(incarnation),
             clock: monotonicMs,
             observer: this.#watch,
-        });
+        };
+        return new CallServer(parts, { callerConnections: this.#settings.callers["most-connections"] });
     }
 
     #findIssuer(incarnation: string): string | "gone" | "unreachable" {
-        const found = this.#membership?.current.find(vm => vm.incarnation === incarnation);
+        const found = this.members.find(vm => vm.incarnation === incarnation);
         if (found) {
             return found.callerAddress;
         }
@@ -218,7 +240,7 @@
 
     #follow(): Follower {
         const others = (): readonly EntryVm[] =>
-            (this.#membership?.current ?? []).filter(vm => vm.id !== this.#vm.id && vm.state !== "dead");
+            this.members.filter(vm => vm.id !== this.#vm.id && vm.state !== "dead");
         const follower = new Follower({
             log: this.#platform,
             peers: new ConfigPeers(this.#client, others, this.#random),
@@ -246,6 +268,7 @@
             services: this.#services,
             once: this.#once,
             client: this.#client,
+            probes: this.#probes,
             vmList: this.#platform,
             events: this.#events,
             self: this.#vm,
@@ -255,7 +278,15 @@
         const failed = (err: unknown): void => {
             this.#events.emit("internal-error", { doing: "a periodic task", reason: String(err) });
         };
+        const checkpointer = new Checkpointer({
+            log: this.#platform,
+            follower,
+            events: event => this.#watch.config(event),
+            random: () => this.#random.next(),
+            retentionMs: this.#settings.platform["retention-ms"],
+        });
         periods.run(this.#ended.signal).catch(failed);
+        checkpointer.run(this.#ended.signal).catch(failed);
         follower.run(this.#ended.signal).catch(failed);
     }
 }
--- a/packages/entry/src/periods.ts
+++ b/packages/entry/src/periods.ts
@@ -6,9 +6,11 @@
 import type { OnceTable } from "@bramleymoor/once/table";
 import type { ListedVm, VmList } from "@bramleymoor/platform/vms";
 import type { PeerClient } from "./peerclient.js";
+import type { Probes } from "./probes.js";
 import type { ServiceTable } from "./services.js";
 
 const dispatchPeriodMs = 5;
+const probePeriodMs = 50;
 const listPeriodMs = 1_000;
 const ratePeriodMs = 5_000;
 const sweepPeriodMs = 1_000;
@@ -19,6 +21,7 @@
     readonly services: ServiceTable;
     readonly once: OnceTable;
     readonly client: PeerClient;
+    readonly probes: Probes;
     readonly vmList: VmList;
     readonly events: EventLog;
     readonly self: EntryVm;
@@ -39,6 +42,7 @@
     async run(signal: AbortSignal): Promise<void> {
         await Promise.all([
             this.#every(dispatchPeriodMs, signal, now => this.#dispatch(now)),
+            this.#every(probePeriodMs, signal, () => this.#probe()),
             this.#every(listPeriodMs, signal, now => this.#readList(now)),
             this.#every(ratePeriodMs, signal, now => this.#rate(now)),
             this.#every(sweepPeriodMs, signal, now => this.#parts.once.sweep(now)),
@@ -67,6 +71,13 @@
         }
     }
 
+    // Not awaited: a slow answer must not keep the probers from noticing that the process runs.
+    #probe(): void {
+        for (const hosted of this.#parts.services.hosted) {
+            void this.#parts.probes.next(hosted);
+        }
+    }
+
     async #readList(now: number): Promise<void> {
         const { vmList, membership, services, clock } = this.#parts;
         try {
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -5,6 +5,7 @@
 import type { Share } from "@bramleymoor/dispatch/types";
 import type { Service } from "@bramleymoor/model/spec";
 import type { EntryVm } from "@bramleymoor/model/vm";
+import type { ProbeSettings } from "@bramleymoor/probing/budget";
 import { place, shareOf } from "@bramleymoor/placement/placement";
 import type { AddressAnswer } from "@bramleymoor/protocol/answer";
 import { CallError } from "@bramleymoor/protocol/kinds";
@@ -20,6 +21,7 @@
     readonly self: () => EntryVm;
     /** How long callers may keep an answer, in milliseconds. */
     readonly ttlMs: number;
+    readonly probing: ProbeSettings;
     readonly random: Random;
     readonly clock: () => number;
     /** Issues a ticket of this incarnation. */
@@ -229,7 +231,7 @@
 
     #host(service: Service, share: Share, now: number): Hosted {
         const known = this.find(service.name);
-        const hosted = known ?? new Hosted(service, share, this.#parts.random, now);
+        const hosted = known ?? new Hosted(service, share, this.#parts.probing, this.#parts.random, now);
         if (known) {
             known.follow(service, share, now);
         } else {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -20,6 +20,8 @@
 }
 
 const greatestPort = 65_535;
+/** The one key whose value no message may repeat. */
+const secretKey = "key";
 
 const endpoint = z.string().transform((text, context): Endpoint => {
     const [host = "", port = "", ...rest] = text.split(":");
@@ -64,6 +66,7 @@
     },
     platform: {
         url: httpUrl.optional(),
+        "retention-ms": whole(60_000, 31_536_000_000).default(604_800_000),
     },
     callers: {
         "ttl-ms": whole(100, 600_000).default(5_000),
@@ -167,7 +170,8 @@
         return textError(section?.line ?? 1, `[${sectionName}] without ${key}`, `the key ${key}`, mend);
     }
     const mend = `Change the value of ${key} in [${sectionName}].`;
-    return textError(entry.line, `${entry.key} = ${entry.value}`, issue.message, mend);
+    const shown = entry.key === secretKey ? entry.key : `${entry.key} = ${entry.value}`;
+    return textError(entry.line, shown, issue.message, mend);
 };
 
 const keyOf = (peers: Readonly<z.infer<typeof schema>>["peers"], file: string): string => {
--- a/packages/entry/src/watch.ts
+++ b/packages/entry/src/watch.ts
@@ -37,15 +37,21 @@
         this.#events.emit("request-malformed", { address: peer, reason: code });
     }
 
+    /** Notes what a probe cost. */
+    probed(service: string, serverMs: number, bytes: number): void {
+        this.#metrics.probed(service, serverMs);
+        this.#metrics.control("probes", "out", bytes);
+    }
+
     /** Notes an event of configuration. */
     config(event: ConfigEvent): void {
-        this.#events.emit("config-unknown", { reason: `${event.name}: ${event.text}` });
+        this.#events.emit(`config-${event.name}`, { detail: event.text });
     }
 
     /** Notes a version that is in force here from now on. */
     accepted(version: Accepted): void {
         this.#metrics.version(version.number);
-        this.#events.emit("config-accepted", { version: version.number, digest: version.digest, author: "" });
+        this.#events.emit("config-accepted", { version: version.number, digest: version.digest });
     }
 
     /** Notes who joined, changed state and went. */
@@ -87,9 +93,8 @@
             return "caller-gone";
         case "cut":
             return "body-broken";
-        case "replayed":
         case "passed":
-            return "answered";
+            return "passed-on";
         default:
             return end;
     }
--- a/packages/entry/test/settings.test.ts
+++ b/packages/entry/test/settings.test.ts
@@ -56,6 +56,12 @@
     assert.match(failure(good.slice(0, 6)), /exactly one of key and key-file/);
 });
 
+test("a key that is too short is not repeated in the message", () => {
+    const text = failure([...good.slice(0, 7), "key = hush"]);
+    assert.match(text, /at least 16 characters/);
+    assert.ok(!text.includes("hush"), text);
+});
+
 test("a shared key accepts itself alone", () => {
     const key = new SharedKey("0123456789abcdef");
     assert.ok(key.accepts(key.authorization));
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -40,10 +40,9 @@
 
 /** Every event. */
 export const events = {
-    "config-accepted": row(1001, "info", "Version {version} accepted, digest {digest}, by {author}.", {
+    "config-accepted": row(1001, "info", "Version {version} accepted, digest {digest}.", {
         version: "number",
         digest: "string",
-        author: "string",
     }),
     "config-unknown": row(1002, "warn", "No accepted configuration known yet: {reason}.", {
         reason: "string",
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -77,6 +77,7 @@
             requestTimeout: 0,
             noDelay: true,
         });
+        server.maxConnections = limits.callerConnections;
         server.maxHeadersCount = 0;
         server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#take(req, res));
         server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => this.#take(req, res));
--- a/packages/proxy/src/services.ts
+++ b/packages/proxy/src/services.ts
@@ -71,6 +71,8 @@
     readonly connectTimeoutMs: number;
     /** Time for a caller to send its request's head, in milliseconds. */
     readonly headTimeoutMs: number;
+    /** Connections from callers at most; more are closed as they come. */
+    readonly callerConnections: number;
     /** An idle caller connection is closed after this time, in milliseconds. */
     readonly callerIdleMs: number;
     readonly maxHeadBytes: number;
@@ -83,6 +85,7 @@
     guardedIdleMs: 1000,
     connectTimeoutMs: 1000,
     headTimeoutMs: 10_000,
+    callerConnections: 10_000,
     callerIdleMs: 30_000,
     maxHeadBytes: 16_384,
 };
