--- /dev/null
+++ b/packages/bench/src/slopes-placement.ts
@@ -0,0 +1,151 @@
+/** Measures how even placement is, and what moves when a member leaves. */
+
+import type { EntryVm } from "@bramleymoor/model/vm";
+import { place } from "@bramleymoor/placement/placement";
+import { WeightControl, weightDefaults } from "@bramleymoor/placement/weight";
+
+/** What was measured for one size; loads are multiples of the mean. */
+export interface PlacementRow {
+    readonly vms: number;
+    readonly services: number;
+    /** Calls of one dispatcher as a share of the mean load of an entry VM. */
+    readonly unit: number;
+    readonly dispatchersOfHottest: number;
+    readonly maxLoad: number;
+    /** After the entry VMs have set their weights for a while; greatest of the last rounds. */
+    readonly maxLoadWeighted: number;
+    /** Share of calls that change place in a round at the end. */
+    readonly movedPerRound: number;
+    /** Share of calls that change place when one entry VM leaves, and its own share before. */
+    readonly movedByLeaving: number;
+    readonly shareOfLeaving: number;
+    /** Share of services for which a list without 5% of the members gives at least one common dispatcher. */
+    readonly overlapping: number;
+}
+
+const rounds = 120;
+const lastRounds = 20;
+const meanLoad = weightDefaults.limit / 2;
+
+type Placed = ReadonlyMap<string, readonly EntryVm[]>;
+
+const vmOf = (index: number): EntryVm => ({
+    id: `vm-${index}`,
+    incarnation: "a",
+    place: { region: "r", domain: `d${index % 3}` },
+    callerAddress: `10.0.${index >> 8}.${index & 255}:8080`,
+    peerAddress: `10.0.${index >> 8}.${index & 255}:8081`,
+    state: "alive",
+    load: 0,
+});
+
+/** One size: services with demands after Zipf, each with as many dispatchers as its demand needs. */
+class Placing {
+    readonly #vms: readonly EntryVm[];
+    readonly #demands: ReadonlyMap<string, number>;
+    readonly #unit: number;
+
+    constructor(vms: number, services: number, unit: number) {
+        this.#vms = Array.from({ length: vms }, (_, index) => vmOf(index));
+        const ranks = Array.from({ length: services }, (_, index) => 1 / (index + 1));
+        const sum = ranks.reduce((a, b) => a + b);
+        const total = vms * meanLoad;
+        this.#demands = new Map(ranks.map((rank, index) => [`service-${index}`, (total * rank) / sum]));
+        this.#unit = unit;
+    }
+
+    measure(): PlacementRow {
+        const before = this.#place(this.#vms);
+        const leaving = this.#vms[this.#vms.length >> 1]!;
+        const left = this.#place(this.#vms.filter(vm => vm !== leaving));
+        const loads = this.#loads(before);
+        return {
+            vms: this.#vms.length,
+            services: this.#demands.size,
+            unit: this.#unit,
+            dispatchersOfHottest: before.get("service-0")?.length ?? 0,
+            maxLoad: round(Math.max(...loads.values()) / meanLoad),
+            ...this.#weighted(),
+            movedByLeaving: round(this.#moved(before, left)),
+            shareOfLeaving: round((loads.get(leaving.id) ?? 0) / (meanLoad * this.#vms.length)),
+            overlapping: round(this.#overlap(before)),
+        };
+    }
+
+    #weighted(): { readonly maxLoadWeighted: number; readonly movedPerRound: number } {
+        const controls = new Map(this.#vms.map(vm => [vm.id, new WeightControl(vm.id)]));
+        const weightOf = (vm: EntryVm): number => controls.get(vm.id)?.weight ?? 1;
+        let placed = this.#place(this.#vms, weightOf);
+        let most = 0;
+        let moved = 0;
+        for (let now = 0; now < rounds; now++) {
+            const loads = this.#loads(placed);
+            controls.forEach((control, id) =>
+                control.next(loads.get(id) ?? 0, meanLoad, now * weightDefaults.stepMs),
+            );
+            const next = this.#place(this.#vms, weightOf);
+            if (now >= rounds - lastRounds) {
+                most = Math.max(most, ...this.#loads(next).values());
+                moved += this.#moved(placed, next) / lastRounds;
+            }
+            placed = next;
+        }
+        return { maxLoadWeighted: round(most / meanLoad), movedPerRound: round(moved) };
+    }
+
+    #place(vms: readonly EntryVm[], weightOf?: (vm: EntryVm) => number): Placed {
+        const entries = [...this.#demands].map(([service, demand]) => {
+            const want = Math.max(2, Math.ceil(demand / (this.#unit * meanLoad)));
+            return [service, place(service, vms, want, weightOf)] as const;
+        });
+        return new Map(entries);
+    }
+
+    #loads(placed: Placed): ReadonlyMap<string, number> {
+        const loads = new Map(this.#vms.map(vm => [vm.id, 0]));
+        for (const [service, vms] of placed) {
+            const each = (this.#demands.get(service) ?? 0) / vms.length;
+            vms.forEach(vm => loads.set(vm.id, (loads.get(vm.id) ?? 0) + each));
+        }
+        return loads;
+    }
+
+    #moved(before: Placed, after: Placed): number {
+        let moved = 0;
+        for (const [service, vms] of after) {
+            const old = new Set(before.get(service)?.map(vm => vm.id));
+            const fresh = vms.filter(vm => !old.has(vm.id)).length;
+            moved += ((this.#demands.get(service) ?? 0) * fresh) / vms.length;
+        }
+        return moved / (meanLoad * this.#vms.length);
+    }
+
+    #overlap(placed: Placed): number {
+        const other = this.#place(this.#vms.filter((_, index) => index % 20 !== 7));
+        const common = [...placed].filter(([service, vms]) => {
+            const ids = new Set(other.get(service)?.map(vm => vm.id));
+            return vms.some(vm => ids.has(vm.id));
+        });
+        return common.length / placed.size;
+    }
+}
+
+const round = (value: number): number => Number(value.toFixed(3));
+
+/** Measures the sizes of today and of the target, with coarse and fine units. */
+export const measurePlacement = (): readonly PlacementRow[] => {
+    const sizes = [
+        [15, 4, 0.5],
+        [15, 4, 0.25],
+        [150, 380, 0.5],
+        [150, 380, 0.25],
+        [150, 380, 0.1],
+    ] as const;
+    return sizes.map(([vms, services, unit]) => new Placing(vms, services, unit).measure());
+};
+
+/** Prints the table. */
+export const run = (): Promise<void> => {
+    console.table(measurePlacement());
+    return Promise.resolve();
+};
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -14,15 +14,15 @@
  * out. An answer is a belief: two entry VMs with other lists of members may disagree without harm.
  *
  * @param want how many entry VMs to name; fewer are named when there are fewer
- * @param limit calls per second above which an entry VM comes last
+ * @param weightOf the weight that each entry VM has set itself, 1 for an ordinary one
  */
 export const place = (
     service: string,
     vms: readonly EntryVm[],
     want: number,
-    limit: number = Infinity,
+    weightOf: (vm: EntryVm) => number = () => 1,
 ): readonly EntryVm[] => {
-    const ranked = rank(service, vms.filter(mayDispatch), limit);
+    const ranked = rank(service, vms.filter(mayDispatch), weightOf);
     const first = ranked[0];
     const other = ranked.find(vm => first !== undefined && !sameDomain(vm, first));
     if (!first || !other) {
@@ -43,29 +43,33 @@
 
 /** The placed entry VMs in the order for one asking caller; callers spread evenly over first places. */
 export const orderFor = (asker: string, placed: readonly EntryVm[]): readonly EntryVm[] => {
-    return rank(asker, placed, Infinity);
+    return rank(asker, placed, () => 1);
 };
 
 interface Ranked {
     readonly vm: EntryVm;
-    readonly full: boolean;
-    readonly weight: number;
+    readonly score: number;
 }
 
-const rank = (key: string, vms: readonly EntryVm[], limit: number): readonly EntryVm[] => {
-    const ranked = vms.map(vm => ({ vm, full: vm.load > limit, weight: weightOf(key, vm) }));
-    ranked.sort(byWeight);
+const hashRange = 2 ** 32;
+
+const rank = (
+    key: string,
+    vms: readonly EntryVm[],
+    weightOf: (vm: EntryVm) => number,
+): readonly EntryVm[] => {
+    const ranked = vms.map(vm => ({ vm, score: scoreOf(key, vm, weightOf(vm)) }));
+    ranked.sort(byScore);
     return ranked.map(entry => entry.vm);
 };
 
-const byWeight = (a: Ranked, b: Ranked): number => {
-    if (a.full !== b.full) {
-        return a.full ? 1 : -1;
-    }
-    return b.weight - a.weight || (a.vm.id < b.vm.id ? -1 : 1);
-};
+const byScore = (a: Ranked, b: Ranked): number => b.score - a.score || (a.vm.id < b.vm.id ? -1 : 1);
 
-const weightOf = (key: string, vm: EntryVm): number => hashes.h32(`${key}\n${vm.id}`);
+/** Weighted rendezvous hashing: an entry VM comes first with a probability in proportion to its weight. */
+const scoreOf = (key: string, vm: EntryVm, weight: number): number => {
+    const uniform = (hashes.h32(`${key}\n${vm.id}`) + 0.5) / hashRange;
+    return -weight / Math.log(uniform);
+};
 
 const mayDispatch = (vm: EntryVm): boolean => vm.state === "alive";
 
