Measure what a remembered request and a fresh connection cost

The bound of the at-most-once table needs a figure per entry, and the choice between fresh and kept connections for non-idempotent requests needs the price of a fresh one.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -4,6 +4,7 @@
 import { addedCommand } from "./added.js";
 import { checkpointsCommand } from "./checkpointcost.js";
 import { configCommand } from "./configcost.js";
+import { onceCommand } from "./oncecost.js";
 import { policyCommand } from "./policy.js";
 import { recordCommand } from "./tracecommand.js";
 
@@ -11,6 +12,7 @@
 program.addCommand(addedCommand());
 program.addCommand(configCommand());
 program.addCommand(checkpointsCommand());
+program.addCommand(onceCommand());
 program.addCommand(policyCommand());
 program.addCommand(recordCommand());
 await program.parseAsync();
--- /dev/null
+++ b/packages/bench/src/oncecost.ts
@@ -0,0 +1,207 @@
+/** The `once` measurement: memory and time of the at-most-once table, and what a fresh connection costs. */
+
+import { randomBytes, randomUUID } from "node:crypto";
+import { Agent, request } from "node:http";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import type { Dispatcher, Slot } from "@bramleymoor/dispatch/types";
+import { OnceTable } from "@bramleymoor/once/table";
+import { Issuer } from "@bramleymoor/once/tickets";
+import { parseText } from "@bramleymoor/model/text";
+import type { Service } from "@bramleymoor/model/spec";
+import { CallServer } from "@bramleymoor/proxy/server";
+import { Command } from "commander";
+import { of } from "rxjs";
+import { builtScript, Child } from "./child.js";
+import { monotonicMs } from "./clock.js";
+
+const sizes = [1_000, 3_000, 10_000, 30_000, 100_000];
+const answerBytes = [0, 200];
+const ordersPerWay = 3_000;
+const warmUpOrders = 500;
+const lifeMs = 600_000;
+const microsecondsPerMs = 1_000;
+
+interface EntryCost {
+    readonly entries: number;
+    readonly answerBytes: number;
+    readonly heapBytesPerEntry: number;
+    readonly bufferBytesPerEntry: number;
+    readonly claimMicroseconds: number;
+}
+
+interface OrderCost {
+    readonly connection: string;
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+}
+
+/** The `once` subcommand. */
+export const onceCommand = (): Command =>
+    new Command("once")
+        .description("memory and time of the at-most-once table, and the cost of fresh connections")
+        .action(async () => {
+            const entries = answerBytes.flatMap(bytes => sizes.map(size => measureEntries(size, bytes)));
+            console.table(entries);
+            const orders = [await measureOrders("fresh", 0), await measureOrders("kept", 1_000)];
+            orders.push(await measureOrders("fresh", 0), await measureOrders("kept", 1_000));
+            console.table(orders);
+            process.stdout.write(`${JSON.stringify({ entries, orders })}\n`);
+        });
+
+const collectGarbage = (): (() => void) => {
+    setFlagsFromString("--expose-gc");
+    return runInNewContext("gc") as () => void;
+};
+
+const newIssuer = (): Issuer =>
+    new Issuer({ incarnation: "measured", key: randomBytes(32), lifeMs, randomBytes });
+
+const measureEntries = (entries: number, bytes: number): EntryCost => {
+    const gc = collectGarbage();
+    const issuer = newIssuer();
+    const table = new OnceTable({ maxEntries: entries, keepBytes: 4_096, maxKeptBytes: 1e9 });
+    const tickets = Array.from({ length: entries }, () => issuer.issue(0));
+    const ids = Array.from({ length: entries }, () => randomUUID());
+    gc();
+    const before = process.memoryUsage();
+    const startedAt = monotonicMs();
+    for (let i = 0; i < entries; i++) {
+        fill(table, issuer, tickets[i]!, ids[i]!, bytes);
+    }
+    const spentMs = monotonicMs() - startedAt;
+    gc();
+    const after = process.memoryUsage();
+    if (table.size !== entries || tickets.length !== ids.length) {
+        throw new Error("the table lost entries");
+    }
+    return {
+        entries,
+        answerBytes: bytes,
+        heapBytesPerEntry: Math.round((after.heapUsed - before.heapUsed) / entries),
+        bufferBytesPerEntry: Math.round((after.arrayBuffers - before.arrayBuffers) / entries),
+        claimMicroseconds: round((spentMs * microsecondsPerMs) / entries),
+    };
+};
+
+const fill = (table: OnceTable, issuer: Issuer, text: string, requestId: string, bytes: number): void => {
+    const { callerPart, expiresAt } = issuer.check(text, 0);
+    const target = `POST orders/v1/members/${requestId.slice(0, 8)}/orders`;
+    const claim = table.claim({ callerPart, requestId, expiresAt, attempt: 1, target }, 0);
+    if (claim.kind !== "run") {
+        throw new Error("a fresh request was taken for a duplicate");
+    }
+    claim.run.digested(randomBytes(32).toString("base64url"));
+    claim.run.sending();
+    claim.run.answered(201, headersOf(requestId, bytes), bodyOf(bytes));
+};
+
+/** Strings of their own for each answer, as a parser gives them. */
+const headersOf = (requestId: string, bytes: number): string[] =>
+    [
+        ...["Content-Type", "application/json", "Content-Length", String(bytes)],
+        ...["Location", `/v1/orders/${requestId}`, "Date", "Thu, 03 Dec 2026 22:00:00 GMT"],
+    ].map(text => Buffer.from(text).toString("latin1"));
+
+/** Read in one part among others, as from a socket. */
+const bodyOf = (bytes: number): Buffer => {
+    Buffer.allocUnsafe(1_000);
+    return Buffer.concat([Buffer.alloc(bytes, "x")]);
+};
+
+const measureOrders = async (connection: string, guardedIdleMs: number): Promise<OrderCost> => {
+    const child = new Child(builtScript("testkit", "backend-main"), ["1", `{"slots":64}`]);
+    const { ports } = JSON.parse(await child.line(/^\{/, 10_000)) as { readonly ports: readonly number[] };
+    const issuer = newIssuer();
+    const server = startServer(serviceAt(ports[0]!), issuer, guardedIdleMs);
+    const port = await server.listen(0, "127.0.0.1");
+    const agent = new Agent({ keepAlive: true });
+    const spent: number[] = [];
+    for (let i = 0; i < warmUpOrders + ordersPerWay; i++) {
+        const startedAt = monotonicMs();
+        await order(port, agent, issuer.issue(startedAt));
+        spent.push(monotonicMs() - startedAt);
+    }
+    agent.destroy();
+    await server.stop(0);
+    await child.stop();
+    const sorted = spent.slice(warmUpOrders).sort((a, b) => a - b);
+    const at = (share: number): number => round(sorted[Math.floor(sorted.length * share)] ?? 0);
+    return { connection, p50Ms: at(0.5), p99Ms: at(0.99) };
+};
+
+const serviceAt = (port: number): Service => {
+    const text = `[service orders]\nserver = 127.0.0.1:${port} slots=64\n[class orders/order]\nidempotent = no\n`;
+    const parsed = parseText(text);
+    const service = parsed.ok ? parsed.spec.services.get("orders") : undefined;
+    if (!service) {
+        throw new Error(`the measured text has no service: ${JSON.stringify(parsed)}`);
+    }
+    return service;
+};
+
+const startServer = (service: Service, tickets: Issuer, guardedIdleMs: number): CallServer => {
+    const dispatched = { service, dispatcher: new GrantAll(service) };
+    return new CallServer(
+        {
+            services: {
+                route: () => dispatched,
+                here: () => dispatched,
+                addresses: () => Promise.reject(new Error("not asked")),
+            },
+            tickets,
+            once: new OnceTable({ maxEntries: 10_000, keepBytes: 4_096, maxKeptBytes: 1e9 }),
+            issuer: () => "gone",
+            clock: monotonicMs,
+            observer: { callDone: () => undefined, badRequest: () => undefined },
+        },
+        { guardedIdleMs },
+    );
+};
+
+/** Grants every call at once, so that nothing but the proxy is measured. */
+class GrantAll implements Dispatcher {
+    readonly #service: Service;
+
+    constructor(service: Service) {
+        this.#service = service;
+    }
+
+    submit(call: Slot["call"], now: number) {
+        return of({ server: this.#service.servers[0]!, call, grantedAt: now, hedge: false });
+    }
+
+    settle(): void {}
+
+    answering(): void {}
+
+    report(): void {}
+
+    follow(): void {}
+
+    leaving(): void {}
+
+    tick(): number {
+        return Infinity;
+    }
+
+    view() {
+        return { service: this.#service.name, queued: 0, inFlight: 0, servers: [] };
+    }
+}
+
+const order = (port: number, agent: Agent, ticket: string): Promise<void> =>
+    new Promise((resolve, reject) => {
+        const headers = { "bm-ticket": ticket, "bm-request-id": randomUUID(), "Content-Length": "5" };
+        const path = "/v1/call/orders/new";
+        const req = request({ host: "127.0.0.1", port, method: "POST", path, agent, headers }, res => {
+            res.resume();
+            res.on("end", () =>
+                res.statusCode === 200 ? resolve() : reject(new Error(`status ${res.statusCode}`)),
+            );
+        });
+        req.on("error", reject);
+        req.end("order");
+    });
+
+const round = (value: number): number => Math.round(value * 1_000) / 1_000;
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -15,7 +15,7 @@
     readonly maxConnections: number;
     /** An idle connection is closed after this time; must be less than the servers' own idle timeout. */
     readonly idleMs: number;
-    /** The same for the connections of non-idempotent requests. */
+    /** The same for the connections of non-idempotent requests; 0 opens one for each request. */
     readonly guardedIdleMs: number;
     readonly connectTimeoutMs: number;
 }
@@ -77,7 +77,7 @@
 }
 
 const agent = (maxSockets: number, timeout: number): Agent =>
-    new Agent({ keepAlive: true, maxSockets, timeout, scheduling: "lifo" });
+    new Agent({ keepAlive: timeout > 0, maxSockets, timeout, scheduling: "lifo" });
 
 /** Why an exchange gave no answer. */
 export class ExchangeError extends Error {
--- a/packages/proxy/src/services.ts
+++ b/packages/proxy/src/services.ts
@@ -66,7 +66,7 @@
     readonly maxConnections: number;
     /** Idle connections to backend servers are closed after this time, in milliseconds. */
     readonly idleMs: number;
-    /** The same for the connections that carry non-idempotent requests. */
+    /** The same for the connections of non-idempotent requests; 0 opens one for each request. */
     readonly guardedIdleMs: number;
     readonly connectTimeoutMs: number;
     /** Time for a caller to send its request's head, in milliseconds. */
