Keep answers for repeats as one text each instead of slices of shared buffers

A kept answer of 200 bytes held about 1 KB of the shared buffer pool beside its entry, because a small Buffer is a slice of a pool slab that it keeps alive. Kept bodies are Latin-1 text now and kept headers one text instead of an array.

--- a/packages/bench/src/fuzz-once-world.ts
+++ b/packages/bench/src/fuzz-once-world.ts
@@ -291,7 +291,7 @@
 
     #replay(mail: Mail, outcome: Outcome): void {
         if (outcome.kind === "answered") {
-            this.oracle.answer(mail, Buffer.from(outcome.body).toString());
+            this.oracle.answer(mail, outcome.body);
         } else if (outcome.kind === "not-kept") {
             this.oracle.tell(mail, "ran");
         } else {
--- a/packages/bench/src/oncecost.ts
+++ b/packages/bench/src/oncecost.ts
@@ -61,8 +61,8 @@
     const gc = collectGarbage();
     const issuer = newIssuer();
     const table = new OnceTable({ maxEntries: entries, keepBytes: 4_096, maxKeptBytes: 1e9 });
-    const tickets = Array.from({ length: entries }, () => issuer.issue(0));
-    const ids = Array.from({ length: entries }, () => randomUUID());
+    const tickets = Array.from({ length: entries }, () => flat(issuer.issue(0)));
+    const ids = Array.from({ length: entries }, () => flat(randomUUID()));
     gc();
     const before = process.memoryUsage();
     const startedAt = monotonicMs();
@@ -96,12 +96,15 @@
     claim.run.answered(201, headersOf(requestId, bytes), bodyOf(bytes));
 };
 
+/** A string of its own that no later use makes smaller. */
+const flat = (text: string): string => Buffer.from(text).toString("latin1");
+
 /** Strings of their own for each answer, as a parser gives them. */
 const headersOf = (requestId: string, bytes: number): string[] =>
     [
         ...["Content-Type", "application/json", "Content-Length", String(bytes)],
         ...["Location", `/v1/orders/${requestId}`, "Date", "Thu, 03 Dec 2026 22:00:00 GMT"],
-    ].map(text => Buffer.from(text).toString("latin1"));
+    ].map(flat);
 
 /** Read in one part among others, as from a socket. */
 const bodyOf = (bytes: number): Buffer => {
--- a/packages/once/src/entry.ts
+++ b/packages/once/src/entry.ts
@@ -8,9 +8,10 @@
     | {
           readonly kind: "answered";
           readonly status: number;
-          /** Names and values by turns. */
-          readonly headers: readonly string[];
-          readonly body: Uint8Array;
+          /** Names and values by turns, one a line; one text takes less memory than many. */
+          readonly headers: string;
+          /** One character a byte (Latin-1); a slice of a shared buffer would keep all of it. */
+          readonly body: string;
       }
     /** Answered, but the answer is not kept. */
     | { readonly kind: "not-kept" }
--- a/packages/once/src/table.ts
+++ b/packages/once/src/table.ts
@@ -214,7 +214,8 @@
             this.#entry.end({ kind: "not-kept" });
             return;
         }
-        this.#entry.end(this.#fit({ kind: "answered", status, headers, body }));
+        const kept = { headers: headers.join("\n"), body: Buffer.from(body).toString("latin1") };
+        this.#entry.end(this.#fit({ kind: "answered", status, ...kept }));
     }
 }
 
--- a/packages/once/test/table.test.ts
+++ b/packages/once/test/table.test.ts
@@ -45,7 +45,7 @@
     const run = runOf(once.claim(request("r"), 0));
     const waiting = duplicateOf(once.claim(request("r"), 1)).outcome("d");
     answer(run, "done");
-    const wanted = { kind: "answered", status: 200, headers: ["a", "b"], body: Buffer.from("done") };
+    const wanted = { kind: "answered", status: 200, headers: "a\nb", body: "done" };
     assert.deepEqual(await waiting, wanted);
     assert.deepEqual(await duplicateOf(once.claim(request("r"), 2)).outcome("d"), wanted);
 });
--- a/packages/proxy/src/guard.ts
+++ b/packages/proxy/src/guard.ts
@@ -85,8 +85,9 @@
         if (outcome.kind !== "answered") {
             throw outcome.error;
         }
-        res.writeHead(outcome.status, [...outcome.headers, answerHeaders.replayed, "1", ...extra]);
-        res.end(outcome.body);
+        const headers = outcome.headers === "" ? [] : outcome.headers.split("\n");
+        res.writeHead(outcome.status, [...headers, answerHeaders.replayed, "1", ...extra]);
+        res.end(outcome.body, "latin1");
     }
 }
 
--- a/packages/proxy/test/faults.test.ts
+++ b/packages/proxy/test/faults.test.ts
@@ -189,6 +189,16 @@
     assert.equal(backends[0]?.counts.ran, 2);
 });
 
+test("a kept answer comes again byte for byte, headers included", async t => {
+    const { proxy, backends } = await stage(t, [{ answerText: "jibu: z\u00fc \u20ac\u0000" }]);
+    const ticket = proxy.ticket();
+    const [first, again] = [await order(proxy, "o", { ticket }), await order(proxy, "o", { ticket })];
+    assert.equal(Buffer.from(again.text, "latin1").toString(), "jibu: z\u00fc \u20ac\u0000");
+    assert.equal(again.text, first.text);
+    assert.equal(again.headers["content-length"], first.headers["content-length"]);
+    assert.equal(backends[0]?.counts.ran, 1);
+});
+
 test("a full table refuses before anything is sent; an expired ticket leaves the outcome unknown", async t => {
     const { proxy, backends } = await stage(t, [{}], { once: { maxEntries: 1 } });
     const ticket = proxy.ticket();
--- a/packages/testkit/src/backend.ts
+++ b/packages/testkit/src/backend.ts
@@ -33,6 +33,8 @@
     cut: CutPoint;
     /** Body bytes of an answer; the text "ran REQUEST-ID" if undefined. */
     answerBytes: number | undefined;
+    /** Text of an answer of no fixed size, instead of "ran REQUEST-ID". */
+    answerText: string | undefined;
     /** Pause between parts of a long answer, in milliseconds. */
     chunkPauseMs: number;
     /** Whether answers carry the bm-load header. */
@@ -68,6 +70,7 @@
     draining: false,
     cut: "never",
     answerBytes: undefined,
+    answerText: undefined,
     chunkPauseMs: 0,
     reportsLoad: true,
     idleMs: 5000,
@@ -221,7 +224,7 @@
     async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const { answerBytes, cut } = this.knobs;
         const id = req.headers[callHeaders.requestId];
-        const text = `ran ${typeof id === "string" ? id : "-"}`;
+        const text = this.knobs.answerText ?? `ran ${typeof id === "string" ? id : "-"}`;
         const size = answerBytes ?? Buffer.byteLength(text);
         res.writeHead(200, [...this.#loadHeader(), "Content-Length", String(size)]);
         if (cut === "while-answering") {
