Drop the log events that nothing writes

The page of events promised seventeen lines that no source writes, such as a server's ejection. They are dropped, their numbers stay unused, and a test now wants each event of the catalogue to be written somewhere.

--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -27,8 +27,6 @@
 export const topics = {
     1: "Configuration",
     2: "Membership",
-    3: "Placement",
-    4: "Backend servers",
     5: "Start and stop",
     6: "Settings",
     7: "Peers and operators",
@@ -44,9 +42,6 @@
         version: "number",
         digest: "string",
     }),
-    "config-unknown": row(1002, "warn", "No accepted configuration known yet: {reason}.", {
-        reason: "string",
-    }),
     "config-version-accepted": row(1003, "debug", "{detail}", detail),
     "config-record-skipped": row(1004, "warn", "{detail}", detail),
     "config-version-from-peer": row(1005, "info", "{detail}", detail),
@@ -82,35 +77,6 @@
     }),
     "member-left": row(2004, "info", "Entry VM {id} is leaving.", { id: "string", incarnation: "string" }),
     "member-back": row(2005, "info", "Entry VM {id} answers again.", { id: "string", incarnation: "string" }),
-    "placement-changed": row(3001, "info", "Service {service} is dispatched by {entryVms}.", {
-        service: "string",
-        entryVms: "string",
-    }),
-    "placement-taken": row(3002, "info", "This entry VM dispatches {service}, share {index} of {count}.", {
-        service: "string",
-        index: "number",
-        count: "number",
-    }),
-    "placement-given-up": row(3003, "info", "This entry VM no longer dispatches {service}.", {
-        service: "string",
-    }),
-    "server-ejected": row(4001, "warn", "Backend server {server} of {service} gets no work: {reason}.", {
-        service: "string",
-        server: "string",
-        reason: "string",
-    }),
-    "server-readmitted": row(4002, "info", "Backend server {server} of {service} gets work again.", {
-        service: "string",
-        server: "string",
-    }),
-    "server-draining": row(4003, "info", "Backend server {server} of {service} is leaving, says {source}.", {
-        service: "string",
-        server: "string",
-        source: "string",
-    }),
-    "probe-budget-spent": row(4004, "debug", "Service {service} has spent its probe budget.", {
-        service: "string",
-    }),
     started: row(
         5001,
         "info",
@@ -128,18 +94,7 @@
     "stop-asked": row(5004, "info", "Stop asked for by {signal}; leaving the answers to callers.", {
         signal: "string",
     }),
-    "stop-answers-expired": row(5005, "info", "Answers that named this entry VM have expired.", {}),
-    "stop-waiting": row(5006, "info", "Waiting for {calls} calls in progress.", { calls: "number" }),
     stopped: row(5007, "info", "Stopped, {cut} calls cut.", { cut: "number" }),
-    "settings-error": row(6001, "error", "{file}:{line}: {problem}", {
-        file: "string",
-        line: "number",
-        problem: "string",
-    }),
-    "settings-unreadable": row(6002, "error", "Settings file {file} can't be read: {reason}.", {
-        file: "string",
-        reason: "string",
-    }),
     "port-unavailable": row(6003, "error", "Can't listen on {address}: {reason}.", {
         address: "string",
         reason: "string",
@@ -148,35 +103,10 @@
         address: "string",
         reason: "string",
     }),
-    "peer-other-release": row(7002, "info", "Peer {peer} speaks protocol {theirs}, this one {ours}.", {
-        peer: "string",
-        theirs: "number",
-        ours: "number",
-    }),
-    "operator-refused": row(7003, "warn", "Operator's request from {address} refused: {reason}.", {
-        address: "string",
-        reason: "string",
-    }),
-    "at-most-once-table-full": row(8001, "warn", "The at-most-once table is full at {entries} entries.", {
-        entries: "number",
-    }),
     "request-malformed": row(8002, "debug", "Request from {address} can't be read: {reason}.", {
         address: "string",
         reason: "string",
     }),
-    "answer-broken": row(
-        8003,
-        "warn",
-        "Answer of {server} of {service} ended short; the caller was cut off.",
-        {
-            service: "string",
-            server: "string",
-        },
-    ),
-    "service-overloaded": row(8004, "warn", "Service {service} sheds calls, {queued} queued.", {
-        service: "string",
-        queued: "number",
-    }),
     "internal-error": row(9001, "error", "Internal error while {doing}: {reason}.", {
         doing: "string",
         reason: "string",
--- a/packages/observe/test/events.test.ts
+++ b/packages/observe/test/events.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 import { test } from "node:test";
 import { eventNames, events, topics, type EventLevel } from "../src/catalogue.js";
 import { EventLog, maxFieldLength, maxPerSecond, type LogFormat } from "../src/events.js";
@@ -26,6 +26,27 @@
     assert.deepEqual(shown, held);
 });
 
+const packages = new URL("../../../", import.meta.url);
+
+/** Everything that the packages' sources say, but for the catalogue itself. */
+const sources = readdirSync(packages, { recursive: true, encoding: "utf8" })
+    .filter(path => /^[a-z]+\/src\/[^/]+\.ts$/.test(path) && path !== "observe/src/catalogue.ts")
+    .map(path => readFileSync(new URL(path, packages), "utf8"))
+    .join("\n");
+
+test("every event of the catalogue is written somewhere", () => {
+    const emitted = (name: string): boolean => new RegExp(`(?:emit|#write)\\(\\s*"${name}"`).test(sources);
+    const configNames = readFileSync(new URL("config/src/events.ts", packages), "utf8");
+    const ofConfig = (name: string): boolean =>
+        name.startsWith("config-") && configNames.includes(`| "${name.slice("config-".length)}"`);
+    assert.ok(sources.includes("emit(`config-${event.name}`"));
+    assert.ok(!emitted("nothing-writes-this"));
+    assert.deepEqual(
+        eventNames.filter(name => !emitted(name) && !ofConfig(name)),
+        [],
+    );
+});
+
 test("numbers are unique, ascending and begin with their topic's digit", () => {
     const numbers = eventNames.map(name => events[name].number);
     assert.deepEqual(
