Share slots by demand, lend idle ones, and take over from a silent dispatcher

With fixed halves the loss of one of two dispatchers left the other at 140% of its slots until membership noticed, and p99 stood at the deadline. Dispatchers now hint their demand to each other every 100 ms and divide the slots by it; one whose calls wait asks for idle slots, which are lent for 50 ms, and one that leaves an Ask unanswered for 6 ms counts as gone until it is heard.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -6,6 +6,7 @@
 import { configCommand } from "./configcost.js";
 import { onceCommand } from "./oncecost.js";
 import { policyCommand } from "./policy.js";
+import { overloadCommand } from "./policyoverload.js";
 import { recordCommand } from "./tracecommand.js";
 
 const program = new Command("measure");
@@ -14,5 +15,6 @@
 program.addCommand(checkpointsCommand());
 program.addCommand(onceCommand());
 program.addCommand(policyCommand());
+program.addCommand(overloadCommand());
 program.addCommand(recordCommand());
 await program.parseAsync();
--- a/packages/bench/src/policy.ts
+++ b/packages/bench/src/policy.ts
@@ -1,18 +1,12 @@
 /** The `policy` measurement: every chooser against one all-knowing queue on the same trace. */
 
-import type { BackendServer, ChooserName, Service } from "@bramleymoor/model/spec";
+import type { ChooserName } from "@bramleymoor/model/spec";
 import { chooserNames } from "@bramleymoor/model/spec";
 import { Command } from "commander";
 import { quantile, runScenario, type RunResult, type Scenario } from "./rig.js";
+import { deploymentOf } from "./rigdeployment.js";
 import { readTrace } from "./trace.js";
 
-/** Sizes of one deployment. */
-interface Deployment {
-    readonly service: Service;
-    readonly trace: URL;
-    readonly durationMs: number;
-}
-
 /** One row of the table: one chooser in one setting. */
 export interface PolicyRow {
     readonly chooser: Scenario["chooser"];
@@ -65,7 +59,7 @@
         .option("--load <share>", "share of the slots' capacity", Number, 0.7)
         .option("--seed <number>", "first seed", Number, 1)
         .option("--seeds <count>", "seeds, of which the median is shown", Number, 1)
-        .option("--dispatchers <count>", "entry VMs of the service under late binding", Number, 2)
+        .option("--dispatchers <count>", "entry VMs of the service under late binding", Number)
         .option("--skew <share>", "share of the calls that the first entry VM gets", Number)
         .option("--faults <which>", "on, off or both", "both")
         .option("--only <choosers>", "choosers to run, apart by commas")
@@ -76,7 +70,7 @@
     readonly load: number;
     readonly seed: number;
     readonly seeds: number;
-    readonly dispatchers: number;
+    readonly dispatchers?: number;
     readonly skew?: number;
     readonly faults: string;
     readonly only?: string;
@@ -85,9 +79,12 @@
 const report = (options: Options): void => {
     const names = options.only?.split(",") ?? chooserNames;
     const choosers = chooserNames.filter(it => names.includes(it));
-    const { deployment, load, dispatchers } = options;
+    const { deployment, load } = options;
+    const usual = deploymentOf(deployment);
+    const dispatchers = options.dispatchers ?? usual.dispatchers;
     const seeds = Array.from({ length: options.seeds }, (_, at) => options.seed + at);
-    const firstShare = options.skew ?? 1 / dispatchers;
+    const even = dispatchers === usual.dispatchers ? usual.firstShare : 1 / dispatchers;
+    const firstShare = options.skew ?? even;
     const settings = { deployment, load, seeds, dispatchers, firstShare };
     const rows = (faultChoices[options.faults] ?? [false, true]).flatMap(faults =>
         measureChoosers({ ...settings, faults }, choosers),
@@ -188,50 +185,6 @@
 const formatValue = (value: string | number | boolean): string =>
     typeof value === "number" ? String(Number(value.toPrecision(3))) : String(value);
 
-const deploymentOf = (name: string): Deployment => {
-    const found = deployments.get(name);
-    if (!found) {
-        throw new Error(`no deployment "${name}"; there are ${[...deployments.keys()].join(", ")}`);
-    }
-    return found;
-};
-
-const makeServers = (count: number, slots: number, connections: number): readonly BackendServer[] =>
-    Array.from({ length: count }, (_, at) => {
-        const host = `10.0.0.${at + 1}`;
-        const domain = "abc".charAt(at % 3);
-        return { address: `${host}:80`, host, port: 80, domain, slots, connections, leaving: false };
-    });
-
-const makeDeployment = (
-    name: string,
-    file: string,
-    durationMs: number,
-    servers: Service["servers"],
-): Deployment => ({
-    trace: new URL(`../../traces/${file}`, import.meta.url),
-    durationMs,
-    service: {
-        name,
-        dependsOn: [],
-        servers,
-        classes: [
-            { name: "read", methods: ["GET"], path: "/", idempotent: true, priority: 1, deadlineMs: 1_000 },
-        ],
-        chooser: "late-binding",
-        queueLimit: 1_000,
-        probeBudget: 0.002,
-        retryBudget: 0.1,
-        hedgeBudget: 0.02,
-        ejectShare: 0.3,
-    },
-});
-
-const deployments: ReadonlyMap<string, Deployment> = new Map([
-    ["ratiba", makeDeployment("stops", "stops.txt", 20_000, makeServers(14, 2, 200))],
-    ["aqrl", makeDeployment("catalogue", "catalogue.txt", 6_000, makeServers(25, 6, 250))],
-]);
-
 const faultChoices: Readonly<Record<string, readonly boolean[]>> = { on: [true], off: [false] };
 
 const entryVms = 15;
--- a/packages/bench/src/rig.ts
+++ b/packages/bench/src/rig.ts
@@ -3,6 +3,7 @@
 import { ServiceDispatcher } from "@bramleymoor/dispatch/dispatcher";
 import { type Random, SeededRandom } from "@bramleymoor/dispatch/random";
 import { RetryBudget } from "@bramleymoor/dispatch/retry";
+import type { PeerMessage } from "@bramleymoor/dispatch/sharing";
 import type { Call, Slot, SlotResult } from "@bramleymoor/dispatch/types";
 import type { ChooserName, Service } from "@bramleymoor/model/spec";
 import { CallError } from "@bramleymoor/protocol/kinds";
@@ -30,7 +31,10 @@
 /** What became of one call. */
 export interface Outcome {
     readonly arrivedAt: number;
+    readonly endedAt: number;
     readonly latencyMs: number;
+    /** How long the dispatcher took to tell each refusal, in milliseconds. */
+    readonly refusedAfterMs: readonly number[];
     readonly result: "answered" | "failed" | "refused";
 }
 
@@ -55,6 +59,8 @@
     copies: number;
     comebacks: number;
     done: boolean;
+    submittedAt: number;
+    readonly refusedAfterMs: number[];
     readonly open: Map<Slot, () => void>;
 }
 
@@ -74,8 +80,11 @@
     readonly #service: Service;
     readonly #servers: ReadonlyMap<string, FakeServer>;
     readonly #entries: readonly EntryFake[];
+    /** Dispatchers by their index in the share. */
+    #members: readonly EntryFake[];
     readonly #outcomes: Outcome[] = [];
     #calls = 0;
+    readonly #controlBytes: number[] = [];
     #hedges = 0;
     #retries = 0;
 
@@ -86,6 +95,7 @@
         const servers = makeServers(scenario, this.#time);
         this.#servers = new Map(servers.map(it => [it.server.address, it]));
         this.#entries = Array.from({ length: scenario.dispatchers }, (_, index) => this.#makeEntry(index));
+        this.#members = this.#entries;
     }
 
     run(): RunResult {
@@ -96,15 +106,18 @@
         this.#entries.forEach(entry => this.#tick(entry));
         this.#time.run(this.#scenario.durationMs + drainMs);
         const busyMs = [...this.#servers.values()].reduce((sum, it) => sum + it.busyMs, 0);
+        const controlBytes = (1_000 * Math.max(0, ...this.#controlBytes)) / this.#scenario.durationMs;
         const { hedges, retries } = { hedges: this.#hedges, retries: this.#retries };
-        return { outcomes: this.#outcomes, hedges, retries, controlBytes: 0, busyMs };
+        return { outcomes: this.#outcomes, hedges, retries, controlBytes, busyMs };
     }
 
     #makeEntry(index: number): EntryFake {
         const share = { index, count: this.#scenario.dispatchers };
         const random = new SeededRandom(this.#scenario.seed * 101 + index);
         return {
-            dispatcher: new ServiceDispatcher(this.#service, share, random, 0),
+            dispatcher: new ServiceDispatcher(this.#service, share, random, 0, {
+                send: (to, message) => this.#carry(index, to, message),
+            }),
             retries: new RetryBudget(this.#service.retryBudget),
             domain: domainOf(index),
             callers: new Set(),
@@ -113,10 +126,31 @@
         };
     }
 
+    #carry(from: number, to: number, message: PeerMessage): void {
+        this.#controlBytes[from] = (this.#controlBytes[from] ?? 0) + JSON.stringify(message).length;
+        const peer = this.#members[to];
+        if (peer?.alive) {
+            this.#after(farMs, peer, () => {
+                peer.dispatcher.receive(message, this.#time.now);
+                this.#tick(peer);
+            });
+        }
+    }
+
     #arrive(traced: TracedCall): void {
         const arrivedAt = this.#time.now;
         const open = new Map<Slot, () => void>();
-        this.#enter({ traced, arrivedAt, attempts: 0, copies: 0, comebacks: 0, done: false, open });
+        this.#enter({
+            traced,
+            arrivedAt,
+            attempts: 0,
+            copies: 0,
+            comebacks: 0,
+            done: false,
+            submittedAt: 0,
+            refusedAfterMs: [],
+            open,
+        });
     }
 
     #enter(caller: Caller): void {
@@ -141,6 +175,7 @@
             retryBudget: 3 - caller.attempts,
             tried,
         };
+        caller.submittedAt = now;
         entry.dispatcher.submit(call, now).subscribe({
             next: slot => this.#send(caller, entry, slot),
             error: (err: unknown) => this.#refused(caller, entry, err),
@@ -200,6 +235,7 @@
     }
 
     #refused(caller: Caller, entry: EntryFake, err: unknown): void {
+        caller.refusedAfterMs.push(this.#time.now - caller.submittedAt);
         const afterMs = err instanceof CallError ? err.retryAfterMs : undefined;
         if (afterMs === undefined || caller.comebacks >= this.#scenario.callerRetries) {
             this.#finish(caller, entry, "refused");
@@ -232,10 +268,12 @@
             cancel();
             this.#settle(caller, entry, slot, { kind: "cancelled" });
         }
-        this.#outcomes.push(outcomeOf(this.#scenario, caller.arrivedAt, this.#time.now, result));
+        this.#outcomes.push(
+            outcomeOf(this.#scenario, caller.arrivedAt, this.#time.now, result, caller.refusedAfterMs),
+        );
     }
 
-    /** An entry VM dies; its callers see their connections reset and go to another. */
+    /** An entry VM dies; servers and callers see their connections reset, and callers go to another. */
     #lose(index: number): void {
         const lost = this.#entries[index]!;
         if (this.#entries.length < 2) {
@@ -243,6 +281,7 @@
         }
         lost.alive = false;
         for (const caller of lost.callers) {
+            caller.open.forEach(cancel => cancel());
             caller.open.clear();
             this.#time.at(this.#time.now + resetMs, () => this.#enter(caller));
         }
@@ -251,6 +290,7 @@
 
     #shareAnew(): void {
         const alive = this.#entries.filter(it => it.alive);
+        this.#members = alive;
         alive.forEach((entry, index) => {
             entry.dispatcher.follow(this.#service, { index, count: alive.length }, this.#time.now);
         });
@@ -315,7 +355,7 @@
 };
 
 /** Latency quantile in milliseconds. */
-export const quantile = (outcomes: readonly Outcome[], q: number): number => {
+export const quantile = (outcomes: readonly Pick<Outcome, "latencyMs">[], q: number): number => {
     const sorted = Float64Array.from(outcomes, it => it.latencyMs).sort();
     return sorted[Math.min(sorted.length - 1, Math.floor(q * sorted.length))] ?? Number.NaN;
 };
@@ -356,9 +396,11 @@
     arrivedAt: number,
     endedAt: number,
     result: Outcome["result"],
+    refusedAfterMs: readonly number[] = [],
 ): Outcome => {
     const deadlineMs = service.classes[0]!.deadlineMs;
-    return { arrivedAt, latencyMs: result === "answered" ? endedAt - arrivedAt : deadlineMs, result };
+    const latencyMs = result === "answered" ? endedAt - arrivedAt : deadlineMs;
+    return { arrivedAt, endedAt, latencyMs, refusedAfterMs, result };
 };
 
 const domainOf = (index: number): string => "abc".charAt(index % 3);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -9,6 +9,7 @@
 import type { Random } from "./random.js";
 import { HedgeWatch } from "./hedge.js";
 import { ServerPool } from "./pool.js";
+import { type PeerMessage, type Peers, SlotSharing, type SlotUse } from "./sharing.js";
 import type { ServerState } from "./server.js";
 import type { Call, Dispatcher, DispatchView, Share, Slot, SlotResult } from "./types.js";
 
@@ -19,12 +20,15 @@
     #chooser: Chooser;
     readonly #queue = new CallQueue<Pending>();
     readonly #pool = new ServerPool();
+    readonly #sharing: SlotSharing;
+    #allotDue = 0;
     readonly #hedges: HedgeWatch;
     readonly #active = new Map<number, Pending>();
 
-    constructor(service: Service, share: Share, random: Random, now: number) {
+    constructor(service: Service, share: Share, random: Random, now: number, peers: Peers = noPeers) {
         this.#service = service;
         this.#random = random;
+        this.#sharing = new SlotSharing(peers);
         this.#chooser = makeChooser(service.chooser, random);
         this.#hedges = new HedgeWatch(service.hedgeBudget);
         this.follow(service, share, now);
@@ -59,7 +63,9 @@
             this.#chooser = makeChooser(service.chooser, this.#random);
         }
         this.#service = service;
-        this.#pool.follow(service, share);
+        this.#pool.follow(service);
+        this.#sharing.follow(service, share, now);
+        this.#allot(now);
         this.#hedges.follow(service.hedgeBudget);
         this.#drain(now);
     }
@@ -73,8 +79,19 @@
         for (const pending of this.#queue.expire(now)) {
             pending.subscriber.error(new CallError("deadline-queued"));
         }
+        const shareDue = this.#sharing.tick(this.#use(now), now);
+        if (now >= this.#allotDue) {
+            this.#allot(now);
+            this.#drain(now);
+        }
+        return Math.min(this.#queue.nextDeadline, this.#hedge(now), shareDue, now + idleTickMs);
+    }
+
+    /** Takes a message of another dispatcher of the service. */
+    receive(message: PeerMessage, now: number): void {
+        this.#sharing.receive(message, this.#use(now), now);
+        this.#allot(now);
         this.#drain(now);
-        return Math.min(this.#queue.nextDeadline, this.#hedge(now), now + idleTickMs);
     }
 
     view(now: number): DispatchView {
@@ -83,6 +100,17 @@
         return { service: this.#service.name, queued: this.#queue.size, inFlight, servers };
     }
 
+    #allot(now: number): void {
+        this.#allotDue = now + allotEveryMs;
+        this.#pool.allot(this.#sharing.allotment(now));
+    }
+
+    #use(now: number): SlotUse {
+        const waitedMs = now - (this.#queue.peek()?.queuedAt ?? now);
+        const { inFlight } = this.#pool;
+        return { inFlight, queued: this.#queue.size, waitedMs, idle: () => this.#pool.idleSlots(now) };
+    }
+
     #admit(pending: Pending, now: number): void {
         if (pending.call.deadlineAt <= now) {
             pending.subscriber.error(new CallError("deadline-queued"));
@@ -201,6 +229,11 @@
     readonly slots: Set<Slot>;
 }
 
+/** Used where no peers can be reached: every Ask stays unanswered. */
+const noPeers: Peers = { send: () => undefined };
+
+/** Time between two looks at which slots are ours, unless a peer sends word. */
+const allotEveryMs = 5;
 /** Longest time between two ticks. */
 const idleTickMs = 20;
 const noServerRetryMs = 500;
--- a/packages/dispatch/src/pool.ts
+++ b/packages/dispatch/src/pool.ts
@@ -6,7 +6,7 @@
 import { LatencyModel } from "./latency.js";
 import { ServerHealth } from "./health.js";
 import { ServerState } from "./server.js";
-import type { Call, ServerView, Share, Slot, SlotResult } from "./types.js";
+import type { Call, ServerView, Slot, SlotResult } from "./types.js";
 
 /** Servers of the accepted text, and those no longer in it that still work for us. */
 export class ServerPool {
@@ -21,10 +21,10 @@
         return [...this.#servers.values()];
     }
 
-    follow(service: Service, share: Share): void {
+    follow(service: Service): void {
         const before = this.#servers;
         this.#ejectShare = service.ejectShare;
-        this.#servers = new Map(service.servers.map((it, at) => [it.address, this.#adopt(it, at, share)]));
+        this.#servers = new Map(service.servers.map(it => [it.address, this.#adopt(it)]));
         for (const [address, state] of before) {
             if (!this.#servers.has(address) && state.inFlight > 0) {
                 this.#gone.set(address, state);
@@ -33,6 +33,24 @@
         this.leaving(this.#leaving);
     }
 
+    /** Sets how many slots of each server this dispatcher may use, by position in the accepted text. */
+    allot(owned: readonly number[]): void {
+        this.servers.forEach((it, position) => it.allot(owned[position] ?? 0));
+    }
+
+    /** Idle slots that may be used, one entry a slot: positions of their servers. */
+    idleSlots(now: number): readonly number[] {
+        const trusts = this.#trusts(0, now);
+        return this.servers.flatMap((it, position) => {
+            const idle = Math.max(0, limitOf(it, trusts, now) - it.inFlight);
+            return Array.from({ length: idle }, () => position);
+        });
+    }
+
+    get inFlight(): number {
+        return this.servers.reduce((sum, it) => sum + it.inFlight, 0);
+    }
+
     leaving(addresses: ReadonlySet<string>): void {
         this.#leaving = addresses;
         this.#servers.forEach((state, address) => state.markLeaving(addresses.has(address)));
@@ -143,14 +161,13 @@
         return this.#servers.get(address) ?? this.#gone.get(address);
     }
 
-    #adopt(server: BackendServer, at: number, share: Share): ServerState {
-        const owned = ownedSlots(server, at, share);
+    #adopt(server: BackendServer): ServerState {
         const known = this.#state(server.address);
         this.#gone.delete(server.address);
         if (!known) {
-            return new ServerState(server, owned, new ServerHealth(this.#latencies, this.#latencies.ready));
+            return new ServerState(server, new ServerHealth(this.#latencies, this.#latencies.ready));
         }
-        known.follow(server, owned);
+        known.follow(server);
         return known;
     }
 }
@@ -170,15 +187,6 @@
     return fresh.length > 0 ? fresh : states;
 };
 
-/** Slots of the service are dealt out in turn, so that each dispatcher gets some of most servers. */
-const ownedSlots = (server: BackendServer, at: number, share: Share): number => {
-    let owned = 0;
-    for (let slot = 0; slot < server.slots; slot++) {
-        owned += (at * server.slots + slot) % share.count === share.index ? 1 : 0;
-    }
-    return owned;
-};
-
 /** Requests sent ahead of a free slot, as a share of the slots. */
 /** Median latency above which a round trip is too little to send requests ahead for. */
 const aheadMedianMs = 40;
--- a/packages/dispatch/src/server.ts
+++ b/packages/dispatch/src/server.ts
@@ -9,7 +9,7 @@
 /** A backend server through one dispatcher: its slots in flight and what its answers have told. */
 export class ServerState {
     #server: BackendServer;
-    #owned: number;
+    #owned = 0;
     #leaving = false;
     #drainUntil = 0;
     #averageMs = 0;
@@ -19,11 +19,9 @@
     readonly #slots = new Set<Slot>();
     #reported: { readonly report: LoadReport; readonly at: number } | undefined;
 
-    /** @param owned how many of its slots this dispatcher may use */
-    constructor(server: BackendServer, owned: number, health: ServerHealth) {
+    constructor(server: BackendServer, health: ServerHealth) {
         this.#server = server;
         this.#health = health;
-        this.#owned = owned;
     }
 
     get server(): BackendServer {
@@ -73,8 +71,12 @@
         return this.#peakMs * Math.exp((this.#peakAt - now) / peakDecayMs);
     }
 
-    follow(server: BackendServer, owned: number): void {
+    follow(server: BackendServer): void {
         this.#server = server;
+    }
+
+    /** Sets how many of its slots this dispatcher may use. */
+    allot(owned: number): void {
         this.#owned = owned;
     }
 
--- /dev/null
+++ b/packages/dispatch/test/sharing.test.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { type PeerMessage, SlotSharing, type SlotUse } from "../src/sharing.js";
+import { makeService } from "./fixtures.js";
+
+const service = makeService(14, 2);
+
+const sum = (counts: readonly number[]): number => counts.reduce((a, b) => a + b, 0);
+
+const useOf = (more: Partial<SlotUse> = {}): SlotUse => ({
+    inFlight: 0,
+    queued: 0,
+    waitedMs: 0,
+    idle: () => [],
+    ...more,
+});
+
+const makePair = (): { sharings: readonly SlotSharing[]; sent: [number, PeerMessage][] } => {
+    const sent: [number, PeerMessage][] = [];
+    const sharings = [0, 1].map(index => {
+        const sharing = new SlotSharing({ send: (to, message) => sent.push([to, message]) });
+        sharing.follow(service, { index, count: 2 }, 0);
+        return sharing;
+    });
+    return { sharings, sent };
+};
+
+test("slots follow demand, and the shares of two that heard each other are disjoint", () => {
+    const { sharings, sent } = makePair();
+    for (let now = 0; now <= 1_000; now += 100) {
+        sharings[0]!.tick(useOf({ inFlight: 15 }), now);
+        sharings[1]!.tick(useOf({ inFlight: 5 }), now);
+        sent.splice(0).forEach(([to, message]) => sharings[to]!.receive(message, useOf(), now));
+    }
+    const [first, second] = sharings.map(it => it.allotment(1_000));
+    assert.equal(sum(first!), 21);
+    assert.equal(sum(second!), 7);
+    assert.ok(first!.every((count, at) => count + second![at]! === 2));
+});
+
+test("a peer that leaves an Ask unanswered gives up its slots, until it is heard again", () => {
+    const { sharings } = makePair();
+    sharings[0]!.tick(useOf({ inFlight: 14, queued: 1, waitedMs: 5 }), 100);
+    assert.equal(sum(sharings[0]!.allotment(101)), 14);
+    assert.equal(sum(sharings[0]!.allotment(120)), 28);
+    sharings[0]!.receive({ version: 1, kind: "hint", from: 1, demand: 12.6 }, useOf(), 121);
+    assert.ok(sum(sharings[0]!.allotment(122)) < 28);
+});
+
+test("idle slots are lent on demand, and a loan whose answer is lost ends by itself", () => {
+    const { sharings, sent } = makePair();
+    const before = sum(sharings[1]!.allotment(0));
+    sharings[1]!.receive({ version: 1, kind: "ask", from: 0 }, useOf({ idle: () => [0, 1, 2, 3] }), 1);
+    assert.equal(sum(sharings[1]!.allotment(2)), before - 2);
+    assert.equal(sum(sharings[1]!.allotment(100)), before);
+    const [to, loan] = sent.pop()!;
+    assert.equal(to, 0);
+    sharings[0]!.receive(loan, useOf(), 2);
+    assert.equal(sum(sharings[0]!.allotment(3)), 16);
+    assert.equal(sum(sharings[0]!.allotment(100)), 14);
+});
+
+test("a dispatcher whose own calls wait lends nothing but answers", () => {
+    const { sharings, sent } = makePair();
+    sharings[1]!.receive({ version: 1, kind: "ask", from: 0 }, useOf({ queued: 1, idle: () => [0, 1] }), 1);
+    assert.deepEqual(sent.pop()![1], { version: 1, kind: "loan", from: 1, servers: [], termMs: 50 });
+});
+
+test("whatever is lost or repeated, no server is allotted beyond its slots and silence heals", () => {
+    const step = fc.record({
+        afterMs: fc.integer({ min: 1, max: 200 }),
+        inFlight: fc.nat(28),
+        queued: fc.nat(3),
+        copies: fc.nat(2),
+    });
+    fc.assert(
+        fc.property(fc.array(step, { maxLength: 40 }), steps => {
+            const { sharings, sent } = makePair();
+            let now = 0;
+            for (const { afterMs, inFlight, queued, copies } of steps) {
+                now += afterMs;
+                const use = useOf({ inFlight, queued, waitedMs: queued * 5, idle: () => [0, 3, 3, 5] });
+                sharings.forEach(it => it.tick(use, now));
+                for (const [to, message] of sent.splice(0)) {
+                    Array.from({ length: copies }, () => sharings[to]!.receive(message, use, now));
+                }
+                sharings.forEach(it => assert.ok(it.allotment(now).every(count => count >= 0 && count <= 2)));
+            }
+            sharings.forEach(it => assert.equal(sum(it.allotment(now + 1_000)), 28));
+        }),
+        { seed: 4, numRuns: 200 },
+    );
+});
