--- a/packages/bench/src/child.ts
+++ b/packages/bench/src/child.ts
@@ -21,9 +21,8 @@
             stdio: ["ignore", "pipe", "pipe"],
         });
         this.exited = new Promise(resolve => this.#process.once("exit", code => resolve(code ?? -1)));
-        const kill = (): void => this.signal("SIGKILL");
-        process.once("exit", kill);
-        void this.exited.then(() => process.off("exit", kill));
+        running.add(this);
+        void this.exited.then(() => running.delete(this));
         for (const stream of [this.#process.stdout, this.#process.stderr]) {
             if (stream) {
                 createInterface({ input: stream }).on("line", line => this.#heard(line));
@@ -91,6 +90,10 @@
     }
 }
 
+const running = new Set<Child>();
+
+process.once("exit", () => running.forEach(child => child.signal("SIGKILL")));
+
 /** Path of a built script of a workspace package, such as ("entry", "bramleymoord"). */
 export const builtScript = (pkg: string, name: string): string =>
     new URL(`../../../${pkg}/dist/src/${name}.js`, import.meta.url).pathname;
--- /dev/null
+++ b/packages/bench/src/demo.ts
@@ -0,0 +1,129 @@
+/** The demo: the first deployment of the brief under a mixed load, with faults, judged by the servers' counts. */
+
+import { SeededRandom } from "@bramleymoor/dispatch/random";
+import { delay } from "./clock.js";
+import { Fleet } from "./fleet.js";
+import { ratibaDomains, RatibaServers, ratibaStreams } from "./ratiba.js";
+import { Traffic, type ServiceTally, type TrafficResult } from "./traffic.js";
+
+const entryCount = 5;
+const ttlMs = 1_000;
+const phaseMs = 5_000;
+const probeCostMs = 6;
+const runMs = 4 * phaseMs;
+const slotsOf: Readonly<Record<string, number>> = {
+    "stops-lookup": 28,
+    "publish-desk": 16,
+    "bulk-export": 12,
+    "notice-desk": 12,
+};
+
+const say = (text: string): void => console.log(text);
+
+const row = (cells: readonly (string | number)[]): string =>
+    cells.map((cell, i) => (i === 0 ? String(cell).padEnd(14) : String(cell).padStart(10))).join("");
+
+const ms = (tally: ServiceTally, percentile: number): string =>
+    (tally.latencies.getValueAtPercentile(percentile) / 1_000).toFixed(1);
+
+const report = async (fleet: Fleet, servers: RatibaServers, result: TrafficResult): Promise<void> => {
+    const hedges = await hedgesOf(fleet);
+    say(
+        row([
+            "service",
+            "calls",
+            "answered",
+            "p50 ms",
+            "p99 ms",
+            "hedges",
+            "measuring",
+            "refused",
+            "lost",
+            "cut",
+        ]),
+    );
+    for (const tally of result.services) {
+        const probes = await servers.probes(tally.service);
+        const share = (probes * probeCostMs) / (runMs * (slotsOf[tally.service] ?? 1));
+        const measuring = `${(100 * share).toFixed(3)}%`;
+        const hedged = hedges.get(tally.service) ?? 0;
+        const { service, calls, answered, notRun, unknown, cut } = tally;
+        say(
+            row([
+                service,
+                calls,
+                answered,
+                ms(tally, 50),
+                ms(tally, 99),
+                hedged,
+                measuring,
+                notRun,
+                unknown,
+                cut,
+            ]),
+        );
+    }
+    say(
+        `lost ${result.lost}, doubled ${result.doubled}, cut ${result.cut}, ` +
+            `told "not run" and ran ${result.falseNotRun}, somebody else's answer ${result.foreign}`,
+    );
+};
+
+const hedgesOf = async (fleet: Fleet): Promise<ReadonlyMap<string, number>> => {
+    const hedges = new Map<string, number>();
+    for (const entry of fleet.entries) {
+        const text = await entry.text("/metrics").catch(() => "");
+        for (const [, service = "", count = "0"] of text.matchAll(
+            /bm_hedged_calls_total\{service="([^"]+)"\} (\d+)/g,
+        )) {
+            hedges.set(service, (hedges.get(service) ?? 0) + Number(count));
+        }
+    }
+    return hedges;
+};
+
+const run = async (): Promise<number> => {
+    say("Starting the platform's stand-in, 34 backend servers and 5 entry VMs.");
+    const fleet = await Fleet.start();
+    try {
+        const servers = await RatibaServers.start(fleet);
+        fleet.startEntries(entryCount, ratibaDomains, ttlMs);
+        await fleet.list();
+        await fleet.publish(servers.text(), 0, "demo-1");
+        await Promise.all(fleet.entries.map(entry => entry.ready()));
+        say("Version 1 is in force on all entry VMs; sending calls for 20 s.");
+        const entries = fleet.entries.map(entry => entry.callers);
+        const traffic = new Traffic(ratibaStreams, entries, new SeededRandom(1));
+        const sending = traffic.run();
+        await faults(fleet, servers);
+        await traffic.stop();
+        await sending;
+        const result = traffic.result(await servers.runs());
+        await report(fleet, servers, result);
+        for (const failure of traffic.failures) {
+            say(`  ${failure}`);
+        }
+        const { lost, doubled, cut, falseNotRun, foreign } = result;
+        return lost + doubled + cut + falseNotRun + foreign === 0 ? 0 : 1;
+    } finally {
+        await fleet.stop();
+    }
+};
+
+const faults = async (fleet: Fleet, servers: RatibaServers): Promise<void> => {
+    const stops = servers.of("stops-lookup");
+    await delay(phaseMs);
+    say("A server of stops-lookup starts to drain.");
+    await stops.turn({ draining: true }, stops.ports[0]);
+    await delay(phaseMs);
+    say("Another one fails fast: it answers 500 at once.");
+    await stops.turn({ failFast: true }, stops.ports[1]);
+    await delay(phaseMs);
+    const [stopped] = fleet.entries;
+    say(`Entry VM ${stopped?.options.id} gets SIGTERM, a planned stop.`);
+    const gone = stopped?.child.stop();
+    await delay(phaseMs);
+    say(`Entry VM ${stopped?.options.id} has ended with status ${await gone}.`);
+};
+
+process.exitCode = await run();
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -69,11 +69,16 @@
         this.#child = this.#start();
     }
 
-    /** Asks the operators' port. */
+    /** Asks the operators' port for JSON. */
     async ask<T>(path: string): Promise<T> {
+        return JSON.parse(await this.text(path)) as T;
+    }
+
+    /** Asks the operators' port. */
+    async text(path: string): Promise<string> {
         const headers = { authorization: `Bearer ${fleetKey}` };
         const res = await fetch(`http://${this.operators}${path}`, { headers });
-        return (await res.json()) as T;
+        return await res.text();
     }
 }
 
