Measure 19 entry processes in concert

Adds `measure concert`: 19 real entry processes, 34 backend servers and the platform's stand-in; control traffic at rest, 20 publications 400 ms apart, a server that leaves by text, a rolling replacement of all entry VMs, each while calls run, judged by the servers' counts.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -3,6 +3,7 @@
 import { Command } from "commander";
 import { addedCommand } from "./added.js";
 import { checkpointsCommand } from "./checkpointcost.js";
+import { concertCommand } from "./concert.js";
 import { configCommand } from "./configcost.js";
 import { onceCommand } from "./oncecost.js";
 import { policyCommand } from "./policy.js";
@@ -11,6 +12,7 @@
 
 const program = new Command("measure");
 program.addCommand(addedCommand());
+program.addCommand(concertCommand());
 program.addCommand(configCommand());
 program.addCommand(checkpointsCommand());
 program.addCommand(onceCommand());
