--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -52,13 +52,6 @@
             const how = "Give --platform URL, or a line platform = URL in the settings file.";
             throw new CliError("usage", `The platform's address isn't known. ${how}`);
         }
-        try {
-            return new HttpPlatform(url);
-        } catch (err) {
-            throw new CliError(
-                "usage",
-                `--platform ${url} isn't a URL such as http://192.0.2.1:7000: ${String(err)}`,
-            );
-        }
+        return new HttpPlatform(url);
     }
 }
--- a/packages/cli/src/settings.ts
+++ b/packages/cli/src/settings.ts
@@ -35,12 +35,12 @@
  */
 export const readSettings = (flags: SettingsFlags): Settings => {
     const file = readFile(flags);
-    const entries = flags.entry ?? file.entries;
-    const keyFile = flags.keyFile ?? file.keyFile;
+    const given = readFlags(flags);
+    const keyFile = given.keyFile ?? file.keyFile;
     return {
-        platform: flags.platform ?? file.platform,
-        entries,
-        key: keyFile === undefined ? undefined : readText(keyFile, "key file").trim(),
+        platform: given.platform ?? file.platform,
+        entries: given.entries.length > 0 ? given.entries : file.entries,
+        key: keyFile === undefined ? undefined : readKey(keyFile),
     };
 };
 
@@ -53,6 +53,33 @@
     }
 };
 
+const readKey = (path: string): string => {
+    const key = readText(path, "key file").trim();
+    if (key === "") {
+        throw new CliError("usage", `The key file ${path} is empty.`);
+    }
+    return key;
+};
+
+/** Flags are held to the same rules as the file. */
+const readFlags = (flags: SettingsFlags): FileSettings => {
+    const line = 1;
+    const entries = [
+        ...(flags.platform === undefined ? [] : [{ key: "platform", value: flags.platform, line }]),
+        ...(flags.entry ?? []).map(value => ({ key: "entry", value, line })),
+        ...(flags.keyFile === undefined ? [] : [{ key: "key-file", value: flags.keyFile, line }]),
+    ];
+    const errors: TextError[] = [];
+    const settings = readSection({ name: "", line, entries }, errors);
+    if (errors.length > 0) {
+        const lines = errors.map(
+            ({ read, wanted, mend }) => `flags: read "${read}"; wanted ${wanted}. ${mend}`,
+        );
+        throw new CliError("usage", lines.join("\n"));
+    }
+    return settings;
+};
+
 interface FileSettings {
     readonly platform: string | undefined;
     readonly entries: readonly string[];
@@ -111,8 +138,19 @@
         readFileSync(path);
         return true;
     } catch (err) {
-        return reasonOf(err) !== "ENOENT";
+        return reasonOf(err) !== noSuchFile;
     }
 };
 
-const reasonOf = (err: unknown): string => (err as NodeJS.ErrnoException).code ?? String(err);
+const reasonOf = (err: unknown): string => {
+    const code = (err as NodeJS.ErrnoException).code ?? String(err);
+    return fileReasons[code] ?? code;
+};
+
+const noSuchFile = "there is no such file";
+
+const fileReasons: Readonly<Record<string, string>> = {
+    ENOENT: noSuchFile,
+    EACCES: "you may not read it",
+    EISDIR: "it is a directory",
+};
--- a/packages/cli/test/entries.test.ts
+++ b/packages/cli/test/entries.test.ts
@@ -132,6 +132,28 @@
     assert.match(lines[0]!, /Did you mean "entry"\?/);
 });
 
+test("flags are held to the same rules, and a missing or empty file is told plainly", async () => {
+    const bad = await run([
+        "status",
+        "--entry",
+        "entry-1:80",
+        "--platform",
+        "https://x",
+        "--key-file",
+        fileWith(key),
+    ]);
+    assert.equal(bad.code, exitCodes.usage);
+    assert.match(bad.err, /read "entry-1:80"; wanted the IP number/);
+    assert.match(bad.err, /read "https:\/\/x"; wanted a URL such as/);
+    const empty = await run(["status", "--entry", "127.0.0.1:1", "--key-file", fileWith("\n")]);
+    assert.match(empty.err, /^The key file .* is empty\.\n$/);
+    const missing = await run(["check", "/no/such/file"]);
+    assert.deepEqual(
+        [missing.code, missing.err],
+        [2, "The text /no/such/file can't be read: there is no such file.\n"],
+    );
+});
+
 test("colour and rewriting of lines are for terminals only, and NO_COLOR is heeded", async t => {
     const flags = flagsOf([await entryFor(t, answers)]);
     const args = ["explain", "stops-lookup", ...flags];
--- a/packages/model/src/text.ts
+++ b/packages/model/src/text.ts
@@ -89,7 +89,7 @@
                 this.errors.push(textError(line, `[${name}]`, "a class of a service of this text", mend));
             }
         }
-        if (services.size === 0) {
+        if (services.size === 0 && this.errors.length === 0) {
             const mend = "Add a section [service NAME] with a line server = IP:PORT.";
             this.errors.push(textError(1, "no service", "at least one service", mend));
         }
