--- a/packages/bench/src/configcost.ts
+++ b/packages/bench/src/configcost.ts
@@ -17,7 +17,7 @@
 const serversPerService = 24;
 const changesPerDay = 7300;
 const secondsPerDay = 86_400;
-const secondsPerPoll = 20;
+const secondsPerPoll = 5;
 const secondsPerPeerAsk = 2;
 const peersAsked = 2;
 
--- /dev/null
+++ b/packages/bench/src/cutoff.ts
@@ -0,0 +1,128 @@
+/** The `cutoff` measurement: how soon a version is in force where the path to the log hangs. */
+
+import { Follower } from "@bramleymoor/config/follower";
+import type { Offer, PeerQuestion } from "@bramleymoor/config/peers";
+import { publish } from "@bramleymoor/config/publisher";
+import { MemoryPlatform } from "@bramleymoor/platform/memory";
+import { VirtualTime } from "@bramleymoor/platform/virtual";
+import { Command } from "commander";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { FaultyLog } from "./faultylog.js";
+
+const betweenMs = 12_000;
+const stepMs = 50;
+
+/** One row of the table. */
+interface CutoffRow {
+    readonly nodes: number;
+    /** Entry VMs whose calls to the log get no answer. */
+    readonly cut: number;
+    readonly versions: number;
+    /** From publication to in force on a cut-off entry VM, in milliseconds. */
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    readonly maxMs: number;
+    /** Share of these times above 4 s. */
+    readonly late: number;
+}
+
+/** The `cutoff` subcommand. */
+export const cutoffCommand = (): Command =>
+    new Command("cutoff")
+        .description("how soon a version is in force where the path to the log hangs, on virtual time")
+        .option("--versions <count>", "versions published", "100")
+        .option("--seed <number>", "seed of the random numbers", "1")
+        .action(async (options: { readonly versions: string; readonly seed: string }) => {
+            const rows: CutoffRow[] = [];
+            for (const cut of [1, 6, 12]) {
+                const fleet = new CutoffFleet(19, cut, Number(options.seed));
+                rows.push(await fleet.run(Number(options.versions)));
+            }
+            console.table(rows);
+            process.stdout.write(`${JSON.stringify({ rows })}\n`);
+        });
+
+class CutoffFleet {
+    readonly #time = new VirtualTime();
+    readonly #platform = new MemoryPlatform({ now: () => this.#time.now(), sleep: this.#time.sleep });
+    readonly #logs: readonly FaultyLog[];
+    readonly #followers: readonly Follower[];
+    readonly #cut: number;
+    readonly #random: () => number;
+
+    constructor(nodes: number, cut: number, seed: number) {
+        const generator = xoroshiro128plus(seed);
+        this.#random = () => uniformFloat64(generator);
+        this.#cut = cut;
+        this.#logs = Array.from({ length: nodes }, () => new FaultyLog(this.#platform, []));
+        this.#followers = this.#logs.map(log => this.#follower(log));
+    }
+
+    async run(versions: number): Promise<CutoffRow> {
+        const stops = this.#followers.map(() => new AbortController());
+        this.#followers.forEach((follower, index) => void follower.run(stops[index]!.signal));
+        await this.#publish(0);
+        await this.#time.advance(betweenMs);
+        this.#logs.slice(0, this.#cut).forEach(log => log.setPaused(true));
+        await this.#time.advance(2 * betweenMs);
+        const times: number[] = [];
+        for (let number = 1; number <= versions; number++) {
+            times.push(...(await this.#spread(number)));
+        }
+        stops.forEach(stop => stop.abort());
+        const sorted = times.toSorted((a, b) => a - b);
+        const quantile = (share: number): number => sorted[Math.ceil(share * sorted.length) - 1] ?? 0;
+        return {
+            nodes: this.#followers.length,
+            cut: this.#cut,
+            versions,
+            p50Ms: quantile(0.5),
+            p99Ms: quantile(0.99),
+            maxMs: quantile(1),
+            late: times.filter(ms => ms > 4000).length / times.length,
+        };
+    }
+
+    /** Publishes, and answers how long each cut-off entry VM took. */
+    async #spread(base: number): Promise<readonly number[]> {
+        await this.#publish(base);
+        const start = this.#time.now();
+        const times = new Map<Follower, number>();
+        while (this.#time.now() - start < betweenMs) {
+            await this.#time.advance(stepMs);
+            for (const follower of this.#followers.slice(0, this.#cut)) {
+                if (follower.current?.number === base + 1 && !times.has(follower)) {
+                    times.set(follower, this.#time.now() - start);
+                }
+            }
+        }
+        return this.#followers.slice(0, this.#cut).map(follower => times.get(follower) ?? betweenMs);
+    }
+
+    async #publish(base: number): Promise<void> {
+        const text = `[service a]\nserver = 10.0.0.${(base % 250) + 1}:80\n`;
+        const result = await publish(this.#platform, text, base, { id: `p${base}`, random: this.#random });
+        if (result.kind !== "accepted") {
+            throw new Error(`version ${base + 1} was not accepted: ${result.kind}`);
+        }
+    }
+
+    #follower(log: FaultyLog): Follower {
+        const ask = async (question: PeerQuestion, count: number): Promise<readonly Offer[]> => {
+            const offers = this.#pick(count).map(peer => peer.answer(question));
+            return offers.filter(offer => offer !== undefined);
+        };
+        const common = { random: this.#random, sleep: this.#time.sleep, events: () => {} };
+        const follower: Follower = new Follower({ ...common, log, peers: { ask } });
+        return follower;
+    }
+
+    #pick(count: number): readonly Follower[] {
+        const keyed = this.#followers.map(follower => ({ follower, key: this.#random() }));
+        return keyed
+            .toSorted((a, b) => a.key - b.key)
+            .slice(0, count)
+            .map(({ follower }) => follower);
+    }
+}
--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -11,7 +11,7 @@
 import { snapshotOf, type Snapshot } from "./snapshot.js";
 import { grammars as ownGrammars, type Accepted, type Grammars } from "./version.js";
 
-const pollMs = 20_000;
+const pollMs = 5000;
 const batchRecords = 32;
 const firstRetryMs = 200;
 const maxRetryMs = 2000;
@@ -19,6 +19,10 @@
 const askEveryMs = 2000;
 const askedPeers = 2;
 const askedPeersFresh = 5;
+const askEveryUnsureMs = 1000;
+const askedPeersUnsure = 3;
+/** More questions to peers than fit between two answers of a log that is up. */
+const unsureAfterAsks = 6;
 
 /** What a follower is made of. */
 export interface FollowerOptions {
@@ -53,6 +57,7 @@
     readonly #changes = new Subject<Accepted>();
     #ready = false;
     #logUp = true;
+    #asksSinceAnswer = 0;
     #progress: Progress | "starting" = "starting";
     #current: Accepted | undefined;
 
@@ -119,17 +124,25 @@
 
     async #followPeers(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.#sleep(askEveryMs * (0.5 + this.#random()), signal);
+            const everyMs = this.#isUnsure() ? askEveryUnsureMs : askEveryMs;
+            await this.#sleep(everyMs * (0.5 + this.#random()), signal);
             if (this.#ready && !signal.aborted) {
-                await this.#askPeers(askedPeers);
+                await this.#askPeers(this.#isUnsure() ? askedPeersUnsure : askedPeers);
+                this.#asksSinceAnswer++;
             }
         }
     }
 
+    /** Tells whether the log is down, or hasn't answered for so long that the path to it may hang. */
+    #isUnsure(): boolean {
+        return !this.#logUp || this.#asksSinceAnswer >= unsureAfterAsks;
+    }
+
     /** Reads once, and tells whether the log is being followed. */
     async #readLog(signal: AbortSignal): Promise<boolean> {
         try {
             await this.#readBatch(signal);
+            this.#asksSinceAnswer = 0;
             this.#setLogUp(true);
             return this.#progress === "judged";
         } catch (err) {
