Close idle connections at a planned stop by looking at what has gone out

Node's closing of idle connections takes an answer for over once its last byte was handed over, so the tail that a slow reader has not got could be cut; and it looks once only, so a kept connection whose download ended after that look held the stop up until the idle timeout. The callers' connections are followed now, and closed when two looks found nothing left to send and nothing come. The test of the kept connection did not end within 15 s before this change; the cut tail was not reproduced (60 sizes tried), it follows from Node's documented conditions.

--- /dev/null
+++ b/packages/proxy/src/connections.ts
@@ -0,0 +1,53 @@
+/** The callers' connections, so that a planned stop closes just those that are idle. */
+
+import type { ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
+
+interface Connection {
+    answer: ServerResponse | undefined;
+    /** Bytes read when it was last seen idle. */
+    idleAt: number | undefined;
+}
+
+/**
+ * Open connections with the latest answer of each. Node's own closeIdleConnections counts an answer as over when
+ * its last byte was handed over, which is before a slow reader has got it.
+ */
+export class Connections {
+    readonly #open = new Map<Duplex, Connection>();
+
+    /** Follows a connection until it closes. */
+    opened(socket: Socket): void {
+        this.#open.set(socket, { answer: undefined, idleAt: undefined });
+        socket.once("close", () => this.#open.delete(socket));
+    }
+
+    /** Tells that a request has come, and where its answer goes. */
+    answering(socket: Socket, answer: ServerResponse): void {
+        const connection = this.#open.get(socket);
+        if (connection) {
+            connection.answer = answer;
+        }
+    }
+
+    /** The connection's latest answer, if it isn't out whole. */
+    unfinished(socket: Duplex): ServerResponse | undefined {
+        const answer = this.#open.get(socket)?.answer;
+        return answer && !answer.writableFinished ? answer : undefined;
+    }
+
+    /** Closes the connections that were idle at the last look and on which nothing has come since. */
+    closeIdle(): void {
+        for (const [socket, connection] of this.#open) {
+            const { bytesRead } = socket as Socket;
+            if (this.unfinished(socket)) {
+                connection.idleAt = undefined;
+            } else if (connection.idleAt === bytesRead) {
+                (socket as Socket).destroySoon();
+            } else {
+                connection.idleAt = bytesRead;
+            }
+        }
+    }
+}
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -1,12 +1,13 @@
 /** The HTTP server for callers. */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { Server as NetServer, type AddressInfo, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { addressesPrefix, callPrefix } from "@bramleymoor/protocol/headers";
 import { CallError } from "@bramleymoor/protocol/kinds";
 import { answerError, answerJson, asCallError, rawError } from "./answers.js";
 import { BackendClient } from "./backend.js";
+import { Connections } from "./connections.js";
 import { Retries } from "./retries.js";
 import { defaultLimits, type CallLimits, type CallParts } from "./services.js";
 import { Sweep } from "./sweep.js";
@@ -18,8 +19,7 @@
     readonly #limits: CallLimits;
     readonly #server: Server;
     readonly #running = new Set<Promise<void>>();
-    /** Latest answer of each connection. */
-    readonly #answers = new WeakMap<Duplex, ServerResponse>();
+    readonly #connections = new Connections();
     #lastId = 0;
     #stopping = false;
 
@@ -60,9 +60,13 @@
     async stop(drainMs: number): Promise<void> {
         this.#stopping = true;
         await new Promise(resolve => setTimeout(resolve, drainMs));
-        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
-        this.#server.closeIdleConnections();
+        // The HTTP server's own close would cut what a slow reader has not got yet.
+        const closed = new Promise<void>(resolve =>
+            NetServer.prototype.close.call(this.#server, () => resolve()),
+        );
+        const looking = setInterval(() => this.#connections.closeIdle(), idleLookMs);
         await closed;
+        clearInterval(looking);
         await Promise.all(this.#running);
         this.#parts.client.close();
     }
@@ -77,6 +81,7 @@
             requestTimeout: 0,
             noDelay: true,
         });
+        server.on("connection", (socket: Socket) => this.#connections.opened(socket));
         server.maxConnections = limits.callerConnections;
         server.maxHeadersCount = 0;
         server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#take(req, res));
@@ -90,7 +95,7 @@
     }
 
     #take(req: IncomingMessage, res: ServerResponse): void {
-        this.#answers.set(req.socket, res);
+        this.#connections.answering(req.socket, res);
         const problem = headProblem(req);
         if (problem !== undefined) {
             answerError(res, new CallError("bad-request", problem), closing);
@@ -123,19 +128,20 @@
     #badRequest(err: NodeJS.ErrnoException, socket: Duplex): void {
         const code = err.code ?? "unknown";
         this.#parts.observer.badRequest(code, (socket as Socket).remoteAddress ?? "");
-        const answer = this.#answers.get(socket);
+        const answer = this.#connections.unfinished(socket);
         // Mid-request, "not run" could be false: break the connection without an answer.
         if (!socket.writable || code === "ECONNRESET" || (answer && !answer.writableEnded)) {
             socket.destroy();
             return;
         }
-        if (answer && !answer.writableFinished) {
+        if (answer) {
             return;
         }
         socket.end(rawError(new CallError("bad-request", badRequestTexts[code] ?? ""), "Bad Request"));
     }
 }
 
+const idleLookMs = 50;
 const sweepPeriodMs = 10;
 const maxHeaders = 200;
 const checkIntervalMs = 5000;
--- a/packages/proxy/test/stop.test.ts
+++ b/packages/proxy/test/stop.test.ts
@@ -3,9 +3,9 @@
 import { test } from "node:test";
 import { ask, order, stage, until } from "./setup.js";
 
-const download = (port: number): Promise<IncomingMessage> =>
+const download = (port: number, agent: Agent | false = false): Promise<IncomingMessage> =>
     new Promise((resolve, reject) => {
-        get({ port, path: "/v1/call/desk/list", agent: false }, resolve).on("error", reject);
+        get({ port, path: "/v1/call/desk/list", agent }, resolve).on("error", reject);
     });
 
 const lengthOf = async (res: IncomingMessage): Promise<number> => {
@@ -43,6 +43,17 @@
     await assert.rejects(ask(proxy.port, { agent }));
 });
 
+test("a kept connection is closed when its last answer is out, and doesn't hold the stop up", async t => {
+    const { proxy } = await stage(t, [{ answerBytes: 5_000_000 }], { limits: { callerIdleMs: 3_600_000 } });
+    const agent = new Agent({ keepAlive: true });
+    t.after(() => agent.destroy());
+    const running = await download(proxy.port, agent);
+    running.pause();
+    const stop = proxy.server.stop(0);
+    assert.equal(await lengthOf(running), 5_000_000);
+    await stop;
+});
+
 test("a stop waits for an order in flight and for a duplicate of it", async t => {
     const { proxy, backends } = await stage(t, [{ serviceMs: 50 }]);
     const ticket = proxy.ticket();
@@ -71,3 +82,16 @@
     assert.equal(await lengthOf(running), bytes);
     assert.equal(first.counts.ranWhileDraining, 0);
 });
+
+test("answers that are written but not yet read, of whatever size, come whole", async t => {
+    const sizes = Array.from({ length: 60 }, (_, i) => 2_000_000 + i * 65_536);
+    const stages = await Promise.all(sizes.map(bytes => stage(t, [{ answerBytes: bytes }])));
+    const answers = await Promise.all(stages.map(({ proxy }) => download(proxy.port)));
+    answers.forEach(answer => answer.pause());
+    await new Promise(resolve => setTimeout(resolve, 300));
+    const stops = stages.map(({ proxy }) => proxy.server.stop(0));
+    await new Promise(resolve => setTimeout(resolve, 300));
+    const lengths = answers.map(answer => lengthOf(answer).catch(() => -1));
+    assert.deepEqual(await Promise.all(lengths), sizes);
+    await Promise.all(stops);
+});
