Let all entry VMs start at once through two seeds

With 256 entry VMs started together each knew 147 of the others after 60 s, and with 1,024 the seeds' allowance was spent at once and their replies were empty. Ending long replies at the first agreement was ruled out, since newcomers agree on partial lists.

--- a/packages/bench/test/membership.test.ts
+++ b/packages/bench/test/membership.test.ts
@@ -147,3 +147,10 @@
     await net.run(1000);
     assertAgreed(net);
 });
+
+test("64 entry VMs that start at once through two seeds all know each other within 20 s", async () => {
+    const net = new GossipNet(11);
+    net.startAll(64);
+    await net.run(20_000);
+    assertAgreed(net);
+});
--- a/packages/membership/src/allowance.ts
+++ b/packages/membership/src/allowance.ts
@@ -23,7 +23,8 @@
         return Math.max(0, this.#bytes);
     }
 
+    /** Spends bytes; a debt is no larger than what may be saved up. */
     spend(bytes: number): void {
-        this.#bytes -= bytes;
+        this.#bytes = Math.max(-this.#most, this.#bytes - bytes);
     }
 }
--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/exchange.ts
@@ -22,11 +22,14 @@
 const frameBytes = 250;
 const shortPageCount = 2;
 const fewChanges = 4;
+const leastPageBytes = 250;
+const learningReplies = 100;
+const learnedAgreements = 4;
 const newsBytesPerSecond = 700;
 const newsBytesSaved = 6000;
 const helpBytesSpare = 2000;
 const helpBytes = 1500;
-const joinBytesPerSecond = 2000;
+const joinBytesPerSecond = 16_000;
 
 /** One side of the messages: fills them with what peers may not know, and takes theirs in. */
 export class Exchange {
@@ -35,6 +38,11 @@
     readonly #news: Allowance;
     readonly #joins: Allowance;
     #joined = false;
+    /** Whether this entry VM has most probably read all that its peers know. */
+    #learned = false;
+    #replies = 0;
+    /** Replies in a row with our own digest. */
+    #agreements = 0;
     /** Where the peers' lists have been read up to. */
     #after = "";
 
@@ -68,7 +76,7 @@
     message(target: MemberRecord | undefined, now: number): GossipMessage {
         const doubted = target && target.health !== "alive" ? [packHealth(target)] : [];
         const records = [...doubted, ...this.#changes(now)];
-        return { ...this.#frame(), records, after: this.#after, joining: !this.#joined };
+        return { ...this.#frame(), records, after: this.#after, joining: !this.#learned };
     }
 
     /** Spends the bytes of asking one helper to ping a member; false if they are better spent on news. */
@@ -87,7 +95,8 @@
         const first = [...this.#correction(unpack(message.from)), ...this.#changes(now)];
         const purse = message.joining && !agreed ? this.#joins : this.#news;
         const most = message.joining && !agreed ? joinBytes : messageBytes;
-        const left = Math.min(purse.left(now), most - frameBytes - sizeOf(first));
+        const affordable = Math.max(purse.left(now), leastPageBytes);
+        const left = Math.min(affordable, most - frameBytes - sizeOf(first));
         const short = agreed || (first.length > fewChanges && !message.joining);
         const page = this.#beliefs.roster.page(message.after, left, short ? shortPageCount : Infinity);
         purse.spend(sizeOf(page.records));
@@ -103,7 +112,11 @@
     takeReply(reply: GossipReply, now: number): void {
         this.#after = reply.next;
         this.#take(reply, now);
-        if (reply.digest === this.#beliefs.roster.digest) {
+        const agreed = reply.digest === this.#beliefs.roster.digest;
+        this.#replies++;
+        this.#agreements = agreed ? this.#agreements + 1 : 0;
+        this.#learned ||= this.#replies > learningReplies || this.#agreements >= learnedAgreements;
+        if (agreed) {
             this.#joined = true;
             this.#beliefs.roster.agreed();
         }
