Carry slot messages between dispatchers, and keep a small service's callers at one

The dispatchers' hints, asks and loans travel as signed datagrams on the peers' port number: as trpc calls of 450 bytes of heads ten times a second they could not fit 4 KB/s, and an ask wants its answer in 6 ms.

--- a/packages/entry/src/hosted.ts
+++ b/packages/entry/src/hosted.ts
@@ -2,7 +2,8 @@
 
 import type { Random } from "@bramleymoor/dispatch/random";
 import { ServiceDispatcher } from "@bramleymoor/dispatch/dispatcher";
-import type { Dispatcher, Share } from "@bramleymoor/dispatch/types";
+import type { PeerMessage, Peers } from "@bramleymoor/dispatch/sharing";
+import type { Share } from "@bramleymoor/dispatch/types";
 import type { Service } from "@bramleymoor/model/spec";
 import type { ProbeSettings } from "@bramleymoor/probing/budget";
 import { Prober } from "@bramleymoor/probing/prober";
@@ -10,9 +11,17 @@
 
 const msPerSecond = 1_000;
 
+/** What every hosted service needs from the rest of the process. */
+export interface HostedParts {
+    readonly probing: ProbeSettings;
+    readonly random: Random;
+    /** Sends a message to another dispatcher of the service, named by its place; may lose it. */
+    readonly sendToDispatcher: (service: string, to: number, message: PeerMessage) => void;
+}
+
 /** A service under dispatch in this process. */
 export class Hosted {
-    readonly dispatcher: Dispatcher;
+    readonly dispatcher: MeasuredDispatcher;
     readonly prober: Prober;
     #service: Service;
     #share: Share;
@@ -20,12 +29,15 @@
     #ratedAt: number;
     #rate = 0;
 
-    constructor(service: Service, share: Share, probing: ProbeSettings, random: Random, now: number) {
+    constructor(service: Service, share: Share, parts: HostedParts, now: number) {
         this.#service = service;
         this.#share = share;
         this.#ratedAt = now;
-        this.prober = new Prober(probing, service, now);
-        const inner = new ServiceDispatcher(service, share, random, now);
+        this.prober = new Prober(parts.probing, service, now);
+        const peers: Peers = {
+            send: (to, message) => parts.sendToDispatcher(service.name, to, message),
+        };
+        const inner = new ServiceDispatcher(service, share, parts.random, now, peers);
         this.dispatcher = new MeasuredDispatcher(inner, service, (address, at) =>
             this.prober.heard(address, at),
         );
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -3,6 +3,7 @@
 import { randomBytes } from "node:crypto";
 import { Checkpointer } from "@bramleymoor/config/checkpointer";
 import { Follower } from "@bramleymoor/config/follower";
+import type { PeerMessage } from "@bramleymoor/dispatch/sharing";
 import { SeededRandom, type Random } from "@bramleymoor/dispatch/random";
 import { Membership, membershipDefaults } from "@bramleymoor/membership/membership";
 import type { EntryVm } from "@bramleymoor/model/vm";
@@ -25,11 +26,14 @@
 import { Probes } from "./probes.js";
 import { Report } from "./report.js";
 import { ServiceTable } from "./services.js";
+import { SlotChannel } from "./slotchannel.js";
 import type { Endpoint, Settings } from "./settings.js";
 import { Watch } from "./watch.js";
 
 const peerTimeoutMs = 1_000;
 const newcomerMs = 10_000;
+/** Requests in flight and queued below which a dispatcher's demand is not told to the others. */
+const leastToldDemand = 0.05;
 const leaveSpreadMs = 3_000;
 const onceKeepBytes = 16_384;
 const onceKeptBytes = 16 * 1024 * 1024;
@@ -37,7 +41,11 @@
 const ticketKeyBytes = 32;
 
 /** The platform as an entry process uses it. */
-export type Platform = LogService & VmList;
+export type Platform = LogService &
+    VmList & {
+        /** Bytes sent to it and received from it so far; undefined for one in memory. */
+        readonly bytes?: number;
+    };
 
 /** Where a node listens, as "IP:port". */
 export interface NodeAddresses {
@@ -59,6 +67,7 @@
     readonly #once: OnceTable;
     readonly #client: PeerClient;
     readonly #probes: Probes;
+    readonly #slotChannel: SlotChannel;
     readonly #services: ServiceTable;
     readonly #callServer: CallServer;
     readonly #peerServer: PeerServer;
@@ -94,6 +103,9 @@
             this.#watch.probed(service, serverMs, bytes),
         );
         this.#services = this.#makeServices();
+        this.#slotChannel = new SlotChannel(sharedKey, datagram =>
+            this.#services.fromDispatcher(datagram, monotonicMs()),
+        );
         this.#callServer = this.#makeCallServer();
         this.#peerServer = new PeerServer(
             () => this.#peering,
@@ -106,7 +118,11 @@
             members: () => this.members,
             services: this.#services,
             metrics: this.#metrics,
-            controlBytes: () => this.#peerServer.bytes + this.#client.bytes,
+            controlBytes: () =>
+                this.#peerServer.bytes +
+                this.#client.bytes +
+                this.#slotChannel.bytes +
+                (this.#platform.bytes ?? 0),
             clock: monotonicMs,
         });
         this.#operatorsServer = new OperatorsServer(report, key);
@@ -157,6 +173,7 @@
         this.#ended.abort();
         this.#client.close();
         this.#probes.close();
+        this.#slotChannel.close();
         await Promise.all([this.#peerServer.close(), this.#operatorsServer.close()]);
         this.#events.emit("stopped", { cut: this.#callServer.inFlight });
     }
@@ -172,30 +189,45 @@
         const { callers, operators, peers } = this.#settings.ports;
         const on = async (server: { listen(port: number, host: string): Promise<number> }, at: Endpoint) =>
             `${at.host}:${await server.listen(at.port, at.host)}`;
-        return {
+        const addresses = {
             callers: await on(this.#callServer, callers),
             operators: await on(this.#operatorsServer, operators),
             peers: await on(this.#peerServer, peers),
         };
+        await this.#slotChannel.listen(portOf(addresses.peers), peers.host);
+        return addresses;
     }
 
     #makeServices(): ServiceTable {
         return new ServiceTable({
             self: () => this.#vm,
             ttlMs: this.#settings.callers["ttl-ms"],
-            probing: {
-                ...probeDefaults,
-                ordinal: this.#settings.entry.ordinal,
-                ordinals: this.#settings.peers["most-vms"],
+            hosting: {
+                probing: {
+                    ...probeDefaults,
+                    ordinal: this.#settings.entry.ordinal,
+                    ordinals: this.#settings.peers["most-vms"],
+                },
+                random: this.#random,
+                sendToDispatcher: (service, to, message) => this.#sendToDispatcher(service, to, message),
             },
             random: this.#random,
             clock: monotonicMs,
             issueTicket: now => this.#tickets.issue(now),
             askPeer: async (peer, service) => await this.#client.addresses(peer.peerAddress, service),
+            weightOf: vm => Number(this.#membership?.payload(vm.id)["weight"] ?? 1),
             stopping: () => this.#state === "stopping",
         });
     }
 
+    #sendToDispatcher(service: string, to: number, message: PeerMessage): void {
+        const address = this.#services.dispatcherAddress(service, to);
+        const idle = message.kind === "hint" && message.demand < leastToldDemand;
+        if (address !== undefined && !idle && this.#services.isPlaced(service)) {
+            this.#slotChannel.send(address, { id: this.#settings.entry.id, service, message });
+        }
+    }
+
     #makeCallServer(): CallServer {
         const parts = {
             services: this.#services,
@@ -290,3 +322,5 @@
         follower.run(this.#ended.signal).catch(failed);
     }
 }
+
+const portOf = (address: string): number => Number(address.slice(address.lastIndexOf(":") + 1));
--- a/packages/entry/src/periods.ts
+++ b/packages/entry/src/periods.ts
@@ -5,11 +5,14 @@
 import type { EventLog } from "@bramleymoor/observe/events";
 import type { OnceTable } from "@bramleymoor/once/table";
 import type { ListedVm, VmList } from "@bramleymoor/platform/vms";
+import { WeightControl } from "@bramleymoor/placement/weight";
+import { fromEvent, interval, lastValueFrom, takeUntil, tap } from "rxjs";
 import type { PeerClient } from "./peerclient.js";
 import type { Probes } from "./probes.js";
 import type { ServiceTable } from "./services.js";
 
-const dispatchPeriodMs = 5;
+const leastTickMs = 1;
+const mostTickMs = 5;
 const probePeriodMs = 50;
 const listPeriodMs = 1_000;
 const ratePeriodMs = 5_000;
@@ -32,28 +35,35 @@
 /** Runs the tasks. */
 export class Periods {
     readonly #parts: PeriodsParts;
+    readonly #weight: WeightControl;
     #listDownAt: number | undefined;
 
     constructor(parts: PeriodsParts) {
         this.#parts = parts;
+        this.#weight = new WeightControl(parts.self.id);
     }
 
     /** Runs every task until the signal aborts; rejects if one of them fails. */
     async run(signal: AbortSignal): Promise<void> {
         await Promise.all([
-            this.#every(dispatchPeriodMs, signal, now => this.#dispatch(now)),
+            this.#dispatch(signal),
             this.#every(probePeriodMs, signal, () => this.#probe()),
-            this.#every(listPeriodMs, signal, now => this.#readList(now)),
             this.#every(ratePeriodMs, signal, now => this.#rate(now)),
             this.#every(sweepPeriodMs, signal, now => this.#parts.once.sweep(now)),
+            this.#followList(signal),
             this.#gossip(signal),
         ]);
     }
 
-    async #every(ms: number, signal: AbortSignal, act: (now: number) => void | Promise<void>): Promise<void> {
+    async #every(ms: number, signal: AbortSignal, act: (now: number) => void): Promise<void> {
+        const times = interval(ms).pipe(takeUntil(fromEvent(signal, "abort")));
+        await lastValueFrom(times.pipe(tap(() => act(this.#parts.clock()))), { defaultValue: 0 });
+    }
+
+    async #followList(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await act(this.#parts.clock());
-            await this.#parts.delay(ms, signal);
+            await this.#readList(this.#parts.clock());
+            await this.#parts.delay(listPeriodMs, signal);
         }
     }
 
@@ -65,9 +75,13 @@
         }
     }
 
-    #dispatch(now: number): void {
-        for (const hosted of this.#parts.services.hosted) {
-            hosted.dispatcher.tick(now);
+    async #dispatch(signal: AbortSignal): Promise<void> {
+        const { services, clock, delay } = this.#parts;
+        while (!signal.aborted) {
+            const now = clock();
+            const due = services.hosted.map(hosted => hosted.dispatcher.tickIfDue(now));
+            const waitMs = Math.min(...due) - now;
+            await delay(Math.min(mostTickMs, Math.max(leastTickMs, waitMs)), signal);
         }
     }
 
@@ -111,17 +125,21 @@
         const { services, membership } = this.#parts;
         services.rerate(now);
         membership.setLoad(services.rate);
+        const loads = membership.current.map(vm => vm.load);
+        const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
+        membership.setPayload("weight", this.#weight.next(services.rate, mean, now));
         for (const [peer, rates] of this.#ratesByPeer()) {
             this.#tell(peer, rates);
         }
     }
 
-    // One message for each other dispatcher, whatever number of services both dispatch.
+    // One message for each other dispatcher, whatever number of services both dispatch. A service without calls
+    // is left out: the rate told last expires at the peer.
     #ratesByPeer(): ReadonlyMap<EntryVm, readonly ServiceRate[]> {
         const { services, self } = this.#parts;
         const byId = new Map<string, EntryVm>();
         const rates = new Map<EntryVm, readonly ServiceRate[]>();
-        for (const { service, rate } of services.hosted) {
+        for (const { service, rate } of services.hosted.filter(hosted => hosted.rate > 0)) {
             for (const placed of services.placed(service.name)) {
                 const vm = byId.get(placed.id) ?? placed;
                 byId.set(placed.id, vm);
--- a/packages/entry/src/probes.ts
+++ b/packages/entry/src/probes.ts
@@ -2,6 +2,7 @@
 
 import { Agent, request, type IncomingMessage } from "node:http";
 import { probeDefaults } from "@bramleymoor/probing/budget";
+import type { ServiceBelief } from "@bramleymoor/probing/prober";
 import { loadReportSchema, type LoadReport } from "@bramleymoor/protocol/answer";
 import { loadPath } from "@bramleymoor/protocol/headers";
 import type { Hosted } from "./hosted.js";
@@ -9,6 +10,9 @@
 const maxReportBytes = 4_096;
 const headBytesEstimate = 120;
 
+/** Stands for a service without requests; nothing is probed then, but the prober notices that the process runs. */
+const idle: ServiceBelief = { queued: 0, inFlight: 0, servers: [] };
+
 /** What one probe brought. */
 interface ProbeAnswer {
     readonly report: LoadReport | undefined;
@@ -40,7 +44,8 @@
     async next(hosted: Hosted): Promise<void> {
         const { prober, dispatcher, service } = hosted;
         const now = this.#clock();
-        const address = prober.next(dispatcher.view(now), now);
+        const belief = dispatcher.busy ? dispatcher.view(now) : idle;
+        const address = prober.next(belief, now);
         if (address === undefined) {
             return;
         }
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -5,13 +5,14 @@
 import type { Share } from "@bramleymoor/dispatch/types";
 import type { Service } from "@bramleymoor/model/spec";
 import type { EntryVm } from "@bramleymoor/model/vm";
-import type { ProbeSettings } from "@bramleymoor/probing/budget";
-import { place, shareOf } from "@bramleymoor/placement/placement";
+import { leastDispatchers, place, shareOf } from "@bramleymoor/placement/placement";
+import { spreadOf, type Spread } from "@bramleymoor/placement/spread";
 import type { AddressAnswer } from "@bramleymoor/protocol/answer";
 import { CallError } from "@bramleymoor/protocol/kinds";
 import type { Dispatched, Route, Services } from "@bramleymoor/proxy/services";
 import { DemandBook } from "./demandbook.js";
-import { Hosted } from "./hosted.js";
+import type { SlotDatagram } from "./slotchannel.js";
+import { Hosted, type HostedParts } from "./hosted.js";
 
 const keepAfterMovedMs = 60_000;
 
@@ -21,13 +22,15 @@
     readonly self: () => EntryVm;
     /** How long callers may keep an answer, in milliseconds. */
     readonly ttlMs: number;
-    readonly probing: ProbeSettings;
+    readonly hosting: HostedParts;
     readonly random: Random;
     readonly clock: () => number;
     /** Issues a ticket of this incarnation. */
     readonly issueTicket: (now: number) => string;
     /** Asks another entry VM for its own answer; rejects when it can't be reached. */
     readonly askPeer: (peer: EntryVm, service: string) => Promise<AddressAnswer | undefined>;
+    /** Weight of an entry VM in the placement, as it tells itself. */
+    readonly weightOf: (vm: EntryVm) => number;
     /** Whether a planned stop has begun. */
     readonly stopping: () => boolean;
 }
@@ -43,6 +46,8 @@
     readonly #parts: ServicesParts;
     readonly #rows = new Map<string, Row>();
     readonly #demand = new DemandBook();
+    /** As found at the last change of members, text or demand. */
+    readonly #placements = new Map<string, readonly EntryVm[]>();
     #accepted: Accepted | undefined;
     #members: readonly EntryVm[] = [];
     #leaving: ReadonlySet<string> = new Set();
@@ -87,6 +92,19 @@
         }
     }
 
+    /** Takes a message of another dispatcher; its place is what this entry VM believes, not what it says. */
+    fromDispatcher({ id, service, message }: SlotDatagram, now: number): void {
+        const from = this.#placements.get(service)?.findIndex(vm => vm.id === id) ?? -1;
+        if (from !== -1) {
+            this.find(service)?.dispatcher.receive({ ...message, from }, now);
+        }
+    }
+
+    /** Peers' address of a service's dispatcher by its place; undefined if there is none. */
+    dispatcherAddress(service: string, place: number): string | undefined {
+        return this.#placements.get(service)?.[place]?.peerAddress;
+    }
+
     /** Takes the calls per second that another dispatcher of a service sees. */
     peerRate(service: string, peer: string, perSecond: number, now: number): void {
         this.#demand.heard(service, peer, perSecond, now);
@@ -102,8 +120,14 @@
     }
 
     /** Entry VMs that dispatch a service as this one believes, first one first. */
-    placed(service: string): readonly EntryVm[] {
-        return place(service, this.#members, this.#demand.want(service));
+    placed(name: string): readonly EntryVm[] {
+        const { least } = this.#spread(name);
+        return place(name, this.#members, least, this.#parts.weightOf);
+    }
+
+    /** Whether this entry VM is among the service's dispatchers, rather than serving holders of old answers. */
+    isPlaced(name: string): boolean {
+        return this.#placements.get(name)?.some(vm => this.#isSelf(vm)) ?? false;
     }
 
     /** The service as dispatched here; undefined if it isn't. */
@@ -138,7 +162,7 @@
             throw new CallError("unknown-service", `"${name}"`);
         }
         const placed = this.placed(name);
-        const first = Math.floor(this.#parts.random.next() * placed.length);
+        const first = this.#spread(name).even ? Math.floor(this.#parts.random.next() * placed.length) : 0;
         const order = [...placed.slice(first), ...placed.slice(0, first)];
         for (const vm of order) {
             const answer = this.#isSelf(vm) ? this.own(name) : await this.#ask(vm, name);
@@ -188,6 +212,12 @@
         return this.#accepted.spec.services.get(name);
     }
 
+    #spread(name: string): Spread {
+        const service = this.#accepted?.spec.services.get(name);
+        const wanted = this.#demand.want(name);
+        return service ? spreadOf(service, wanted, leastDispatchers) : { least: wanted, even: true };
+    }
+
     #others(name: string): readonly EntryVm[] {
         return this.placed(name).filter(vm => !this.#isSelf(vm));
     }
@@ -204,13 +234,16 @@
         for (const name of this.#rows.keys()) {
             if (!services.has(name)) {
                 this.#rows.delete(name);
+                this.#placements.delete(name);
             }
         }
     }
 
     // A service that has moved away is still dispatched for callers who hold an old answer.
     #placeOne(service: Service, now: number): void {
-        const share = shareOf(this.#parts.self(), this.placed(service.name));
+        const placed = this.placed(service.name);
+        this.#placements.set(service.name, placed);
+        const share = shareOf(this.#parts.self(), placed);
         const row = this.#rows.get(service.name);
         if (share) {
             this.#host(service, share, now);
@@ -231,7 +264,7 @@
 
     #host(service: Service, share: Share, now: number): Hosted {
         const known = this.find(service.name);
-        const hosted = known ?? new Hosted(service, share, this.#parts.probing, this.#parts.random, now);
+        const hosted = known ?? new Hosted(service, share, this.#parts.hosting, now);
         if (known) {
             known.follow(service, share, now);
         } else {
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -6,6 +6,7 @@
 import type { ListedVm, VmList } from "./vms.js";
 
 const answerTimeoutMs = 5000;
+const notModified = 304;
 const maxAnswerBytes = 16 * 1024 * 1024;
 
 const offset = z.number().int().nonnegative();
@@ -29,18 +30,37 @@
     ),
 });
 
+/** Request line, status line and the headers that Node adds, in bytes. */
+const headBytes = 160;
+
 interface Question {
     readonly method: "GET" | "POST";
     readonly path: string;
     readonly body?: string;
+    /** Entity tag of an answer that is still held. */
+    readonly held?: string | undefined;
     readonly timeoutMs: number;
     readonly signal?: AbortSignal | undefined;
 }
 
+interface Answer {
+    readonly text: string;
+    /** The held answer is still right; `text` is empty. */
+    readonly unchanged: boolean;
+    readonly tag: string | undefined;
+}
+
+interface HeldList {
+    readonly vms: readonly ListedVm[];
+    readonly tag: string | undefined;
+}
+
 /** Log service and VM list at a base URL such as "http://10.0.0.5:9400". */
 export class HttpPlatform implements LogService, VmList {
     readonly #base: URL;
     readonly #agent = new Agent({ keepAlive: true });
+    #held: HeldList = { vms: [], tag: undefined };
+    #bytes = 0;
 
     constructor(baseUrl: string) {
         this.#base = new URL(baseUrl);
@@ -49,11 +69,16 @@
         }
     }
 
+    /** Bytes sent and received so far, heads included as far as they are known. */
+    get bytes(): number {
+        return this.#bytes;
+    }
+
     /** Appends a record; see LogService. */
     async append(stream: string, data: string): Promise<number> {
         const path = recordsPath(stream);
         const answer = await this.#ask({ method: "POST", path, body: data, timeoutMs: answerTimeoutMs });
-        return parse(appendAnswer, answer).offset;
+        return parse(appendAnswer, answer.text).offset;
     }
 
     /** Reads records; see LogService. */
@@ -67,13 +92,17 @@
         const query = new URLSearchParams({ from: `${from}`, limit: `${limit}`, waitMs: `${waitMs}` });
         const path = `${recordsPath(stream)}?${query.toString()}`;
         const answer = await this.#ask({ method: "GET", path, timeoutMs: waitMs + answerTimeoutMs, signal });
-        return parse(batchAnswer, answer);
+        return parse(batchAnswer, answer.text);
     }
 
-    /** Answers the VM list; see VmList. */
+    /** Answers the VM list; see VmList. The same list again while the platform says that it has not changed. */
     async list(): Promise<readonly ListedVm[]> {
-        const answer = await this.#ask({ method: "GET", path: "/v1/vms", timeoutMs: answerTimeoutMs });
-        return parse(vmsAnswer, answer).vms;
+        const question = { method: "GET", path: "/v1/vms", timeoutMs: answerTimeoutMs } as const;
+        const answer = await this.#ask({ ...question, held: this.#held.tag });
+        if (!answer.unchanged) {
+            this.#held = { vms: parse(vmsAnswer, answer.text).vms, tag: answer.tag };
+        }
+        return this.#held.vms;
     }
 
     /** Closes idle connections. */
@@ -81,14 +110,18 @@
         this.#agent.destroy();
     }
 
-    async #ask(question: Question): Promise<string> {
+    async #ask(question: Question): Promise<Answer> {
         const timeout = AbortSignal.timeout(question.timeoutMs);
         const signal = question.signal ? AbortSignal.any([question.signal, timeout]) : timeout;
         try {
             const res = await this.#send(question, signal);
             const text = await readAll(res);
-            checkStatus(res.statusCode ?? 0, text);
-            return text;
+            this.#bytes += 2 * headBytes + question.path.length + (question.body?.length ?? 0) + text.length;
+            const unchanged = res.statusCode === notModified && question.held !== undefined;
+            if (!unchanged) {
+                checkStatus(res.statusCode ?? 0, text);
+            }
+            return { text, unchanged, tag: res.headers.etag };
         } catch (err) {
             throw err instanceof PlatformError ? err : new PlatformError("unavailable", String(err));
         }
@@ -96,8 +129,10 @@
 
     #send(question: Question, signal: AbortSignal): Promise<IncomingMessage> {
         const url = new URL(question.path, this.#base);
+        const headers = question.held === undefined ? {} : { "if-none-match": question.held };
         return new Promise((resolve, reject) => {
-            const req: ClientRequest = request(url, { method: question.method, agent: this.#agent, signal });
+            const options = { method: question.method, agent: this.#agent, signal, headers };
+            const req: ClientRequest = request(url, options);
             req.on("response", resolve);
             req.on("error", reject);
             req.end(question.body);
--- a/packages/testkit/src/platform.ts
+++ b/packages/testkit/src/platform.ts
@@ -1,5 +1,6 @@
 /** Stand-in of the platform over HTTP: docs/PROTOCOL-PLATFORM.md, and knobs for faults. */
 
+import { createHash } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { MemoryPlatform } from "@bramleymoor/platform/memory";
@@ -99,7 +100,7 @@
         } else if (stream !== undefined && req.method === "GET") {
             await this.#read(decodeURIComponent(stream), url.searchParams, req, res);
         } else if (url.pathname === "/v1/vms" && req.method === "GET") {
-            send(res, 200, { vms: await this.memory.list() });
+            sendTagged(req, res, { vms: await this.memory.list() });
         } else {
             send(res, 404, { error: "no such path" });
         }
@@ -156,6 +157,18 @@
     res.end(JSON.stringify(body));
 };
 
+/** Sends a body with its entity tag, or 304 to one who holds it. */
+const sendTagged = (req: IncomingMessage, res: ServerResponse, body: unknown): void => {
+    const text = JSON.stringify(body);
+    const tag = `"${createHash("sha256").update(text).digest("base64url")}"`;
+    if (req.headers["if-none-match"] === tag) {
+        res.writeHead(304, { etag: tag }).end();
+        return;
+    }
+    res.writeHead(200, { "content-type": "application/json", etag: tag });
+    res.end(text);
+};
+
 const readAll = async (req: IncomingMessage): Promise<string> => {
     const chunks: Buffer[] = [];
     for await (const chunk of req as AsyncIterable<Buffer>) {
