Hedge no call whose caller has gone

A hedge granted after the caller had unsubscribed had nobody to settle it, so its slot stayed in use for good.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -231,6 +231,7 @@
 
     #abandon(pending: Pending): void {
         this.#queue.remove(pending);
+        pending.slots.forEach(slot => this.#hedges.ended(slot));
     }
 }
 
--- a/packages/dispatch/test/faults.test.ts
+++ b/packages/dispatch/test/faults.test.ts
@@ -131,6 +131,25 @@
     assert.ok(careful.granted.every(it => !it.hedge));
 });
 
+test("a call whose caller has gone gets no second copy", () => {
+    const driver = new Driver(makeService(8, 2), () => usual);
+    driver.run(200);
+    const slots: Slot[] = [];
+    const call = makeCall({ deadlineAt: driver.now + 5_000 });
+    driver.dispatcher
+        .submit(call, driver.now)
+        .subscribe(slot => slots.push(slot))
+        .unsubscribe();
+    for (let ms = 0; ms < 300; ms++) {
+        driver.step();
+    }
+    const { inFlight } = driver.dispatcher.view(driver.now);
+    assert.equal(slots.length, 1);
+    assert.equal(inFlight, 1);
+    driver.dispatcher.settle(slots[0]!, { kind: "cancelled" }, driver.now);
+    assert.equal(driver.dispatcher.view(driver.now).inFlight, 0);
+});
+
 test("a server that answers that it is draining gets no new work", () => {
     const driver = new Driver(makeService(3, 2), slot =>
         slot.server.address === address ? { afterMs: 1, result: { kind: "refused", draining: true } } : usual,
