Space out the messages of many dispatchers

With 15 dispatchers every one sent 14 hints each 100 ms, 7.4 kB a second, for baselines too, which share nothing. Hints and asks to one peer are now spaced out by the number of peers in fours, and early choosers send none; up to five dispatchers nothing changes.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -81,7 +81,7 @@
         for (const pending of this.#queue.expire(now)) {
             pending.subscriber.error(new CallError("deadline-queued"));
         }
-        const shareDue = this.#sharing.tick(this.#use(now), now);
+        const shareDue = this.#chooser.early ? Infinity : this.#sharing.tick(this.#use(now), now);
         if (now >= this.#allotDue) {
             this.#allot(now);
             this.#drain(now);
--- a/packages/dispatch/src/sharing.ts
+++ b/packages/dispatch/src/sharing.ts
@@ -97,7 +97,7 @@
         }
         this.#sample(use, now);
         if (now >= this.#hintDue) {
-            this.#hintDue = now + hintEveryMs;
+            this.#hintDue = now + hintEveryMs * this.#spacing;
             this.#tellAll({
                 version: 1,
                 kind: "hint",
@@ -137,6 +137,11 @@
         }
     }
 
+    /** Factor by which messages to one peer are spaced out when there are many peers. */
+    get #spacing(): number {
+        return Math.max(1, Math.ceil(this.#others.size / peersAtFullPace));
+    }
+
     #lend(to: number, use: SlotUse, now: number): void {
         const idle = use.queued > 0 ? [] : use.idle();
         const servers = idle.slice(0, Math.floor(idle.length / 2));
@@ -152,7 +157,7 @@
 
     #askAll(now: number): void {
         for (const [index, peer] of this.#others) {
-            if (now >= peer.askedAt + askEveryMs) {
+            if (now >= peer.askedAt + askEveryMs * this.#spacing) {
                 peer.askedAt = now;
                 this.#peers.send(index, { version: 1, kind: "ask", from: this.#share.index });
             }
@@ -181,7 +186,7 @@
             return Math.max(leastDemand, this.#demand);
         }
         const unanswered = peer.askedAt > peer.heardAt && now >= peer.askedAt + answerWithinMs;
-        if (unanswered || now >= peer.heardAt + silentAfterMs) {
+        if (unanswered || now >= peer.heardAt + hintsUntilSilent * hintEveryMs * this.#spacing) {
             return 0;
         }
         return Math.max(leastDemand, peer.demand ?? this.#demand);
@@ -222,12 +227,14 @@
     servers.map(position => ({ position, until }));
 
 const hintEveryMs = 100;
+const peersAtFullPace = 4;
 const askAfterMs = 1;
 const askEveryMs = 25;
 const askStepMs = 1;
 /** A peer that leaves an Ask unanswered for so long is taken to be gone until it is heard again. */
 const answerWithinMs = 6;
-const silentAfterMs = 350;
+/** Hint intervals without a word after which a peer counts as gone. */
+const hintsUntilSilent = 3.5;
 const loanTermMs = 50;
 const demandMemoryMs = 200;
 /** Demand that a dispatcher without calls still counts for. */
