--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -9,6 +9,7 @@
 import { cutoffCommand } from "./cutoff.js";
 import { policyCommand } from "./policy.js";
 import { overloadCommand } from "./policyoverload.js";
+import { plotCommand } from "./policyplot.js";
 import { recordCommand } from "./tracecommand.js";
 
 const program = new Command("measure");
@@ -20,5 +21,6 @@
 program.addCommand(onceCommand());
 program.addCommand(policyCommand());
 program.addCommand(overloadCommand());
+program.addCommand(plotCommand());
 program.addCommand(recordCommand());
 await program.parseAsync();
--- a/packages/bench/src/policy.ts
+++ b/packages/bench/src/policy.ts
@@ -3,7 +3,8 @@
 import type { ChooserName } from "@bramleymoor/model/spec";
 import { chooserNames } from "@bramleymoor/model/spec";
 import { Command } from "commander";
-import { quantile, runScenario, type RunResult, type Scenario } from "./rig.js";
+import { runScenario } from "./rig.js";
+import { quantile, type RunResult, type Scenario } from "./rigscenario.js";
 import { deploymentOf } from "./rigdeployment.js";
 import { readTrace } from "./trace.js";
 
--- a/packages/bench/src/policyoverload.ts
+++ b/packages/bench/src/policyoverload.ts
@@ -1,7 +1,8 @@
 /** The `overload` measurement: goodput, refusals and recovery around a time of too much load. */
 
 import { Command } from "commander";
-import { type Outcome, quantile, runScenario } from "./rig.js";
+import { runScenario } from "./rig.js";
+import { type Outcome, quantile } from "./rigscenario.js";
 import { deploymentOf } from "./rigdeployment.js";
 import { readTrace } from "./trace.js";
 
--- a/packages/bench/src/rig.ts
+++ b/packages/bench/src/rig.ts
@@ -1,4 +1,4 @@
-/** Replays a trace through the shipped dispatchers, or through one all-knowing queue, under virtual time. */
+/** Replays a trace through the shipped dispatchers under virtual time. */
 
 import { ServiceDispatcher } from "@bramleymoor/dispatch/dispatcher";
 import { type Random, SeededRandom } from "@bramleymoor/dispatch/random";
@@ -7,46 +7,20 @@
 import type { Call, Slot, SlotResult } from "@bramleymoor/dispatch/types";
 import type { ChooserName, Service } from "@bramleymoor/model/spec";
 import { CallError } from "@bramleymoor/protocol/kinds";
-import { FakeServer, type Job, VirtualTime } from "./rigserver.js";
-import { meanServiceMs, noisyNeighbours, replay, type Slowdown, type TracedCall } from "./trace.js";
-
-/** What one run measures. */
-export interface Scenario {
-    readonly service: Service;
-    readonly trace: readonly TracedCall[];
-    readonly chooser: ChooserName | "omniscient";
-    readonly faults: boolean;
-    readonly seed: number;
-    readonly durationMs: number;
-    /** Arriving work as a share of the slots' capacity at a time. */
-    readonly loadAt: (now: number) => number;
-    /** Entry VMs that serve the service. */
-    readonly dispatchers: number;
-    /** Share of the calls that comes to the first of them. */
-    readonly firstShare: number;
-    /** Times that a caller comes back after a refusal. */
-    readonly callerRetries: number;
-}
-
-/** What became of one call. */
-export interface Outcome {
-    readonly arrivedAt: number;
-    readonly endedAt: number;
-    readonly latencyMs: number;
-    /** How long the dispatcher took to tell each refusal, in milliseconds. */
-    readonly refusedAfterMs: readonly number[];
-    readonly result: "answered" | "failed" | "refused";
-}
-
-/** What a run gave. */
-export interface RunResult {
-    readonly outcomes: readonly Outcome[];
-    readonly hedges: number;
-    readonly retries: number;
-    /** Control bytes that the busiest entry VM sent, per second. */
-    readonly controlBytes: number;
-    readonly busyMs: number;
-}
+import { betterQueue } from "./rigbound.js";
+import {
+    arrivals,
+    drainMs,
+    farMs,
+    makeServers,
+    nearMs,
+    type Outcome,
+    outcomeOf,
+    type RunResult,
+    type Scenario,
+} from "./rigscenario.js";
+import { type FakeServer, type Job, VirtualTime } from "./rigserver.js";
+import type { TracedCall } from "./trace.js";
 
 /** Runs a scenario; the same scenario gives the same result. */
 export const runScenario = (scenario: Scenario): RunResult =>
@@ -318,101 +292,10 @@
     }
 }
 
-/** First come first served over all slots; knows which servers are impaired; doesn't hedge. */
-const omniscientQueue = (scenario: Scenario, patient: boolean): RunResult => {
-    const time = new VirtualTime();
-    const servers = makeServers(scenario, time);
-    const queue: { readonly traced: TracedCall; readonly arrivedAt: number }[] = [];
-    const outcomes: Outcome[] = [];
-    const serveNext = (): void => {
-        const free = servers.filter(it => it.free > 0 && !it.isFailing);
-        const server = free.find(it => !it.impaired) ?? (patient ? undefined : free[0]);
-        const next = server ? queue.shift() : undefined;
-        if (!next || !server) {
-            return;
-        }
-        const answer = (): void => {
-            const latencyEnd = time.now + meanRoundTripMs;
-            outcomes.push(outcomeOf(scenario, next.arrivedAt, latencyEnd, "answered"));
-            serveNext();
-        };
-        server.submit({ workMs: next.traced.serviceMs, answer, state: "queued" });
-        serveNext();
-    };
-    arrivals(scenario, time, traced => {
-        queue.push({ traced, arrivedAt: time.now });
-        serveNext();
-    });
-    time.run(scenario.durationMs + drainMs);
-    const busyMs = servers.reduce((sum, it) => sum + it.busyMs, 0);
-    return { outcomes, hedges: 0, retries: 0, controlBytes: 0, busyMs };
-};
-
-/** The all-knowing queue uses slow servers' free slots or leaves them, whichever gives the lower p99. */
-const betterQueue = (scenario: Scenario): RunResult => {
-    const [patient, eager] = [omniscientQueue(scenario, true), omniscientQueue(scenario, false)];
-    return quantile(patient.outcomes, 0.99) <= quantile(eager.outcomes, 0.99) ? patient : eager;
-};
-
-/** Latency quantile in milliseconds. */
-export const quantile = (outcomes: readonly Pick<Outcome, "latencyMs">[], q: number): number => {
-    const sorted = Float64Array.from(outcomes, it => it.latencyMs).sort();
-    return sorted[Math.min(sorted.length - 1, Math.floor(q * sorted.length))] ?? Number.NaN;
-};
-
-const arrivals = (scenario: Scenario, time: VirtualTime, arrive: (traced: TracedCall) => void): void => {
-    const calls = replay(scenario.trace, new SeededRandom(scenario.seed));
-    const slots = scenario.service.servers.reduce((sum, it) => sum + it.slots, 0);
-    const next = (): void => {
-        const traced = calls.next().value;
-        const at = time.now + (traced.gap * meanServiceMs) / (slots * scenario.loadAt(time.now));
-        if (at < scenario.durationMs) {
-            time.at(at, () => {
-                arrive(traced);
-                next();
-            });
-        }
-    };
-    next();
-};
-
-const makeServers = (scenario: Scenario, time: VirtualTime): readonly FakeServer[] => {
-    const random = new SeededRandom(scenario.seed + 104_729);
-    const { durationMs, faults } = scenario;
-    const cold = { from: 0.2 * durationMs, to: 0.2 * durationMs + coldMs, factor: 3 };
-    const failing = { from: 0.7 * durationMs, to: 0.7 * durationMs + failingMs, factor: 1 };
-    return scenario.service.servers.map((server, index) => {
-        const noisy = faults ? noisyNeighbours(random, durationMs + drainMs) : [];
-        const slowdowns = faults && index === 1 ? withCold(noisy, cold) : noisy;
-        return new FakeServer(server, time, slowdowns, faults && index === 2 ? failing : undefined);
-    });
-};
-
-const withCold = (noisy: readonly Slowdown[], cold: Slowdown): readonly Slowdown[] =>
-    [...noisy.filter(it => it.to < cold.from || it.from > cold.to), cold].sort((a, b) => a.from - b.from);
-
-const outcomeOf = (
-    { service }: Scenario,
-    arrivedAt: number,
-    endedAt: number,
-    result: Outcome["result"],
-    refusedAfterMs: readonly number[] = [],
-): Outcome => {
-    const deadlineMs = service.classes[0]!.deadlineMs;
-    const latencyMs = result === "answered" ? endedAt - arrivedAt : deadlineMs;
-    return { arrivedAt, endedAt, latencyMs, refusedAfterMs, result };
-};
-
 const domainOf = (index: number): string => "abc".charAt(index % 3);
 
 const wayMs = (from: string, to: string): number => (from === to ? nearMs : farMs);
 
-const nearMs = 0.25;
-const farMs = 1;
-const meanRoundTripMs = (2 * (nearMs + 2 * farMs)) / 3;
 const staleMs = 500;
-const coldMs = 2_000;
-const failingMs = 2_000;
 const resetMs = 16;
 const membershipLagMs = 2_000;
-const drainMs = 2_000;
