Let an entry VM without an ordinal never probe

An omitted ordinal was 0, so entry VMs that left it out all took the part of ordinal 0, and the probe budget, which rests on at most two processes for each ordinal, was broken without a word. It now becomes most-vms, which the budget gives no part, and an ordinal that is not below most-vms is refused with file, line and key. A required ordinal was weighed and ruled out: it would make the smallest settings file longer for entry VMs that need not probe. The new tests fail on the settings before: 0 in place of most-vms, and 19 of 19 was accepted.

--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -49,7 +49,7 @@
 const sections = {
     entry: {
         id: name,
-        ordinal: whole(0, 1_023).default(0),
+        ordinal: whole(0, 1_023).optional(),
         region: name.default("default"),
         domain: name.default("default"),
     },
@@ -83,7 +83,7 @@
 
 type SectionName = keyof typeof sections;
 
-const schema = z.object({
+const fields = z.object({
     entry: z.object(sections.entry),
     ports: z.object(sections.ports),
     peers: z.object(sections.peers),
@@ -92,8 +92,22 @@
     log: z.object(sections.log),
 });
 
+type Fields = Readonly<z.infer<typeof fields>>;
+
+const schema = fields.superRefine(({ entry, peers }, context) => {
+    const most = peers["most-vms"];
+    if (entry.ordinal !== undefined && entry.ordinal >= most) {
+        const message = `a whole number below most-vms, which is ${most}`;
+        context.addIssue({ code: "custom", path: ["entry", "ordinal"], message });
+    }
+});
+
 /** Checked settings. Times are milliseconds. */
-export type Settings = Readonly<z.infer<typeof schema>> & { readonly sharedKey: string };
+export type Settings = Omit<Fields, "entry"> & {
+    /** Without an ordinal in the file it is `most-vms`: an entry VM with such an ordinal never probes. */
+    readonly entry: Fields["entry"] & { readonly ordinal: number };
+    readonly sharedKey: string;
+};
 
 /** The settings file can't be used; the message names file, line and key of every error. */
 export class SettingsError extends Error {
@@ -127,7 +141,9 @@
         const sorted = [...errors].sort((a, b) => a.line - b.line);
         throw new SettingsError(sorted.map(err => formatError(file, err)).join("\n"));
     }
-    return { ...checked.data, sharedKey: keyOf(checked.data.peers, file) };
+    const { entry, peers } = checked.data;
+    const ordinal = entry.ordinal ?? peers["most-vms"];
+    return { ...checked.data, entry: { ...entry, ordinal }, sharedKey: keyOf(peers, file) };
 };
 
 const readFile = (file: string): string => {
@@ -174,7 +190,7 @@
     return textError(entry.line, shown, issue.message, mend);
 };
 
-const keyOf = (peers: Readonly<z.infer<typeof schema>>["peers"], file: string): string => {
+const keyOf = (peers: Fields["peers"], file: string): string => {
     const keyFile = peers["key-file"];
     if ((peers.key === undefined) === (keyFile === undefined)) {
         throw new SettingsError(`${file}: [peers] wants exactly one of key and key-file.`);
--- a/packages/entry/test/settings.test.ts
+++ b/packages/entry/test/settings.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { parseText } from "@bramleymoor/model/text";
+import { ProbeBudget, probeDefaults } from "@bramleymoor/probing/budget";
 import { SharedKey } from "../src/key.js";
 import { parseSettings, SettingsError } from "../src/settings.js";
 
@@ -51,6 +53,34 @@
     }
 });
 
+test("an entry VM without an ordinal has one that never probes", () => {
+    const probing = (lines: readonly string[]) => {
+        const { entry, peers } = parseSettings(lines.join("\n"), "node.ini");
+        return { ...probeDefaults, ordinal: entry.ordinal, ordinals: peers["most-vms"] };
+    };
+    const service = parseText("[service a]\nserver = 192.0.2.1:80 slots=100\nprobe-budget = 50%\n");
+    assert.ok(service.ok);
+    const [spec] = service.spec.services.values();
+    assert.ok(spec);
+    for (const mostVms of [1, 32, 1_024]) {
+        const omitted = probing([...good, `most-vms = ${mostVms}`]);
+        assert.equal(omitted.ordinal, mostVms);
+        assert.equal(new ProbeBudget(omitted, spec, 0).quota, 0);
+    }
+    const first = probing([...good.slice(0, 2), "ordinal = 0", ...good.slice(2)]);
+    assert.equal(first.ordinal, 0);
+    assert.ok(new ProbeBudget(first, spec, 0).quota > 0);
+});
+
+test("an ordinal that is not below most-vms is refused at its line", () => {
+    const withOrdinal = (ordinal: number, mostVms: number) =>
+        [...good.slice(0, 2), `ordinal = ${ordinal}`, ...good.slice(2), `most-vms = ${mostVms}`] as const;
+    const wanted = /^node\.ini:3: .*ordinal = 19.*a whole number below most-vms, which is 19/m;
+    assert.match(failure(withOrdinal(19, 19)), wanted);
+    assert.match(failure(withOrdinal(20, 19)), /^node\.ini:3: .*ordinal = 20/m);
+    assert.equal(parseSettings(withOrdinal(18, 19).join("\n"), "node.ini").entry.ordinal, 18);
+});
+
 test("a key and a key file exclude each other, and one is needed", () => {
     assert.match(failure([...good, "key-file = nowhere"]), /exactly one of key and key-file/);
     assert.match(failure(good.slice(0, 6)), /exactly one of key and key-file/);
