Give operators raise-grammar and restore, and tell a publication's own id as fresh

Raising the grammar and restoring a lost text could be done by a developer alone. Both are commands now, with exit codes of the one list: raise-grammar refuses (8) a grammar that the program itself does not know, which would have locked it out, and restore refuses (4) while the log still tells the accepted version and (2) a number that an entry VM of the settings knows already. The known grammars come in with the program's world, so that a test raises to a second one.

publish passes fresh for an id that it made itself. Before, publishing over a base that the log no longer tells ended with "outcome unknown" (5), although nothing with that id was ever appended; now it ends with "another version" (4), and with --id still with 5. A test shows both.

--- a/packages/cli/src/bramleymoor.ts
+++ b/packages/cli/src/bramleymoor.ts
@@ -2,6 +2,7 @@
 /** Starts the operators' program. */
 
 import { randomUUID } from "node:crypto";
+import { grammars } from "@bramleymoor/config/version";
 import { sleep } from "@bramleymoor/platform/timers";
 import { monotonicMs } from "./clock.js";
 import { Program } from "./program.js";
@@ -13,6 +14,7 @@
     random: Math.random,
     now: monotonicMs,
     newId: randomUUID,
+    grammars,
 });
 
 process.exitCode = await program.run(process.argv.slice(2));
--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -1,5 +1,6 @@
 /** What commands share: terminal, settings, time and randomness. */
 
+import type { Grammars } from "@bramleymoor/config/version";
 import { HttpPlatform } from "@bramleymoor/platform/http";
 import type { LogService } from "@bramleymoor/platform/log";
 import type { Random, Sleep } from "@bramleymoor/platform/timers";
@@ -16,6 +17,8 @@
     readonly now: () => number;
     /** A new identity for a publication. */
     readonly newId: () => string;
+    /** The grammars that the program knows. */
+    readonly grammars: Grammars;
 }
 
 /** One run of one command. */
--- a/packages/cli/src/exit.ts
+++ b/packages/cli/src/exit.ts
@@ -24,10 +24,10 @@
     usage: "wrong arguments or settings",
     "invalid-text": "the text has errors; nothing was published",
     "other-version": "another version was accepted instead; yours was not",
-    "outcome-unknown": "the publication may be accepted or become so; repeat it with the same --id",
+    "outcome-unknown": "the publication may be accepted or become so; repeat it as the message says",
     "not-everywhere": "accepted, but not seen in force on every entry VM in time",
     "entry-unreachable": "an entry VM can't be reached, or refuses the key",
-    "not-found": "no such version or service",
+    "not-found": "no such version, service or grammar",
     "platform-unreachable": "the platform's log can't be read; nothing was published",
 };
 
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,8 @@
 import { Context, type World } from "./context.js";
 import { CliError, exitCodes, exitTexts, type Exit } from "./exit.js";
 import { histograms, type HistogramFlags } from "./histograms.js";
+import { raise, type RaiseFlags } from "./raising.js";
+import { restoreFile, type RestoreFlags } from "./restoring.js";
 import { check, publishFile, type PublishFlags } from "./publishing.js";
 import { defaultSettingsFile, type SettingsFlags } from "./settings.js";
 import { explain, status } from "./status.js";
@@ -58,6 +60,7 @@
             .showHelpAfterError("Add --help for the arguments.")
             .addHelpText("after", `\n${examples}\n\n${exitHelp()}`);
         this.#addTextCommands(command);
+        this.#addRareCommands(command);
         this.#addEntryCommands(command);
         for (const sub of command.commands) {
             addSettingsFlags(sub);
@@ -112,6 +115,28 @@
             .action(this.#act((context, flags: JsonFlag) => history(context, flags.json === true)));
     }
 
+    #addRareCommands(command: Command): void {
+        const wait = "wait until the version is in force on every entry VM";
+        command
+            .command("raise-grammar")
+            .requiredOption("--base <number>", "version in force; its text stays as it is", whole)
+            .option("--id <id>", "identity of an earlier attempt whose outcome is unknown")
+            .addOption(new Option("--wait [seconds]", wait).argParser(whole).preset("30"))
+            .description("put the next grammar in force, once every entry VM runs a release that knows it")
+            .addHelpText("after", `\n${raiseHelp}`)
+            .action(this.#act((context, flags: RaiseFlags) => raise(context, flags)));
+        command
+            .command("restore")
+            .argument("<file>", 'the text that was in force, or "-" for standard input')
+            .requiredOption("--number <number>", "above every version that was ever accepted", whole)
+            .option("--grammar <number>", "grammar that was in force", whole, 1)
+            .description("state the accepted text anew, when the log has lost it")
+            .addHelpText("after", `\n${restoreHelp}`)
+            .action(
+                this.#act((context, file: string, flags: RestoreFlags) => restoreFile(context, file, flags)),
+            );
+    }
+
     #addEntryCommands(command: Command): void {
         command
             .command("status")
@@ -172,6 +197,13 @@
         .option("--key-file <file>", "file that holds the key of the operators' ports");
 };
 
+const raiseHelp = `It can't be undone. An entry VM whose release doesn't know the next grammar keeps the version that it has,
+and a newly started one doesn't become ready. Replace every entry VM first, then raise.`;
+
+const restoreHelp = `Only when an entry VM says config-records-missing (event 1012 of docs/EVENTS.md) and no entry VM shows a
+later version than the others. It is refused while the log still tells the accepted version. Entry VMs that
+know a version not below --number don't follow. Publish over --number afterwards.`;
+
 const examples = `Examples:
   bramleymoor check deployment.ini
   bramleymoor diff deployment.ini
--- a/packages/cli/src/publishing.ts
+++ b/packages/cli/src/publishing.ts
@@ -39,7 +39,7 @@
     const entries = flags.wait === undefined ? undefined : new Entries(context.settings);
     const number = await context.withLog(async log => {
         context.terminal.progress("Reading the accepted version...");
-        const current = await readCurrent(log);
+        const current = await readCurrent(log, context.world.grammars);
         if (current.digest === document.digest) {
             context.terminal.print(`Version ${current.number} says the same already; nothing was published.`);
             return current.number;
@@ -75,13 +75,19 @@
 
 const msPerSecond = 1_000;
 
-interface Attempt {
-    readonly document: Document;
+/** A publication that was tried. */
+export interface Attempt {
+    /** The text to publish; undefined if it stays as it is. */
+    readonly document?: Document;
     readonly base: number;
     readonly id: string | undefined;
     readonly file: string;
 }
 
+interface TextAttempt extends Attempt {
+    readonly document: Document;
+}
+
 /** The base that was named; it may be left out for the very first version only. */
 const baseOf = (current: Accepted, flags: PublishFlags, file: string): number => {
     if (flags.base !== undefined || current.number === 0) {
@@ -95,13 +101,14 @@
     throw new CliError("usage", lines.join("\n"));
 };
 
-const publishOver = async (context: Context, log: LogService, attempt: Attempt): Promise<number> => {
-    const { random, sleep, newId } = context.world;
+const publishOver = async (context: Context, log: LogService, attempt: TextAttempt): Promise<number> => {
+    const { random, sleep, newId, grammars } = context.world;
     const id = attempt.id ?? newId();
+    const options = { id, fresh: attempt.id === undefined, random, sleep, grammars };
     context.terminal.progress(`Publishing over version ${attempt.base} as ${id}...`);
-    const result = await publish(log, attempt.document.toString(), attempt.base, { id, random, sleep });
+    const result = await publish(log, attempt.document.toString(), attempt.base, options);
     if (result.kind !== "accepted") {
-        throw failure(context, result, { ...attempt, id });
+        throw publicationFailure(context, result, { ...attempt, id });
     }
     if (result.digest !== attempt.document.digest) {
         const used = `The id ${id} was used for another text, accepted as version ${result.number}.`;
@@ -114,7 +121,8 @@
     return result.number;
 };
 
-const failure = (
+/** What to tell of a publication that wasn't accepted, or may not have been. */
+export const publicationFailure = (
     context: Context,
     result: Exclude<PublishResult, { readonly kind: "accepted" }>,
     attempt: Attempt,
@@ -127,18 +135,26 @@
         const again = `Repeat the command with --base ${attempt.base} --id ${attempt.id}; it can't take effect twice.`;
         return new CliError(
             "outcome-unknown",
-            `It isn't known whether the text is accepted: ${result.why}.\n${again}`,
+            `It isn't known whether it is accepted: ${result.why}.\n${again}`,
         );
     }
     const { winner } = result;
+    const head = `Version ${winner.number} is accepted, not version ${attempt.base}`;
+    if (!attempt.document) {
+        return new CliError(
+            "other-version",
+            `${head}; nothing was published.\nLook at it first: bramleymoor diff`,
+        );
+    }
     const lines = differenceLines(winner.document, attempt.document, context.terminal);
-    const head = `Version ${winner.number} is accepted, not version ${attempt.base}; your text was not published.`;
     const next = `Take over what is missing, then publish with --base ${winner.number}.`;
     const middle = `From version ${winner.number} to your text:`;
-    return new CliError("other-version", [head, middle, ...lines, next].join("\n"));
+    const all = [`${head}; your text was not published.`, middle, ...lines, next];
+    return new CliError("other-version", all.join("\n"));
 };
 
-const waitUntilInForce = async (
+/** Waits until every entry VM shows a version; throws a CliError if that takes longer than `seconds`. */
+export const waitUntilInForce = async (
     context: Context,
     entries: Entries,
     number: number,
--- a/packages/cli/src/texts.ts
+++ b/packages/cli/src/texts.ts
@@ -17,7 +17,9 @@
 export const show = async (context: Context, number: number | undefined): Promise<void> => {
     context.terminal.progress("Reading the log...");
     const version = await context.withLog(async log =>
-        number === undefined ? readCurrent(log) : versionOf(await readHistory(log), number),
+        number === undefined
+            ? readCurrent(log, context.world.grammars)
+            : versionOf(await readHistory(log, context.world.grammars), number),
     );
     context.terminal.print(`# version ${version.number}, digest ${version.digest}`);
     context.terminal.print(version.document.toString().trimEnd());
@@ -30,7 +32,7 @@
     }
     const mine = file === undefined ? undefined : readValid(file).document;
     context.terminal.progress("Reading the log...");
-    const history = await context.withLog(readHistory);
+    const history = await context.withLog(log => readHistory(log, context.world.grammars));
     const to = flags.to ?? history.current.number;
     const from = flags.from ?? (mine ? to : to - 1);
     const after = mine ?? versionOf(history, to).document;
@@ -43,7 +45,7 @@
 /** `history`: every record that the log still tells of, and what became of it. */
 export const history = async (context: Context, json: boolean): Promise<void> => {
     context.terminal.progress("Reading the log...");
-    const { base, lines, current } = await context.withLog(readHistory);
+    const { base, lines, current } = await context.withLog(log => readHistory(log, context.world.grammars));
     if (json) {
         const rows = lines.map(line => ({ offset: line.offset, ageMs: line.ageMs, ...verdictOf(line) }));
         context.terminal.print(JSON.stringify({ base: base.number, current: current.number, records: rows }));
--- a/packages/cli/src/versions.ts
+++ b/packages/cli/src/versions.ts
@@ -6,7 +6,7 @@
 import { configStream } from "@bramleymoor/config/record";
 import { Replay, type Progress } from "@bramleymoor/config/replay";
 import type { Snapshot } from "@bramleymoor/config/snapshot";
-import { grammars, type Accepted } from "@bramleymoor/config/version";
+import type { Accepted, Grammars } from "@bramleymoor/config/version";
 import { PlatformError, type LogRecord, type LogService } from "@bramleymoor/platform/log";
 import { CliError } from "./exit.js";
 
@@ -32,16 +32,16 @@
  *
  * @throws CliError if the log can't be read to its end
  */
-export const readCurrent = async (log: LogService): Promise<Accepted> =>
-    (await readLog(log, replay => findBase(log, replay))).current;
+export const readCurrent = async (log: LogService, known: Grammars): Promise<Accepted> =>
+    (await readLog(log, known, replay => findBase(log, replay))).current;
 
 /**
  * Reads every version that the log's records and checkpoints still lead to.
  *
  * @throws CliError if the log can't be read to its end
  */
-export const readHistory = (log: LogService): Promise<History> =>
-    readLog(log, replay => findOldestBase(log, replay));
+export const readHistory = (log: LogService, known: Grammars): Promise<History> =>
+    readLog(log, known, replay => findOldestBase(log, replay));
 
 /** A version by its number. */
 export const versionOf = (history: History, number: number): Accepted => {
@@ -58,12 +58,16 @@
 
 const batchRecords = 256;
 
-const readLog = async (log: LogService, start: (replay: Replay) => Promise<void>): Promise<History> => {
+const readLog = async (
+    log: LogService,
+    known: Grammars,
+    start: (replay: Replay) => Promise<void>,
+): Promise<History> => {
     const lines: HistoryLine[] = [];
     const note = ({ offset, ageMs }: LogRecord, verdict: Verdict): void => {
         lines.push({ offset, ageMs, verdict });
     };
-    const replay = new Replay(grammars, () => {}, note);
+    const replay = new Replay(known, () => {}, note);
     try {
         await start(replay);
         const base = replay.version;
