Drop the error kind that nothing gives

Bodies are streamed at the reader's pace and no class bounds them, so a bound would serve nobody today; a kind that can't occur only makes each caller's table longer. The page keeps its sentence that bodies have no bound.

--- a/packages/protocol/src/kinds.ts
+++ b/packages/protocol/src/kinds.ts
@@ -90,7 +90,6 @@
         "never",
         "The request ran; its answer was too large to keep for a repeat.",
     ),
-    "body-too-large": row(413, "not run", "never", "The body is larger than the class allows."),
     internal: row(500, "outcome unknown", "never", "The entry VM failed while handling the request."),
 } as const satisfies Readonly<Record<string, KindRow>>;
 
