Break off an answer that stalls at its server

A backend server that stopped sending in the middle of an answer, without closing, held its slot and its caller for ever: the deadline ends with the answer's head, and nothing watched the body.

A deadline for the whole body was ruled out, since a long download would be cut while it makes progress. So a server is given the call's deadline again from its last byte, at least 1 s, and time in which the caller isn't reading isn't held against it. Then the caller's connection is broken, the slot is settled as lost, and a non-idempotent request's repeat is told server-lost; it does not run again. The same holds for an answer passed on from another entry VM.

--- a/packages/proxy/src/passing.ts
+++ b/packages/proxy/src/passing.ts
@@ -7,14 +7,18 @@
 import { CallBody } from "./body.js";
 import { passedAnswerHeaders, passedRequestHeaders } from "./headers.js";
 import { Relay, type RelayEnd } from "./relay.js";
+import type { Sweep } from "./sweep.js";
 
 /** What passing on needs from its call. */
 export interface PassingParts {
     readonly client: BackendClient;
     readonly clock: () => number;
+    readonly sweep: Sweep;
     readonly req: IncomingMessage;
     readonly res: ServerResponse;
     readonly deadlineAt: number;
+    /** Time that the other entry VM may send nothing in the middle of an answer, in milliseconds. */
+    readonly stallMs: number;
     readonly extraHeaders: () => readonly string[];
 }
 
@@ -105,8 +109,9 @@
 
     async #relay(exchange: Exchange, answer: IncomingMessage): Promise<RelayEnd> {
         const headers = passedAnswerHeaders(answer.rawHeaders, answer.headers.connection);
-        const relay = new Relay(answer, this.#parts.res, undefined);
-        const end = await relay.run(answer.statusCode ?? 0, [...headers, ...this.#parts.extraHeaders()]);
+        const { res, extraHeaders, ...limit } = this.#parts;
+        const relay = new Relay(answer, res, undefined, limit);
+        const end = await relay.run(answer.statusCode ?? 0, [...headers, ...extraHeaders()]);
         if (end !== "whole") {
             exchange.abort({ kind: "cancelled" });
         }
--- a/packages/proxy/src/relay.ts
+++ b/packages/proxy/src/relay.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { trailerPairs } from "./headers.js";
+import type { Due, Sweep } from "./sweep.js";
 
 /** How a relay ended. */
 export type RelayEnd = "whole" | "broken" | "caller-gone";
@@ -37,19 +38,31 @@
     }
 }
 
+/** How long a server may send nothing in the middle of an answer. */
+export interface StallLimit {
+    readonly sweep: Sweep;
+    readonly clock: () => number;
+    /** Time without a byte while the caller is ready to read, in milliseconds. */
+    readonly stallMs: number;
+}
+
 /** Copies one answer. */
 export class Relay {
     readonly #from: IncomingMessage;
     readonly #to: ServerResponse;
     readonly #keep: Keep | undefined;
+    readonly #limit: StallLimit;
+    readonly #stall: Due;
     #resolve: (end: RelayEnd) => void = () => undefined;
     #bytes = 0;
 
     /** @param keep goes on reading for the table when the caller has gone */
-    constructor(from: IncomingMessage, to: ServerResponse, keep: Keep | undefined) {
+    constructor(from: IncomingMessage, to: ServerResponse, keep: Keep | undefined, limit: StallLimit) {
         this.#from = from;
         this.#to = to;
         this.#keep = keep;
+        this.#limit = limit;
+        this.#stall = limit.sweep.add(limit.clock() + limit.stallMs, () => this.#broke());
     }
 
     /** Body bytes copied so far. */
@@ -58,10 +71,18 @@
     }
 
     /**
-     * Copies until the last byte has been handed over or either side has gone. When the answer breaks off, the
-     * caller's connection is broken too, so that a short body never looks complete.
+     * Copies until the last byte has been handed over or either side has gone. When the answer breaks off or
+     * stalls, the caller's connection is broken too, so that a short body never looks complete.
      */
-    run(status: number, headers: string[]): Promise<RelayEnd> {
+    async run(status: number, headers: string[]): Promise<RelayEnd> {
+        try {
+            return await this.#copyAll(status, headers);
+        } finally {
+            this.#limit.sweep.remove(this.#stall);
+        }
+    }
+
+    #copyAll(status: number, headers: string[]): Promise<RelayEnd> {
         return new Promise(resolve => {
             this.#resolve = resolve;
             this.#watch();
@@ -78,7 +99,7 @@
         from.on("end", () => this.#ended());
         from.on("error", () => this.#broke());
         from.on("close", () => this.#broke());
-        to.on("drain", () => from.resume());
+        to.on("drain", () => this.#resume());
         to.on("close", () => this.#callerGone());
         if (to.destroyed) {
             this.#callerGone();
@@ -87,6 +108,7 @@
 
     #copy(chunk: Buffer): void {
         this.#bytes += chunk.length;
+        this.#awaitMore();
         const kept = this.#keep?.add(chunk) ?? false;
         if (this.#to.destroyed) {
             if (!kept) {
@@ -95,10 +117,25 @@
             return;
         }
         if (!this.#to.write(chunk)) {
-            this.#from.pause();
+            this.#pause();
         }
     }
 
+    #awaitMore(): void {
+        this.#stall.at = this.#limit.clock() + this.#limit.stallMs;
+    }
+
+    /** Waits for the caller, which isn't held against the server. */
+    #pause(): void {
+        this.#stall.at = Infinity;
+        this.#from.pause();
+    }
+
+    #resume(): void {
+        this.#awaitMore();
+        this.#from.resume();
+    }
+
     #ended(): void {
         if (!this.#from.complete) {
             this.#broke();
@@ -123,7 +160,7 @@
             this.#resolve("caller-gone");
             return;
         }
-        this.#from.resume();
+        this.#resume();
     }
 }
 
--- a/packages/proxy/src/serving.ts
+++ b/packages/proxy/src/serving.ts
@@ -17,12 +17,14 @@
 import type { Retries } from "./retries.js";
 import { Round, type RoundEnd, type Sending } from "./round.js";
 import type { Dispatched } from "./services.js";
+import type { Sweep } from "./sweep.js";
 import type { Timing } from "./timing.js";
 
 /** What all calls of a server share. */
 export interface ServingParts {
     readonly client: BackendClient;
     readonly clock: () => number;
+    readonly sweep: Sweep;
     readonly once: OnceTable;
     readonly retries: Retries;
     /** Headers that every answer carries now. */
@@ -40,6 +42,8 @@
     readonly route: Dispatched;
     readonly class: RequestClass;
     readonly deadlineAt: number;
+    /** Time that the server may send nothing in the middle of its answer, in milliseconds. */
+    readonly stallMs: number;
     readonly timing: Timing;
     /** Set for a non-idempotent request. */
     readonly run: Run | undefined;
@@ -178,11 +182,12 @@
         if (end.kind === "failed") {
             throw failureOf(end.error);
         }
-        const { res, run, timing } = this.#served;
+        const { res, run, timing, stallMs } = this.#served;
+        const { clock, sweep } = this.#parts;
         const status = end.answer.statusCode ?? 0;
         const headers = answerHeadersFor(end.answer.rawHeaders, end.answer.headers.connection);
         const keep = run && new Keep(this.#parts.once.limits.keepBytes);
-        const relay = new Relay(end.answer, res, keep);
+        const relay = new Relay(end.answer, res, keep, { sweep, clock, stallMs });
         const relayed = await relay.run(status, [...headers, ...this.#parts.extraHeaders()]);
         timing.bytesOut = relay.bytes;
         settle(end.sending, relayed, status);
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -14,13 +14,11 @@
 import { findClass, readHeaders, readTarget, type CallHeaders, type CallTarget } from "./request.js";
 import type { CallParts, Dispatched, Route } from "./services.js";
 import { relayEnds, Serving, type ServingParts } from "./serving.js";
-import type { Due, Sweep } from "./sweep.js";
+import type { Due } from "./sweep.js";
 import { Timing } from "./timing.js";
 
 /** What all calls of a server share. */
-export interface TaskParts extends CallParts, ServingParts {
-    readonly sweep: Sweep;
-}
+export interface TaskParts extends CallParts, ServingParts {}
 
 /** What a task waits for; told when there is nothing left to wait for. */
 interface Waiting {
@@ -37,6 +35,7 @@
     readonly #startedAt: number;
     #due: Due | undefined = undefined;
     #deadlineAt = Infinity;
+    #stallMs = leastStallMs;
     #waiting: Waiting | undefined = undefined;
 
     constructor(parts: TaskParts, req: IncomingMessage, res: ServerResponse) {
@@ -166,7 +165,9 @@
     }
 
     #setDeadline(headers: CallHeaders, cls: RequestClass | undefined): void {
-        this.#deadlineAt = this.#startedAt + (headers.deadlineMs ?? cls?.deadlineMs ?? defaultDeadlineMs);
+        const deadlineMs = headers.deadlineMs ?? cls?.deadlineMs ?? defaultDeadlineMs;
+        this.#deadlineAt = this.#startedAt + deadlineMs;
+        this.#stallMs = Math.max(deadlineMs, leastStallMs);
         this.#due = this.#parts.sweep.add(this.#deadlineAt, () => this.#waiting?.expire());
     }
 
@@ -188,6 +189,7 @@
             route,
             class: cls,
             deadlineAt: this.#deadlineAt,
+            stallMs: this.#stallMs,
             timing: this.#timing,
             run,
             digestOf: run && this.#identity(target),
@@ -197,9 +199,10 @@
     }
 
     async #pass(start: (passing: Passing) => Promise<RelayEnd>): Promise<CallEnd> {
-        const { client, clock, extraHeaders } = this.#parts;
-        const io = { req: this.#req, res: this.#res, deadlineAt: this.#deadlineAt };
-        const passing = new Passing({ client, clock, extraHeaders, ...io });
+        const { client, clock, sweep, extraHeaders } = this.#parts;
+        const io = { req: this.#req, res: this.#res };
+        const times = { deadlineAt: this.#deadlineAt, stallMs: this.#stallMs };
+        const passing = new Passing({ client, clock, sweep, extraHeaders, ...io, ...times });
         const giveUp = (): void => passing.abort(new CallError("deadline-sent"));
         this.#waiting = { expire: giveUp, callerGone: giveUp };
         const end = await start(passing);
@@ -214,6 +217,7 @@
 }
 
 const defaultDeadlineMs = 30_000;
+const leastStallMs = 1_000;
 
 const routed = (route: Route | CallError): Route => {
     if (route instanceof CallError) {
