Bound requests in flight by a server's connections

Cause: `connections` of a server, which it accepts from all entry VMs together, was read and never used; only slots bound the requests in flight, and early choosers nothing at all. Spare connections beyond the slots are now divided evenly among the service's dispatchers and bound what is sent ahead; early choosers, which share no slots, get an even part of all, its remainder by position so that none is left without a server. An even part for late binding was ruled out: it would take slots from the one active dispatcher. The part is as soft as the sharing of slots is.

`lent` was a state of a server that nothing produced. It is now shown where all slots that the dispatcher had are lent, until the loan ends. The tests fill every chooser's dispatchers beyond 3 connections a server, see no send ahead at 2 connections and one at 3, and see a loan begin and end; before, the state and the bound did not exist.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -66,7 +66,7 @@
             this.#chooser = makeChooser(service.chooser, this.#random);
         }
         this.#service = service;
-        this.#pool.follow(service);
+        this.#pool.follow(service, share);
         this.#sharing.follow(service, share, now);
         this.#allot(now);
         this.#hedges.follow(service.hedgeBudget);
@@ -98,7 +98,7 @@
     }
 
     view(now: number): DispatchView {
-        const servers = this.#pool.view(now);
+        const servers = this.#pool.view(this.#sharing.lentPositions(now), now);
         const inFlight = servers.reduce((sum, it) => sum + it.inFlight, 0);
         return { service: this.#service.name, queued: this.#queue.size, inFlight, servers };
     }
--- a/packages/dispatch/src/pool.ts
+++ b/packages/dispatch/src/pool.ts
@@ -5,8 +5,8 @@
 import type { Trust } from "./health.js";
 import { LatencyModel } from "./latency.js";
 import { ServerHealth } from "./health.js";
-import { ServerState } from "./server.js";
-import type { Call, ServerView, Slot, SlotResult } from "./types.js";
+import { type Connections, ServerState } from "./server.js";
+import type { Call, ServerView, Share, Slot, SlotResult } from "./types.js";
 
 /** Servers of the accepted text, and those no longer in it that still work for us. */
 export class ServerPool {
@@ -23,11 +23,14 @@
         return this.#inOrder;
     }
 
-    follow(service: Service): void {
+    follow(service: Service, share: Share): void {
         const before = this.#servers;
         this.#ejectShare = service.ejectShare;
         this.#servers = new Map(service.servers.map(it => [it.address, this.#adopt(it)]));
         this.#inOrder = [...this.#servers.values()];
+        this.#inOrder.forEach((it, position) =>
+            it.allotConnections(connectionsOf(it.server, position, share)),
+        );
         this.#owned = [];
         for (const [address, state] of before) {
             if (!this.#servers.has(address) && state.inFlight > 0) {
@@ -95,7 +98,7 @@
     /** Servers that aren't leaving, those not yet tried for the call if there are any. */
     available(call: Call, now: number): readonly ServerState[] {
         return untried(
-            this.servers.filter(it => it.available(now)),
+            this.servers.filter(it => it.available(now) && it.inFlight < it.connections),
             call,
         );
     }
@@ -126,7 +129,12 @@
             return [];
         }
         const full = all.filter(
-            it => it.available(now) && it.inFlight === it.owned && it.owned > 0 && !trusts.has(it),
+            it =>
+                it.available(now) &&
+                it.inFlight === it.owned &&
+                it.owned > 0 &&
+                it.spareConnections > 0 &&
+                !trusts.has(it),
         );
         const oldest = full.reduce((max, it) => Math.max(max, it.oldestAge(now)), 0);
         return untried(
@@ -145,9 +153,12 @@
         return this.#state(address)?.slowOdds(now) ?? -Infinity;
     }
 
-    view(now: number): readonly ServerView[] {
+    /** @param lent positions of servers of which slots are lent to another dispatcher */
+    view(lent: ReadonlySet<number>, now: number): readonly ServerView[] {
         const trusts = this.#trusts(0, now);
-        return this.servers.map(it => it.view(limitOf(it, trusts, now), trusts.get(it) ?? "full", now));
+        return this.servers.map((it, position) =>
+            it.view(limitOf(it, trusts, now), trusts.get(it) ?? "full", lent.has(position), now),
+        );
     }
 
     /** Servers not fully trusted. Failing ones up to the share that may be ejected; slow ones unless many are. */
@@ -187,6 +198,20 @@
     return Math.min(state.owned, trustedLimits[trust]);
 };
 
+/**
+ * This dispatcher's part of a server's connections: spare ones, beyond the slots, are divided evenly; all of them for
+ * dispatchers that don't share slots. The remainder goes round by position, so that no dispatcher is left without.
+ */
+const connectionsOf = (
+    { slots, connections }: BackendServer,
+    position: number,
+    share: Share,
+): Connections => {
+    const spare = Math.floor(Math.max(0, connections - slots) / share.count);
+    const remainder = (share.index + position) % share.count < connections % share.count ? 1 : 0;
+    return { spare, even: Math.floor(connections / share.count) + remainder };
+};
+
 const trustedLimits: Readonly<Record<Trust, number>> = { full: Infinity, trial: 1, slow: 0, ejected: 0 };
 
 const untried = (states: readonly ServerState[], call: Call): readonly ServerState[] => {
--- a/packages/dispatch/src/server.ts
+++ b/packages/dispatch/src/server.ts
@@ -10,6 +10,7 @@
 export class ServerState {
     #server: BackendServer;
     #owned = 0;
+    #connections: Connections = { spare: 0, even: 0 };
     #leaving = false;
     #drainUntil = 0;
     #averageMs = 0;
@@ -37,6 +38,16 @@
         return this.#owned;
     }
 
+    /** Connections that this dispatcher may use if slots are not shared. */
+    get connections(): number {
+        return this.#connections.even;
+    }
+
+    /** Connections that this dispatcher may use beyond the slots it owns. */
+    get spareConnections(): number {
+        return this.#connections.spare;
+    }
+
     /** Latest load report; undefined before the first. */
     get reported(): LoadReport | undefined {
         return this.#reported?.report;
@@ -80,6 +91,11 @@
         this.#owned = owned;
     }
 
+    /** Sets this dispatcher's part of the connections. */
+    allotConnections(connections: Connections): void {
+        this.#connections = connections;
+    }
+
     markLeaving(leaving: boolean): void {
         this.#leaving = leaving;
     }
@@ -120,18 +136,21 @@
         }
     }
 
-    view(limit: number, trust: Trust, now: number): ServerView {
-        const state = this.#viewState(limit, trust, now);
+    view(limit: number, trust: Trust, lent: boolean, now: number): ServerView {
+        const state = this.#viewState(limit, trust, lent, now);
         return { address: this.#server.address, inFlight: this.inFlight, limit, state, why: reasons[state] };
     }
 
-    #viewState(limit: number, trust: Trust, now: number): ServerView["state"] {
+    #viewState(limit: number, trust: Trust, lent: boolean, now: number): ServerView["state"] {
         if (!this.available(now)) {
             return "draining";
         }
         if (trust === "ejected" || trust === "slow") {
             return "ejected";
         }
+        if (lent && this.#owned === 0) {
+            return "lent";
+        }
         if (trust === "trial") {
             return "cold";
         }
@@ -147,6 +166,14 @@
     }
 }
 
+/** A dispatcher's part of the connections that a server accepts from all entry VMs together. */
+export interface Connections {
+    /** Beyond the slots that the dispatcher owns. */
+    readonly spare: number;
+    /** In all, for a dispatcher that doesn't share slots. */
+    readonly even: number;
+}
+
 const reasons: Readonly<Record<ServerView["state"], string>> = {
     serving: "It has free slots.",
     full: "All the slots that this entry VM may use are in use.",
--- a/packages/dispatch/src/sharing.ts
+++ b/packages/dispatch/src/sharing.ts
@@ -94,6 +94,11 @@
         return this.#allotted.counts;
     }
 
+    /** Positions of servers of which slots are lent now. */
+    lentPositions(now: number): ReadonlySet<number> {
+        return new Set(live(this.#lent, now).map(it => it.position));
+    }
+
     /** Sends what has come due and tells when the next thing will be. */
     tick(use: SlotUse, now: number): number {
         if (this.#others.size === 0) {
--- a/packages/dispatch/test/dispatcher.test.ts
+++ b/packages/dispatch/test/dispatcher.test.ts
@@ -4,7 +4,7 @@
 import { ServiceDispatcher } from "../src/dispatcher.js";
 import { SeededRandom } from "../src/random.js";
 import type { Call, Share, Slot } from "../src/types.js";
-import type { Service } from "@bramleymoor/model/spec";
+import { chooserNames, type Service } from "@bramleymoor/model/spec";
 import { makeCall, makeService, readClass } from "./fixtures.js";
 
 const whole: Share = { index: 0, count: 1 };
@@ -105,3 +105,48 @@
     dispatcher.settle(slot, ok, 1);
     assert.throws(() => dispatcher.settle(slot, ok, 2));
 });
+
+test("requests in flight of all dispatchers together stay within a server's connections", () => {
+    const connections = 3;
+    const servers = makeService(4, 2).servers.map(it => ({ ...it, connections }));
+    for (const chooser of chooserNames) {
+        const shares = [0, 1, 2].map(index => ({ index, count: 3 }));
+        const dispatchers = shares.map(share => dispatcherOf(makeService(0, 2, { servers, chooser }), share));
+        const watched = dispatchers.flatMap(it => Array.from({ length: 20 }, () => submit(it, makeCall())));
+        const inFlight = servers.map((_, at) =>
+            dispatchers.reduce((sum, it) => sum + it.view(0).servers[at]!.inFlight, 0),
+        );
+        assert.ok(
+            inFlight.every(count => count > 0 && count <= connections),
+            `${chooser}: ${inFlight}`,
+        );
+        assert.ok(watched.every(it => it.errors.length === 0));
+    }
+});
+
+test("late binding sends ahead only over spare connections", () => {
+    for (const [connections, most] of [
+        [2, 2],
+        [3, 3],
+    ] as const) {
+        const [server] = makeService(1, 2).servers;
+        const dispatcher = dispatcherOf(makeService(0, 2, { servers: [{ ...server!, connections }] }));
+        for (let now = 0; now < 60; now++) {
+            const slot = submit(dispatcher, makeCall(), now).slots[0];
+            dispatcher.settle(slot!, ok, now + 1);
+        }
+        Array.from({ length: 10 }, () => submit(dispatcher, makeCall(), 61));
+        assert.equal(dispatcher.view(61).inFlight, most);
+    }
+});
+
+test("a server all of whose slots are lent is shown as lent, until the loan ends", () => {
+    const share = { index: 0, count: 2 };
+    const dispatcher = dispatcherOf(makeService(2, 1), share);
+    const state = (now: number): readonly string[] => dispatcher.view(now).servers.map(it => it.state);
+    dispatcher.follow(makeService(4, 1), share, 0);
+    dispatcher.receive({ version: 1, kind: "ask", from: 1 }, 0);
+    assert.deepEqual(state(0), ["lent", "serving", "full", "full"]);
+    dispatcher.tick(50);
+    assert.deepEqual(state(50), ["serving", "serving", "full", "full"]);
+});
