--- a/packages/entry/test/node.test.ts
+++ b/packages/entry/test/node.test.ts
@@ -1,78 +1,8 @@
 import assert from "node:assert/strict";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import { publish } from "@bramleymoor/config/publisher";
-import { EventLog } from "@bramleymoor/observe/events";
-import { MemoryPlatform } from "@bramleymoor/platform/memory";
 import type { AddressAnswer } from "@bramleymoor/protocol/answer";
-import { startBackend, type Backend } from "@bramleymoor/testkit/backend";
-import { EntryNode, type NodeAddresses } from "../src/node.js";
-import { parseSettings } from "../src/settings.js";
-
-const key = "0123456789abcdef";
-
-const settingsOf = (id: string) =>
-    parseSettings(
-        [
-            "[entry]",
-            `id = ${id}`,
-            "[ports]",
-            "callers = 127.0.0.1:0",
-            "operators = 127.0.0.1:0",
-            "peers = 127.0.0.1:0",
-            "[peers]",
-            `key = ${key}`,
-            "[callers]",
-            "ttl-ms = 100",
-        ].join("\n"),
-        `${id}.ini`,
-    );
-
-interface Started {
-    readonly node: EntryNode;
-    readonly at: NodeAddresses;
-    /** Resolves when a line with the event has been written. */
-    readonly event: (name: string) => Promise<void>;
-}
-
-const startNode = async (t: TestContext, id: string, platform: MemoryPlatform): Promise<Started> => {
-    const lines: string[] = [];
-    const waiting: (() => void)[] = [];
-    const write = (line: string): void => {
-        lines.push(line);
-        waiting.splice(0).forEach(wake => wake());
-    };
-    const clock = (): number => 0;
-    const events = new EventLog({ source: id, format: "json", level: "debug", write, clock });
-    const node = new EntryNode(settingsOf(id), platform, events);
-    const at = await node.start();
-    t.after(() => node.stop("test"));
-    const event = async (name: string): Promise<void> => {
-        while (!lines.some(line => line.includes(`"name":"${name}"`))) {
-            await new Promise<void>(resolve => waiting.push(resolve));
-        }
-    };
-    return { node, at, event };
-};
-
-const listOf = (nodes: readonly (readonly [string, Started])[]) =>
-    nodes.map(([id, { at }]) => ({
-        id,
-        peerAddress: at.peers,
-        callerAddress: at.callers,
-        region: "default",
-        domain: "default",
-        role: "entry" as const,
-        leaving: false,
-    }));
-
-const textOf = (backend: Backend): string => `[service desk]\nserver = ${backend.address} slots=2\n`;
-
-const stage = async (t: TestContext) => {
-    const platform = new MemoryPlatform({ now: () => performance.now() });
-    const backend = await startBackend({});
-    t.after(() => backend.close());
-    return { platform, backend };
-};
+import { key, listOf, stage, startNode, textOf, until } from "./setup.js";
 
 test("a text is published, addresses are answered, a call and an order reach the backend server", async t => {
     const { platform, backend } = await stage(t);
@@ -108,9 +38,7 @@
     );
     await publish(platform, textOf(backend), 0, { id: "p1", random: () => 0.5 });
     await Promise.all([one.event("ready"), two.event("ready")]);
-    while (one.node.members.length < 2 || two.node.members.length < 2) {
-        await new Promise(resolve => setTimeout(resolve, 20));
-    }
+    await until(() => one.node.members.length === 2 && two.node.members.length === 2);
     const res = await fetch(`http://${one.at.callers}/v1/addresses/desk`);
     const answer = (await res.json()) as AddressAnswer;
     const [first = "", second = ""] = answer.addresses;
