Measure every slope of the page of capacity in one run

`measure -- slopes` takes memory, time and bytes of texts, dispatch, placement, slot messages, metrics, the at-most-once table, the VM list and membership at four sizes or more, fits straight lines, and writes them with the needs at the target into docs/CAPACITY.md. Existing measurements run as processes of their own, so their heaps stay apart.

--- a/packages/bench/src/concert.ts
+++ b/packages/bench/src/concert.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from "@bramleymoor/dispatch/random";
 import { Command } from "commander";
 import { delay, monotonicMs } from "./clock.js";
-import { Fleet, type BackendsChild, type EntryChild } from "./fleet.js";
+import { Fleet, type EntryChild } from "./fleet.js";
 import { ratibaDomains, RatibaServers, ratibaStreams } from "./ratiba.js";
 import { Traffic, type Stream, type TrafficResult } from "./traffic.js";
 
@@ -154,7 +154,7 @@
     /** Marks a server as leaving by text, and gives the time until its last new request. */
     async #drain(servers: RatibaServers): Promise<number> {
         const stops = servers.of("stops-lookup");
-        const port = await busiestPort(stops);
+        const [port = 0] = stops.ports;
         const ran = async (): Promise<number> =>
             (await stops.counts()).find(one => one.port === port)?.ran ?? 0;
         let seen = await ran();
@@ -194,13 +194,6 @@
     }
 }
 
-/** Port of the server that has run most, so that its last new request tells something. */
-const busiestPort = async (servers: BackendsChild): Promise<number> => {
-    const counts = await servers.counts();
-    const [busiest] = [...counts].sort((a, b) => b.ran - a.ran);
-    return busiest?.port ?? 0;
-};
-
 const lessen = (stream: Stream): Stream => ({ ...stream, perSecond: stream.perSecond * trafficShare });
 
 const report = (
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -11,6 +11,7 @@
 import { policyCommand } from "./policy.js";
 import { overloadCommand } from "./policyoverload.js";
 import { plotCommand } from "./policyplot.js";
+import { slopesCommand } from "./slopes.js";
 import { recordCommand } from "./tracecommand.js";
 
 const program = new Command("measure");
@@ -25,4 +26,5 @@
 program.addCommand(overloadCommand());
 program.addCommand(plotCommand());
 program.addCommand(recordCommand());
+program.addCommand(slopesCommand());
 await program.parseAsync();
--- /dev/null
+++ b/packages/bench/src/slopes-dispatch.ts
@@ -0,0 +1,266 @@
+/** Slopes of what grows with services and servers: texts, dispatchers, placement, slot messages, metrics. */
+
+import { emptyVersion, grammars } from "@bramleymoor/config/version";
+import { snapshotOf, versionOf } from "@bramleymoor/config/snapshot";
+import { ServiceDispatcher } from "@bramleymoor/dispatch/dispatcher";
+import { SeededRandom } from "@bramleymoor/dispatch/random";
+import { SlotSharing } from "@bramleymoor/dispatch/sharing";
+import type { Call, Slot } from "@bramleymoor/dispatch/types";
+import { Hosted } from "@bramleymoor/entry/hosted";
+import { SlotChannel } from "@bramleymoor/entry/slotchannel";
+import { Document } from "@bramleymoor/model/document";
+import type { Service } from "@bramleymoor/model/spec";
+import { parseText } from "@bramleymoor/model/text";
+import type { EntryVm } from "@bramleymoor/model/vm";
+import { CallMetrics } from "@bramleymoor/observe/metrics";
+import { place } from "@bramleymoor/placement/placement";
+import { probeDefaults } from "@bramleymoor/probing/budget";
+import { monotonicMs } from "./clock.js";
+import { heapKept, pointsOf, Slope, timeOf, type Point } from "./slopes-fit.js";
+
+const targetServers = 9_200;
+const targetServices = 380;
+const targetPerService = 24;
+const microsecondsPerMs = 1_000;
+const alone = { index: 0, count: 1 };
+
+/** A text of so many services that share the servers evenly. */
+export const textOf = (services: number, servers: number): string => {
+    const sections = Array.from({ length: services }, (_, service) => {
+        const from = Math.floor((service * servers) / services);
+        const to = Math.floor(((service + 1) * servers) / services);
+        const lines = Array.from({ length: to - from }, (_, at) => serverLine(from + at));
+        return `[service service-${service}]\n${lines.join("\n")}\n`;
+    });
+    return sections.join("\n");
+};
+
+const serverLine = (server: number): string =>
+    `server = 10.${server >> 8}.${server & 255}.1:8080 domain=domain-${server % 7} slots=2 connections=250`;
+
+/** Slopes of one entry VM's accepted text. */
+export const textSlopes = (): readonly Slope[] => [
+    new Slope(
+        "text-heap-per-server",
+        "B",
+        `backend server, at ${targetServices} services`,
+        pointsOf([1_150, 2_300, 4_600, targetServers], servers => textHeap(targetServices, servers)),
+    ),
+    new Slope(
+        "text-heap-per-service",
+        "B",
+        `service, at ${targetServers} backend servers`,
+        pointsOf([95, 190, targetServices, 760], services => textHeap(services, targetServers)),
+    ),
+    new Slope(
+        "text-parse-per-server",
+        "ms",
+        `backend server, at ${targetServices} services`,
+        pointsOf([1_150, 2_300, 4_600, targetServers], servers => {
+            const text = textOf(targetServices, servers);
+            return timeOf(1, () => parseText(text));
+        }),
+    ),
+];
+
+const textHeap = (services: number, servers: number): number => {
+    const document = Document.parse(textOf(services, servers));
+    const base = { ...emptyVersion, number: 1, offset: 0 };
+    const snapshot = snapshotOf({ ...base, document, digest: document.digest }, 1);
+    return heapKept(() => {
+        const version = versionOf(snapshot, grammars);
+        if (typeof version === "string") {
+            throw new Error(`the text was not taken: ${version}`);
+        }
+        return version;
+    });
+};
+
+/** A service with so many servers of two slots. */
+const serviceOf = (servers: number, name = 0): Service => {
+    const parsed = parseText(textOf(1, servers).replace("service-0", `service-${name}`));
+    const service = parsed.ok ? parsed.spec.services.values().next().value : undefined;
+    if (!service) {
+        throw new Error(`the measured text has no service: ${JSON.stringify(parsed)}`);
+    }
+    return service;
+};
+
+const callOf = (service: Service, id: number, now: number): Call => ({
+    id,
+    class: service.classes[0]!,
+    tenant: "tenant",
+    deadlineAt: now + 60_000,
+    attempt: 1,
+    retryBudget: 0,
+    tried: [],
+});
+
+/** A dispatcher kept half busy: its oldest call ends, and another one begins. */
+class Loop {
+    readonly #service: Service;
+    readonly #dispatcher: ServiceDispatcher;
+    readonly #slots: Slot[] = [];
+    #now = 0;
+    #calls = 0;
+
+    constructor(servers: number) {
+        this.#service = serviceOf(servers);
+        this.#dispatcher = new ServiceDispatcher(this.#service, alone, new SeededRandom(1), 0);
+        for (let call = 0; call < servers; call++) {
+            this.#submit();
+        }
+    }
+
+    step(): void {
+        this.#now += 0.1;
+        const slot = this.#slots.shift();
+        if (!slot) {
+            throw new Error("no call was given a slot");
+        }
+        this.#dispatcher.settle(slot, { kind: "answered", status: 200 }, this.#now);
+        this.#submit();
+    }
+
+    tick(): void {
+        this.#now += 20;
+        this.#dispatcher.tick(this.#now);
+    }
+
+    #submit(): void {
+        const call = callOf(this.#service, ++this.#calls, this.#now);
+        this.#dispatcher.submit(call, this.#now).subscribe(slot => this.#slots.push(slot));
+    }
+}
+
+/** Slopes of dispatching one service. */
+export const dispatchSlopes = (): readonly Slope[] => {
+    const sizes = [8, 24, 96, 192, 384];
+    const loops = new Map(sizes.map(size => [size, new Loop(size)]));
+    const steps = pointsOf(sizes, size => timeOf(2_000, () => loops.get(size)?.step()) * microsecondsPerMs);
+    const ticks = pointsOf(sizes, size => timeOf(500, () => loops.get(size)?.tick()) * microsecondsPerMs);
+    const hosted = [8, 24, 96, 192, 384].map(size => ({ size, value: hostedHeap(size) }));
+    return [
+        new Slope("dispatch-call-time", "us", "backend server of the service, half of its slots busy", steps),
+        new Slope("dispatch-tick-time", "us", "backend server of the service, half of its slots busy", ticks),
+        new Slope("hosted-heap-per-server", "B", "backend server of a service dispatched here", hosted),
+    ];
+};
+
+/** Heap of one dispatched service, its prober and report filter included; the mean of several. */
+const hostedHeap = (servers: number): number => {
+    const copies = 20;
+    const services = Array.from({ length: copies }, (_, name) => serviceOf(servers, name));
+    const parts = {
+        probing: { ...probeDefaults, ordinal: 0 },
+        random: new SeededRandom(1),
+        sendToDispatcher: () => undefined,
+    };
+    return heapKept(() => services.map(service => new Hosted(service, alone, parts, 0))) / copies;
+};
+
+const vmOf = (index: number): EntryVm => ({
+    id: `vm-${index}`,
+    incarnation: "a",
+    place: { region: `r${index % 3}`, domain: `d${index % 7}` },
+    callerAddress: `10.0.${index >> 8}.${index & 255}:8080`,
+    peerAddress: `10.0.${index >> 8}.${index & 255}:8081`,
+    state: "alive",
+    load: 0,
+});
+
+/** Time in which one entry VM places every service anew, after any change of members, text or demand. */
+export const placementSlope = (): Slope => {
+    const sizes = [
+        [16, 95],
+        [32, 190],
+        [64, 380],
+        [128, 380],
+        [256, 380],
+        [512, 380],
+    ] as const;
+    const points = sizes.map(([members, services]) => {
+        const vms = Array.from({ length: members }, (_, index) => vmOf(index));
+        const names = Array.from({ length: services }, (_, index) => `service-${index}`);
+        return {
+            size: members * services,
+            value: timeOf(3, () => names.forEach(name => place(name, vms, 3))),
+        };
+    });
+    return new Slope("placement-time", "ms", "member times service", points);
+};
+
+/** Bytes a second, both directions, of one dispatcher of a service with calls, against its other dispatchers. */
+export const hintSlope = (): Slope => {
+    const service = serviceOf(targetPerService);
+    const points = [2, 3, 4, 5].map(count => ({
+        size: count - 1,
+        // Each peer sends as many hints as it gets.
+        value: 2 * hintBytes(service, count),
+    }));
+    return new Slope("hint-bytes", "B/s", "other dispatcher of a service with calls", points);
+};
+
+const hintBytes = (service: Service, count: number): number => {
+    const seconds = 10;
+    const channel = new SlotChannel("a key of this measurement", () => undefined);
+    const id = "entry-001";
+    const peers = {
+        send: (_to: number, message: Parameters<SlotSharing["receive"]>[0]) =>
+            channel.send("127.0.0.1:9", { id, service: service.name, message }),
+    };
+    const sharing = new SlotSharing(peers);
+    sharing.follow(service, { index: 0, count }, 0);
+    const use = { inFlight: 12, queued: 0, waitedMs: 0, idle: () => [] };
+    for (let now = 0; now < seconds * 1_000; now += 10) {
+        sharing.tick(use, now);
+    }
+    channel.close();
+    return channel.bytes / seconds;
+};
+
+const recordOf = (label: number, service: number) => ({
+    service: `service-${service}`,
+    class: `class-${label}`,
+    tenant: `tenant-${label}`,
+    outcome: "answered" as const,
+    status: 200,
+    queueMs: 0.1,
+    serverMs: 4,
+    addedMs: 0.7,
+    hedged: false,
+    retried: false,
+});
+
+/** Heap, time of a call and time of reading, against services of two classes and two tenants with calls. */
+export const metricsSlopes = async (): Promise<readonly Slope[]> => {
+    const sizes = [25, 50, 100, 190, targetServices];
+    const heap: Point[] = [];
+    const call: Point[] = [];
+    const read: Point[] = [];
+    for (const size of sizes) {
+        let metrics = new CallMetrics();
+        heap.push({ size, value: heapKept(() => (metrics = filled(size))) });
+        const records = Array.from({ length: size }, (_, service) => recordOf(service % 2, service));
+        const ms = timeOf(2_000, index => metrics.done(records[index % size]!));
+        call.push({ size, value: ms * microsecondsPerMs });
+        const start = monotonicMs();
+        await metrics.text();
+        read.push({ size, value: monotonicMs() - start });
+    }
+    const per = "service with calls, of 2 classes and 2 tenants";
+    return [
+        new Slope("metrics-heap", "B", per, heap),
+        new Slope("metrics-call-time", "us", per, call),
+        new Slope("metrics-read-time", "ms", per, read),
+    ];
+};
+
+const filled = (services: number): CallMetrics => {
+    const metrics = new CallMetrics();
+    for (let service = 0; service < services; service++) {
+        metrics.done(recordOf(0, service));
+        metrics.done(recordOf(1, service));
+    }
+    return metrics;
+};
--- /dev/null
+++ b/packages/bench/src/slopes-target.ts
@@ -0,0 +1,323 @@
+/** What each role needs at the target's size, by the measured slopes. */
+
+import type { Slope } from "./slopes-fit.js";
+import { bytesNeed, coreNeed, memoryNeed, need, type Figures, type Need } from "./slopes-need.js";
+
+const servers = 9_200;
+const services = 380;
+const callsPerSecond = 780_000;
+const failureDomains = 7;
+const changesPerSecond = 7_300 / 86_400;
+/** Each of the VMs that fail or are replaced in a day goes from the list and comes back to it. */
+const listChangesPerSecond = (2 * (38 + 920)) / 86_400;
+const mostMegabytes = 32;
+/** Closed loop, one entry process, as commit ef8f9f5 gives it; measured while the machine was busy. */
+const processCallsPerSecond = 3_622;
+const usedShare = 2 / 3;
+const dispatchersPerService = 3;
+const ticksPerSecond = 50;
+const busyTicksPerSecond = 1_000;
+const ratesPerSecond = 0.2;
+const pollsPerSecond = 0.2;
+const checkpointPartBytes = 131_072;
+const onceEntries = 100_000;
+const bytesPerMegabyte = 1e6;
+
+/** The target's needs by the slopes of one run. */
+export class Target {
+    readonly #slopes: ReadonlyMap<string, Slope>;
+    readonly #figures: Figures;
+    /** Entry VMs of one process each that carry all calls at two thirds of capacity without one failure domain. */
+    readonly vms = Math.ceil(
+        (callsPerSecond / (processCallsPerSecond * usedShare)) * (failureDomains / (failureDomains - 1)),
+    );
+    /** Services dispatched by one entry VM. */
+    readonly hosted = Math.ceil((services * dispatchersPerService) / this.vms);
+
+    constructor(slopes: readonly Slope[], figures: Figures) {
+        this.#slopes = new Map(slopes.map(slope => [slope.name, slope]));
+        this.#figures = figures;
+    }
+
+    /** Every line, by role. */
+    needs(): readonly Need[] {
+        return [
+            ...this.#dispatch(),
+            ...this.#placement(),
+            ...this.#config(),
+            ...this.#checkpoints(),
+            ...this.#membership(),
+            ...this.#once(),
+            ...this.#sharing(),
+            ...this.#metrics(),
+            ...this.#vmList(),
+            ...this.#sums(),
+        ];
+    }
+
+    #dispatch(): readonly Need[] {
+        const perServer = servers / services;
+        const role = "dispatch";
+        return [
+            need(
+                role,
+                "processor time of a call",
+                "dispatch-call-time(s)",
+                this.#at("dispatch-call-time", perServer),
+                "us",
+            ),
+            coreNeed(role, "processor, ticks at rest", "h x 50/s x dispatch-tick-time(s)", this.#tickPercent),
+            coreNeed(
+                role,
+                "processor, ticks while calls run, at most",
+                "h x 1,000/s x dispatch-tick-time(s)",
+                (this.#tickPercent * busyTicksPerSecond) / ticksPerSecond,
+            ),
+            memoryNeed(role, "memory", "h x hosted-heap-per-server(s)", this.#hostedMegabytes),
+        ];
+    }
+
+    #placement(): readonly Need[] {
+        const role = "placement";
+        return [
+            need(role, "time of one placing", "placement-time(n x 380)", this.#placementMs, "ms"),
+            coreNeed(
+                role,
+                "processor",
+                "(1 in 5 s + changes of text and members) x placement-time",
+                this.#placementPercent,
+            ),
+        ];
+    }
+
+    #config(): readonly Need[] {
+        const role = "following texts";
+        return [
+            memoryNeed(role, "memory", "text-heap-per-server(9,200)", this.#textMegabytes),
+            bytesNeed(role, "messages", "change x 7,300 a day + poll x 0.2/s", this.#configBytes),
+            coreNeed(role, "processor", "change-time(9,200) x 7,300 a day", this.#configPercent),
+            need(
+                role,
+                "one standstill, a whole text",
+                "snapshot-time(9,200)",
+                this.#at("snapshot-time", servers),
+                "ms",
+            ),
+        ];
+    }
+
+    #checkpoints(): readonly Need[] {
+        const bytes = this.#at("text-bytes", servers);
+        const day = this.#figure("checkpoints-a-day-76-vms");
+        const appends = day * (Math.ceil(bytes / checkpointPartBytes) + 1);
+        return [
+            need("checkpoints", "appends of all", "6 a day x (parts of 128 Ki + 1)", appends, "a day"),
+            need(
+                "checkpoints",
+                "appended by all",
+                "6 a day x text-bytes(9,200)",
+                (day * bytes) / 86_400,
+                "B/s",
+            ),
+            need(
+                "log",
+                "appends of all",
+                "7,300 a day + checkpoints",
+                changesPerSecond + appends / 86_400,
+                "a second",
+                200,
+            ),
+            need(
+                "log",
+                "appended by all",
+                "change x 7,300 a day + checkpoints",
+                this.#logBytes(day * bytes),
+                "B/s",
+            ),
+            need(
+                "log",
+                "reads of all",
+                "n x (0.2/s + 7,300 a day)",
+                this.vms * (pollsPerSecond + changesPerSecond),
+                "a second",
+            ),
+        ];
+    }
+
+    #logBytes(checkpointBytesPerDay: number): number {
+        return this.#figure("config-bytes-per-change") * changesPerSecond + checkpointBytesPerDay / 86_400;
+    }
+
+    #membership(): readonly Need[] {
+        const role = "membership";
+        const at = (name: string): number => this.#at(name, this.vms);
+        return [
+            bytesNeed(role, "messages at rest", "membership-calm(n)", at("membership-calm")),
+            bytesNeed(role, "messages, busiest minute", "membership-busy(n)", at("membership-busy")),
+            coreNeed(role, "processor", "membership-core(n)", at("membership-core")),
+            memoryNeed(role, "memory", "member-heap(n)", this.#memberMegabytes),
+            need(role, "a dead member is out everywhere", "membership-out(n)", at("membership-out"), "ms"),
+            need(role, "lists agree after regions apart", "membership-heal(n)", at("membership-heal"), "ms"),
+        ];
+    }
+
+    #once(): readonly Need[] {
+        const role = "at-most-once table";
+        const entries = (mostMegabytes * bytesPerMegabyte) / this.#slope("once-heap").slope;
+        return [
+            memoryNeed(
+                role,
+                "memory of 100,000 entries",
+                "once-heap(100,000)",
+                this.#at("once-heap", onceEntries) / bytesPerMegabyte,
+            ),
+            need(
+                role,
+                "non-idempotent calls a VM in 32 MB",
+                "32 MB / once-heap / 120 s",
+                entries / 120,
+                "calls/s",
+            ),
+        ];
+    }
+
+    #sharing(): readonly Need[] {
+        const formula = "h x 2 others x hint-bytes";
+        return [bytesNeed("slot sharing", "messages", formula, this.#hintBytes)];
+    }
+
+    #metrics(): readonly Need[] {
+        const perVm = callsPerSecond / this.vms;
+        const call = this.#at("metrics-call-time", this.hosted);
+        const role = "metrics";
+        return [
+            need(
+                role,
+                "processor, part of the calls",
+                "780,000 / n x metrics-call-time(h)",
+                (perVm * call) / 1e4,
+                "% of a core",
+            ),
+            memoryNeed(role, "memory", "h x metrics-heap", this.#metricsMegabytes),
+            need(
+                role,
+                "one reading, labels of all services",
+                "metrics-read-time(380)",
+                this.#at("metrics-read-time", services),
+                "ms",
+            ),
+        ];
+    }
+
+    #vmList(): readonly Need[] {
+        const role = "VM list";
+        return [
+            bytesNeed(
+                role,
+                "messages, mean",
+                "vm-list-bytes(9,200 + n) x 1,916 changes a day",
+                this.#listBytes,
+            ),
+            bytesNeed(
+                role,
+                "messages in a second with a change",
+                "vm-list-bytes(9,200 + n)",
+                this.#at("vm-list-bytes", servers + this.vms),
+            ),
+            memoryNeed(role, "memory", "vm-list-heap(9,200 + n)", this.#listMegabytes),
+        ];
+    }
+
+    #sums(): readonly Need[] {
+        const bytes =
+            this.#at("membership-calm", this.vms) + this.#configBytes + this.#hintBytes + this.#listBytes;
+        const core =
+            this.#tickPercent +
+            this.#placementPercent +
+            this.#configPercent +
+            this.#at("membership-core", this.vms);
+        const memory =
+            this.#textMegabytes +
+            this.#hostedMegabytes +
+            this.#memberMegabytes +
+            this.#metricsMegabytes +
+            this.#listMegabytes;
+        return [
+            bytesNeed("all control", "messages at rest", "sum of the above", bytes),
+            coreNeed("all control", "processor", "sum of the above", core),
+            memoryNeed("all control", "memory without at-most-once entries", "sum of the above", memory),
+        ];
+    }
+
+    get #tickPercent(): number {
+        return (this.hosted * ticksPerSecond * this.#at("dispatch-tick-time", servers / services)) / 1e4;
+    }
+
+    get #hostedMegabytes(): number {
+        return (this.hosted * this.#at("hosted-heap-per-server", servers / services)) / bytesPerMegabyte;
+    }
+
+    get #placementMs(): number {
+        return this.#at("placement-time", this.vms * services);
+    }
+
+    get #placementPercent(): number {
+        // Each VM that changes is on the list of members twice, as going and as come.
+        const memberChanges = (listChangesPerSecond * this.vms) / (servers + this.vms);
+        return ((ratesPerSecond + changesPerSecond + memberChanges) * this.#placementMs) / 10;
+    }
+
+    get #textMegabytes(): number {
+        return this.#at("text-heap-per-server", servers) / bytesPerMegabyte;
+    }
+
+    get #configBytes(): number {
+        const { "config-bytes-per-change": change = NaN, "config-bytes-per-poll": poll = NaN } =
+            this.#figures;
+        return change * changesPerSecond + poll * pollsPerSecond;
+    }
+
+    get #configPercent(): number {
+        return (this.#at("change-time", servers) * changesPerSecond) / 10;
+    }
+
+    get #memberMegabytes(): number {
+        return this.#at("member-heap", this.vms) / bytesPerMegabyte;
+    }
+
+    get #hintBytes(): number {
+        return this.hosted * (dispatchersPerService - 1) * this.#slope("hint-bytes").slope;
+    }
+
+    get #metricsMegabytes(): number {
+        return (this.hosted * this.#slope("metrics-heap").slope) / bytesPerMegabyte;
+    }
+
+    get #listBytes(): number {
+        return this.#at("vm-list-bytes", servers + this.vms) * listChangesPerSecond;
+    }
+
+    get #listMegabytes(): number {
+        return this.#at("vm-list-heap", servers + this.vms) / bytesPerMegabyte;
+    }
+
+    #at(name: string, size: number): number {
+        return this.#slope(name).at(size);
+    }
+
+    #slope(name: string): Slope {
+        const slope = this.#slopes.get(name);
+        if (!slope) {
+            throw new RangeError(`the slope ${name} was not measured`);
+        }
+        return slope;
+    }
+
+    #figure(name: string): number {
+        const figure = this.#figures[name];
+        if (figure === undefined) {
+            throw new RangeError(`the figure ${name} was not measured`);
+        }
+        return figure;
+    }
+}
--- /dev/null
+++ b/packages/bench/src/slopes-traffic.ts
@@ -0,0 +1,190 @@
+/** Slopes of control traffic, of the at-most-once table and of following texts. */
+
+import { HttpPlatform } from "@bramleymoor/platform/http";
+import { startPlatform } from "@bramleymoor/testkit/platform";
+import { builtScript, Child } from "./child.js";
+import { monotonicMs } from "./clock.js";
+import { GossipNet } from "./gossipnet.js";
+import { heapNow, Slope, type Point } from "./slopes-fit.js";
+import type { Figures } from "./slopes-need.js";
+import { measureMembership, type MembershipRow } from "./slopes-membership.js";
+
+const childMs = 200_000;
+const agreedMs = 30_000;
+const warmUpNodes = 16;
+const listFetches = 4;
+
+/** Slopes of membership against the number of entry VMs, up to `most` of them. */
+export const membershipSlopes = async (most: number): Promise<readonly Slope[]> => {
+    const sizes = [16, 32, 64, 128, 256].filter(size => size <= most);
+    const rows: MembershipRow[] = [];
+    const heap: Point[] = [];
+    for (const size of sizes) {
+        heap.push({ size, value: await membershipHeap(size) });
+        rows.push(await measureMembership(size, 1));
+    }
+    const slope = (name: string, unit: string, valueOf: (row: MembershipRow) => number) =>
+        new Slope(
+            name,
+            unit,
+            "entry VM",
+            rows.map(row => ({ size: row.nodes, value: valueOf(row) })),
+        );
+    return [
+        new Slope("member-heap", "B", "entry VM", heap),
+        slope("membership-calm", "B/s", row => row.calmBytesPerSecond),
+        slope("membership-busy", "B/s", row => row.busyBytesPerSecond),
+        slope("membership-core", "% of a core", row => row.cpuShare * 100),
+        slope("membership-out", "ms", row => row.outMaxMs),
+        slope("membership-heal", "ms", row => row.healMs),
+    ];
+};
+
+/** Heap of one node of so many that know each other, the fake network's share included. */
+const membershipHeap = async (nodes: number): Promise<number> => {
+    await agreedNet(warmUpNodes);
+    const before = heapNow();
+    const net = await agreedNet(nodes);
+    const bytes = heapNow() - before;
+    return bytes / net.nodes.length;
+};
+
+const agreedNet = async (nodes: number): Promise<GossipNet> => {
+    const net = new GossipNet(1);
+    net.startAll(nodes);
+    await net.run(agreedMs);
+    return net;
+};
+
+/** Slopes of fetching the platform's whole VM list. */
+export const vmListSlopes = async (): Promise<readonly Slope[]> => {
+    const bytes: Point[] = [];
+    const spent: Point[] = [];
+    const heap: Point[] = [];
+    const platform = await startPlatform({ port: 0 });
+    for (const size of [1_150, 2_300, 4_600, 9_200]) {
+        platform.memory.setVms(Array.from({ length: size }, (_, index) => vmOf(index)));
+        const fetches: Fetch[] = [];
+        for (let times = 0; times < listFetches; times++) {
+            fetches.push(await fetchList(platform.url));
+        }
+        bytes.push({ size, value: fetches[0]!.bytes });
+        spent.push({ size, value: Math.min(...fetches.map(fetch => fetch.ms)) });
+        heap.push({ size, value: fetches.at(-1)!.heapBytes });
+    }
+    await platform.close();
+    const per = "VM on the list";
+    return [
+        new Slope("vm-list-bytes", "B", `${per}, fetched once`, bytes),
+        new Slope("vm-list-time", "ms", `${per}, fetched once, the stand-in's work included`, spent),
+        new Slope("vm-list-heap", "B", `${per} as held`, heap),
+    ];
+};
+
+interface Fetch {
+    readonly bytes: number;
+    readonly ms: number;
+    readonly heapBytes: number;
+}
+
+/** Fetches the list with a fresh client, which holds it. */
+const fetchList = async (url: string): Promise<Fetch> => {
+    const client = new HttpPlatform(url);
+    const before = heapNow();
+    const start = monotonicMs();
+    await client.list();
+    const ms = monotonicMs() - start;
+    const heapBytes = heapNow() - before;
+    client.close();
+    return { bytes: client.bytes, ms, heapBytes };
+};
+
+const vmOf = (index: number) => ({
+    id: `backend-${index}`,
+    peerAddress: `10.${index >> 8}.${index & 255}.1:8080`,
+    callerAddress: `10.${index >> 8}.${index & 255}.1:8080`,
+    region: `r${index % 3}`,
+    domain: `domain-${index % 7}`,
+    role: "backend" as const,
+    leaving: false,
+});
+
+interface ConfigCosts {
+    readonly costs: readonly {
+        readonly servers: number;
+        readonly textBytes: number;
+        readonly adoptMs: number;
+        readonly changeMsP50: number;
+    }[];
+    readonly traffic: { readonly bytesPerChange: number; readonly bytesPerPoll: number };
+}
+
+interface OnceCosts {
+    readonly entries: readonly {
+        readonly entries: number;
+        readonly answerBytes: number;
+        readonly heapBytesPerEntry: number;
+        readonly claimMicroseconds: number;
+    }[];
+}
+
+interface CheckpointCosts {
+    readonly rows: readonly {
+        readonly nodes: number;
+        readonly changesPerDay: number;
+        readonly days: number;
+        readonly checkpoints: number;
+        readonly callsPerNodePerDay: number;
+    }[];
+}
+
+/** Last line of another measurement, run as a process of its own. */
+const lastLineOf = async <T>(args: readonly string[]): Promise<T> => {
+    const child = new Child(builtScript("bench", "measure"), args, ["--expose-gc"]);
+    const line = await child.line(/^\{/, childMs);
+    await child.exited;
+    return JSON.parse(line) as T;
+};
+
+/** Slopes of the whole text and of one change, and the bytes of following it. */
+export const configSlopes = async (): Promise<readonly [readonly Slope[], Figures]> => {
+    const { costs, traffic } = await lastLineOf<ConfigCosts>(["config"]);
+    const slope = (name: string, unit: string, valueOf: (cost: (typeof costs)[number]) => number) =>
+        new Slope(
+            name,
+            unit,
+            "backend server, at 24 a service",
+            costs.map(cost => ({ size: cost.servers, value: valueOf(cost) })),
+        );
+    const slopes = [
+        slope("text-bytes", "B", cost => cost.textBytes),
+        slope("snapshot-time", "ms", cost => cost.adoptMs),
+        slope("change-time", "ms", cost => cost.changeMsP50),
+    ];
+    const { bytesPerChange, bytesPerPoll } = traffic;
+    return [slopes, { "config-bytes-per-change": bytesPerChange, "config-bytes-per-poll": bytesPerPoll }];
+};
+
+/** Slopes of the at-most-once table with answers of 200 bytes. */
+export const onceSlopes = async (): Promise<readonly Slope[]> => {
+    const { entries } = await lastLineOf<OnceCosts>(["once"]);
+    const held = entries.filter(row => row.answerBytes === 200);
+    const heap = held.map(row => ({ size: row.entries, value: row.entries * row.heapBytesPerEntry }));
+    const time = held.map(row => ({ size: row.entries, value: row.claimMicroseconds }));
+    return [
+        new Slope("once-heap", "B", "entry with an answer of 200 bytes", heap),
+        new Slope("once-time", "us", "entry in the table, for check, claim and answer", time),
+    ];
+};
+
+/** Checkpoints a day at 7,300 changes a day, and calls of an entry VM to the log for them. */
+export const checkpointFigures = async (): Promise<Figures> => {
+    const { rows } = await lastLineOf<CheckpointCosts>(["checkpoints"]);
+    const figures = rows
+        .filter(row => row.changesPerDay > 0)
+        .flatMap(row => [
+            [`checkpoints-a-day-${row.nodes}-vms`, Math.round((row.checkpoints / row.days) * 100) / 100],
+            [`checkpoint-calls-a-day-${row.nodes}-vms`, row.callsPerNodePerDay],
+        ]);
+    return Object.fromEntries(figures) as Figures;
+};
--- /dev/null
+++ b/packages/bench/test/slopes.test.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { withTable } from "../src/slopes.js";
+import { Slope } from "../src/slopes-fit.js";
+import { marginOf } from "../src/slopes-need.js";
+
+const lineOf = (valueOf: (size: number) => number): Slope =>
+    new Slope(
+        "memory",
+        "B",
+        "server",
+        [1, 2, 3, 4].map(size => ({ size, value: valueOf(size) })),
+    );
+
+test("a line is found again, with nothing left over", () => {
+    const line = lineOf(size => 7 + 3 * size);
+    assert.ok(Math.abs(line.slope - 3) < 1e-9);
+    assert.ok(Math.abs(line.at(100) - 307) < 1e-6);
+    assert.ok(line.residual < 1e-9);
+});
+
+test("a bent curve shows in the residual", () => {
+    assert.ok(lineOf(size => size ** 3).residual > 4);
+});
+
+test("three sizes are refused", () => {
+    const points = [1, 2, 3, 3].map(size => ({ size, value: size }));
+    assert.throws(() => new Slope("memory", "B", "server", points), RangeError);
+});
+
+test("the table is replaced and the rest of the page kept", () => {
+    const start = "<!-- slopes: written by `npm run -s measure -- slopes` -->";
+    const end = "<!-- end of slopes -->";
+    const page = withTable(`before\n${start}\nold\n${end}\nafter\n`, "new");
+    assert.equal(page, `before\n${start}\n\nnew\n\n${end}\nafter\n`);
+    assert.equal(withTable(page, "new"), page);
+    assert.throws(() => withTable(`before\n${start}\nold\n`, "new"), /lacks the markers/);
+});
+
+test("what is over its target is called missed", () => {
+    const need = { role: "r", what: "w", formula: "f", unit: "B/s", most: 4_096 };
+    assert.equal(marginOf({ ...need, value: 8_192 }), "MISSED, 2.0 times over");
+    assert.equal(marginOf({ ...need, value: 2_048 }), "2.0 times below");
+});
