Share the command class of the fuzz models

The probing model keeps its own class, since it runs without promises; the load caller, which repeats part of the caller package, is left, because sharing it would change the deadlines and pauses of what is measured.

--- a/packages/bench/src/fuzz-config-steps.ts
+++ b/packages/bench/src/fuzz-config-steps.ts
@@ -4,6 +4,7 @@
 import { appendCheckpoint, checkpointStream } from "@bramleymoor/config/checkpoint";
 import { configStream, maxRecordBytes } from "@bramleymoor/config/record";
 import { Document } from "@bramleymoor/model/document";
+import { FuzzCommand } from "./fuzz-command.js";
 import type { ConfigOracle } from "./fuzz-config-oracle.js";
 import { retentionMs, type ConfigWorld, type FuzzNode } from "./fuzz-config-world.js";
 
@@ -13,28 +14,7 @@
 type Step = (world: ConfigWorld) => Promise<void> | void;
 
 /** One step of a run; the oracle reads the world's log along. */
-export class ConfigCommand implements fc.AsyncCommand<ConfigOracle, ConfigWorld> {
-    readonly #text: string;
-    readonly #step: Step;
-
-    constructor(text: string, step: Step) {
-        this.#text = text;
-        this.#step = step;
-    }
-
-    check(): boolean {
-        return true;
-    }
-
-    async run(_oracle: ConfigOracle, world: ConfigWorld): Promise<void> {
-        await this.#step(world);
-        await world.advance(50);
-    }
-
-    toString(): string {
-        return this.#text;
-    }
-}
+export type ConfigCommand = FuzzCommand<ConfigOracle, ConfigWorld>;
 
 /** A kind of step. */
 export interface StepKind {
@@ -45,8 +25,15 @@
     withArgument(arg: unknown): ConfigCommand;
 }
 
+/** The step, and 50 ms after it. */
+const command = (text: string, step: Step): ConfigCommand =>
+    new FuzzCommand(text, async world => {
+        await step(world);
+        await world.advance(50);
+    });
+
 const stepOf = <T>(name: string, arb: fc.Arbitrary<T>, step: (arg: T) => Step): StepKind => {
-    const make = (arg: T): ConfigCommand => new ConfigCommand(`${name}(${JSON.stringify(arg)})`, step(arg));
+    const make = (arg: T): ConfigCommand => command(`${name}(${JSON.stringify(arg)})`, step(arg));
     return { name, commands: arb.map(make), withArgument: arg => make(arg as T) };
 };
 
--- a/packages/bench/src/fuzz-membership.ts
+++ b/packages/bench/src/fuzz-membership.ts
@@ -2,6 +2,7 @@
 
 import fc from "fast-check";
 import type { FuzzModel } from "./fuzz-model.js";
+import { FuzzCommand } from "./fuzz-command.js";
 import { GossipNet, peerAddressOf, type Faults, type MembershipMaker, type Node } from "./gossipnet.js";
 
 const indices = 6;
@@ -96,29 +97,7 @@
 
 type Act = (world: World) => void | Promise<void>;
 
-class ActCommand implements fc.AsyncCommand<object, World> {
-    readonly #text: string;
-    readonly #act: Act;
-
-    constructor(text: string, act: Act) {
-        this.#text = text;
-        this.#act = act;
-    }
-
-    check(): boolean {
-        return true;
-    }
-
-    async run(_model: object, world: World): Promise<void> {
-        await this.#act(world);
-    }
-
-    toString(): string {
-        return this.#text;
-    }
-}
-
-const command = (text: string, act: Act): fc.AsyncCommand<object, World> => new ActCommand(text, act);
+const command = (text: string, act: Act): fc.AsyncCommand<object, World> => new FuzzCommand(text, act);
 
 const index = fc.nat({ max: indices - 1 });
 const offsets = fc.constantFrom(0, 0, -900_000, 3_600_000);
--- a/packages/bench/src/fuzz-once.ts
+++ b/packages/bench/src/fuzz-once.ts
@@ -2,6 +2,7 @@
 
 import fc from "fast-check";
 import type { FuzzModel } from "./fuzz-model.js";
+import { FuzzCommand } from "./fuzz-command.js";
 import { OnceWorld, type Fate } from "./fuzz-once-world.js";
 
 const maxCommands = 80;
@@ -9,30 +10,7 @@
 const callers = 2;
 
 type Step = (world: OnceWorld) => void | Promise<void>;
-
-/** One step of a run; the oracle is told by the world. */
-class Command implements fc.AsyncCommand<object, OnceWorld> {
-    readonly #text: string;
-    readonly #step: Step;
-
-    constructor(text: string, step: Step) {
-        this.#text = text;
-        this.#step = step;
-    }
-
-    check(): boolean {
-        return true;
-    }
-
-    async run(_model: object, world: OnceWorld): Promise<void> {
-        await this.#step(world);
-        await world.pass(1);
-    }
-
-    toString(): string {
-        return this.#text;
-    }
-}
+type Command = FuzzCommand<object, OnceWorld>;
 
 /** The at-most-once model. */
 export class OnceFuzz implements FuzzModel {
@@ -50,7 +28,14 @@
 }
 
 const stepOf = <T>(name: string, arb: fc.Arbitrary<T>, step: (arg: T) => Step): fc.Arbitrary<Command> =>
-    arb.map(arg => new Command(`${name}(${JSON.stringify(arg)})`, step(arg)));
+    arb.map(arg => command(`${name}(${JSON.stringify(arg)})`, step(arg)));
+
+/** The step, and a millisecond after it. */
+const command = (text: string, step: Step): Command =>
+    new FuzzCommand(text, async world => {
+        await step(world);
+        await world.pass(1);
+    });
 
 const any = fc.nat(7);
 const flag = fc.boolean();
