Split the reading of a class section

The method that reads a class section had grown to 27 lines with a loop in its middle that does another job. The refusal of fixed keys in a standard class has a method of its own now. No message changes, and the package's tests pass.

--- a/packages/model/src/service.ts
+++ b/packages/model/src/service.ts
@@ -162,11 +162,8 @@
         const standard = standardClasses.find(found => found.name === name);
         const path = entry("path");
         const methods = entry("methods");
-        for (const fixed of standard ? [path, methods] : []) {
-            if (fixed) {
-                const wanted = `no ${fixed.key} in the standard class "${name}", which takes what no other class takes`;
-                this.#read.fail(fixed.line, fixed.key, wanted, "Give the class another name.");
-            }
+        if (standard) {
+            this.#refuseFixed(name, [path, methods]);
         }
         const idempotent = entry("idempotent");
         const priority = entry("priority");
@@ -183,6 +180,15 @@
         };
     }
 
+    #refuseFixed(name: string, entries: readonly (IniEntry | undefined)[]): void {
+        for (const fixed of entries) {
+            if (fixed) {
+                const wanted = `no ${fixed.key} in the standard class "${name}", which takes what no other class takes`;
+                this.#read.fail(fixed.line, fixed.key, wanted, "Give the class another name.");
+            }
+        }
+    }
+
     #methods(entry: IniEntry | undefined): readonly string[] {
         const methods = words(entry?.value ?? "");
         for (const method of methods) {
