--- a/packages/bench/src/concert.ts
+++ b/packages/bench/src/concert.ts
@@ -1,6 +1,9 @@
 /** Measures how entry VMs act in concert: a publication storm and a rolling replacement while calls run. */
 
 import { SeededRandom } from "@bramleymoor/dispatch/random";
+import type { Spec } from "@bramleymoor/model/spec";
+import { parseText } from "@bramleymoor/model/text";
+import { budgetMsOf, budgetWindowMs, probeDefaults } from "@bramleymoor/probing/budget";
 import { Command } from "commander";
 import { delay, monotonicMs } from "./clock.js";
 import { Fleet, type EntryChild } from "./fleet.js";
@@ -14,10 +17,12 @@
 const publications = 20;
 const publicationPeriodMs = 400;
 const pollMs = 20;
-const targetConvergeMs = 4_000;
+/** Greatest time until an accepted version is in force everywhere. */
+export const targetConvergeMs = 4_000;
 const targetControlBytes = 4_096;
 const targetControlCpu = 0.043;
-const targetDrainMs = 3_000;
+/** Greatest time until the last new request to a leaving server. */
+export const targetDrainMs = 3_000;
 const drainWatchMs = 6_000;
 const replacedAtOnce = 4;
 const msPerSecond = 1_000;
@@ -31,14 +36,41 @@
             "19 entry VMs: time to converge, control traffic, drains, a rolling replacement under load",
         )
         .option("--seed <n>", "seed of the traffic", "1")
-        .action(async ({ seed }: { readonly seed: string }) => {
-            const fleet = await Fleet.start();
-            try {
-                await new Concert(fleet, Number(seed)).run();
-            } finally {
-                await fleet.stop();
-            }
-        });
+        .action(async ({ seed }: { readonly seed: string }) => report(await runConcert(Number(seed))));
+
+/** Server time that a service's probes cost while the traffic ran. */
+export interface MeasuringCost {
+    readonly service: string;
+    readonly probes: number;
+    /** Share of the service's server time. */
+    readonly share: number;
+    /** Share of its probe budget. */
+    readonly budgetShare: number;
+}
+
+/** What a concert came to. */
+export interface ConcertResult {
+    readonly entryVms: number;
+    readonly control: Control;
+    /** For each publication and entry VM the time until it was in force there, in milliseconds. */
+    readonly converge: readonly number[];
+    /** From the publication that a server is leaving to its last new request. */
+    readonly drainMaxMs: number;
+    /** Requests that the server got in the second before. */
+    readonly beforeDrain: number;
+    readonly traffic: TrafficResult;
+    readonly measuring: readonly MeasuringCost[];
+}
+
+/** Starts everything, runs the concert once and stops everything. */
+export const runConcert = async (seed: number): Promise<ConcertResult> => {
+    const fleet = await Fleet.start();
+    try {
+        return await new Concert(fleet, seed).run();
+    } finally {
+        await fleet.stop();
+    }
+};
 
 interface NodeView {
     readonly version?: { readonly number: number };
@@ -51,7 +83,8 @@
     readonly cpuMs: number;
 }
 
-interface Control {
+/** What control costs the busiest entry VM at rest. */
+export interface Control {
     readonly bytesPerSecond: number;
     readonly cpuShare: number;
 }
@@ -60,13 +93,14 @@
     readonly #fleet: Fleet;
     readonly #seed: number;
     #version = 0;
+    #text = "";
 
     constructor(fleet: Fleet, seed: number) {
         this.#fleet = fleet;
         this.#seed = seed;
     }
 
-    async run(): Promise<void> {
+    async run(): Promise<ConcertResult> {
         const servers = await RatibaServers.start(this.#fleet);
         this.#fleet.startEntries(entryCount, ratibaDomains, ttlMs, { logLevel: "info" });
         await this.#fleet.list();
@@ -79,18 +113,38 @@
             this.#fleet.entries.map(entry => entry.callers),
             new SeededRandom(this.#seed),
         );
+        const startedAt = monotonicMs();
+        const probesBefore = await probesOf(servers);
         const sending = traffic.run();
         const converge = await this.#storm(servers);
-        const drainMaxMs = await this.#drain(servers);
+        const { drainMaxMs, beforeDrain } = await this.#drain(servers);
         await this.#replaceAll();
         await traffic.stop();
         await sending;
+        const measuring = await this.#measuringCost(servers, probesBefore, monotonicMs() - startedAt);
         const result = traffic.result(await servers.runs());
         traffic.failures.forEach(failure => console.log(`  ${failure}`));
-        report(control, converge, drainMaxMs, result);
+        const drained = { drainMaxMs, beforeDrain };
+        return { entryVms: entryCount, control, converge, ...drained, traffic: result, measuring };
+    }
+
+    /** Holds the probes that the servers counted against the budget of the last text published. */
+    async #measuringCost(
+        servers: RatibaServers,
+        before: ReadonlyMap<string, number>,
+        spanMs: number,
+    ): Promise<readonly MeasuringCost[]> {
+        const after = await probesOf(servers);
+        return [...specOf(this.#text).values()].map(service => {
+            const probes = (after.get(service.name) ?? 0) - (before.get(service.name) ?? 0);
+            const costMs = probes * probeDefaults.probeCostMs;
+            const budgetShare = costMs / ((budgetMsOf(service) * spanMs) / budgetWindowMs);
+            return { service: service.name, probes, share: budgetShare * service.probeBudget, budgetShare };
+        });
     }
 
     async #publish(text: string): Promise<void> {
+        this.#text = text;
         this.#version = await this.#fleet.publish(text, this.#version, `concert-${this.#version + 1}`);
     }
 
@@ -151,13 +205,21 @@
         return await Promise.all(this.#fleet.entries.map(one));
     }
 
-    /** Marks a server as leaving by text, and gives the time until its last new request. */
-    async #drain(servers: RatibaServers): Promise<number> {
+    /** Marks the busiest server as leaving by text, and gives the time until its last new request. */
+    async #drain(servers: RatibaServers): Promise<Pick<ConcertResult, "drainMaxMs" | "beforeDrain">> {
         const stops = servers.of("stops-lookup");
-        const [port = 0] = stops.ports;
+        const earlier = await stops.counts();
+        await delay(msPerSecond);
+        const gains = (await stops.counts()).map(({ port, ran }, at) => ({
+            port,
+            ran,
+            gain: ran - (earlier[at]?.ran ?? 0),
+        }));
+        const busiest = gains.reduce((most, one) => (one.gain > most.gain ? one : most));
+        const { port, gain: beforeDrain } = busiest;
         const ran = async (): Promise<number> =>
             (await stops.counts()).find(one => one.port === port)?.ran ?? 0;
-        let seen = await ran();
+        let seen = busiest.ran;
         const asked = monotonicMs();
         let last = asked;
         const published = this.#publish(servers.text(new Set([port])));
@@ -170,7 +232,7 @@
             await delay(pollMs);
         }
         await published;
-        return last - asked;
+        return { drainMaxMs: last - asked, beforeDrain };
     }
 
     /** Replaces every entry VM, a few at a time; each new process serves before the next ones stop. */
@@ -196,12 +258,20 @@
 
 const lessen = (stream: Stream): Stream => ({ ...stream, perSecond: stream.perSecond * trafficShare });
 
-const report = (
-    control: Control,
-    converge: readonly number[],
-    drainMaxMs: number,
-    result: TrafficResult,
-): void => {
+const specOf = (text: string): Spec["services"] => {
+    const parsed = parseText(text);
+    if (!parsed.ok) {
+        throw new Error(parsed.errors.map(err => err.message).join(", "));
+    }
+    return parsed.spec.services;
+};
+
+const probesOf = async (servers: RatibaServers): Promise<ReadonlyMap<string, number>> => {
+    const names = [...specOf(servers.text()).keys()];
+    return new Map(await Promise.all(names.map(async name => [name, await servers.probes(name)] as const)));
+};
+
+const report = ({ control, converge, drainMaxMs, traffic: result }: ConcertResult): void => {
     const sorted = [...converge].sort((a, b) => a - b);
     const p99 = sorted[Math.ceil(sorted.length * 0.99) - 1] ?? NaN;
     const max = sorted.at(-1) ?? NaN;
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -2,6 +2,7 @@
 
 import { Command } from "commander";
 import { addedCommand } from "./added.js";
+import { allCommand } from "./all.js";
 import { checkpointsCommand } from "./checkpointcost.js";
 import { concertCommand } from "./concert.js";
 import { configCommand } from "./configcost.js";
@@ -16,6 +17,7 @@
 
 const program = new Command("measure");
 program.addCommand(addedCommand());
+program.addCommand(allCommand());
 program.addCommand(concertCommand());
 program.addCommand(configCommand());
 program.addCommand(cutoffCommand());
