Join through seeds while the platform's list can't be read

An entry VM that started anew while the platform was down found no peers, since only the platform's list named any: in the run of measure faults it served again only when the platform was back. Settings may now name peers' addresses to try ([peers] seeds), and the run demands that every entry VM, the two restarted ones included, serves the accepted text while the platform is still down.

--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -17,6 +17,8 @@
     readonly calls: number;
     /** Outcomes unknown to their callers; allowed, since processes were killed. */
     readonly unknown: number;
+    /** Whether every entry VM, those that started anew included, served the text while the platform was down. */
+    readonly recovered: boolean;
     /** Whether every entry VM was on the newest version at the end, published while the platform was back. */
     readonly converged: boolean;
 }
@@ -35,12 +37,22 @@
         .option("--seed <n>", "seed of the traffic", "1")
         .action(async ({ seed }: { readonly seed: string }) => {
             const result = await measureFaults(Number(seed));
-            const { calls, unknown, doubled, falseNotRun, foreign, refused, converged } = result;
+            const { calls, unknown, doubled, falseNotRun, foreign, refused, recovered, converged } = result;
             console.log(`${calls} calls: ${unknown} outcomes unknown, ${refused} refused as not run`);
             console.log(
-                JSON.stringify({ calls, unknown, refused, doubled, falseNotRun, foreign, converged }),
+                JSON.stringify({
+                    calls,
+                    unknown,
+                    refused,
+                    doubled,
+                    falseNotRun,
+                    foreign,
+                    recovered,
+                    converged,
+                }),
             );
-            process.exitCode = doubled + falseNotRun + foreign === 0 && converged ? 0 : 1;
+            const wrong = doubled + falseNotRun + foreign;
+            process.exitCode = wrong === 0 && recovered && converged ? 0 : 1;
         });
 
 /** Runs the deployment through the faults, one after another, while calls run. */
@@ -61,11 +73,14 @@
             await act();
             await delay(stepMs);
         }
+        const recovered = await untilVersion(fleet, 1);
+        console.log("the platform is back");
+        await fleet.turnPlatform("/test/knobs", { down: false });
         await fleet.publish(servers.text(new Set(), "500"), 1, "faults-2");
         const converged = await untilVersion(fleet, 2);
         await traffic.stop();
         await sending;
-        return summary(traffic.result(await servers.runs()), converged);
+        return summary(traffic.result(await servers.runs()), recovered, converged);
     } finally {
         await fleet.stop();
     }
@@ -94,7 +109,6 @@
             what: "the server cuts before reading",
             act: () => desk.turn({ cut: "before-reading" }, desk.ports[0]),
         },
-        { what: "the platform is back", act: () => knobs({ down: false }) },
     ];
 };
 
@@ -123,9 +137,10 @@
     return false;
 };
 
-const summary = (result: TrafficResult, converged: boolean): FaultsResult => ({
+const summary = (result: TrafficResult, recovered: boolean, converged: boolean): FaultsResult => ({
     ...result,
     calls: result.services.reduce((sum, tally) => sum + tally.calls, 0),
     unknown: result.services.reduce((sum, tally) => sum + tally.unknown, 0),
+    recovered,
     converged,
 });
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -28,6 +28,8 @@
     readonly domain: string;
     readonly ttlMs: number;
     readonly logLevel: string;
+    /** Peers' addresses to try while the platform's list can't be read. */
+    readonly seeds: readonly string[];
     /** Arguments for Node itself, such as --cpu-prof. */
     readonly nodeArgs: readonly string[];
 }
@@ -162,6 +164,7 @@
                 domain: domains[i % domains.length] ?? "default",
                 ttlMs,
                 logLevel,
+                seeds: [1, 2, 3].map(n => `${net}.${n}:${peerPort}`),
                 nodeArgs,
             };
             this.#entries.push(new EntryChild(options, () => this.#entryProcess(options)));
@@ -232,6 +235,7 @@
         `peers = ${options.host}:${peerPort}`,
         "[peers]",
         `key = ${fleetKey}`,
+        `seeds = ${options.seeds.join(", ")}`,
         "[platform]",
         `url = ${platformUrl}`,
         "[callers]",
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -257,7 +257,7 @@
             ...membershipDefaults,
             cluster: this.#settings.peers.cluster,
             startedAt: wallClockMs(),
-            seeds: [],
+            seeds: this.#settings.peers.seeds,
         };
         const random = xoroshiro128plus(randomBytes(4).readInt32LE());
         const membership = new Membership(self, transport, settings, random, monotonicMs());
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -33,6 +33,16 @@
     return { host, port: number };
 });
 
+const endpoints = z.string().transform((text, context): readonly string[] => {
+    const parts = text.split(",").map(part => part.trim());
+    if (!parts.every(part => endpoint.safeParse(part).success)) {
+        const message = "IPv4 numbers and ports with commas between, such as 192.0.2.7:7280, 192.0.2.8:7280";
+        context.addIssue({ code: "custom", message });
+        return z.NEVER;
+    }
+    return parts;
+});
+
 const name = z
     .string()
     .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "a name of letters, digits, dots and dashes");
@@ -63,6 +73,7 @@
         "key-file": z.string().min(1, "the path of a file that holds the key").optional(),
         cluster: name.default("bramleymoor"),
         "most-vms": whole(1, 1_024).default(32),
+        seeds: endpoints.default([]),
     },
     platform: {
         url: httpUrl.optional(),
--- a/packages/entry/test/settings.test.ts
+++ b/packages/entry/test/settings.test.ts
@@ -39,6 +39,13 @@
     assert.match(text, /^node\.ini:10: .*tll-ms.*Did you mean "ttl-ms"\?/m);
 });
 
+test("seeds are addresses with commas between", () => {
+    const text = [...good, "seeds = 127.0.0.1:1, 127.0.0.2:2"].join("\n");
+    assert.deepEqual(parseSettings(text, "node.ini").peers.seeds, ["127.0.0.1:1", "127.0.0.2:2"]);
+    assert.deepEqual(parseSettings(good.join("\n"), "node.ini").peers.seeds, []);
+    assert.match(failure([...good, "seeds = 127.0.0.1:1, host:2"]), /^node\.ini:9: .*commas between/m);
+});
+
 test("every error is told at once", () => {
     const text = failure([
         "[entry]",
