Look for hedges at each tick again

Cause: spacing looks for hedges 1 ms apart came with the cheaper allotment and was measured for cost only.

Its saving is not needed: weighing each server once a look is what counts.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -23,7 +23,6 @@
     readonly #pool = new ServerPool();
     readonly #sharing: SlotSharing;
     #allotDue = 0;
-    #hedgeDue = 0;
     readonly #hedges: HedgeWatch;
     readonly #drainRate = new DrainRate();
     readonly #active = new Map<number, Pending>();
@@ -196,11 +195,10 @@
             return Infinity;
         }
         const ageMs = latencies.latencyAt(hedgeFromZ);
-        if (now >= this.#hedgeDue && this.#queue.size === 0) {
-            this.#hedgeDue = now + hedgeStepMs;
+        if (this.#queue.size === 0) {
             this.#hedgeSlow(ageMs, now);
         }
-        return Math.max(now + hedgeStepMs, this.#hedgeDue, this.#hedges.nextDue(ageMs));
+        return Math.max(now + hedgeStepMs, this.#hedges.nextDue(ageMs));
     }
 
     #hedgeSlow(ageMs: number, now: number): void {
