Renew a caller's addresses before they expire

A caller whose kept answer had expired put one question for all its calls, and waited up to 1 s for an entry VM that was starting; two in a row took the whole deadline. That is the likely cause, not a proven one: the failure did not come again to be watched. A new answer is now asked for after 70 % of the time to live while calls go on with the kept one, and a question waits 300 ms for each entry VM.

--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -63,6 +63,8 @@
 
 interface Kept {
     readonly answer: AddressAnswer;
+    /** When a new answer is asked for while this one still serves. */
+    readonly renewAt: number;
     readonly until: number;
 }
 
@@ -132,7 +134,12 @@
     /** The address answer that the caller holds, or a fresh one. */
     async addresses(service: string, deadlineAt: number): Promise<AddressAnswer> {
         const kept = this.#kept.get(service);
-        if (kept && this.#options.clock() < kept.until) {
+        const now = this.#options.clock();
+        if (kept && now < kept.until) {
+            if (now >= kept.renewAt && !this.#asking.has(service)) {
+                // Calls go on with the kept answer; if no new one comes, the next one asks again.
+                this.#askAndKeep(service, kept.until).catch(() => undefined);
+            }
             return kept.answer;
         }
         const asking = this.#asking.get(service) ?? this.#askAndKeep(service, deadlineAt);
@@ -144,7 +151,12 @@
         const askedAt = this.#options.clock();
         const asking = this.#ask(service, deadlineAt)
             .then(answer => {
-                this.#kept.set(service, { answer, until: askedAt + answer.ttlMs });
+                const { ttlMs } = answer;
+                this.#kept.set(service, {
+                    answer,
+                    renewAt: askedAt + ttlMs * renewAfter,
+                    until: askedAt + ttlMs,
+                });
                 return answer;
             })
             .finally(() => this.#asking.delete(service));
@@ -238,7 +250,10 @@
 }
 
 const defaultMaxAttempts = 4;
-const askTimeoutMs = 1000;
+/** An entry VM that is starting or stuck must not hold up the question; another one is asked then. */
+const askTimeoutMs = 300;
+/** Share of an answer's time to live after which a new one is asked for. */
+const renewAfter = 0.7;
 /** Time past the deadline for the entry VM's own answer about it to arrive, which tells whether the call ran. */
 const answerGraceMs = 250;
 
--- a/packages/caller/test/caller.test.ts
+++ b/packages/caller/test/caller.test.ts
@@ -111,6 +111,17 @@
     assert.deepEqual(header(entries.seen, "bm-ticket"), ["t1", "t1", "t2"]);
 });
 
+test("a new answer is asked for before the kept one expires, without calls waiting for it", async t => {
+    const { entries, time, call } = await scene(t, []);
+    await call();
+    time.now = 50_000;
+    await call();
+    while (entries.asked < 2) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    assert.deepEqual(header(entries.seen, "bm-ticket"), ["t1", "t1"]);
+});
+
 test("calls that come while addresses are being asked share the one question", async t => {
     const { entries, call } = await scene(t, []);
     await Promise.all([call(), call(), call()]);
