--- a/packages/bench/src/traffic.ts
+++ b/packages/bench/src/traffic.ts
@@ -29,6 +29,8 @@
     calls: number;
     /** Answered by a backend server, whole, whatever the status. */
     answered: number;
+    /** Answered after more than one attempt. */
+    retried: number;
     /** Told "not run". */
     notRun: number;
     /** Told "outcome unknown", or got no answer after something was sent. */
@@ -191,6 +193,7 @@
             this.#failed(stream, id, answer.error);
             return kinds[answer.error].ran;
         }
+        tally.retried += answer.attempts > 1 ? 1 : 0;
         const text = await readBody(answer).catch((err: unknown) => new Error(String(err)));
         if (text instanceof Error) {
             tally.cut++;
@@ -217,6 +220,7 @@
     latencies: build({ lowestDiscernibleValue: 1, highestTrackableValue: 600_000_000 }),
     calls: 0,
     answered: 0,
+    retried: 0,
     notRun: 0,
     unknown: 0,
     cut: 0,
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -26,14 +26,13 @@
 import { Probes } from "./probes.js";
 import { Report } from "./report.js";
 import { ServiceTable } from "./services.js";
+import { SlotMessages } from "./slotmessages.js";
 import { SlotChannel } from "./slotchannel.js";
 import type { Endpoint, Settings } from "./settings.js";
 import { Watch } from "./watch.js";
 
 const peerTimeoutMs = 1_000;
 const newcomerMs = 10_000;
-/** Requests in flight and queued below which a dispatcher's demand is not told to the others. */
-const leastToldDemand = 0.05;
 const leaveSpreadMs = 3_000;
 const onceKeepBytes = 16_384;
 const onceKeptBytes = 16 * 1024 * 1024;
@@ -68,6 +67,7 @@
     readonly #client: PeerClient;
     readonly #probes: Probes;
     readonly #slotChannel: SlotChannel;
+    readonly #slotMessages = new SlotMessages();
     readonly #services: ServiceTable;
     readonly #callServer: CallServer;
     readonly #peerServer: PeerServer;
@@ -222,8 +222,8 @@
 
     #sendToDispatcher(service: string, to: number, message: PeerMessage): void {
         const address = this.#services.dispatcherAddress(service, to);
-        const idle = message.kind === "hint" && message.demand < leastToldDemand;
-        if (address !== undefined && !idle && this.#services.isPlaced(service)) {
+        const worth = this.#slotMessages.worth(service, to, message, monotonicMs());
+        if (address !== undefined && worth && this.#services.isPlaced(service)) {
             this.#slotChannel.send(address, { id: this.#settings.entry.id, service, message });
         }
     }
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -101,7 +101,7 @@
         if (path === "/status") {
             sendJson(res, 200, this.#operations.status());
         } else if (path === "/metrics") {
-            res.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+            res.writeHead(200, { "content-type": "text/plain; version=0.0.4", connection: "close" });
             res.end(await this.#operations.metrics());
         } else if (path === "/histograms") {
             sendJson(res, 200, await this.#operations.histograms());
@@ -123,6 +123,7 @@
 }
 
 const sendJson = (res: ServerResponse, status: number, body: unknown): void => {
-    res.writeHead(status, { "content-type": "application/json" });
+    // Questions are rare, and one that meets the end of an idle connection would fail.
+    res.writeHead(status, { "content-type": "application/json", connection: "close" });
     res.end(JSON.stringify(body));
 };
--- a/packages/entry/src/periods.ts
+++ b/packages/entry/src/periods.ts
@@ -13,6 +13,8 @@
 
 const leastTickMs = 1;
 const mostTickMs = 5;
+/** While no request is in flight; the first one's hedge may come so much later. */
+const idleTickMs = 20;
 const probePeriodMs = 50;
 const listPeriodMs = 1_000;
 const ratePeriodMs = 5_000;
@@ -80,8 +82,9 @@
         while (!signal.aborted) {
             const now = clock();
             const due = services.hosted.map(hosted => hosted.dispatcher.tickIfDue(now));
+            const mostMs = services.hosted.some(hosted => hosted.dispatcher.busy) ? mostTickMs : idleTickMs;
             const waitMs = Math.min(...due) - now;
-            await delay(Math.min(mostTickMs, Math.max(leastTickMs, waitMs)), signal);
+            await delay(Math.min(mostMs, Math.max(leastTickMs, waitMs)), signal);
         }
     }
 
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -97,7 +97,7 @@
         this.#version = new Gauge({ name: "bm_config_version", help: "Version in force.", registers });
         const members = { name: "bm_members", help: "Entry VMs by state.", labelNames: ["state"] } as const;
         this.#members = new Gauge({ ...members, registers });
-        collectDefaultMetrics({ register: this.#registry });
+        collectDefaultMetrics({ register: this.#registry, eventLoopMonitoringPrecision: eventLoopStepMs });
     }
 
     /** Records a finished call. */
@@ -201,6 +201,9 @@
 /** Most tenants with labels of their own in one service. */
 export const maxTenantLabels = 16;
 
+/** Each look at the event loop wakes the process up. */
+const eventLoopStepMs = 100;
+
 const msPerSecond = 1_000;
 
 const usPerSecond = 1_000_000;
