--- a/packages/entry/src/periods.ts
+++ b/packages/entry/src/periods.ts
@@ -15,7 +15,7 @@
 const mostTickMs = 5;
 /** While no request is in flight; the first one's hedge may come so much later. */
 const idleTickMs = 20;
-const probePeriodMs = 50;
+const probePeriodMs = 100;
 const listPeriodMs = 1_000;
 const ratePeriodMs = 5_000;
 const sweepPeriodMs = 1_000;
