--- a/packages/bench/src/configcost.ts
+++ b/packages/bench/src/configcost.ts
@@ -13,6 +13,7 @@
 import { startPlatform } from "@bramleymoor/testkit/platform";
 import { Command } from "commander";
 import { firstValueFrom } from "rxjs";
+import { monotonicMs } from "./clock.js";
 
 const serversPerService = 24;
 const changesPerDay = 7300;
@@ -91,9 +92,9 @@
 };
 
 const elapsed = (run: () => void): number => {
-    const start = performance.now();
+    const start = monotonicMs();
     run();
-    return performance.now() - start;
+    return monotonicMs() - start;
 };
 
 const measureCost = (services: number, changes: number): Cost => {
@@ -190,7 +191,7 @@
         });
         const shown = timeOfAppend(platform.memory.append.bind(platform.memory), platform.memory);
         await inForce;
-        times.push(performance.now() - shown());
+        times.push(monotonicMs() - shown());
         await appended;
         bytesAfterFirst = number === 0 ? relay.bytes : bytesAfterFirst;
     }
@@ -231,7 +232,7 @@
 ): (() => number) => {
     let at = 0;
     memory.append = (stream, data) => {
-        at = performance.now();
+        at = monotonicMs();
         return append(stream, data);
     };
     return () => at;
--- a/packages/bench/src/fuzz.ts
+++ b/packages/bench/src/fuzz.ts
@@ -1,6 +1,7 @@
 /** The fuzz command: runs every model with seed after seed until the time is over, or replays one failure. */
 
 import { Command } from "commander";
+import { monotonicMs } from "./clock.js";
 import { fuzzOnce } from "./fuzz-model.js";
 import { fuzzModels } from "./fuzz-models.js";
 
@@ -29,10 +30,10 @@
     throw new RangeError(`no model ${options.model}; there are ${names}`);
 }
 
-const end = performance.now() + Number(options.seconds) * 1000;
+const end = monotonicMs() + Number(options.seconds) * 1000;
 const runs = new Map<string, number>();
 let failure: string | undefined;
-for (let seed = Number(options.seed); !failure && performance.now() < end; seed++) {
+for (let seed = Number(options.seed); !failure && monotonicMs() < end; seed++) {
     for (const model of chosen) {
         const { path, replayPath } = options;
         failure ??= await fuzzOnce(model, { seed, runs: runsPerSeed, path, replayPath });
--- a/packages/bench/src/loadserver.ts
+++ b/packages/bench/src/loadserver.ts
@@ -103,8 +103,8 @@
 const stream = async (res: ServerResponse, id: string, bytes: number): Promise<void> => {
     const pattern = new BodyPattern(id);
     for (let offset = 0; offset < bytes && !res.destroyed; offset += chunkBytes) {
-        const room = res.write(pattern.bytes(offset, Math.min(chunkBytes, bytes - offset)));
-        if (!room) {
+        const taken = res.write(pattern.bytes(offset, Math.min(chunkBytes, bytes - offset)));
+        if (!taken) {
             await new Promise<void>(resolve => {
                 res.once("drain", resolve);
                 res.once("close", resolve);
--- a/packages/once/src/table.ts
+++ b/packages/once/src/table.ts
@@ -69,8 +69,8 @@
     /**
      * Claims the right to run a request whose ticket has been checked at `now`.
      *
-     * @throws CallError request-conflict if the id was used for another method or target; table-full if there
-     * is no room, which is remembered like any refusal; not-decided if there is no room even for that
+     * @throws CallError request-conflict if the id was used for another method or target; table-full if the
+     * table is full, which is remembered like any refusal; not-decided if even that can't be remembered
      */
     claim(request: OnceRequest, now: number): Claim {
         this.sweep(now);
@@ -159,7 +159,7 @@
 
 const msPerSecond = 1000;
 const fullRetryMs = 1000;
-/** Room beyond maxEntries, as a share of it, for requests that were refused because the table was full. */
+/** Entries beyond maxEntries, as a share of it, for requests that were refused because the table was full. */
 const refusedShare = 0.1;
 
 const keyOf = (callerPart: string, requestId: string): string => `${callerPart} ${requestId}`;
--- a/packages/testkit/src/backend.ts
+++ b/packages/testkit/src/backend.ts
@@ -241,8 +241,8 @@
     async #stream(res: ServerResponse, bytes: number): Promise<void> {
         const part = Buffer.alloc(Math.min(bytes, partBytes), "x");
         for (let left = bytes; left > 0 && !res.destroyed; left -= part.length) {
-            const room = res.write(left < part.length ? part.subarray(0, left) : part);
-            if (!room) {
+            const taken = res.write(left < part.length ? part.subarray(0, left) : part);
+            if (!taken) {
                 await drained(res);
             }
             if (this.knobs.chunkPauseMs > 0) {
