--- /dev/null
+++ b/packages/balance/src/server.ts
@@ -0,0 +1,197 @@
+/** What one balancer knows of one backend server: its load, its speed and its health. */
+
+import type { ServerEntry } from "@bramleymoor/model/route";
+import type { LoadReport, SendEnd, Slot } from "./types.js";
+
+/** One incarnation of a backend server. */
+export class ServerState {
+    #entry: ServerEntry;
+    #lapsed = false;
+    readonly #slots = new Set<Slot>();
+    readonly #firstSeenAt: number;
+    #report: { readonly report: LoadReport; readonly ownAtReport: number; readonly at: number } | undefined;
+    #failures = 0;
+    #ejectedUntil = -Infinity;
+    #leavingUntil = -Infinity;
+    #fullUntil = -Infinity;
+    /** Share of recent sends that failed. */
+    #failureShare = 0;
+
+    /** @param now when this entry VM first heard of it */
+    constructor(entry: ServerEntry, now: number) {
+        this.#entry = entry;
+        this.#firstSeenAt = now;
+    }
+
+    get entry(): ServerEntry {
+        return this.#entry;
+    }
+
+    /** Requests of this entry VM in flight there. */
+    get inFlight(): number {
+        return this.#slots.size;
+    }
+
+    /** Share of recent sends that failed, 0 to 1. */
+    get failureShare(): number {
+        return this.#failureShare;
+    }
+
+    /** Whether its entry has lapsed while the store was away. */
+    get lapsed(): boolean {
+        return this.#lapsed;
+    }
+
+    /** Takes a newer entry of the same incarnation. */
+    follow(entry: ServerEntry, lapsed: boolean): void {
+        this.#entry = entry;
+        this.#lapsed = lapsed;
+    }
+
+    /** Whether it may get new work at all. */
+    usable(now: number): boolean {
+        return !this.#entry.leaving && now >= this.#leavingUntil;
+    }
+
+    /** Whether failures keep it from getting work for now. */
+    ejected(now: number): boolean {
+        return now < this.#ejectedUntil || this.#silent(now);
+    }
+
+    /** Slots believed to be free; other entry VMs' use is known from reports, which age quickly. */
+    free(now: number): number {
+        if (now < this.#fullUntil) {
+            return 0;
+        }
+        return this.#entry.slots - this.#slots.size - this.#others(now);
+    }
+
+    /** Whether the newest report is young enough to decide by. */
+    isFresh(now: number): boolean {
+        return this.#report !== undefined && now - this.#report.at <= freshMs;
+    }
+
+    /** Expected time of a request sent now, as a multiple of the usual time on an idle, calm server. */
+    cost(now: number): number {
+        const fill = (this.#slots.size + this.#others(now) + 1) / Math.max(1, this.#entry.slots);
+        const crowded = fill > crowdedFill ? crowdedCost : 1 + fill * fillCost;
+        const doubt = 1 + this.#failureShare * failureCost + (this.#lapsed ? lapsedCost : 0);
+        return this.#slowdown(now) * crowded * this.#cold(now) * doubt;
+    }
+
+    /** Takes a load report that was made at `at`. */
+    reported(report: LoadReport, at: number): void {
+        if (this.#report === undefined || at >= this.#report.at) {
+            this.#report = { report, ownAtReport: this.#slots.size, at };
+        }
+    }
+
+    start(slot: Slot): void {
+        this.#slots.add(slot);
+    }
+
+    /** Takes note of how a send ended; false if that was known. */
+    settle(slot: Slot, end: SendEnd, now: number): boolean {
+        if (!this.#slots.delete(slot)) {
+            return false;
+        }
+        if (end.kind === "refused") {
+            this.#refused(end.why, now);
+        } else if (end.kind !== "cancelled") {
+            this.#judge(isFailure(end), now);
+        }
+        return true;
+    }
+
+    /** Takes note of a load question that brought no answer. */
+    unanswered(now: number): void {
+        this.#judge(true, now);
+    }
+
+    #refused(why: "full" | "leaving" | "other-incarnation", now: number): void {
+        if (why === "full") {
+            this.#fullUntil = now + fullPauseMs;
+        } else {
+            this.#leavingUntil = now + (why === "leaving" ? leavingMemoryMs : goneMemoryMs);
+        }
+    }
+
+    #judge(failed: boolean, now: number): void {
+        this.#failureShare += ((failed ? 1 : 0) - this.#failureShare) * failureWeight;
+        if (!failed) {
+            this.#failures = 0;
+            return;
+        }
+        this.#failures++;
+        if (this.#failures >= failuresToEject || this.#failureShare > failureShareToEject) {
+            const doublings = Math.min(this.#failures - 1, maxDoublings);
+            this.#ejectedUntil = now + Math.min(maxEjectionMs, firstEjectionMs * 2 ** doublings);
+        }
+    }
+
+    /** Whether its oldest request has waited so long that more work would probably hang too. */
+    #silent(now: number): boolean {
+        const [oldest] = this.#slots;
+        return oldest !== undefined && now - oldest.grantedAt > silentMs;
+    }
+
+    /** Requests of other entry VMs running or waiting there. */
+    #others(now: number): number {
+        if (!this.#report || now - this.#report.at > othersMemoryMs) {
+            return 0;
+        }
+        const { report, ownAtReport } = this.#report;
+        return Math.max(0, report.running + report.waiting - ownAtReport);
+    }
+
+    /** A reported slowdown lasts about as long as a request takes, so only part of it counts. */
+    #slowdown(now: number): number {
+        if (!this.#report) {
+            return unknownSlowdown;
+        }
+        const faded = Math.exp((this.#report.at - now) / slowdownMemoryMs);
+        const told = 1 + (this.#report.report.slowdown - 1) * slowdownShare;
+        return unknownSlowdown + (told - unknownSlowdown) * faded;
+    }
+
+    #cold(now: number): number {
+        const left = this.#firstSeenAt + this.#entry.warmUpMs - now;
+        return left > 0 ? coldCost : 1;
+    }
+}
+
+const isFailure = (end: SendEnd): boolean => end.kind !== "answered" || end.status >= 500;
+
+/** Age up to which a report decides without asking again: a sixth of the time for which a speed lasts. */
+const freshMs = 25;
+/** Other entry VMs' requests are taken to have ended after this; two usual requests. */
+const othersMemoryMs = 300;
+/** A server's speed changes about every 150 ms. */
+const slowdownMemoryMs = 150;
+/** Part of a reported slowdown that a request started now lives through. */
+const slowdownShare = 0.3;
+/** Slowdown expected of a server of which nothing is known: slow a third of the time. */
+const unknownSlowdown = 1.4;
+/** Share of slots in use above which servers slow down, */
+const crowdedFill = 0.8;
+/** by about this factor. */
+const crowdedCost = 1.7;
+/** Prefers emptier servers below that. */
+const fillCost = 0.1;
+const coldCost = 2;
+/** Makes a server that fails always as costly as four that are sound. */
+const failureCost = 3;
+const lapsedCost = 2;
+const failureWeight = 0.15;
+const failuresToEject = 3;
+const failureShareToEject = 0.45;
+const firstEjectionMs = 250;
+const maxEjectionMs = 4_000;
+const maxDoublings = 6;
+/** A request without an answer for so long marks a server that hangs. */
+const silentMs = 2_000;
+/** A full server gets nothing until one of its requests has probably ended. */
+const fullPauseMs = 40;
+const leavingMemoryMs = 20_000;
+/** An address under which another server answers is not tried again before its entry is known to be gone. */
+const goneMemoryMs = 60_000;
--- /dev/null
+++ b/packages/discovery/src/news.ts
@@ -0,0 +1,53 @@
+/** What entry VMs tell each other of the store, with their schema. */
+
+import { z } from "zod";
+
+const whole = z.number().int().nonnegative();
+
+const entrySchema = z
+    .object({
+        id: z.string(),
+        bornAt: z.number(),
+        service: z.string(),
+        address: z.string(),
+        domain: z.string(),
+        slots: z.number(),
+        leaving: z.boolean(),
+        warmUpMs: z.number(),
+    })
+    .readonly();
+
+const serverNewsSchema = z
+    .object({
+        from: whole,
+        to: whole,
+        changes: z
+            .array(z.object({ offset: whole, id: z.string(), entry: entrySchema.optional() }).readonly())
+            .readonly(),
+    })
+    .readonly();
+
+/** News as a schema. Ages are milliseconds since the store was known to hold nothing newer. */
+export const newsSchema = z.discriminatedUnion("topic", [
+    z.object({ topic: z.literal("servers"), ageMs: z.number(), news: serverNewsSchema }).readonly(),
+    z
+        .object({
+            topic: z.literal("configuration"),
+            ageMs: z.number(),
+            to: whole,
+            /** Absent if the receiver should know it by now, or has to read it itself. */
+            text: z.string().optional(),
+        })
+        .readonly(),
+    /** Asks for what came after these offsets; absent for everything. */
+    z
+        .object({
+            topic: z.literal("question"),
+            servers: whole.optional(),
+            configuration: whole.optional(),
+        })
+        .readonly(),
+]);
+
+/** One message about the store. */
+export type News = z.infer<typeof newsSchema>;
--- /dev/null
+++ b/packages/gateway/src/answers.ts
@@ -0,0 +1,27 @@
+/** Writes the entry VM's own answers to callers of routes. */
+
+import type { ServerResponse } from "node:http";
+import type { CallError } from "@bramleymoor/protocol/kinds";
+import { errorBody } from "@bramleymoor/proxy/answers";
+
+/** Whether an answer was written, or the caller or an earlier answer left nothing to write to. */
+export const answerOwn = (res: ServerResponse, error: CallError, extra: readonly string[]): void => {
+    if (res.headersSent || res.destroyed) {
+        return;
+    }
+    const text = JSON.stringify(errorBody(error));
+    const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(text))];
+    if (error.retryAfterMs !== undefined) {
+        headers.push("Retry-After", (error.retryAfterMs / msPerSecond).toFixed(2));
+    }
+    res.writeHead(statusOf(error), [...headers, ...extra]);
+    res.end(text);
+};
+
+/** A request that has not run is always refused with a status that promises so; the others promise nothing. */
+export const statusOf = ({ row }: CallError): number =>
+    row.ran === "not run" && row.status >= serverErrors ? notRunStatus : row.status;
+
+const serverErrors = 500;
+const notRunStatus = 503;
+const msPerSecond = 1_000;
--- /dev/null
+++ b/packages/gateway/src/asks.ts
@@ -0,0 +1,79 @@
+/** Asks backend servers for their load just before a request is placed. */
+
+import { request } from "node:http";
+import type { LoadReport } from "@bramleymoor/balance/types";
+import type { ServerEntry } from "@bramleymoor/model/route";
+import { KeepingAgent } from "./agent.js";
+import { splitAddress } from "./exchange.js";
+import type { Wire } from "./wire.js";
+
+/** What a server answered. */
+export interface LoadAnswer {
+    readonly report: LoadReport | undefined;
+    readonly healthy: boolean;
+    /** The server that answers there now is another one. */
+    readonly misdirected: boolean;
+}
+
+/** Asks servers over connections of its own, one question at a time to each. */
+export class LoadAsker {
+    readonly #wire: Wire;
+    readonly #agent = new KeepingAgent({ idleMs: keepMs, marginMs: keepMarginMs });
+    readonly #pending = new Map<string, Promise<LoadAnswer | undefined>>();
+    #asked = 0;
+
+    constructor(wire: Wire) {
+        this.#wire = wire;
+    }
+
+    /** Questions sent so far. */
+    get asked(): number {
+        return this.#asked;
+    }
+
+    /** Asks one server; undefined if it doesn't answer. A question under way is shared. */
+    ask(server: ServerEntry, healthPath: string): Promise<LoadAnswer | undefined> {
+        const known = this.#pending.get(server.id);
+        if (known) {
+            return known;
+        }
+        const asking = this.#send(server, healthPath).finally(() => this.#pending.delete(server.id));
+        this.#pending.set(server.id, asking);
+        return asking;
+    }
+
+    /** Closes every connection. */
+    close(): void {
+        this.#agent.destroy();
+    }
+
+    #send(server: ServerEntry, path: string): Promise<LoadAnswer | undefined> {
+        this.#asked++;
+        const { host, port } = splitAddress(server.address);
+        return new Promise(resolve => {
+            const req = request({ host, port, path, agent: this.#agent });
+            const timer = setTimeout(() => req.destroy(), answerTimeoutMs);
+            const done = (answer: LoadAnswer | undefined): void => {
+                clearTimeout(timer);
+                resolve(answer);
+            };
+            req.on("response", res => {
+                res.resume();
+                const id = this.#wire.serverId(res.headers);
+                done({
+                    report: this.#wire.load(res.headers),
+                    healthy: res.statusCode === 200,
+                    misdirected: id !== undefined && id !== server.id,
+                });
+            });
+            req.on("error", () => done(undefined));
+            req.on("close", () => done(undefined));
+            req.end();
+        });
+    }
+}
+
+/** A question without an answer is given up after this; far above a round trip, so that it shows a dead server. */
+const answerTimeoutMs = 400;
+const keepMs = 8_000;
+const keepMarginMs = 1_500;
--- /dev/null
+++ b/packages/gateway/src/dispatcher.ts
@@ -0,0 +1,156 @@
+/** Runs one service's balancer: compares servers by fresh load, and hands out slots. */
+
+import type { Balancer, Turn } from "@bramleymoor/balance/balancer";
+import type { ServerState } from "@bramleymoor/balance/server";
+import type { LoadReport, Refusal, Request, SendEnd, Slot } from "@bramleymoor/balance/types";
+import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
+import type { LoadAsker } from "./asks.js";
+
+/** How the wait for a slot ended. */
+export type Placement =
+    | { readonly kind: "slot"; readonly slot: Slot; readonly comparedAgeMs: number }
+    | { readonly kind: "refused"; readonly refusal: Refusal }
+    | { readonly kind: "expired" }
+    | { readonly kind: "withdrawn" };
+
+/** What a dispatcher needs. */
+export interface DispatcherParts {
+    readonly balancer: Balancer;
+    readonly asker: LoadAsker;
+    readonly clock: () => number;
+}
+
+/** Places the requests of one service. */
+export class Dispatcher {
+    readonly #balancer: Balancer;
+    readonly #asker: LoadAsker;
+    readonly #clock: () => number;
+    readonly #waiting = new Map<Request, (placement: Placement) => void>();
+    #settings: ServiceSettings;
+
+    constructor(settings: ServiceSettings, { balancer, asker, clock }: DispatcherParts) {
+        this.#settings = settings;
+        this.#balancer = balancer;
+        this.#asker = asker;
+        this.#clock = clock;
+    }
+
+    /** Requests that wait for a slot. */
+    get waiting(): number {
+        return this.#waiting.size;
+    }
+
+    get balancer(): Balancer {
+        return this.#balancer;
+    }
+
+    /** Takes newer settings and the service's servers. */
+    follow(
+        settings: ServiceSettings,
+        servers: readonly { readonly entry: ServerEntry; readonly lapsed: boolean }[],
+    ): void {
+        this.#settings = settings;
+        this.#balancer.follow(servers, this.#clock());
+        this.#pump();
+    }
+
+    /** Waits for a slot; the answer comes at once when the request is refused. */
+    place(request: Request): Promise<Placement> {
+        const refusal = this.#balancer.submit(request, this.#clock());
+        if (refusal) {
+            return Promise.resolve({ kind: "refused", refusal });
+        }
+        return new Promise(resolve => {
+            this.#waiting.set(request, resolve);
+            this.#pump();
+        });
+    }
+
+    /** Ends the wait of a request whose caller has gone. */
+    withdraw(request: Request): void {
+        this.#balancer.withdraw(request);
+        this.#end(request, { kind: "withdrawn" });
+    }
+
+    /** Tells how a send ended. */
+    settle(slot: Slot, end: SendEnd): void {
+        this.#balancer.settle(slot, end, this.#clock());
+        this.#pump();
+    }
+
+    /** Takes the load that an answer told. */
+    report(server: ServerEntry, report: LoadReport): void {
+        this.#balancer.report(server, report, this.#clock());
+    }
+
+    /** Ends the waits whose deadline has passed, and tries again to place the others. */
+    tick(): void {
+        if (this.#waiting.size === 0) {
+            return;
+        }
+        for (const request of this.#balancer.expire(this.#clock())) {
+            this.#end(request, { kind: "expired" });
+        }
+        this.#pump();
+    }
+
+    #pump(): void {
+        for (;;) {
+            const turn = this.#balancer.next(this.#clock());
+            if (!turn) {
+                return;
+            }
+            const stale = this.#stale(turn.candidates);
+            if (stale.length === 0) {
+                this.#grant(turn, 0);
+            } else {
+                void this.#compare(turn, stale);
+            }
+        }
+    }
+
+    /** Servers to ask: none if there is only one to choose. */
+    #stale(candidates: readonly ServerState[]): readonly ServerState[] {
+        const now = this.#clock();
+        return candidates.length < 2 ? [] : candidates.filter(it => !it.isFresh(now));
+    }
+
+    async #compare(turn: Turn, stale: readonly ServerState[]): Promise<void> {
+        const began = this.#clock();
+        const asked = stale.map(it => this.#ask(it.entry, began));
+        await Promise.race([Promise.all(asked), pause(comparingMs)]);
+        this.#grant(turn, this.#clock() - began);
+        this.#pump();
+    }
+
+    async #ask(server: ServerEntry, began: number): Promise<void> {
+        const answer = await this.#asker.ask(server, this.#settings.healthPath);
+        if (!answer || answer.misdirected) {
+            this.#balancer.unanswered(server, this.#clock());
+        } else if (answer.report) {
+            this.#balancer.report(server, answer.report, began);
+        }
+    }
+
+    #grant(turn: Turn, comparedAgeMs: number): void {
+        if (!this.#waiting.has(turn.request)) {
+            this.#balancer.giveUp();
+            return;
+        }
+        const slot = this.#balancer.grant(turn, this.#clock());
+        if (slot) {
+            this.#end(turn.request, { kind: "slot", slot, comparedAgeMs });
+        }
+    }
+
+    #end(request: Request, placement: Placement): void {
+        const resolve = this.#waiting.get(request);
+        this.#waiting.delete(request);
+        resolve?.(placement);
+    }
+}
+
+const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Longest wait for answers about load: several round trips between failure domains. */
+const comparingMs = 12;
--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,130 @@
+/** One request to one backend server, to its answer's head; knows whether the server can have begun. */
+
+import { request, type ClientRequest, type IncomingMessage } from "node:http";
+import type { SendEnd } from "@bramleymoor/balance/types";
+import type { ServerEntry } from "@bramleymoor/model/route";
+import type { KeepingAgent } from "./agent.js";
+import type { Wire } from "./wire.js";
+
+/** What is sent. */
+export interface Outgoing {
+    readonly server: ServerEntry;
+    readonly agent: KeepingAgent;
+    readonly method: string;
+    readonly target: string;
+    /** Names and values by turns, framing included. */
+    readonly headers: readonly string[];
+    readonly requestId: string;
+    /** Writes the body and ends the request. */
+    readonly writeBody: (req: ClientRequest) => void;
+}
+
+/** Why there is no answer to pass on. */
+export class SendError extends Error {
+    constructor(
+        readonly end: SendEnd,
+        readonly detail: string,
+    ) {
+        super(`${end.kind}: ${detail}`);
+        this.name = "SendError";
+    }
+}
+
+/** A send on its way. */
+export class Exchange {
+    /** The head of the server's own answer to this request; rejects with a SendError. */
+    readonly head: Promise<IncomingMessage>;
+    readonly #req: ClientRequest;
+    #connected = false;
+    #reset = false;
+    #fail: (error: SendError) => void = () => undefined;
+
+    constructor(out: Outgoing, wire: Wire) {
+        const { host, port } = splitAddress(out.server.address);
+        this.#req = request({
+            host,
+            port,
+            method: out.method,
+            path: out.target,
+            agent: out.agent,
+            headers: out.headers as string[],
+            setHost: false,
+        });
+        this.head = new Promise((resolve, reject) => {
+            this.#fail = reject;
+            this.#req.on("response", res => this.#answered(res, out, wire, resolve));
+        });
+        this.#req.on("error", err => this.#broke(err.message));
+        this.#req.on("close", () => this.#broke("the connection closed"));
+        this.#req.once("socket", socket => {
+            if (socket.connecting) {
+                socket.once("connect", () => this.#connect(out));
+            } else {
+                this.#connect(out);
+            }
+            socket.prependListener("error", () => (this.#reset = true));
+        });
+    }
+
+    /** Whether a byte of the request can have reached the server. */
+    get sent(): boolean {
+        return this.#connected;
+    }
+
+    /** Whether the request went out over a connection that was used before. */
+    get reused(): boolean {
+        return this.#req.reusedSocket;
+    }
+
+    /** Whether the connection was reset, so that an answer without a length isn't whole. */
+    get reset(): boolean {
+        return this.#reset;
+    }
+
+    /** Breaks off and closes the connection. */
+    abort(end: SendEnd): void {
+        this.#fail(new SendError(end, "broken off"));
+        this.#req.destroy();
+    }
+
+    /** The answer has come whole; if the server has not read all of the request, the connection can't be kept. */
+    finished(): void {
+        if (!this.#req.writableFinished) {
+            this.#req.destroy();
+        }
+    }
+
+    #connect(out: Outgoing): void {
+        if (!this.#req.destroyed) {
+            this.#connected = true;
+            out.writeBody(this.#req);
+        }
+    }
+
+    #answered(res: IncomingMessage, out: Outgoing, wire: Wire, resolve: (res: IncomingMessage) => void): void {
+        const status = res.statusCode ?? 0;
+        const refusal = wire.refusal(status, res.headers);
+        if (refusal) {
+            res.resume();
+            res.on("end", () => this.finished());
+            this.#fail(new SendError({ kind: "refused", why: refusal }, `status ${status}`));
+            return;
+        }
+        const echoed = wire.requestId(res.headers);
+        if (echoed !== out.requestId || !wire.isServers(res.headers)) {
+            this.abort({ kind: "lost" });
+            return;
+        }
+        resolve(res);
+    }
+
+    #broke(detail: string): void {
+        this.#fail(new SendError({ kind: this.#connected ? "lost" : "unreachable" }, detail));
+    }
+}
+
+/** Host and port of "IP:port". */
+export const splitAddress = (address: string): { readonly host: string; readonly port: number } => {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+};
--- /dev/null
+++ b/packages/gateway/src/forward.ts
@@ -0,0 +1,353 @@
+/** One routed request, from its head to the last byte of its answer. */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Request, SendEnd, Slot } from "@bramleymoor/balance/types";
+import type { Route } from "@bramleymoor/model/route";
+import { CallError, type ErrorKind } from "@bramleymoor/protocol/kinds";
+import { asCallError } from "@bramleymoor/proxy/answers";
+import { headersWithout } from "@bramleymoor/proxy/headers";
+import type { Due, Sweep } from "@bramleymoor/proxy/sweep";
+import type { KeepingAgent } from "./agent.js";
+import { answerOwn } from "./answers.js";
+import { RequestBody } from "./body.js";
+import type { Dispatcher, Placement } from "./dispatcher.js";
+import { Exchange, SendError } from "./exchange.js";
+import { Relay, type RelayEnd } from "./relay.js";
+import type { Wire } from "./wire.js";
+
+/** What is told of a finished request. */
+export interface ForwardRecord {
+    readonly requestId: string;
+    readonly route: Route | undefined;
+    readonly service: string;
+    readonly outcome: ErrorKind | "answered" | "body-broken" | "caller-gone";
+    readonly status: number;
+    /** Incarnations of the servers that it was sent to, in order. */
+    readonly servers: readonly string[];
+    readonly queueMs: number;
+    readonly serverMs: number;
+    readonly totalMs: number;
+    /** What decided an outcome other than an answer. */
+    readonly detail: string;
+}
+
+/** What all requests share. */
+export interface ForwardParts {
+    readonly wire: Wire;
+    readonly clock: () => number;
+    readonly sweep: Sweep;
+    readonly nextId: () => number;
+    /** Finds a request's route; throws a CallError if there is none. */
+    readonly route: (host: string, target: string) => Route;
+    /** Largest body allowed, in bytes. */
+    readonly maxBodyBytes: () => number;
+    /** Divides a route's requests among its services. */
+    readonly serviceOf: (route: Route) => string;
+    /** undefined if the configuration doesn't know the service. */
+    readonly dispatcher: (service: string) => Dispatcher | undefined;
+    /** How long callers of a route wait that have just begun, in milliseconds, and its newest attempt's time. */
+    readonly elapsedMs: (route: Route, deadlineMs: number) => number;
+    /** Counts a first send. */
+    readonly requested: (service: string) => void;
+    /** Whether one more send of a request is within the budget; a yes is debited. */
+    readonly mayRepeat: (service: string) => boolean;
+    readonly agents: Readonly<Record<"repeatable" | "once", KeepingAgent>>;
+    /** Headers of the entry VM's own for this connection, asked for when an answer's head is written. */
+    readonly extraHeaders: (req: IncomingMessage) => readonly string[];
+    readonly done: (record: ForwardRecord) => void;
+}
+
+/** Runs one request. */
+export class ForwardTask {
+    readonly #parts: ForwardParts;
+    readonly #req: IncomingMessage;
+    readonly #res: ServerResponse;
+    readonly #arrivedAt: number;
+    readonly #servers: string[] = [];
+    #route: Route | undefined = undefined;
+    #service = "";
+    #due: Due | undefined = undefined;
+    #giveUp: (error: CallError) => void = () => undefined;
+    #callerGone = false;
+    #queueMs = 0;
+    #serverMs = 0;
+
+    constructor(parts: ForwardParts, req: IncomingMessage, res: ServerResponse) {
+        this.#parts = parts;
+        this.#req = req;
+        this.#res = res;
+        this.#arrivedAt = parts.clock();
+    }
+
+    /** Never rejects; `done` is told the end. */
+    async run(): Promise<void> {
+        this.#res.on("close", () => {
+            if (!this.#res.writableFinished) {
+                this.#callerGone = true;
+                this.#giveUp(new CallError("caller-gone"));
+            }
+        });
+        try {
+            this.#finish(await this.#forward(), "");
+        } catch (err) {
+            const error = asCallError(err);
+            answerOwn(this.#res, error, this.#parts.extraHeaders(this.#req));
+            this.#finish(error.kind, error.detail);
+        } finally {
+            if (this.#due) {
+                this.#parts.sweep.remove(this.#due);
+            }
+        }
+    }
+
+    async #forward(): Promise<ForwardRecord["outcome"]> {
+        const { wire, clock } = this.#parts;
+        const requestId = wire.requestId(this.#req.headers);
+        if (requestId === undefined) {
+            throw new CallError("bad-request", "The request has no id.");
+        }
+        const route = this.#parts.route(this.#req.headers.host ?? "", this.#req.url ?? "/");
+        this.#route = route;
+        this.#service = this.#parts.serviceOf(route);
+        const dispatcher = this.#parts.dispatcher(this.#service);
+        if (!dispatcher) {
+            throw new CallError("no-server", "The service isn't configured.", noServiceRetryMs);
+        }
+        const body = new RequestBody(this.#req, this.#parts.maxBodyBytes());
+        const callerMs = wire.deadlineMs(this.#req.headers) ?? route.timeoutMs;
+        const deadlineAt = this.#arrivedAt + Math.min(callerMs, route.timeoutMs);
+        this.#due = this.#parts.sweep.add(deadlineAt + answerGraceMs, () =>
+            this.#giveUp(new CallError("deadline-sent")),
+        );
+        await this.#abortable(body.hold());
+        const elapsedMs = this.#parts.elapsedMs(route, callerMs);
+        let request: Request = {
+            id: this.#parts.nextId(),
+            kind: route.kind,
+            priority: route.priority,
+            arrivedAt: clock(),
+            targetAt: this.#arrivedAt + Math.max(0, route.targetLatencyMs - elapsedMs - returnMs),
+            deadlineAt,
+            tried: [],
+        };
+        for (let unreached = 0; ; ) {
+            const slot = await this.#place(dispatcher, request);
+            if (request.tried.length === 0) {
+                this.#parts.requested(this.#service);
+            }
+            const end = await this.#send(dispatcher, slot, body, requestId);
+            if (typeof end === "string") {
+                return end;
+            }
+            if (end.kind === "unreachable" && ++unreached <= unreachableAtMost) {
+                request = { ...request, tried: [...request.tried, slot.server.id] };
+                continue;
+            }
+            this.#servers.push(slot.server.id);
+            if (!this.#mayRepeat(route, end, body, deadlineAt)) {
+                throw failureOf(end);
+            }
+            request = { ...request, tried: [...request.tried, slot.server.id] };
+        }
+    }
+
+    async #place(dispatcher: Dispatcher, request: Request): Promise<Slot> {
+        const from = this.#parts.clock();
+        const placing = dispatcher.place(request);
+        const placement = await this.#abortable(placing, () => dispatcher.withdraw(request));
+        this.#queueMs += this.#parts.clock() - from;
+        return slotOf(placement);
+    }
+
+    /** Sends a request; gives what is told to the caller, or how the send failed if something may be done yet. */
+    async #send(
+        dispatcher: Dispatcher,
+        slot: Slot,
+        body: RequestBody,
+        requestId: string,
+    ): Promise<"answered" | "body-broken" | "caller-gone" | SendEnd> {
+        const { wire, clock } = this.#parts;
+        const from = clock();
+        const exchange = this.#open(slot, body, requestId);
+        const settle = (end: SendEnd): SendEnd => {
+            dispatcher.settle(slot, end);
+            return end;
+        };
+        const connecting = this.#parts.sweep.add(from + connectTimeoutMs, () => {
+            if (!exchange.sent) {
+                exchange.abort({ kind: "unreachable" });
+            }
+        });
+        const breakOff = (): void => this.#breakOff(exchange, slot);
+        try {
+            const answer = await this.#abortable(exchange.head, breakOff);
+            this.#serverMs = clock() - from;
+            const load = wire.load(answer.headers);
+            if (load) {
+                dispatcher.report(slot.server, load);
+            }
+            const status = answer.statusCode ?? 0;
+            if (status >= 500 && this.#worthRepeating(slot, body)) {
+                answer.resume();
+                answer.on("end", () => exchange.finished());
+                return settle({ kind: "answered", status });
+            }
+            const relay = new Relay(answer, this.#res, () => exchange.reset);
+            const relayed = await this.#abortable(
+                relay.run(() => this.#parts.extraHeaders(this.#req)),
+                breakOff,
+            );
+            exchange.finished();
+            settle(relayed === "whole" ? { kind: "answered", status } : relayEnds[relayed]);
+            return relayed === "broken-unseen" ? { kind: "lost" } : outcomes[relayed];
+        } catch (err) {
+            if (err instanceof SendError) {
+                return settle(err.end);
+            }
+            const gone = err instanceof CallError && err.kind === "caller-gone";
+            settle({ kind: gone ? "cancelled" : "timeout" });
+            throw err;
+        } finally {
+            this.#parts.sweep.remove(connecting);
+        }
+    }
+
+    #open(slot: Slot, body: RequestBody, requestId: string): Exchange {
+        const { wire, clock, agents } = this.#parts;
+        const leftMs = Math.max(1, Math.floor(slot.request.deadlineAt - clock()));
+        const { rawHeaders, headers } = this.#req;
+        const passed = headersWithout(rawHeaders, headers.connection, setHere);
+        const own = wire.sendHeaders(leftMs, slot.server.id);
+        const kept = passed.filter((_, i, all) => !wire.ownHeaders.has((all[i - (i % 2)] ?? "").toLowerCase()));
+        return new Exchange(
+            {
+                server: slot.server,
+                agent: slot.request.kind === "non-idempotent" ? agents.once : agents.repeatable,
+                method: this.#req.method ?? "GET",
+                target: this.#req.url ?? "/",
+                headers: [...kept, ...body.framing(), ...own],
+                requestId,
+                writeBody: to => body.send(to),
+            },
+            wire,
+        );
+    }
+
+    /** Once sent, a request that isn't idempotent runs on when its caller leaves: half of it would be worse. */
+    #breakOff(exchange: Exchange, slot: Slot): void {
+        if (slot.request.kind !== "non-idempotent" || !this.#callerGone || !exchange.sent) {
+            exchange.abort({ kind: this.#callerGone ? "cancelled" : "timeout" });
+        }
+    }
+
+    #mayRepeat(route: Route, end: SendEnd, body: RequestBody, deadlineAt: number): boolean {
+        const notRun = end.kind === "refused" || end.kind === "unreachable";
+        const repeatable = notRun || (route.kind !== "non-idempotent" && end.kind !== "timeout");
+        return (
+            repeatable &&
+            body.replayable &&
+            !this.#res.headersSent &&
+            this.#servers.length < route.maxAttempts &&
+            this.#parts.clock() + leastRepeatMs < deadlineAt &&
+            this.#parts.mayRepeat(this.#service)
+        );
+    }
+
+    #worthRepeating(slot: Slot, body: RequestBody): boolean {
+        const route = this.#route;
+        return (
+            route !== undefined &&
+            route.kind !== "non-idempotent" &&
+            body.replayable &&
+            this.#servers.length + 1 < route.maxAttempts &&
+            this.#parts.clock() + leastRepeatMs < slot.request.deadlineAt
+        );
+    }
+
+    /** Waits for `work`, unless time runs out or the caller goes away; then `stop` is called. */
+    #abortable<T>(work: Promise<T>, stop: () => void = () => undefined): Promise<T> {
+        return new Promise((resolve, reject) => {
+            this.#giveUp = error => {
+                reject(error);
+                stop();
+            };
+            work.then(resolve, reject);
+            if (this.#callerGone) {
+                this.#giveUp(new CallError("caller-gone"));
+            }
+        });
+    }
+
+    #finish(outcome: ForwardRecord["outcome"], detail: string): void {
+        this.#parts.done({
+            requestId: this.#parts.wire.requestId(this.#req.headers) ?? "",
+            route: this.#route,
+            service: this.#service,
+            outcome,
+            status: this.#res.headersSent ? this.#res.statusCode : 0,
+            servers: this.#servers,
+            queueMs: this.#queueMs,
+            serverMs: this.#serverMs,
+            totalMs: this.#parts.clock() - this.#arrivedAt,
+            detail,
+        });
+    }
+}
+
+const slotOf = (placement: Placement): Slot => {
+    switch (placement.kind) {
+        case "slot":
+            return placement.slot;
+        case "refused":
+            throw new CallError(placement.refusal.why, "", placement.refusal.retryAfterMs);
+        case "expired":
+            throw new CallError("deadline-queued", "", expiredRetryMs);
+        case "withdrawn":
+            throw new CallError("caller-gone");
+    }
+};
+
+const failureOf = (end: SendEnd): CallError => {
+    switch (end.kind) {
+        case "refused":
+            return new CallError("server-refused", `The last one said: ${end.why}.`, refusedRetryMs);
+        case "unreachable":
+            return new CallError("connect-failed", "", refusedRetryMs);
+        case "timeout":
+            return new CallError("deadline-sent");
+        case "answered":
+            return new CallError("server-lost", `The server failed with status ${end.status}.`);
+        default:
+            return new CallError("server-lost");
+    }
+};
+
+const relayEnds: Readonly<Record<Exclude<RelayEnd, "whole">, SendEnd>> = {
+    "broken-unseen": { kind: "lost" },
+    broken: { kind: "lost" },
+    "caller-gone": { kind: "cancelled" },
+};
+
+const outcomes: Readonly<Record<Exclude<RelayEnd, "broken-unseen">, "answered" | "body-broken" | "caller-gone">> =
+    {
+        whole: "answered",
+        broken: "body-broken",
+        "caller-gone": "caller-gone",
+    };
+
+/** Written anew for each send. */
+const setHere: ReadonlySet<string> = new Set(["content-length", "expect"]);
+
+/** An answer that the server gives at its deadline still reaches the caller. */
+const answerGraceMs = 40;
+/** Time for the answer's way back to the caller. */
+const returnMs = 20;
+/** Several round trips between failure domains. */
+const connectTimeoutMs = 250;
+/** Servers that can't be reached before a request is refused; nothing was sent to them. */
+const unreachableAtMost = 4;
+/** With less time left than this a repeat would come to nothing. */
+const leastRepeatMs = 60;
+const noServiceRetryMs = 500;
+const expiredRetryMs = 300;
+const refusedRetryMs = 150;
--- /dev/null
+++ b/packages/gateway/src/front.ts
@@ -0,0 +1,180 @@
+/** The HTTP servers towards callers: routed requests, the question which addresses to use, readiness. */
+
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
+import type { ClientLimits } from "@bramleymoor/model/route";
+import { CallError } from "@bramleymoor/protocol/kinds";
+import { rawError } from "@bramleymoor/proxy/answers";
+import { Connections } from "@bramleymoor/proxy/connections";
+import { answerOwn } from "./answers.js";
+
+/** Serves routed requests. */
+export class Front {
+    readonly #server: Server;
+    readonly #connections = new Connections();
+    /** Requests of a connection whose answers are not out yet. */
+    readonly #open = new Map<Socket, number>();
+    readonly #running = new Set<Promise<void>>();
+    readonly #serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
+    readonly #malformed: (reason: string, peer: string) => void;
+    readonly #closing = new WeakSet<Socket>();
+    #maxHeadBytes = mostHeadBytes;
+    #stopping = false;
+
+    /**
+     * @param serve runs one request to its end; never rejects
+     * @param malformed told of requests that can't be read
+     */
+    constructor(
+        serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
+        malformed: (reason: string, peer: string) => void,
+    ) {
+        this.#serve = serve;
+        this.#malformed = malformed;
+        this.#server = createServer({
+            maxHeaderSize: mostHeadBytes,
+            connectionsCheckingInterval: checkIntervalMs,
+            requestTimeout: 0,
+            noDelay: true,
+        });
+        this.#server.maxHeadersCount = 0;
+        this.#server.on("connection", (socket: Socket) => this.#connections.opened(socket));
+        this.#server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#take(req, res));
+        this.#server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
+            res.writeContinue();
+            this.#take(req, res);
+        });
+        this.#server.on("clientError", (err: NodeJS.ErrnoException, socket) =>
+            this.#unreadable(err, socket as Socket),
+        );
+    }
+
+    /** Requests being answered. */
+    get inFlight(): number {
+        return this.#running.size;
+    }
+
+    /** Follows the configuration's limits. */
+    follow(limits: ClientLimits): void {
+        this.#maxHeadBytes = limits.maxHeaderBytes;
+        this.#server.headersTimeout = limits.headerTimeoutMs;
+        this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    }
+
+    listen(port: number, host: string): Promise<void> {
+        return listenOn(this.#server, port, host);
+    }
+
+    /**
+     * Headers of an answer on this request's connection: during a stop the connection closes with its last
+     * answer, never before one that is still owed.
+     */
+    extraHeaders(req: IncomingMessage): readonly string[] {
+        if (!this.#stopping || (this.#open.get(req.socket) ?? 0) > 1) {
+            return [];
+        }
+        this.#closing.add(req.socket);
+        return ["Connection", "close"];
+    }
+
+    /** From now on connections are closed with the last answer owed on them. */
+    beginStop(): void {
+        this.#stopping = true;
+    }
+
+    /** Takes no new connections, closes idle ones, and resolves when every answer is out. */
+    async finish(): Promise<void> {
+        const closed = new Promise<void>(resolve =>
+            NetServer.prototype.close.call(this.#server, () => resolve()),
+        );
+        const looking = setInterval(() => this.#connections.closeIdle(), idleLookMs);
+        await closed;
+        clearInterval(looking);
+        await Promise.all(this.#running);
+    }
+
+    #take(req: IncomingMessage, res: ServerResponse): void {
+        const { socket } = req;
+        if (this.#closing.has(socket)) {
+            return;
+        }
+        this.#connections.answering(socket, res);
+        this.#open.set(socket, (this.#open.get(socket) ?? 0) + 1);
+        res.once("close", () => this.#answered(socket));
+        const problem = this.#headProblem(req);
+        if (problem) {
+            answerOwn(res, problem, ["Connection", "close"]);
+            return;
+        }
+        const work = this.#serve(req, res).finally(() => this.#running.delete(work));
+        this.#running.add(work);
+    }
+
+    #answered(socket: Socket): void {
+        const left = (this.#open.get(socket) ?? 1) - 1;
+        if (left > 0) {
+            this.#open.set(socket, left);
+        } else {
+            this.#open.delete(socket);
+        }
+    }
+
+    #headProblem(req: IncomingMessage): CallError | undefined {
+        const encoding = req.headers["transfer-encoding"];
+        if (encoding !== undefined && encoding.toLowerCase() !== "chunked") {
+            return new CallError("bad-request", "The only transfer encoding understood is chunked.");
+        }
+        const bytes = req.rawHeaders.reduce((sum, it) => sum + it.length + headerOverhead, 0);
+        return bytes > this.#maxHeadBytes ? new CallError("head-too-large") : undefined;
+    }
+
+    #unreadable(err: NodeJS.ErrnoException, socket: Socket): void {
+        const code = err.code ?? "unknown";
+        this.#malformed(code, socket.remoteAddress ?? "");
+        if (!socket.writable || code === "ECONNRESET" || this.#open.has(socket)) {
+            socket.destroy();
+            return;
+        }
+        const kind = code === "HPE_HEADER_OVERFLOW" ? "head-too-large" : "bad-request";
+        socket.end(rawError(new CallError(kind), "Bad Request"));
+    }
+}
+
+/** A small server of one question and answer each, such as readiness. */
+export class AnswerServer {
+    readonly #server: Server;
+
+    constructor(answer: (req: IncomingMessage, res: ServerResponse) => void) {
+        this.#server = createServer({ noDelay: true }, answer);
+        this.#server.keepAliveTimeout = answerKeepMs;
+    }
+
+    listen(port: number, host: string): Promise<void> {
+        return listenOn(this.#server, port, host);
+    }
+
+    /** Closes the port and its idle connections. */
+    close(): void {
+        this.#server.close();
+        this.#server.closeIdleConnections();
+    }
+}
+
+const listenOn = (server: Server, port: number, host: string): Promise<void> =>
+    new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen({ port, host, backlog }, () => {
+            server.off("error", reject);
+            resolve();
+        });
+    });
+
+/** Largest head that the parser takes; the configuration's own limit is checked after it. */
+const mostHeadBytes = 64 * 1024;
+/** Bytes of ": " and line end for each pair of name and value, halved. */
+const headerOverhead = 2;
+const checkIntervalMs = 1_000;
+const idleLookMs = 50;
+const answerKeepMs = 5_000;
+/** Connections that wait to be accepted while the process is busy. */
+const backlog = 1_024;
--- /dev/null
+++ b/packages/gateway/src/node.ts
@@ -0,0 +1,443 @@
+/** One entry process that serves routes: its parts wired together, its start, its periodic work, its stop. */
+
+import { randomBytes } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { ConfigBook, type ConfigDecoder } from "@bramleymoor/discovery/config";
+import { Follower } from "@bramleymoor/discovery/follower";
+import type { KeyedLog } from "@bramleymoor/discovery/log";
+import { ServerBook, type ServerDecoder } from "@bramleymoor/discovery/servers";
+import { Membership, membershipDefaults } from "@bramleymoor/membership/membership";
+import type { Route, RouteConfig } from "@bramleymoor/model/route";
+import type { EntryVm } from "@bramleymoor/model/vm";
+import type { EventLog } from "@bramleymoor/observe/events";
+import { CallMetrics } from "@bramleymoor/observe/metrics";
+import { orderFor } from "@bramleymoor/placement/placement";
+import { CallError } from "@bramleymoor/protocol/kinds";
+import { Sweep } from "@bramleymoor/proxy/sweep";
+import { hostOf, RouteTable } from "@bramleymoor/routing/table";
+import { Splits } from "@bramleymoor/routing/split";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { KeepingAgent } from "./agent.js";
+import { LoadAsker } from "./asks.js";
+import { monotonicMs, wallClockMs } from "./clock.js";
+import { FirstDeadlines } from "./elapsed.js";
+import { ForwardTask, type ForwardParts, type ForwardRecord } from "./forward.js";
+import { AnswerServer, Front } from "./front.js";
+import { PeerSocket } from "./peersocket.js";
+import { Services } from "./services.js";
+import type { GatewaySettings } from "./settings.js";
+import { DemandCounter, ratesOf, shortHash, Steering } from "./steering.js";
+import type { Wire } from "./wire.js";
+
+/** What the platform in use gives an entry process. */
+export interface PlatformParts {
+    readonly log: KeyedLog;
+    readonly wire: Wire;
+    readonly decodeConfig: ConfigDecoder;
+    readonly decodeServer: ServerDecoder;
+    /** Key of the record that holds the configuration. */
+    readonly configKey: string;
+}
+
+/** One run of the entry process. */
+export class GatewayNode {
+    readonly #settings: GatewaySettings;
+    readonly #platform: PlatformParts;
+    readonly #events: EventLog;
+    readonly #metrics = new CallMetrics(false);
+    readonly #config: ConfigBook;
+    readonly #servers: ServerBook;
+    readonly #peers: PeerSocket;
+    readonly #membership: Membership;
+    readonly #follower: Follower;
+    readonly #services: Services;
+    readonly #asker: LoadAsker;
+    readonly #splits = new Splits();
+    readonly #deadlines = new FirstDeadlines();
+    readonly #demand = new DemandCounter(monotonicMs());
+    readonly #steering: Steering;
+    readonly #front: Front;
+    readonly #ready: AnswerServer;
+    readonly #directory: AnswerServer;
+    readonly #metricsServer: AnswerServer;
+    readonly #forwarding: ForwardParts;
+    readonly #ended = new AbortController();
+    #table: RouteTable | undefined = undefined;
+    #members: readonly EntryVm[] = [];
+    #lastId = 0;
+    #state: "starting" | "serving" | "stopping" = "starting";
+
+    constructor(settings: GatewaySettings, platform: PlatformParts, events: EventLog) {
+        this.#settings = settings;
+        this.#platform = platform;
+        this.#events = events;
+        this.#config = new ConfigBook(platform.configKey, platform.decodeConfig);
+        this.#servers = new ServerBook(platform.decodeServer);
+        this.#asker = new LoadAsker(platform.wire);
+        this.#services = new Services({
+            asker: this.#asker,
+            clock: monotonicMs,
+            random: Math.random,
+            balance: { compared: comparedServers },
+            repeats: settings.repeats,
+        });
+        this.#steering = new Steering({
+            callsPerDispatcher: settings.processorShare * requestsPerCore,
+            least: leastDispatchers,
+            most: mostDispatchers,
+            shrinkAfterMs,
+        });
+        this.#peers = new PeerSocket({
+            gossip: message => this.#membership.receive(message, monotonicMs()),
+            news: (news, from) => this.#follower.take(news, from),
+            refused: (address, reason) => events.emit("peer-refused", { address, reason }),
+        });
+        this.#membership = this.#join();
+        this.#follower = this.#makeFollower();
+        this.#forwarding = this.#makeForwarding();
+        this.#front = new Front(
+            (req, res) => new ForwardTask(this.#forwarding, req, res).run(),
+            (reason, address) => events.emit("request-malformed", { address, reason }),
+        );
+        this.#ready = new AnswerServer((req, res) => this.#answerReady(req, res));
+        this.#directory = new AnswerServer((req, res) => this.#answerAddresses(req, res));
+        this.#metricsServer = new AnswerServer((_, res) => void this.#answerMetrics(res));
+    }
+
+    /** Listens everywhere, joins the peers and follows the store. */
+    async start(): Promise<void> {
+        const { front, ready, directory, peers, metrics, id } = this.#settings;
+        await Promise.all([
+            this.#front.listen(front.port, front.host),
+            this.#ready.listen(ready.port, ready.host),
+            this.#directory.listen(directory.port, directory.host),
+            this.#metricsServer.listen(metrics.port, metrics.host),
+            this.#peers.listen(peers.port, peers.host),
+        ]);
+        this.#events.emit("started", {
+            id,
+            incarnation: "",
+            callers: addressOf(front),
+            peers: addressOf(peers),
+            operators: addressOf(metrics),
+        });
+        void this.#follower.run(this.#ended.signal).catch((err: unknown) => this.#failed("following", err));
+        void this.#gossip();
+        void this.#turns();
+    }
+
+    /**
+     * Planned stop: not ready and out of the answers at once, serving callers with old answers for a while, then
+     * closing each connection with its last answer.
+     */
+    async stop(signal: string): Promise<void> {
+        if (this.#state === "stopping") {
+            return;
+        }
+        this.#state = "stopping";
+        const { stopMs, addressTtlMs } = this.#settings;
+        this.#events.emit("stop-asked", { signal });
+        this.#membership.leave(monotonicMs());
+        this.#front.beginStop();
+        await delay(Math.min(addressTtlMs + leaveSpreadMs, stopMs / 2), this.#ended.signal);
+        const finished = new AbortController();
+        const finishing = this.#front.finish().finally(() => finished.abort());
+        await Promise.race([finishing, delay(stopMs - stopReserveMs, finished.signal)]);
+        this.#ended.abort();
+        this.#events.emit("stopped", { cut: this.#front.inFlight });
+    }
+
+    #join(): Membership {
+        const { id, place, front, peers, seeds } = this.#settings;
+        const self: EntryVm = {
+            id,
+            incarnation: randomBytes(incarnationBytes).toString("base64url"),
+            place,
+            callerAddress: addressOf(front),
+            peerAddress: addressOf(peers),
+            state: "alive",
+            load: 0,
+        };
+        const settings = {
+            ...membershipDefaults,
+            periodMs: gossipPeriodMs,
+            pingTimeoutMs,
+            cluster,
+            startedAt: wallClockMs(),
+            seeds: seeds.map(host => `${host}:${peers.port}`),
+        };
+        const random = xoroshiro128plus(randomBytes(4).readInt32LE());
+        const membership = new Membership(self, this.#peers, settings, random, monotonicMs());
+        membership.members.subscribe(list => this.#follow(list));
+        return membership;
+    }
+
+    #follow(list: readonly EntryVm[]): void {
+        const before = new Map(this.#members.map(vm => [vm.id, vm]));
+        for (const vm of list) {
+            const known = before.get(vm.id);
+            before.delete(vm.id);
+            if (!known) {
+                const { id, incarnation, place } = vm;
+                this.#events.emit("member-joined", { id, incarnation, ...place });
+            } else if (known.state !== vm.state) {
+                this.#tellState(vm);
+            }
+        }
+        for (const { id, incarnation } of before.values()) {
+            this.#events.emit("member-dead", { id, incarnation });
+        }
+        this.#members = list;
+    }
+
+    #tellState({ id, incarnation, state }: EntryVm): void {
+        if (state === "suspect") {
+            this.#events.emit("member-suspect", { id, incarnation, reason: "no answer to pings" });
+        } else if (state === "leaving") {
+            this.#events.emit("member-left", { id, incarnation });
+        } else {
+            this.#events.emit("member-back", { id, incarnation });
+        }
+    }
+
+    #makeFollower(): Follower {
+        return new Follower({
+            log: this.#platform.log,
+            config: this.#config,
+            servers: this.#servers,
+            clock: monotonicMs,
+            delay,
+            rank: () => this.#readerRank(),
+            peers: () => this.#others.map(vm => vm.peerAddress),
+            tell: (peer, news) => this.#peers.tell(peer, news),
+            events: {
+                config: (config, source, ageMs) => this.#tookConfig(config, source, ageMs),
+                servers: ({ changes }, source, ageMs) => {
+                    const told = changes.map(
+                        ({ id, entry }) => `${id} ${entry ? (entry.leaving ? "leaving" : "ready") : "gone"}`,
+                    );
+                    this.#events.emit("servers-changed", { changes: told.join(", "), source, ageMs });
+                },
+                store: (topic, reachable, reason) =>
+                    reachable
+                        ? this.#events.emit("store-back", { topic })
+                        : this.#events.emit("store-lost", { topic, reason }),
+            },
+        });
+    }
+
+    /** Place among the entry VMs that read the store; those that leave come last. */
+    #readerRank(): number {
+        const alive = this.#members.filter(vm => vm.state === "alive");
+        const rank = orderFor(readersKey, alive).findIndex(vm => vm.id === this.#settings.id);
+        return rank === -1 ? alive.length : rank;
+    }
+
+    get #others(): readonly EntryVm[] {
+        return this.#members.filter(vm => vm.id !== this.#settings.id && vm.state !== "dead");
+    }
+
+    #tookConfig(config: RouteConfig, source: string, ageMs: number): void {
+        this.#table = new RouteTable(config.routes);
+        this.#front.follow(config.limits);
+        this.#metrics.version(config.version);
+        const { version, routes } = config;
+        this.#events.emit("routes-accepted", { version, routes: routes.length, source, ageMs });
+        this.#followServers();
+    }
+
+    #followServers(): void {
+        if (this.#config.config) {
+            this.#services.follow(this.#config.config, this.#servers.servers());
+        }
+        if (this.#state === "starting" && this.#config.config && this.#servers.position !== undefined) {
+            this.#state = "serving";
+            this.#events.emit("ready", { version: this.#config.config.version });
+        }
+    }
+
+    #makeForwarding(): ForwardParts {
+        const agent = (idleMs: number): KeepingAgent => new KeepingAgent({ idleMs, marginMs: keepMarginMs });
+        return {
+            wire: this.#platform.wire,
+            clock: monotonicMs,
+            sweep: new Sweep(monotonicMs, sweepPeriodMs),
+            nextId: () => ++this.#lastId,
+            route: (host, target) => this.#findRoute(host, target),
+            maxBodyBytes: () => this.#config.config?.limits.maxBodyBytes ?? 0,
+            serviceOf: route => this.#splits.serviceOf(route, Math.random),
+            dispatcher: service => this.#services.dispatcher(service),
+            elapsedMs: (route, deadlineMs) =>
+                this.#deadlines.elapsedMs(`${route.host}${route.pathPrefix}`, deadlineMs),
+            requested: service => this.#services.budget(service)?.requested(monotonicMs()),
+            mayRepeat: service =>
+                this.#services.budget(service)?.take(monotonicMs(), this.#members.length) ?? false,
+            agents: { repeatable: agent(keepIdleMs), once: agent(keepOnceMs) },
+            extraHeaders: req => this.#front.extraHeaders(req),
+            done: record => this.#done(record),
+        };
+    }
+
+    #findRoute(host: string, target: string): Route {
+        if (!this.#table || this.#state === "starting") {
+            throw new CallError("not-ready", "", notReadyRetryMs);
+        }
+        const route = this.#table.find(host, target);
+        if (!route) {
+            throw new CallError("no-route");
+        }
+        this.#demand.count(route.host);
+        return route;
+    }
+
+    #done(record: ForwardRecord): void {
+        const { requestId, route, service, outcome, status, servers, queueMs, serverMs, totalMs } = record;
+        const version = this.#config.config?.version ?? 0;
+        const name = route?.name ?? "";
+        this.#metrics.done({
+            service,
+            class: name,
+            tenant: "",
+            outcome,
+            status,
+            queueMs,
+            serverMs,
+            addedMs: Math.max(0, totalMs - queueMs - serverMs),
+            hedged: false,
+            retried: servers.length > 1,
+        });
+        if (outcome === "answered") {
+            return;
+        }
+        this.#events.emit("request-failed", {
+            requestId,
+            route: name,
+            service,
+            outcome,
+            status,
+            servers: servers.join(" "),
+            totalMs: Math.round(totalMs),
+            queueMs: Math.round(queueMs),
+            waiting: this.#services.dispatcher(service)?.waiting ?? 0,
+            version,
+            serversAgeMs: Math.round(monotonicMs() - this.#servers.asOf),
+            detail: record.detail,
+        });
+    }
+
+    #answerReady(req: IncomingMessage, res: ServerResponse): void {
+        const known = req.url === this.#platform.wire.readyPath;
+        res.writeHead(known ? (this.#state === "serving" ? 200 : 503) : 404, { "Content-Length": "0" });
+        res.end();
+    }
+
+    #answerAddresses(req: IncomingMessage, res: ServerResponse): void {
+        const { wire } = this.#platform;
+        const question = wire.question(req.url ?? "");
+        const vms = question ? this.#steering.dispatchers(hostOf(question.host), this.#members) : [];
+        if (!question || vms.length === 0) {
+            res.writeHead(question ? 503 : 404, { "Content-Length": "0" });
+            res.end();
+            return;
+        }
+        const addresses = vms.map(vm => vm.callerAddress);
+        const text = wire.addresses(addresses, this.#settings.addressTtlMs);
+        res.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(text) });
+        res.end(text);
+    }
+
+    async #answerMetrics(res: ServerResponse): Promise<void> {
+        const text = await this.#metrics.text();
+        res.writeHead(200, { "Content-Type": this.#metrics.contentType });
+        res.end(text);
+    }
+
+    async #gossip(): Promise<void> {
+        while (!this.#ended.signal.aborted) {
+            const now = monotonicMs();
+            const dueAt = this.#membership.tick(now);
+            await delay(Math.max(leastSleepMs, dueAt - now), this.#ended.signal);
+        }
+    }
+
+    /** Looks at queues often, and at demand and servers now and then. */
+    async #turns(): Promise<void> {
+        let revision = -1;
+        let demandAt = monotonicMs();
+        while (!this.#ended.signal.aborted) {
+            await delay(turnMs, this.#ended.signal);
+            this.#services.tick();
+            if (this.#servers.revision !== revision || this.#state === "starting") {
+                revision = this.#servers.revision;
+                this.#followServers();
+            }
+            const now = monotonicMs();
+            if (now - demandAt >= demandPeriodMs) {
+                demandAt = now;
+                this.#shareDemand(now);
+            }
+        }
+    }
+
+    /** Tells peers this entry VM's demand, and adds theirs up. */
+    #shareDemand(now: number): void {
+        const before = this.#membership.payload(this.#settings.id);
+        for (const [key, value] of this.#demand.turn(now)) {
+            if ((before[key] ?? "") !== value) {
+                this.#membership.setPayload(key, value);
+            }
+        }
+        const rates = this.#others.map(vm => ratesOf(this.#membership.payload(vm.id)));
+        for (const host of this.#table?.hosts ?? []) {
+            const hash = shortHash(host);
+            const others = rates.reduce((sum, it) => sum + (it.get(hash) ?? 0), 0);
+            this.#steering.observe(host, others + (this.#demand.rates.get(host) ?? 0), now);
+        }
+    }
+
+    #failed(doing: string, err: unknown): void {
+        this.#events.emit("internal-error", { doing, reason: err instanceof Error ? String(err.stack) : String(err) });
+    }
+}
+
+const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string => `${host}:${port}`;
+
+const delay = async (ms: number, signal: AbortSignal): Promise<void> => {
+    if (signal.aborted) {
+        return;
+    }
+    await new Promise<void>(resolve => {
+        const done = (): void => {
+            clearTimeout(timer);
+            signal.removeEventListener("abort", done);
+            resolve();
+        };
+        const timer = setTimeout(done, ms);
+        signal.addEventListener("abort", done);
+    });
+};
+
+/** One deployment has one cluster; its network keeps others out. */
+const cluster = "gateway";
+const readersKey = "readers of the store";
+const incarnationBytes = 9;
+const comparedServers = 5;
+/** Requests that a whole core forwards in a second with room for bursts. */
+const requestsPerCore = 220;
+const leastDispatchers = 1;
+/** Addresses that callers take of one answer. */
+const mostDispatchers = 64;
+const shrinkAfterMs = 8_000;
+const gossipPeriodMs = 300;
+const pingTimeoutMs = 250;
+const keepIdleMs = 8_000;
+/** A request that must not run twice goes out only on a connection that was in use a moment ago. */
+const keepOnceMs = 1_500;
+const keepMarginMs = 1_500;
+const sweepPeriodMs = 10;
+const notReadyRetryMs = 300;
+const leaveSpreadMs = 500;
+const stopReserveMs = 400;
+const leastSleepMs = 5;
+const turnMs = 50;
+const demandPeriodMs = 500;
--- /dev/null
+++ b/packages/gateway/src/peersocket.ts
@@ -0,0 +1,138 @@
+/** Datagrams between entry VMs: gossip about members, and what the readers of the store hand on. */
+
+import { createSocket, type Socket } from "node:dgram";
+import { newsSchema, type News } from "@bramleymoor/discovery/news";
+import {
+    gossipMessageSchema,
+    gossipReplySchema,
+    type GossipMessage,
+    type GossipReply,
+    type Transport,
+} from "@bramleymoor/membership/messages";
+import { z } from "zod";
+import { splitAddress } from "./exchange.js";
+
+const envelopeSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("gossip"), n: z.number(), body: gossipMessageSchema }),
+    z.object({ kind: z.literal("reply"), n: z.number(), body: gossipReplySchema }),
+    z.object({ kind: z.literal("news"), body: newsSchema }),
+]);
+
+type Envelope = z.infer<typeof envelopeSchema>;
+
+/** Who takes what peers send. */
+export interface PeerHandlers {
+    readonly gossip: (message: GossipMessage) => Promise<GossipReply>;
+    readonly news: (news: News, from: string) => void;
+    /** Told of a datagram that can't be read or answered. */
+    readonly refused: (address: string, reason: string) => void;
+}
+
+/** The datagram socket of one entry VM. */
+export class PeerSocket implements Transport {
+    readonly #socket: Socket = createSocket("udp4");
+    readonly #handlers: PeerHandlers;
+    readonly #replies = new Map<number, (reply: GossipReply) => void>();
+    #lastNumber = 0;
+    #bytes = 0;
+
+    constructor(handlers: PeerHandlers) {
+        this.#handlers = handlers;
+        this.#socket.on("message", (data, { address, port }) => this.#take(data, `${address}:${port}`));
+        this.#socket.on("error", err => handlers.refused("", err.message));
+    }
+
+    /** Bytes sent and received. */
+    get bytes(): number {
+        return this.#bytes;
+    }
+
+    listen(port: number, host: string): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.#socket.once("error", reject);
+            this.#socket.bind(port, host, () => {
+                this.#socket.off("error", reject);
+                resolve();
+            });
+        });
+    }
+
+    /** Sends gossip; rejects if no reply comes within the time that a later message's number may wait. */
+    send(peerAddress: string, body: GossipMessage): Promise<GossipReply> {
+        const n = ++this.#lastNumber;
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(() => {
+                this.#replies.delete(n);
+                reject(new Error("no reply"));
+            }, replyTimeoutMs);
+            timer.unref();
+            this.#replies.set(n, reply => {
+                clearTimeout(timer);
+                this.#replies.delete(n);
+                resolve(reply);
+            });
+            this.#write(peerAddress, { kind: "gossip", n, body });
+        });
+    }
+
+    /** Sends news; false if they are too large for a datagram. */
+    tell(peerAddress: string, body: News): boolean {
+        return this.#write(peerAddress, { kind: "news", body });
+    }
+
+    close(): void {
+        this.#socket.close();
+    }
+
+    #write(peerAddress: string, envelope: Envelope): boolean {
+        const data = Buffer.from(JSON.stringify(envelope));
+        if (data.length > datagramBytes) {
+            return false;
+        }
+        const { host, port } = splitAddress(peerAddress);
+        this.#bytes += data.length;
+        this.#socket.send(data, port, host, err => {
+            if (err) {
+                this.#handlers.refused(peerAddress, err.message);
+            }
+        });
+        return true;
+    }
+
+    #take(data: Buffer, from: string): void {
+        this.#bytes += data.length;
+        const envelope = decode(data);
+        if (!envelope) {
+            this.#handlers.refused(from, "the datagram can't be read");
+            return;
+        }
+        switch (envelope.kind) {
+            case "gossip":
+                this.#handlers.gossip(envelope.body as GossipMessage).then(
+                    body => this.#write(from, { kind: "reply", n: envelope.n, body }),
+                    (err: unknown) => this.#handlers.refused(from, String(err)),
+                );
+                break;
+            case "reply":
+                this.#replies.get(envelope.n)?.(envelope.body as GossipReply);
+                break;
+            case "news":
+                this.#handlers.news(envelope.body, from);
+                break;
+        }
+    }
+}
+
+const decode = (data: Buffer): Envelope | undefined => {
+    try {
+        return envelopeSchema.safeParse(JSON.parse(data.toString())).data;
+    } catch {
+        // Not JSON; the caller logs it.
+        return undefined;
+    }
+};
+
+/** Longer than any wait for a ping's reply. */
+const replyTimeoutMs = 2_000;
+/** Largest datagram; IP allows 65,507 bytes. */
+const datagramBytes = 60_000;
--- /dev/null
+++ b/packages/gateway/src/services.ts
@@ -0,0 +1,76 @@
+/** The dispatchers of all services, kept in step with the configuration and the registered servers. */
+
+import { Balancer, type BalanceSettings } from "@bramleymoor/balance/balancer";
+import { RepeatBudget, type RepeatBound } from "@bramleymoor/balance/budget";
+import type { KnownServer } from "@bramleymoor/discovery/servers";
+import type { RouteConfig } from "@bramleymoor/model/route";
+import type { LoadAsker } from "./asks.js";
+import { Dispatcher } from "./dispatcher.js";
+
+interface Held {
+    readonly dispatcher: Dispatcher;
+    readonly budget: RepeatBudget;
+}
+
+/** What services need. */
+export interface ServicesParts {
+    readonly asker: LoadAsker;
+    readonly clock: () => number;
+    readonly random: () => number;
+    readonly balance: BalanceSettings;
+    readonly repeats: RepeatBound;
+}
+
+/** Every service of the configuration. */
+export class Services {
+    readonly #parts: ServicesParts;
+    readonly #held = new Map<string, Held>();
+
+    constructor(parts: ServicesParts) {
+        this.#parts = parts;
+    }
+
+    /** A service's dispatcher; undefined if the configuration doesn't have it. */
+    dispatcher(service: string): Dispatcher | undefined {
+        return this.#held.get(service)?.dispatcher;
+    }
+
+    /** A service's repeats. */
+    budget(service: string): RepeatBudget | undefined {
+        return this.#held.get(service)?.budget;
+    }
+
+    /** Takes a newer configuration or newer servers. */
+    follow(config: RouteConfig, servers: readonly KnownServer[]): void {
+        const byService = new Map<string, KnownServer[]>();
+        for (const server of servers) {
+            const list = byService.get(server.entry.service) ?? [];
+            list.push(server);
+            byService.set(server.entry.service, list);
+        }
+        for (const [name, settings] of config.services) {
+            const held = this.#held.get(name) ?? this.#make(name, config);
+            held.dispatcher.follow(settings, byService.get(name) ?? []);
+        }
+    }
+
+    /** Does what has come due in every queue. */
+    tick(): void {
+        this.#held.forEach(it => it.dispatcher.tick());
+    }
+
+    #make(name: string, config: RouteConfig): Held {
+        const { asker, clock, random, balance, repeats } = this.#parts;
+        const settings = config.services.get(name);
+        if (!settings) {
+            throw new Error(`the configuration has no service ${name}`);
+        }
+        const balancer = new Balancer(balance, random);
+        const held = {
+            dispatcher: new Dispatcher(settings, { balancer, asker, clock }),
+            budget: new RepeatBudget(repeats),
+        };
+        this.#held.set(name, held);
+        return held;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,37 @@
+/** Settings of one entry process that serves routes. */
+
+import type { RepeatBound } from "@bramleymoor/balance/budget";
+import type { Place } from "@bramleymoor/model/spec";
+
+/** An address to listen on. */
+export interface Listen {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** What an entry process is told at its start. */
+export interface GatewaySettings {
+    /** Stable name of the VM. */
+    readonly id: string;
+    readonly place: Place;
+    /** Routed requests. */
+    readonly front: Listen;
+    /** The platform's readiness check. */
+    readonly ready: Listen;
+    /** The question which addresses to use. */
+    readonly directory: Listen;
+    /** Datagrams of peers; the same port on every VM. */
+    readonly peers: Listen;
+    /** Metrics in Prometheus' text form. */
+    readonly metrics: Listen;
+    /** Hosts of entry VMs to join through; may be stale. */
+    readonly seeds: readonly string[];
+    /** Part of a core that the process may use. */
+    readonly processorShare: number;
+    /** Bound of repeats per service over all entry VMs. */
+    readonly repeats: RepeatBound;
+    /** How long answers to "which addresses" may be kept, in milliseconds. */
+    readonly addressTtlMs: number;
+    /** Time from the signal to stop to the end of the process, in milliseconds. */
+    readonly stopMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/steering.ts
@@ -0,0 +1,84 @@
+/** Which entry VMs callers of a host are sent to, from the members and the demand that they tell each other. */
+
+import type { EntryVm } from "@bramleymoor/model/vm";
+import { Demand, type DemandSettings } from "@bramleymoor/placement/demand";
+import { place } from "@bramleymoor/placement/placement";
+
+/** Counts this entry VM's requests by host, and puts them in a form that fits a member's payload. */
+export class DemandCounter {
+    #counts = new Map<string, number>();
+    #since: number;
+    #rates: ReadonlyMap<string, number> = new Map();
+
+    constructor(now: number) {
+        this.#since = now;
+    }
+
+    /** Requests per second by host, over the last period. */
+    get rates(): ReadonlyMap<string, number> {
+        return this.#rates;
+    }
+
+    count(host: string): void {
+        this.#counts.set(host, (this.#counts.get(host) ?? 0) + 1);
+    }
+
+    /** Ends a period; gives the payload's values by key. */
+    turn(now: number): ReadonlyMap<string, string> {
+        const seconds = Math.max(leastPeriodMs, now - this.#since) / msPerSecond;
+        this.#rates = new Map([...this.#counts].map(([host, count]) => [host, count / seconds]));
+        this.#counts = new Map();
+        this.#since = now;
+        const busiest = [...this.#rates].sort((a, b) => b[1] - a[1]).slice(0, keys.length * pairsPerKey);
+        const pairs = busiest.map(([host, rate]) => `${shortHash(host)}=${Math.ceil(rate)}`);
+        return new Map(
+            keys.map((key, i) => [key, pairs.slice(i * pairsPerKey, (i + 1) * pairsPerKey).join(" ")]),
+        );
+    }
+}
+
+/** Rates by short hash, read from a member's payload. */
+export const ratesOf = (payload: Readonly<Record<string, string | number>>): ReadonlyMap<string, number> => {
+    const pairs = keys.flatMap(key => String(payload[key] ?? "").split(" "));
+    return new Map(
+        pairs.filter(it => it.includes("=")).map(it => {
+            const [hash = "", rate = "0"] = it.split("=");
+            return [hash, Number(rate)];
+        }),
+    );
+};
+
+/** Decides how many entry VMs a host's callers get, and which. */
+export class Steering {
+    readonly #demand: Demand;
+
+    constructor(settings: DemandSettings) {
+        this.#demand = new Demand(settings);
+    }
+
+    /** Takes the requests per second of a host over all entry VMs. */
+    observe(host: string, perSecond: number, now: number): void {
+        this.#demand.observe(host, perSecond, now);
+    }
+
+    /** Entry VMs for a host's callers, the first one first. */
+    dispatchers(host: string, members: readonly EntryVm[]): readonly EntryVm[] {
+        return place(host, members, this.#demand.want(host));
+    }
+}
+
+/** Enough to tell hosts apart within one deployment: a clash only adds their rates up. */
+export const shortHash = (host: string): string => {
+    let hash = 2166136261;
+    for (let i = 0; i < host.length; i++) {
+        hash = Math.imul(hash ^ host.charCodeAt(i), 16777619) >>> 0;
+    }
+    return hash.toString(36).slice(-hashLength);
+};
+
+const hashLength = 5;
+const keys: readonly string[] = ["d0", "d1", "d2"];
+/** Pairs of at most 11 characters in a payload's value of at most 64. */
+const pairsPerKey = 5;
+const leastPeriodMs = 100;
+const msPerSecond = 1_000;
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -60,6 +60,27 @@
     "vm-list-up": row(1016, "info", "The platform's VM list can be read again, after {downMs} ms.", {
         downMs: "number",
     }),
+    "routes-accepted": row(1020, "info", "Configuration {version} in force: {routes} routes, from {source}, {ageMs} ms old.", {
+        version: "number",
+        routes: "number",
+        source: "string",
+        ageMs: "number",
+    }),
+    "servers-changed": row(1021, "info", "Backend servers changed: {changes}; from {source}, {ageMs} ms old.", {
+        changes: "string",
+        source: "string",
+        ageMs: "number",
+    }),
+    "store-lost": row(1022, "warn", "The store can't be read ({topic}): {reason}.", {
+        topic: "string",
+        reason: "string",
+    }),
+    "store-back": row(1023, "info", "The store can be read again ({topic}).", { topic: "string" }),
+    "record-skipped": row(1024, "warn", "Record {key} of {topic} can't be read and is passed over: {reason}.", {
+        topic: "string",
+        key: "string",
+        reason: "string",
+    }),
     "member-joined": row(2001, "info", "Entry VM {id} joined from {region}/{domain}.", {
         id: "string",
         incarnation: "string",
@@ -95,6 +116,10 @@
         signal: "string",
     }),
     stopped: row(5007, "info", "Stopped, {cut} calls cut.", { cut: "number" }),
+    "settings-read": row(6001, "info", "Settings read again; what has changed is used from the next start.", {}),
+    "settings-wrong": row(6002, "error", "The changed settings can't be used, the old ones stay: {reason}.", {
+        reason: "string",
+    }),
     "port-unavailable": row(6003, "error", "Can't listen on {address}: {reason}.", {
         address: "string",
         reason: "string",
@@ -107,6 +132,39 @@
         address: "string",
         reason: "string",
     }),
+    "request-answered": row(
+        8010,
+        "debug",
+        "Request {requestId} for {route} answered with {status} by {servers} after {totalMs} ms ({queueMs} ms queued); configuration {version}.",
+        {
+            requestId: "string",
+            route: "string",
+            status: "number",
+            servers: "string",
+            totalMs: "number",
+            queueMs: "number",
+            version: "number",
+        },
+    ),
+    "request-failed": row(
+        8011,
+        "info",
+        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}]; configuration {version}. {detail}",
+        {
+            requestId: "string",
+            route: "string",
+            service: "string",
+            outcome: "string",
+            status: "number",
+            servers: "string",
+            totalMs: "number",
+            queueMs: "number",
+            waiting: "number",
+            version: "number",
+            serversAgeMs: "number",
+            detail: "string",
+        },
+    ),
     "internal-error": row(9001, "error", "Internal error while {doing}: {reason}.", {
         doing: "string",
         reason: "string",
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -61,7 +61,8 @@
     readonly #version: Gauge;
     readonly #members: Gauge<"state">;
 
-    constructor() {
+    /** @param watchLoop whether the event loop's delay is measured too, which wakes the process up */
+    constructor(watchLoop = true) {
         const registers = [this.#registry];
         const byClass = (name: string, help: string) =>
             new Histogram({
@@ -97,7 +98,9 @@
         this.#version = new Gauge({ name: "bm_config_version", help: "Version in force.", registers });
         const members = { name: "bm_members", help: "Entry VMs by state.", labelNames: ["state"] } as const;
         this.#members = new Gauge({ ...members, registers });
-        collectDefaultMetrics({ register: this.#registry, eventLoopMonitoringPrecision: eventLoopStepMs });
+        if (watchLoop) {
+            collectDefaultMetrics({ register: this.#registry, eventLoopMonitoringPrecision: eventLoopStepMs });
+        }
     }
 
     /** Records a finished call. */
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -87,6 +87,13 @@
 export const passedAnswerHeaders = (raw: readonly string[], connection: string | undefined): string[] =>
     without(raw, passedAnswerDropped, listedNames(connection));
 
+/** Headers that go on without those of the connection, and without the ones named in lower case. */
+export const headersWithout = (
+    raw: readonly string[],
+    connection: string | undefined,
+    dropped: ReadonlySet<string>,
+): string[] => without(without(raw, passedAnswerDropped, listedNames(connection)), dropped, noNames);
+
 /** Trailers that go on, as pairs. */
 export const trailerPairs = (raw: readonly string[]): [string, string][] => {
     const kept = without(raw, trailerDropped, noNames);
--- /dev/null
+++ b/packages/routing/src/table.ts
@@ -0,0 +1,58 @@
+/** Finds the route of a request by host and longest path prefix. */
+
+import type { Route } from "@bramleymoor/model/route";
+
+/** The routes of one configuration version. */
+export class RouteTable {
+    readonly #hosts = new Map<string, ReadonlyMap<string, Route>>();
+
+    /** Throws a TypeError if a prefix doesn't begin and end with a slash. */
+    constructor(routes: readonly Route[]) {
+        for (const route of routes) {
+            if (!route.pathPrefix.startsWith("/") || !route.pathPrefix.endsWith("/")) {
+                throw new TypeError(`the path prefix "${route.pathPrefix}" must begin and end with a slash`);
+            }
+            const prefixes = new Map(this.#hosts.get(route.host));
+            this.#hosts.set(route.host, prefixes.set(route.pathPrefix, route));
+        }
+    }
+
+    /** Every host that has a route. */
+    get hosts(): readonly string[] {
+        return [...this.#hosts.keys()];
+    }
+
+    /**
+     * The route of a request; undefined if there is none. One look-up for each slash of the path, whatever the
+     * number of routes.
+     *
+     * @param hostHeader a Host header's value, perhaps with a port
+     * @param target a request target, perhaps with a query
+     */
+    find(hostHeader: string, target: string): Route | undefined {
+        const prefixes = this.#hosts.get(hostOf(hostHeader));
+        if (!prefixes) {
+            return undefined;
+        }
+        const path = pathOf(target);
+        for (let end = path.lastIndexOf("/"); end >= 0; end = end > 0 ? path.lastIndexOf("/", end - 1) : -1) {
+            const route = prefixes.get(path.slice(0, end + 1));
+            if (route) {
+                return route;
+            }
+        }
+        return undefined;
+    }
+}
+
+/** The host name of a Host header, in lower case and without its port. */
+export const hostOf = (hostHeader: string): string => {
+    const colon = hostHeader.lastIndexOf(":");
+    const host = colon > 0 && !hostHeader.endsWith("]") ? hostHeader.slice(0, colon) : hostHeader;
+    return host.toLowerCase();
+};
+
+const pathOf = (target: string): string => {
+    const query = target.indexOf("?");
+    return query === -1 ? target : target.slice(0, query);
+};
