--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,11 +13,21 @@
 };
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "eslint.config.js", "out/**"] },
+    {
+        ignores: [
+            "**/dist/**",
+            "**/node_modules/**",
+            "eslint.config.js",
+            "out/**",
+            "target/**",
+            "journal/**",
+            "scripts/**",
+        ],
+    },
     js.configs.recommended,
     ...tseslint.configs.recommended,
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         plugins: { jsdoc },
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
@@ -40,7 +50,7 @@
         },
     },
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         plugins: { jsdoc },
         rules: {
             "jsdoc/require-jsdoc": [
@@ -58,7 +68,7 @@
         },
     },
     {
-        files: ["packages/*/test/**/*.ts"],
+        files: ["packages/*/test/**/*.ts", "platform/test/**/*.ts"],
         rules: { "@typescript-eslint/no-floating-promises": "off" },
     },
 );
--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -159,8 +159,9 @@
     #candidates(request: Request, now: number): readonly ServerState[] {
         const usable = this.#usable(now);
         const untried = usable.filter(it => !request.tried.includes(it.entry.id));
-        const sound = untried.filter(it => !it.ejected(now));
-        const pool = sound.length > 0 ? sound : untried;
+        const allowed = untried.length > 0 ? untried : usable;
+        const sound = allowed.filter(it => !it.ejected(now));
+        const pool = sound.length > 0 ? sound : allowed;
         return this.#cheapest(
             pool.filter(it => it.free(now) > 0),
             now,
--- /dev/null
+++ b/packages/balance/test/balancer.test.ts
@@ -0,0 +1,166 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ServerEntry } from "@bramleymoor/model/route";
+import { Balancer } from "../src/balancer.js";
+import { RepeatBudget } from "../src/budget.js";
+import { WaitQueue } from "../src/queue.js";
+import type { Request } from "../src/types.js";
+
+const entry = (id: string, changes: Partial<ServerEntry> = {}): ServerEntry => ({
+    id,
+    bornAt: 1,
+    service: "svc",
+    address: `10.0.0.1:${id.length}`,
+    domain: "a",
+    slots: 2,
+    leaving: false,
+    warmUpMs: 0,
+    ...changes,
+});
+
+let lastId = 0;
+
+const request = (now: number, changes: Partial<Request> = {}): Request => ({
+    id: ++lastId,
+    kind: "idempotent",
+    priority: 1,
+    arrivedAt: now,
+    targetAt: now + 300,
+    deadlineAt: now + 2_000,
+    tried: [],
+    ...changes,
+});
+
+const balancer = (...entries: readonly ServerEntry[]): Balancer => {
+    const made = new Balancer({ compared: 4 }, () => 0);
+    made.follow(
+        entries.map(it => ({ entry: it, lapsed: false })),
+        0,
+    );
+    return made;
+};
+
+const load = (running: number, slowdown = 1) => ({ running, waiting: 0, slots: 2, slowdown });
+
+const place = (from: Balancer, now: number, changes: Partial<Request> = {}) => {
+    assert.equal(from.submit(request(now, changes), now), undefined);
+    const turn = from.next(now);
+    return turn && from.grant(turn, now);
+};
+
+test("the calm server is preferred to the one that is slow now", () => {
+    const it = balancer(entry("s1"), entry("s2"));
+    it.report(entry("s1"), load(0, 5), 0);
+    it.report(entry("s2"), load(0, 1), 0);
+    assert.equal(place(it, 0)?.server.id, "s2");
+});
+
+test("no request goes to a server that is leaving, and none is lost when all are", () => {
+    const it = balancer(entry("s1", { leaving: true }), entry("s2"));
+    assert.equal(place(it, 0)?.server.id, "s2");
+    const none = balancer(entry("s1", { leaving: true }));
+    assert.equal(none.submit(request(0), 0)?.why, "no-server");
+});
+
+test("a request waits while every slot is in use, and gets the first one that is free", () => {
+    const it = balancer(entry("s1"));
+    const first = place(it, 0);
+    place(it, 0);
+    assert.equal(it.submit(request(1), 1), undefined);
+    assert.equal(it.next(1), undefined);
+    assert.ok(first);
+    it.settle(first, { kind: "answered", status: 200 }, 120);
+    const turn = it.next(120);
+    assert.ok(turn && it.grant(turn, 120));
+});
+
+test("slots that other entry VMs use are left alone", () => {
+    const it = balancer(entry("s1"));
+    it.report(entry("s1"), load(2), 0);
+    assert.equal(place(it, 0), undefined);
+});
+
+test("a request whose servers were all tried still gets one", () => {
+    const it = balancer(entry("s1"));
+    assert.equal(place(it, 0, { tried: ["s1"] })?.server.id, "s1");
+});
+
+test("a request that can't be answered in time is refused at once, with a time to come back", () => {
+    const it = balancer(entry("s1"));
+    place(it, 0);
+    place(it, 0);
+    let refused = 0;
+    for (let i = 0; i < 100; i++) {
+        const refusal = it.submit(request(1), 1);
+        refused += refusal ? 1 : 0;
+        assert.ok(!refusal || refusal.retryAfterMs > 0);
+    }
+    const answerable = (2 * 2_000) / it.expectedMs;
+    assert.ok(100 - refused <= answerable, `${100 - refused} wait, ${answerable} can be answered`);
+});
+
+test("a server that fails again and again is left out, but not the last one", () => {
+    const it = balancer(entry("s1"), entry("s2"));
+    for (let now = 0; now < 50; now += 10) {
+        const slot = place(it, now);
+        assert.ok(slot);
+        it.settle(
+            slot,
+            { kind: slot.server.id === "s1" ? "lost" : "answered", status: 200 } as never,
+            now + 1,
+        );
+    }
+    assert.equal(place(it, 60)?.server.id, "s2");
+    const last = balancer(entry("s1"));
+    for (let now = 0; now < 50; now += 10) {
+        const slot = place(last, now);
+        assert.ok(slot);
+        last.settle(slot, { kind: "lost" }, now + 1);
+    }
+});
+
+test("a restart under the same id starts with a clean slate", () => {
+    const it = balancer(entry("s1"));
+    for (let now = 0; now < 50; now += 10) {
+        const slot = place(it, now);
+        assert.ok(slot);
+        it.settle(slot, { kind: "lost" }, now + 1);
+    }
+    it.follow([{ entry: entry("s1", { bornAt: 2 }), lapsed: false }], 60);
+    assert.equal(it.servers[0]?.failureShare, 0);
+});
+
+test("requests that can still meet their target go before those that can't", () => {
+    const queue = new WaitQueue();
+    const late = request(0, { targetAt: 50 });
+    const soon = request(10, { targetAt: 400 });
+    const later = request(5, { targetAt: 500 });
+    [late, later, soon].forEach(it => queue.add(it));
+    assert.equal(queue.peek(100, 100), soon);
+    queue.remove(soon);
+    assert.equal(queue.peek(100, 100), later);
+    queue.remove(later);
+    assert.equal(queue.peek(100, 100), late);
+});
+
+test("the more urgent go first among those in time", () => {
+    const queue = new WaitQueue();
+    const usual = request(0, { priority: 2, targetAt: 200 });
+    const urgent = request(1, { priority: 1, targetAt: 900 });
+    queue.add(usual);
+    queue.add(urgent);
+    assert.equal(queue.peek(2, 100), urgent);
+});
+
+test("repeats stay within their share of the requests and this entry VM's part of the slack", () => {
+    const budget = new RepeatBudget({ ratio: 0.2, slack: 40, windowMs: 10_000 });
+    for (let i = 0; i < 1_000; i++) {
+        budget.requested(i);
+    }
+    let taken = 0;
+    while (budget.take(1_000, 10)) {
+        taken++;
+    }
+    assert.ok(taken > 0 && taken <= 0.2 * 1_000 + 4, `${taken}`);
+    assert.equal(budget.take(20_000, 10), true);
+});
--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -2,10 +2,10 @@
 
 import type { RouteConfig } from "@bramleymoor/model/route";
 import { Cadence, type CadenceSettings } from "./cadence.js";
-import { ConfigBook } from "./config.js";
+import type { ConfigBook } from "./config.js";
 import { HistoryGoneError, type KeyedLog, type KeyedTopic } from "./log.js";
 import type { News } from "./news.js";
-import { ServerBook, type ServerNews } from "./servers.js";
+import type { ServerBook, ServerNews } from "./servers.js";
 
 /** What a follower tells. */
 export interface FollowerEvents {
@@ -141,7 +141,12 @@
         if (news) {
             const text = newer && news.value ? new TextDecoder().decode(news.value) : undefined;
             const ageMs = clock() - asOf;
-            this.#tellAll({ topic: "configuration", ageMs, to: news.to, ...(text === undefined ? {} : { text }) });
+            this.#tellAll({
+                topic: "configuration",
+                ageMs,
+                to: news.to,
+                ...(text === undefined ? {} : { text }),
+            });
         }
     }
 
--- a/packages/discovery/src/servers.ts
+++ b/packages/discovery/src/servers.ts
@@ -99,7 +99,7 @@
             this.#graceUntil = asOf + returnMs;
         }
         this.#asOf = Math.max(this.#asOf, asOf);
-        const applied = news.changes.filter(it => this.#apply(it, asOf));
+        const applied = news.changes.filter(it => it.offset >= position && this.#apply(it, asOf));
         this.#position = Math.max(position, news.to);
         this.#remember(applied, news);
         return { from: position, to: this.#position, changes: applied };
--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -62,7 +62,8 @@
 
     #idleMs(socket: Socket): number {
         const { idleMs, marginMs } = this.#settings;
-        const res = (socket as Socket & { _httpMessage?: ClientRequest & { res?: AnswerHead } })._httpMessage?.res;
+        const res = (socket as Socket & { _httpMessage?: ClientRequest & { res?: AnswerHead } })._httpMessage
+            ?.res;
         const told = /timeout=(\d+)/.exec(String(res?.headers["keep-alive"] ?? ""));
         return told ? Math.min(idleMs, Number(told[1]) * msPerSecond - marginMs) : idleMs;
     }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -101,7 +101,12 @@
         }
     }
 
-    #answered(res: IncomingMessage, out: Outgoing, wire: Wire, resolve: (res: IncomingMessage) => void): void {
+    #answered(
+        res: IncomingMessage,
+        out: Outgoing,
+        wire: Wire,
+        resolve: (res: IncomingMessage) => void,
+    ): void {
         const status = res.statusCode ?? 0;
         const refusal = wire.refusal(status, res.headers);
         if (refusal) {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -130,7 +130,7 @@
             deadlineAt,
             tried: [],
         };
-        for (let unreached = 0; ; ) {
+        for (let unreached = 0; ;) {
             const slot = await this.#place(dispatcher, request);
             if (request.tried.length === 0) {
                 this.#parts.requested(this.#service);
@@ -143,7 +143,7 @@
                 request = { ...request, tried: [...request.tried, slot.server.id] };
                 continue;
             }
-            this.#servers.push(slot.server.id);
+            this.#noteSent(slot);
             if (!this.#mayRepeat(route, end, body, deadlineAt)) {
                 throw failureOf(end);
             }
@@ -182,6 +182,7 @@
         try {
             const answer = await this.#abortable(exchange.head, breakOff);
             this.#serverMs = clock() - from;
+            this.#noteSent(slot);
             const load = wire.load(answer.headers);
             if (load) {
                 dispatcher.report(slot.server, load);
@@ -212,13 +213,21 @@
         }
     }
 
+    #noteSent(slot: Slot): void {
+        if (!this.#servers.includes(slot.server.id)) {
+            this.#servers.push(slot.server.id);
+        }
+    }
+
     #open(slot: Slot, body: RequestBody, requestId: string): Exchange {
         const { wire, clock, agents } = this.#parts;
         const leftMs = Math.max(1, Math.floor(slot.request.deadlineAt - clock()));
         const { rawHeaders, headers } = this.#req;
         const passed = headersWithout(rawHeaders, headers.connection, setHere);
         const own = wire.sendHeaders(leftMs, slot.server.id);
-        const kept = passed.filter((_, i, all) => !wire.ownHeaders.has((all[i - (i % 2)] ?? "").toLowerCase()));
+        const kept = passed.filter(
+            (_, i, all) => !wire.ownHeaders.has((all[i - (i % 2)] ?? "").toLowerCase()),
+        );
         return new Exchange(
             {
                 server: slot.server,
@@ -259,7 +268,7 @@
             route !== undefined &&
             route.kind !== "non-idempotent" &&
             body.replayable &&
-            this.#servers.length + 1 < route.maxAttempts &&
+            this.#servers.length < route.maxAttempts &&
             this.#parts.clock() + leastRepeatMs < slot.request.deadlineAt
         );
     }
@@ -328,12 +337,13 @@
     "caller-gone": { kind: "cancelled" },
 };
 
-const outcomes: Readonly<Record<Exclude<RelayEnd, "broken-unseen">, "answered" | "body-broken" | "caller-gone">> =
-    {
-        whole: "answered",
-        broken: "body-broken",
-        "caller-gone": "caller-gone",
-    };
+const outcomes: Readonly<
+    Record<Exclude<RelayEnd, "broken-unseen">, "answered" | "body-broken" | "caller-gone">
+> = {
+    whole: "answered",
+    broken: "body-broken",
+    "caller-gone": "caller-gone",
+};
 
 /** Written anew for each send. */
 const setHere: ReadonlySet<string> = new Set(["content-length", "expect"]);
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -1,7 +1,7 @@
 /** The HTTP servers towards callers: routed requests, the question which addresses to use, readiness. */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Server as NetServer, type Socket } from "node:net";
+import { Server as NetServer, type AddressInfo, type Socket } from "node:net";
 import type { ClientLimits } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/kinds";
 import { rawError } from "@bramleymoor/proxy/answers";
@@ -61,7 +61,8 @@
         this.#server.keepAliveTimeout = limits.idleTimeoutMs;
     }
 
-    listen(port: number, host: string): Promise<void> {
+    /** Starts to listen; port 0 lets the system choose. Gives the port. */
+    listen(port: number, host: string): Promise<number> {
         return listenOn(this.#server, port, host);
     }
 
@@ -149,7 +150,8 @@
         this.#server.keepAliveTimeout = answerKeepMs;
     }
 
-    listen(port: number, host: string): Promise<void> {
+    /** Starts to listen; port 0 lets the system choose. Gives the port. */
+    listen(port: number, host: string): Promise<number> {
         return listenOn(this.#server, port, host);
     }
 
@@ -160,12 +162,12 @@
     }
 }
 
-const listenOn = (server: Server, port: number, host: string): Promise<void> =>
+const listenOn = (server: Server, port: number, host: string): Promise<number> =>
     new Promise((resolve, reject) => {
         server.once("error", reject);
         server.listen({ port, host, backlog }, () => {
             server.off("error", reject);
-            resolve();
+            resolve((server.address() as AddressInfo).port);
         });
     });
 
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -307,6 +307,15 @@
             retried: servers.length > 1,
         });
         if (outcome === "answered") {
+            this.#events.emit("request-answered", {
+                requestId,
+                route: name,
+                status,
+                servers: servers.join(" "),
+                totalMs: Math.round(totalMs),
+                queueMs: Math.round(queueMs),
+                version,
+            });
             return;
         }
         this.#events.emit("request-failed", {
@@ -396,11 +405,15 @@
     }
 
     #failed(doing: string, err: unknown): void {
-        this.#events.emit("internal-error", { doing, reason: err instanceof Error ? String(err.stack) : String(err) });
+        this.#events.emit("internal-error", {
+            doing,
+            reason: err instanceof Error ? String(err.stack) : String(err),
+        });
     }
 }
 
-const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string => `${host}:${port}`;
+const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
+    `${host}:${port}`;
 
 const delay = async (ms: number, signal: AbortSignal): Promise<void> => {
     if (signal.aborted) {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -52,10 +52,19 @@
     #stream(extra: () => readonly string[]): Promise<RelayEnd> {
         const from = this.#from;
         const to = this.#to;
+        if (!isFramed(from)) {
+            // Its end can't be told from a break, so the caller must get it the same way, not in whole chunks.
+            to.useChunkedEncodingByDefault = false;
+            to.shouldKeepAlive = false;
+        }
         to.writeHead(from.statusCode ?? 0, this.#headers(extra));
         return new Promise(resolve => {
             const broke = (): void => {
-                to.destroy();
+                if (isFramed(from)) {
+                    to.destroy();
+                } else {
+                    to.socket?.resetAndDestroy();
+                }
                 resolve("broken");
             };
             from.on("data", (chunk: Buffer) => {
@@ -91,6 +100,10 @@
     }
 }
 
+/** Whether an answer's length is told; otherwise it ends with its connection. */
+const isFramed = ({ headers }: IncomingMessage): boolean =>
+    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+
 const isSmall = (from: IncomingMessage): boolean => {
     const length = from.headers["content-length"];
     return length !== undefined && Number(length) <= wholeBytes;
--- a/packages/gateway/src/steering.ts
+++ b/packages/gateway/src/steering.ts
@@ -41,10 +41,12 @@
 export const ratesOf = (payload: Readonly<Record<string, string | number>>): ReadonlyMap<string, number> => {
     const pairs = keys.flatMap(key => String(payload[key] ?? "").split(" "));
     return new Map(
-        pairs.filter(it => it.includes("=")).map(it => {
-            const [hash = "", rate = "0"] = it.split("=");
-            return [hash, Number(rate)];
-        }),
+        pairs
+            .filter(it => it.includes("="))
+            .map(it => {
+                const [hash = "", rate = "0"] = it.split("=");
+                return [hash, Number(rate)];
+            }),
     );
 };
 
--- /dev/null
+++ b/packages/gateway/test/setup.ts
@@ -0,0 +1,228 @@
+/** A front over raw backend servers that say whatever a test lets them say, byte by byte. */
+
+import { createServer, connect, type AddressInfo, type Socket } from "node:net";
+import type { TestContext } from "node:test";
+import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
+import { CallError } from "@bramleymoor/protocol/kinds";
+import { Sweep } from "@bramleymoor/proxy/sweep";
+import { RouteTable } from "@bramleymoor/routing/table";
+import { KeepingAgent } from "../src/agent.js";
+import { LoadAsker } from "../src/asks.js";
+import { FirstDeadlines } from "../src/elapsed.js";
+import { ForwardTask, type ForwardParts, type ForwardRecord } from "../src/forward.js";
+import { Front } from "../src/front.js";
+import { Services } from "../src/services.js";
+import type { Wire } from "../src/wire.js";
+
+const text = (value: string | readonly string[] | undefined): string | undefined =>
+    typeof value === "string" ? value : undefined;
+
+/** Conventions of the tests' callers and servers. */
+export const testWire: Wire = {
+    ownHeaders: new Set(["t-deadline", "t-server"]),
+    requestId: headers => text(headers["t-id"]),
+    deadlineMs: headers => (headers["t-deadline"] === undefined ? undefined : Number(headers["t-deadline"])),
+    sendHeaders: (deadlineMs, serverId) => ["t-deadline", String(deadlineMs), "t-server", serverId],
+    refusal: (_, headers) => (headers["t-not-run"] === undefined ? undefined : "full"),
+    load: () => undefined,
+    serverId: headers => text(headers["t-server"]),
+    isServers: headers => headers["t-signed"] !== undefined,
+    addresses: addresses => JSON.stringify(addresses),
+    question: () => undefined,
+    readyPath: "/ready",
+};
+
+/** One request as a backend server read it. */
+export interface Arrival {
+    readonly socket: Socket;
+    readonly head: string;
+    readonly body: string;
+    readonly id: string;
+    /** How many requests came before it on its connection. */
+    readonly nth: number;
+}
+
+/** Says something to each request that arrives. */
+export type Script = (arrival: Arrival) => void;
+
+/** A backend server that follows a script. */
+export interface RawServer {
+    readonly entry: ServerEntry;
+    readonly arrivals: Arrival[];
+}
+
+/** A whole signed answer. */
+export const answer = (id: string, body: string, extra = ""): string =>
+    `HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n${extra}Content-Length: ${body.length}\r\n\r\n${body}`;
+
+/** Starts a backend server. */
+export const rawServer = async (t: TestContext, id: string, script: Script): Promise<RawServer> => {
+    const arrivals: Arrival[] = [];
+    const open = new Set<Socket>();
+    const server = createServer(socket => {
+        open.add(socket);
+        socket.on("close", () => open.delete(socket));
+        socket.on("error", () => undefined);
+        let data = "";
+        let nth = 0;
+        socket.on("data", chunk => {
+            data += chunk.toString("latin1");
+            for (let end = data.indexOf("\r\n\r\n"); end >= 0; end = data.indexOf("\r\n\r\n")) {
+                const head = data.slice(0, end + 4);
+                const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+                if (data.length < head.length + length) {
+                    return;
+                }
+                const body = data.slice(head.length, head.length + length);
+                data = data.slice(head.length + length);
+                const arrival = { socket, head, body, id: /t-id: (\S+)/.exec(head)?.[1] ?? "", nth: nth++ };
+                arrivals.push(arrival);
+                script(arrival);
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.after(() => {
+        server.close();
+        open.forEach(it => it.destroy());
+    });
+    const { port } = server.address() as AddressInfo;
+    const entry = {
+        id,
+        bornAt: 1,
+        service: "svc",
+        address: `127.0.0.1:${port}`,
+        domain: "a",
+        slots: 4,
+        leaving: false,
+        warmUpMs: 0,
+    };
+    return { entry, arrivals };
+};
+
+/** A route of the tests. */
+export const route = (changes: Partial<Route> = {}): Route => ({
+    name: "r",
+    host: "h.example",
+    pathPrefix: "/",
+    kind: "idempotent",
+    destinations: [{ service: "svc", weight: 1 }],
+    timeoutMs: 2_000,
+    targetLatencyMs: 500,
+    maxAttempts: 2,
+    priority: 1,
+    ...changes,
+});
+
+/** A front under test. */
+export interface TestFront {
+    readonly port: number;
+    readonly front: Front;
+    readonly records: ForwardRecord[];
+}
+
+/** Starts a front over backend servers. */
+export const startFront = async (
+    t: TestContext,
+    servers: readonly RawServer[],
+    changes: Partial<Route> = {},
+): Promise<TestFront> => {
+    const clock = (): number => performance.now();
+    const config: RouteConfig = {
+        version: 1,
+        limits: {
+            maxHeaderBytes: 16_384,
+            maxBodyBytes: 1_000_000,
+            headerTimeoutMs: 3_000,
+            idleTimeoutMs: 5_000,
+        },
+        routes: [route(changes)],
+        services: new Map([["svc", { name: "svc", healthPath: "/health", maxConnections: 100 }]]),
+    };
+    const asker = new LoadAsker(testWire);
+    const repeats = { ratio: 0.2, slack: 20, windowMs: 10_000 };
+    const services = new Services({ asker, clock, random: () => 0, balance: { compared: 1 }, repeats });
+    services.follow(
+        config,
+        servers.map(({ entry }) => ({ entry, lapsed: false })),
+    );
+    const table = new RouteTable(config.routes);
+    const deadlines = new FirstDeadlines();
+    const agents = {
+        repeatable: new KeepingAgent({ idleMs: 5_000, marginMs: 500 }),
+        once: new KeepingAgent({ idleMs: 500, marginMs: 500 }),
+    };
+    const records: ForwardRecord[] = [];
+    let lastId = 0;
+    const parts: ForwardParts = {
+        wire: testWire,
+        clock,
+        sweep: new Sweep(clock, 5),
+        nextId: () => ++lastId,
+        route: (host, target) => {
+            const found = table.find(host, target);
+            if (!found) {
+                throw new CallError("no-route");
+            }
+            return found;
+        },
+        maxBodyBytes: () => config.limits.maxBodyBytes,
+        serviceOf: () => "svc",
+        dispatcher: service => services.dispatcher(service),
+        elapsedMs: (it, deadlineMs) => deadlines.elapsedMs(it.name, deadlineMs),
+        requested: service => services.budget(service)?.requested(clock()),
+        mayRepeat: service => services.budget(service)?.take(clock(), 1) ?? false,
+        agents,
+        extraHeaders: req => front.extraHeaders(req),
+        done: record => records.push(record),
+    };
+    const front = new Front(
+        (req, res) => new ForwardTask(parts, req, res).run(),
+        () => undefined,
+    );
+    const port = await front.listen(0, "127.0.0.1");
+    const ticking = setInterval(() => services.tick(), 10);
+    t.after(() => {
+        clearInterval(ticking);
+        agents.repeatable.destroy();
+        agents.once.destroy();
+        asker.close();
+        void front.finish();
+    });
+    return { port, front, records };
+};
+
+/** What a caller got on one connection. */
+export interface Got {
+    readonly bytes: string;
+    readonly end: "open" | "closed" | "reset";
+}
+
+/** A request's head, with its body. */
+export const ask = (id: string, { method = "GET", path = "/x", body = "", extra = "" } = {}): string =>
+    `${method} ${path} HTTP/1.1\r\nHost: h.example\r\nt-id: ${id}\r\nt-deadline: 2000\r\n${extra}` +
+    `${body === "" ? "" : `Content-Length: ${body.length}\r\n`}\r\n${body}`;
+
+/** Writes bytes to the front, and gives what came back until the connection ended or nothing came for a while. */
+export const exchange = (port: number, bytes: string, quietMs = 300): Promise<Got> =>
+    new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1", () => socket.write(bytes));
+        let got = "";
+        let timer = setTimeout(() => undefined, 0);
+        const done = (end: Got["end"]): void => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve({ bytes: got, end });
+        };
+        const wait = (): void => {
+            clearTimeout(timer);
+            timer = setTimeout(() => done("open"), quietMs);
+        };
+        wait();
+        socket.on("data", chunk => {
+            got += chunk.toString("latin1");
+            wait();
+        });
+        socket.on("error", () => done("reset"));
+        socket.on("close", () => done("closed"));
+    });
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -60,27 +60,42 @@
     "vm-list-up": row(1016, "info", "The platform's VM list can be read again, after {downMs} ms.", {
         downMs: "number",
     }),
-    "routes-accepted": row(1020, "info", "Configuration {version} in force: {routes} routes, from {source}, {ageMs} ms old.", {
-        version: "number",
-        routes: "number",
-        source: "string",
-        ageMs: "number",
-    }),
-    "servers-changed": row(1021, "info", "Backend servers changed: {changes}; from {source}, {ageMs} ms old.", {
-        changes: "string",
-        source: "string",
-        ageMs: "number",
-    }),
+    "routes-accepted": row(
+        1020,
+        "info",
+        "Configuration {version} in force: {routes} routes, from {source}, {ageMs} ms old.",
+        {
+            version: "number",
+            routes: "number",
+            source: "string",
+            ageMs: "number",
+        },
+    ),
+    "servers-changed": row(
+        1021,
+        "info",
+        "Backend servers changed: {changes}; from {source}, {ageMs} ms old.",
+        {
+            changes: "string",
+            source: "string",
+            ageMs: "number",
+        },
+    ),
     "store-lost": row(1022, "warn", "The store can't be read ({topic}): {reason}.", {
         topic: "string",
         reason: "string",
     }),
     "store-back": row(1023, "info", "The store can be read again ({topic}).", { topic: "string" }),
-    "record-skipped": row(1024, "warn", "Record {key} of {topic} can't be read and is passed over: {reason}.", {
-        topic: "string",
-        key: "string",
-        reason: "string",
-    }),
+    "record-skipped": row(
+        1024,
+        "warn",
+        "Record {record} of {topic} can't be read and is passed over: {reason}.",
+        {
+            topic: "string",
+            record: "string",
+            reason: "string",
+        },
+    ),
     "member-joined": row(2001, "info", "Entry VM {id} joined from {region}/{domain}.", {
         id: "string",
         incarnation: "string",
@@ -116,7 +131,12 @@
         signal: "string",
     }),
     stopped: row(5007, "info", "Stopped, {cut} calls cut.", { cut: "number" }),
-    "settings-read": row(6001, "info", "Settings read again; what has changed is used from the next start.", {}),
+    "settings-read": row(
+        6001,
+        "info",
+        "Settings read again; what has changed is used from the next start.",
+        {},
+    ),
     "settings-wrong": row(6002, "error", "The changed settings can't be used, the old ones stay: {reason}.", {
         reason: "string",
     }),
@@ -134,7 +154,7 @@
     }),
     "request-answered": row(
         8010,
-        "debug",
+        "info",
         "Request {requestId} for {route} answered with {status} by {servers} after {totalMs} ms ({queueMs} ms queued); configuration {version}.",
         {
             requestId: "string",
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -99,7 +99,10 @@
         const members = { name: "bm_members", help: "Entry VMs by state.", labelNames: ["state"] } as const;
         this.#members = new Gauge({ ...members, registers });
         if (watchLoop) {
-            collectDefaultMetrics({ register: this.#registry, eventLoopMonitoringPrecision: eventLoopStepMs });
+            collectDefaultMetrics({
+                register: this.#registry,
+                eventLoopMonitoringPrecision: eventLoopStepMs,
+            });
         }
     }
 
--- a/packages/observe/test/events.test.ts
+++ b/packages/observe/test/events.test.ts
@@ -29,10 +29,12 @@
 const packages = new URL("../../../", import.meta.url);
 
 /** Everything that the packages' sources say, but for the catalogue itself. */
-const sources = readdirSync(packages, { recursive: true, encoding: "utf8" })
-    .filter(path => /^[a-z]+\/src\/[^/]+\.ts$/.test(path) && path !== "observe/src/catalogue.ts")
-    .map(path => readFileSync(new URL(path, packages), "utf8"))
-    .join("\n");
+const sourcesBelow = (folder: URL): readonly string[] =>
+    readdirSync(folder, { recursive: true, encoding: "utf8" })
+        .filter(path => /^(?:[a-z]+\/)?src\/[^/]+\.ts$/.test(path) && path !== "observe/src/catalogue.ts")
+        .map(path => readFileSync(new URL(path, folder), "utf8"));
+
+const sources = [...sourcesBelow(packages), ...sourcesBelow(new URL("../platform/", packages))].join("\n");
 
 test("every event of the catalogue is written somewhere", () => {
     const emitted = (name: string): boolean => new RegExp(`(?:emit|#write)\\(\\s*"${name}"`).test(sources);
--- /dev/null
+++ b/packages/routing/test/routing.test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Destination, Route } from "@bramleymoor/model/route";
+import { Split, Splits } from "../src/split.js";
+import { RouteTable } from "../src/table.js";
+
+const route = (host: string, pathPrefix: string, destinations: readonly Destination[] = []): Route => ({
+    name: `${host}${pathPrefix}`,
+    host,
+    pathPrefix,
+    kind: "idempotent",
+    destinations,
+    timeoutMs: 1_000,
+    targetLatencyMs: 300,
+    maxAttempts: 2,
+    priority: 1,
+});
+
+const table = new RouteTable([
+    route("a.example", "/"),
+    route("a.example", "/x/"),
+    route("a.example", "/x/y/"),
+]);
+
+test("the longest prefix that begins the path wins", () => {
+    assert.equal(table.find("a.example", "/x/y/z")?.pathPrefix, "/x/y/");
+    assert.equal(table.find("a.example", "/x/yz")?.pathPrefix, "/x/");
+    assert.equal(table.find("a.example", "/x")?.pathPrefix, "/");
+    assert.equal(table.find("a.example", "/x/?q=/x/y/")?.pathPrefix, "/x/");
+});
+
+test("hosts are compared without case and port", () => {
+    assert.equal(table.find("A.Example:8080", "/x/")?.pathPrefix, "/x/");
+    assert.equal(table.find("b.example", "/x/"), undefined);
+});
+
+test("a host without a route for a path has none", () => {
+    assert.equal(new RouteTable([route("a.example", "/x/")]).find("a.example", "/y"), undefined);
+});
+
+test("a prefix without its slashes is refused", () => {
+    assert.throws(() => new RouteTable([route("a.example", "/x")]), TypeError);
+});
+
+test("looking a route up costs the same among very many", () => {
+    const routes = Array.from({ length: 50_000 }, (_, i) => route("a.example", `/r${i}/`));
+    const many = new RouteTable(routes);
+    assert.equal(many.find("a.example", "/r49999/x")?.pathPrefix, "/r49999/");
+});
+
+test("every run of requests is split by weight to within one request", () => {
+    const split = new Split(
+        [
+            { service: "a", weight: 90 },
+            { service: "b", weight: 10 },
+        ],
+        0.3,
+    );
+    let b = 0;
+    for (let i = 1; i <= 200; i++) {
+        b += split.next() === "b" ? 1 : 0;
+        assert.ok(Math.abs(b - i / 10) <= 1, `${b} of ${i}`);
+    }
+});
+
+test("changed weights hold at once", () => {
+    const splits = new Splits();
+    const before = route("a.example", "/", [
+        { service: "a", weight: 1 },
+        { service: "b", weight: 0 },
+    ]);
+    const after = route("a.example", "/", [
+        { service: "a", weight: 0 },
+        { service: "b", weight: 1 },
+    ]);
+    assert.equal(
+        splits.serviceOf(before, () => 0),
+        "a",
+    );
+    assert.equal(
+        splits.serviceOf(after, () => 0),
+        "b",
+    );
+});
--- a/scripts/tests.sh
+++ b/scripts/tests.sh
@@ -9,7 +9,7 @@
     cat KNOWN-RED.txt
     skip=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd '|' -)
 fi
-files=(packages/*/dist/test/*.test.js)
+files=(packages/*/dist/test/*.test.js platform/dist/test/*.test.js)
 if [ -n "$skip" ]; then
     exec node --test --test-reporter=spec --test-name-pattern="/^(?!($skip)\$)/" "${files[@]}"
 fi
