Build the route table in place

Cause: each route copied its host's whole map, so 50,000 routes of one host took 327 s to load; the test of very many routes showed it.

--- a/packages/routing/src/table.ts
+++ b/packages/routing/src/table.ts
@@ -4,7 +4,7 @@
 
 /** The routes of one configuration version. */
 export class RouteTable {
-    readonly #hosts = new Map<string, ReadonlyMap<string, Route>>();
+    readonly #hosts = new Map<string, Map<string, Route>>();
 
     /** Throws a TypeError if a prefix doesn't begin and end with a slash. */
     constructor(routes: readonly Route[]) {
@@ -12,7 +12,7 @@
             if (!route.pathPrefix.startsWith("/") || !route.pathPrefix.endsWith("/")) {
                 throw new TypeError(`the path prefix "${route.pathPrefix}" must begin and end with a slash`);
             }
-            const prefixes = new Map(this.#hosts.get(route.host));
+            const prefixes = this.#hosts.get(route.host) ?? new Map<string, Route>();
             this.#hosts.set(route.host, prefixes.set(route.pathPrefix, route));
         }
     }
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -42,7 +42,7 @@
     assert.throws(() => new RouteTable([route("a.example", "/x")]), TypeError);
 });
 
-test("looking a route up costs the same among very many", () => {
+test("a table of very many routes is made and searched without delay", { timeout: 5_000 }, () => {
     const routes = Array.from({ length: 50_000 }, (_, i) => route("a.example", `/r${i}/`));
     const many = new RouteTable(routes);
     assert.equal(many.find("a.example", "/r49999/x")?.pathPrefix, "/r49999/");
