--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -3,6 +3,7 @@
 import type { ServerEntry } from "@bramleymoor/model/route";
 import { WaitQueue } from "./queue.js";
 import { ServerState } from "./server.js";
+import { SpeedModel } from "./speed.js";
 import type { LoadReport, Refusal, Request, SendEnd, Slot } from "./types.js";
 
 /** A request whose turn it is, with the servers that may get it, cheapest first. */
@@ -11,6 +12,12 @@
     readonly candidates: readonly ServerState[];
 }
 
+/** A request that leaves the queue without a server. */
+export interface Expired {
+    readonly request: Request;
+    readonly refusal: Refusal;
+}
+
 /** Settings of a balancer. */
 export interface BalanceSettings {
     /** Servers compared for one request. */
@@ -23,11 +30,9 @@
     readonly #random: () => number;
     readonly #servers = new Map<string, ServerState>();
     readonly #queue = new WaitQueue();
-    /** Usual time of a request on an idle, calm server, in milliseconds. */
-    #usualMs = firstUsualMs;
-    /** Mean time between starts of requests from the queue while it was not empty. */
-    #betweenStartsMs = 0;
-    #startedAt = -Infinity;
+    readonly #speed = new SpeedModel();
+    /** What is needed of slots in flight to learn from their ends. */
+    readonly #starts = new Map<Slot, Start>();
     /** Turns handed out and not yet granted or given up; each will take a slot. */
     #openTurns = 0;
 
@@ -48,7 +53,7 @@
 
     /** Expected time from start to answer now, in milliseconds. */
     get expectedMs(): number {
-        return this.#usualMs * typicalCost;
+        return this.#speed.meanMs;
     }
 
     /** Takes the service's servers; one that is gone gets nothing new, what it is working on goes on. */
@@ -72,15 +77,10 @@
     submit(request: Request, now: number): Refusal | undefined {
         const usable = this.#usable(now);
         if (usable.length === 0) {
-            return { why: "no-server", retryAfterMs: noServerRetryMs };
+            return { why: "no-server", retryAfterMs: noServerRetryMs * (1 + this.#random()) };
         }
-        const waitMs = this.#waitFor(request, usable, now);
-        const endsAt = now + waitMs + this.expectedMs;
-        const late = endsAt > request.targetAt;
-        const slots = usable.reduce((sum, it) => sum + it.entry.slots, 0);
-        const crowded = this.#queue.late(now, this.expectedMs) >= Math.ceil(slots * lateShare);
-        if (waitMs > 0 && (endsAt > request.deadlineAt || (late && crowded))) {
-            return { why: "overloaded", retryAfterMs: this.#retryAfter(waitMs) };
+        if (this.#ahead(request, now) > this.#queueLimit(request, usable, now)) {
+            return this.#overloaded(request, now);
         }
         this.#queue.add(request);
         return undefined;
@@ -96,22 +96,25 @@
         return this.#queue.remove(request);
     }
 
-    /** Requests that can no longer be answered in time; they leave the queue. */
-    expire(now: number): readonly Request[] {
-        return this.#queue.expire(now, 0);
+    /** Takes out the requests that have waited too long, with when to come back. */
+    expire(now: number): readonly Expired[] {
+        const over = this.#queue.takeOut(it => now + this.expectedMs * leastRunShare > it.deadlineAt);
+        return over.map(request => ({ request, refusal: this.#overloaded(request, now) }));
     }
 
     /** Takes the next request from the queue if there is a free slot for it. */
     next(now: number): Turn | undefined {
-        const request = this.#queue.peek(now, this.expectedMs);
-        if (!request) {
+        const free = this.#free(now);
+        const [best] = free;
+        if (!best || this.#freeSlots(now) <= this.#openTurns) {
             return undefined;
         }
-        const candidates = this.#candidates(request, now);
-        const free = this.#usable(now).reduce((sum, it) => sum + Math.max(0, it.free(now)), 0);
-        if (candidates.length === 0 || free <= this.#openTurns) {
+        const soonestMs = this.#timeOn(best, now);
+        const request = this.#queue.peek(now, soonestMs);
+        if (!request) {
             return undefined;
         }
+        const candidates = this.#candidates(request, free);
         this.#queue.remove(request);
         this.#openTurns++;
         return { request, candidates };
@@ -121,23 +124,25 @@
     grant(turn: Turn, now: number): Slot | undefined {
         this.#openTurns--;
         const free = turn.candidates.filter(it => it.usable(now) && it.free(now) > 0);
-        const best = this.#cheapest(free, now)[0];
+        const [best] = this.#cheapest(free, now);
         if (!best) {
             this.#queue.add(turn.request);
             return undefined;
         }
         const slot: Slot = { request: turn.request, server: best.entry, grantedAt: now };
+        this.#starts.set(slot, { crowded: best.crowded(now), ownCost: best.ownCost(now) });
         best.start(slot);
-        this.#noteStart(now);
         return slot;
     }
 
     /** Takes note of how a send ended. */
     settle(slot: Slot, end: SendEnd, now: number): void {
         const server = this.#servers.get(keyOf(slot.server));
-        if (end.kind === "answered" && end.status < 500) {
-            const cost = server?.cost(slot.grantedAt) ?? typicalCost;
-            this.#usualMs += ((now - slot.grantedAt) / Math.max(1, cost) - this.#usualMs) * usualWeight;
+        const start = this.#starts.get(slot);
+        this.#starts.delete(slot);
+        if (start && end.kind === "answered" && end.status < serverErrors) {
+            const crowded = start.crowded || (server?.crowdedNow ?? false);
+            this.#speed.answered(now - slot.grantedAt, crowded, start.ownCost);
         }
         server?.settle(slot, end, now);
     }
@@ -156,63 +161,87 @@
         return this.servers.filter(it => it.usable(now));
     }
 
-    #candidates(request: Request, now: number): readonly ServerState[] {
+    /** Servers with a free slot, cheapest first; those that fail only if there are no others. */
+    #free(now: number): readonly ServerState[] {
         const usable = this.#usable(now);
-        const untried = usable.filter(it => !request.tried.includes(it.entry.id));
-        const allowed = untried.length > 0 ? untried : usable;
-        const sound = allowed.filter(it => !it.ejected(now));
-        const pool = sound.length > 0 ? sound : allowed;
+        const sound = usable.filter(it => !it.ejected(now));
+        const pool = sound.length > 0 ? sound : usable;
         return this.#cheapest(
             pool.filter(it => it.free(now) > 0),
             now,
-        ).slice(0, this.#settings.compared);
+        );
+    }
+
+    #freeSlots(now: number): number {
+        return this.#usable(now).reduce((sum, it) => sum + Math.max(0, it.free(now)), 0);
+    }
+
+    #candidates(request: Request, free: readonly ServerState[]): readonly ServerState[] {
+        const untried = free.filter(it => !request.tried.includes(it.entry.id));
+        return (untried.length > 0 ? untried : free).slice(0, this.#settings.compared);
+    }
+
+    #timeOn(server: ServerState, now: number): number {
+        return this.#speed.usualMs * server.cost(now, this.#speed.crowdedFactor);
     }
 
     #cheapest(servers: readonly ServerState[], now: number): readonly ServerState[] {
-        const costs = servers.map(it => ({ it, cost: it.cost(now) * (1 + this.#random() * tieSpread) }));
+        const costs = servers.map(it => ({
+            it,
+            cost: it.cost(now, this.#speed.crowdedFactor) * (1 + this.#random() * tieSpread),
+        }));
         costs.sort((a, b) => a.cost - b.cost);
         return costs.map(({ it }) => it);
     }
 
-    #waitFor(request: Request, usable: readonly ServerState[], now: number): number {
-        const free = usable.reduce((sum, it) => sum + Math.max(0, it.ejected(now) ? 0 : it.free(now)), 0);
-        const ahead = this.#queue.ahead(request.priority, request.targetAt, now, this.expectedMs) - free + 1;
-        if (ahead <= 0) {
-            return 0;
-        }
+    /** Requests that would have to start before a new one gets a slot, itself included. */
+    #ahead({ priority }: Request, now: number): number {
+        const free = this.#free(now).reduce((sum, it) => sum + it.free(now), 0);
+        return this.#queue.asUrgent(priority) + 1 - Math.max(0, free - this.#openTurns);
+    }
+
+    /** So many may wait that a new one can still meet its target, and always a few for slots that fall idle. */
+    #queueLimit(request: Request, usable: readonly ServerState[], now: number): number {
         const slots = usable.reduce((sum, it) => sum + it.entry.slots, 0);
-        const byStarts = this.#betweenStartsMs > 0 ? this.#betweenStartsMs : this.expectedMs / slots;
-        return ahead * Math.min(byStarts, this.expectedMs / Math.max(1, slots / crowdedCost));
+        const slackMs = request.targetAt - now - this.expectedMs;
+        return Math.max(1, slots * idleReserveShare, (slackMs * slackShare) / this.#startEveryMs(now));
     }
 
-    #retryAfter(waitMs: number): number {
-        return Math.max(leastRetryMs, waitMs) * (1 + this.#random());
+    /** Room is likely when the requests that wait now are gone; those told to return are spread over that time. */
+    #overloaded(request: Request, now: number): Refusal {
+        const leftMs = Math.max(0, request.deadlineAt - now);
+        const drainMs = this.#queue.size * this.#startEveryMs(now);
+        const retryAfterMs = Math.min(leftMs / 3, Math.max(leastRetryMs, drainMs)) * (1 + this.#random());
+        return { why: "overloaded", retryAfterMs };
     }
 
-    #noteStart(now: number): void {
-        const gap = now - this.#startedAt;
-        this.#startedAt = now;
-        if (this.#queue.size > 0 && gap < betweenStartsMostMs) {
-            const weight = this.#betweenStartsMs === 0 ? 1 : startsWeight;
-            this.#betweenStartsMs += (gap - this.#betweenStartsMs) * weight;
-        }
+    #startEveryMs(now: number): number {
+        const slots = this.#usable(now).reduce((sum, it) => sum + it.entry.slots, 0);
+        const used = this.#speed.suffersCrowding ? slots * uncrowdedShare : slots;
+        return this.expectedMs / Math.max(1, used);
     }
 }
 
+/** What was expected of a send at its start. */
+interface Start {
+    readonly crowded: boolean;
+    readonly ownCost: number;
+}
+
 /** Tells incarnations apart, also of a server that kept its id over a restart. */
 const keyOf = (entry: ServerEntry): string => `${entry.id}@${entry.bornAt}`;
 
-/** Assumed until answers tell more. */
-const firstUsualMs = 120;
-const usualWeight = 0.05;
-/** Mean cost of a server as `ServerState.cost` gives it, for expectations. */
-const typicalCost = 1.5;
-const crowdedCost = 1.7;
 const noServerRetryMs = 400;
-const leastRetryMs = 60;
-/** Requests that will be late may wait for slots that would stand idle: so many, as a share of the slots. */
-const lateShare = 0.25;
+/** A caller that comes back sooner than a usual request takes finds the same queue. */
+const leastRetryMs = 120;
+/** Requests that wait for slots that may fall idle, as a share of the slots. */
+const idleReserveShare = 0.1;
+/** Part of the time to spare before the target that may be spent waiting; the rest is for slower servers. */
+const slackShare = 0.6;
+/** With less than this share of the expected time left, a request would probably not be answered. */
+const leastRunShare = 0.5;
+/** Share of the slots that a service which suffers from crowding uses under load. */
+const uncrowdedShare = 0.6;
 /** Random spread of costs, so that dispatchers that see the same don't all choose alike. */
 const tieSpread = 0.05;
-const startsWeight = 0.1;
-const betweenStartsMostMs = 1_000;
+const serverErrors = 500;
--- a/packages/balance/src/queue.ts
+++ b/packages/balance/src/queue.ts
@@ -2,7 +2,7 @@
 
 import type { Request } from "./types.js";
 
-/** Orders by urgency and target; requests that can no longer meet their target come last. */
+/** Orders by urgency, then newest first; requests that can no longer meet their target come last. */
 export class WaitQueue {
     readonly #waiting = new Set<Request>();
 
@@ -19,10 +19,10 @@
     }
 
     /**
-     * The request to start next: of those that can still meet their target the most urgent, by target; of the
-     * others the one that came first.
+     * The request to start next: of those that can still meet their target the most urgent, the newest first, as
+     * the older ones are the likelier to miss it after all; else the oldest of the others.
      *
-     * @param expectedMs how long an answer takes from the start
+     * @param expectedMs how long an answer takes on the server that is free
      */
     peek(now: number, expectedMs: number): Request | undefined {
         let best: Request | undefined;
@@ -37,31 +37,20 @@
         return best;
     }
 
-    /** Requests that would start before a new one with this priority and target. */
-    ahead(priority: number, targetAt: number, now: number, expectedMs: number): number {
+    /** Requests waiting that are at least as urgent. */
+    asUrgent(priority: number): number {
         let count = 0;
         for (const it of this.#waiting) {
-            const late = now + expectedMs > it.targetAt;
-            const before = it.priority < priority || (it.priority === priority && it.targetAt <= targetAt);
-            count += before && !late ? 1 : 0;
+            count += it.priority <= priority ? 1 : 0;
         }
         return count;
     }
 
-    /** Requests waiting that can no longer meet their target. */
-    late(now: number, expectedMs: number): number {
-        let count = 0;
-        for (const it of this.#waiting) {
-            count += now + expectedMs > it.targetAt ? 1 : 0;
-        }
-        return count;
-    }
-
-    /** Takes out requests that would not be answered before their deadline. */
-    expire(now: number, expectedMs: number): readonly Request[] {
-        const expired = [...this.#waiting].filter(it => now + expectedMs > it.deadlineAt);
-        expired.forEach(it => this.#waiting.delete(it));
-        return expired;
+    /** Takes out the requests for which `isOver` holds. */
+    takeOut(isOver: (request: Request) => boolean): readonly Request[] {
+        const over = [...this.#waiting].filter(isOver);
+        over.forEach(it => this.#waiting.delete(it));
+        return over;
     }
 }
 
@@ -72,5 +61,5 @@
     if (a.priority !== b.priority) {
         return a.priority < b.priority;
     }
-    return aLate ? a.arrivedAt < b.arrivedAt : a.targetAt < b.targetAt;
+    return aLate ? a.arrivedAt < b.arrivedAt : a.targetAt > b.targetAt;
 };
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -71,12 +71,29 @@
         return this.#report !== undefined && now - this.#report.at <= freshMs;
     }
 
-    /** Expected time of a request sent now, as a multiple of the usual time on an idle, calm server. */
-    cost(now: number): number {
-        const fill = (this.#slots.size + this.#others(now) + 1) / Math.max(1, this.#entry.slots);
-        const crowded = fill > crowdedFill ? crowdedCost : 1 + fill * fillCost;
+    /** Whether a request sent now would take one of its last slots. */
+    crowded(now: number): boolean {
+        return this.#fill(now) > crowdedFill;
+    }
+
+    /** Whether its last slots are in use. */
+    get crowdedNow(): boolean {
+        return this.#slots.size / Math.max(1, this.#entry.slots) > crowdedFill;
+    }
+
+    /**
+     * Expected time of a request sent now, as a multiple of the usual time on an idle, calm server.
+     *
+     * @param crowdedFactor how much longer requests take on a server's last slots
+     */
+    cost(now: number, crowdedFactor: number): number {
+        return this.ownCost(now) * (this.crowded(now) ? crowdedFactor : 1 + this.#fill(now) * fillCost);
+    }
+
+    /** The same without its load: its speed, whether it is new, and how far it can be trusted. */
+    ownCost(now: number): number {
         const doubt = 1 + this.#failureShare * failureCost + (this.#lapsed ? lapsedCost : 0);
-        return this.#slowdown(now) * crowded * this.#cold(now) * doubt;
+        return this.#slowdown(now) * this.#cold(now) * doubt;
     }
 
     /** Takes a load report that was made at `at`. */
@@ -108,6 +125,10 @@
         this.#judge(true, now);
     }
 
+    #fill(now: number): number {
+        return (this.#slots.size + this.#others(now) + 1) / Math.max(1, this.#entry.slots);
+    }
+
     #refused(why: "full" | "leaving" | "other-incarnation", now: number): void {
         if (why === "full") {
             this.#fullUntil = now + fullPauseMs;
@@ -172,10 +193,8 @@
 const slowdownShare = 0.3;
 /** Slowdown expected of a server of which nothing is known: slow a third of the time. */
 const unknownSlowdown = 1.4;
-/** Share of slots in use above which servers slow down, */
+/** Share of slots in use above which servers may slow down. */
 const crowdedFill = 0.8;
-/** by about this factor. */
-const crowdedCost = 1.7;
 /** Prefers emptier servers below that. */
 const fillCost = 0.1;
 const coldCost = 2;
--- /dev/null
+++ b/packages/balance/src/speed.ts
@@ -0,0 +1,51 @@
+/** How long a service's requests take, learned from answers. */
+
+/** Times of one service. */
+export class SpeedModel {
+    #usualMs = firstUsualMs;
+    #crowdedMs = firstUsualMs * firstCrowdedFactor;
+    #meanMs = firstUsualMs * firstMeanFactor;
+
+    /** Time of a request on a calm server with slots to spare, in milliseconds. */
+    get usualMs(): number {
+        return this.#usualMs;
+    }
+
+    /** Mean time of a request on whatever server it got, in milliseconds. */
+    get meanMs(): number {
+        return this.#meanMs;
+    }
+
+    /** How much longer a request takes on a server whose last slots are in use. */
+    get crowdedFactor(): number {
+        return Math.max(1, this.#crowdedMs / this.#usualMs);
+    }
+
+    /** Whether the last slots of a server cost more than they bring. */
+    get suffersCrowding(): boolean {
+        return this.crowdedFactor > crowdedWorthwhile;
+    }
+
+    /**
+     * Takes note of an answer.
+     *
+     * @param otherCost expected time as a multiple of the usual one, crowding left out
+     */
+    answered(ms: number, crowded: boolean, otherCost: number): void {
+        const usual = ms / otherCost;
+        this.#meanMs += (ms - this.#meanMs) * weight;
+        if (crowded) {
+            this.#crowdedMs += (usual - this.#crowdedMs) * weight;
+        } else {
+            this.#usualMs += (usual - this.#usualMs) * weight;
+        }
+    }
+}
+
+/** Assumed until answers tell more. */
+const firstUsualMs = 120;
+const firstCrowdedFactor = 1.2;
+const firstMeanFactor = 1.5;
+const weight = 0.04;
+/** Above this factor two requests on one server's last slots are served faster one after the other. */
+const crowdedWorthwhile = 1.35;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -10,7 +10,6 @@
 export type Placement =
     | { readonly kind: "slot"; readonly slot: Slot; readonly comparedAgeMs: number }
     | { readonly kind: "refused"; readonly refusal: Refusal }
-    | { readonly kind: "expired" }
     | { readonly kind: "withdrawn" };
 
 /** What a dispatcher needs. */
@@ -88,8 +87,8 @@
         if (this.#waiting.size === 0) {
             return;
         }
-        for (const request of this.#balancer.expire(this.#clock())) {
-            this.#end(request, { kind: "expired" });
+        for (const { request, refusal } of this.#balancer.expire(this.#clock())) {
+            this.#end(request, { kind: "refused", refusal });
         }
         this.#pump();
     }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -309,8 +309,6 @@
             return placement.slot;
         case "refused":
             throw new CallError(placement.refusal.why, "", placement.refusal.retryAfterMs);
-        case "expired":
-            throw new CallError("deadline-queued", "", expiredRetryMs);
         case "withdrawn":
             throw new CallError("caller-gone");
     }
@@ -359,5 +357,4 @@
 /** With less time left than this a repeat would come to nothing. */
 const leastRepeatMs = 60;
 const noServiceRetryMs = 500;
-const expiredRetryMs = 300;
 const refusedRetryMs = 150;
