Give a host dispatchers by its servers' slots, in the callers' failure domain

A host now begins with as many dispatchers as half of its servers' slots ask for, callers get those of their own domain once there is one in each, and downloads go to near servers unless those are crowded.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -1,6 +1,6 @@
 /** Decides for one service which requests wait, which are refused, and which server gets the next one. */
 
-import type { ServerEntry } from "@bramleymoor/model/route";
+import type { RouteKind, ServerEntry } from "@bramleymoor/model/route";
 import { WaitQueue } from "./queue.js";
 import { ServerState } from "./server.js";
 import { SpeedModel } from "./speed.js";
@@ -22,6 +22,8 @@
 export interface BalanceSettings {
     /** Servers compared for one request. */
     readonly compared: number;
+    /** This entry VM's failure domain, whose servers are preferred. */
+    readonly domain: string;
 }
 
 /** Balances the requests of one service in one entry VM. */
@@ -114,7 +116,7 @@
         if (!request) {
             return undefined;
         }
-        const candidates = this.#candidates(request, free);
+        const candidates = this.#candidates(request, free, now);
         this.#queue.remove(request);
         this.#openTurns++;
         return { request, candidates };
@@ -124,7 +126,7 @@
     grant(turn: Turn, now: number): Slot | undefined {
         this.#openTurns--;
         const free = turn.candidates.filter(it => it.usable(now) && it.free(now) > 0);
-        const [best] = this.#cheapest(free, now);
+        const [best] = this.#cheapest(free, now, turn.request.kind);
         if (!best) {
             this.#queue.add(turn.request);
             return undefined;
@@ -176,20 +178,26 @@
         return this.#usable(now).reduce((sum, it) => sum + Math.max(0, it.free(now)), 0);
     }
 
-    #candidates(request: Request, free: readonly ServerState[]): readonly ServerState[] {
+    #candidates(request: Request, free: readonly ServerState[], now: number): readonly ServerState[] {
         const untried = free.filter(it => !request.tried.includes(it.entry.id));
-        return (untried.length > 0 ? untried : free).slice(0, this.#settings.compared);
+        const allowed = untried.length > 0 ? untried : free;
+        return this.#cheapest(allowed, now, request.kind).slice(0, this.#settings.compared);
     }
 
     #timeOn(server: ServerState, now: number): number {
         return this.#speed.usualMs * server.cost(now, this.#speed.crowdedFactor);
     }
 
-    #cheapest(servers: readonly ServerState[], now: number): readonly ServerState[] {
-        const costs = servers.map(it => ({
-            it,
-            cost: it.cost(now, this.#speed.crowdedFactor) * (1 + this.#random() * tieSpread),
-        }));
+    #cheapest(
+        servers: readonly ServerState[],
+        now: number,
+        kind: RouteKind = "idempotent",
+    ): readonly ServerState[] {
+        const costs = servers.map(it => {
+            const far = it.entry.domain === this.#settings.domain ? 1 : farCosts[kind];
+            const cost = it.cost(now, this.#speed.crowdedFactor) * far;
+            return { it, cost: cost * (1 + this.#random() * tieSpread) };
+        });
         costs.sort((a, b) => a.cost - b.cost);
         return costs.map(({ it }) => it);
     }
@@ -244,4 +252,10 @@
 const uncrowdedShare = 0.6;
 /** Random spread of costs, so that dispatchers that see the same don't all choose alike. */
 const tieSpread = 0.05;
+/** Cost of a server in another failure domain: a longer way, and for downloads many bytes on links that are paid for. */
+const farCosts: Readonly<Record<RouteKind, number>> = {
+    idempotent: 1.05,
+    "non-idempotent": 1.05,
+    download: 1.5,
+};
 const serverErrors = 500;
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -32,7 +32,7 @@
 });
 
 const balancer = (...entries: readonly ServerEntry[]): Balancer => {
-    const made = new Balancer({ compared: 4 }, () => 0);
+    const made = new Balancer({ compared: 4, domain: "a" }, () => 0);
     made.follow(
         entries.map(it => ({ entry: it, lapsed: false })),
         0,
--- a/packages/bench/src/replaycommand.ts
+++ b/packages/bench/src/replaycommand.ts
@@ -11,7 +11,7 @@
     new Command("replay").description("worth of overload patterns under virtual time").action(() => {
         for (const pattern of patterns) {
             const random = new SeededRandom(pattern.seed);
-            const balancer = new Balancer({ compared: 5 }, () => random.next());
+            const balancer = new Balancer({ compared: 5, domain: "a" }, () => random.next());
             process.stdout.write(`${line(pattern.name, new Replay(pattern, balancer).run())}\n`);
         }
     });
--- a/packages/bench/test/replay.test.ts
+++ b/packages/bench/test/replay.test.ts
@@ -12,7 +12,8 @@
     const pattern = patterns.find(it => it.name === name);
     assert.ok(pattern);
     const random = new SeededRandom(pattern.seed);
-    const result = known ?? new Replay(pattern, new Balancer({ compared: 5 }, () => random.next())).run();
+    const result =
+        known ?? new Replay(pattern, new Balancer({ compared: 5, domain: "a" }, () => random.next())).run();
     results.set(name, result);
     return result;
 };
@@ -50,7 +51,7 @@
     assert.ok(pattern);
     const run = (): ReplayResult => {
         const random = new SeededRandom(1);
-        return new Replay(pattern, new Balancer({ compared: 5 }, () => random.next())).run();
+        return new Replay(pattern, new Balancer({ compared: 5, domain: "a" }, () => random.next())).run();
     };
     assert.deepEqual(run(), run());
 });
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -78,7 +78,7 @@
             asker: this.#asker,
             clock: monotonicMs,
             random: Math.random,
-            balance: { compared: comparedServers },
+            balance: { compared: comparedServers, domain: settings.place.domain },
             repeats: settings.repeats,
         });
         this.#steering = new Steering({
@@ -249,6 +249,7 @@
     #followServers(): void {
         if (this.#config.config) {
             this.#services.follow(this.#config.config, this.#servers.servers());
+            this.#expectDemand(this.#config.config);
         }
         if (this.#state === "starting" && this.#config.config && this.#servers.position !== undefined) {
             this.#state = "serving";
@@ -256,6 +257,20 @@
         }
     }
 
+    #expectDemand({ routes }: RouteConfig): void {
+        const services = new Map<string, Set<string>>();
+        for (const { host, destinations } of routes) {
+            const known = services.get(host) ?? new Set<string>();
+            destinations.forEach(it => known.add(it.service));
+            services.set(host, known);
+        }
+        for (const [host, names] of services) {
+            const servers = this.#servers.servers().filter(({ entry }) => names.has(entry.service));
+            const slots = servers.reduce((sum, { entry }) => sum + entry.slots, 0);
+            this.#steering.expect(host, slots);
+        }
+    }
+
     #makeForwarding(): ForwardParts {
         const agent = (idleMs: number): KeepingAgent => new KeepingAgent({ idleMs, marginMs: keepMarginMs });
         return {
@@ -343,7 +358,9 @@
     #answerAddresses(req: IncomingMessage, res: ServerResponse): void {
         const { wire } = this.#platform;
         const question = wire.question(req.url ?? "");
-        const vms = question ? this.#steering.dispatchers(hostOf(question.host), this.#members) : [];
+        const vms = question
+            ? this.#steering.dispatchers(hostOf(question.host), question.domain, this.#members)
+            : [];
         if (!question || vms.length === 0) {
             res.writeHead(question ? 503 : 404, { "Content-Length": "0" });
             res.end();
--- a/packages/gateway/src/steering.ts
+++ b/packages/gateway/src/steering.ts
@@ -53,9 +53,21 @@
 /** Decides how many entry VMs a host's callers get, and which. */
 export class Steering {
     readonly #demand: Demand;
+    readonly #callsPerDispatcher: number;
+    readonly #floors = new Map<string, number>();
 
     constructor(settings: DemandSettings) {
         this.#demand = new Demand(settings);
+        this.#callsPerDispatcher = settings.callsPerDispatcher;
+    }
+
+    /**
+     * Takes the slots of all services that a host's routes lead to: before any demand is known, there are enough
+     * entry VMs for the usual part of what the slots can carry.
+     */
+    expect(host: string, slots: number): void {
+        const callsPerSecond = (slots * usualUse * msPerSecond) / usualCallMs;
+        this.#floors.set(host, Math.ceil(callsPerSecond / this.#callsPerDispatcher));
     }
 
     /** Takes the requests per second of a host over all entry VMs. */
@@ -63,9 +75,19 @@
         this.#demand.observe(host, perSecond, now);
     }
 
-    /** Entry VMs for a host's callers, the first one first. */
-    dispatchers(host: string, members: readonly EntryVm[]): readonly EntryVm[] {
-        return place(host, members, this.#demand.want(host));
+    /**
+     * Entry VMs for a host's callers in one failure domain: those in the domain, if the host's demand needs so
+     * many that every domain has some, else all of them.
+     */
+    dispatchers(host: string, domain: string, members: readonly EntryVm[]): readonly EntryVm[] {
+        const alive = members.filter(vm => vm.state === "alive");
+        const domains = new Set(alive.map(vm => vm.place.domain));
+        const want = Math.max(this.#demand.want(host), this.#floors.get(host) ?? 1);
+        const near = alive.filter(vm => vm.place.domain === domain);
+        if (want < domains.size || near.length === 0) {
+            return place(host, alive, want);
+        }
+        return place(host, near, Math.ceil(want / domains.size));
     }
 }
 
@@ -83,4 +105,8 @@
 /** Pairs of at most 11 characters in a payload's value of at most 64. */
 const pairsPerKey = 5;
 const leastPeriodMs = 100;
+/** Part of the slots in use on an ordinary day. */
+const usualUse = 0.5;
+/** Time for which an ordinary request uses a slot. */
+const usualCallMs = 200;
 const msPerSecond = 1_000;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -141,7 +141,13 @@
     };
     const asker = new LoadAsker(testWire);
     const repeats = { ratio: 0.2, slack: 20, windowMs: 10_000 };
-    const services = new Services({ asker, clock, random: () => 0, balance: { compared: 1 }, repeats });
+    const services = new Services({
+        asker,
+        clock,
+        random: () => 0,
+        balance: { compared: 1, domain: "a" },
+        repeats,
+    });
     services.follow(
         config,
         servers.map(({ entry }) => ({ entry, lapsed: false })),
--- /dev/null
+++ b/packages/gateway/test/steering.test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { EntryVm, VmState } from "@bramleymoor/model/vm";
+import { DemandCounter, ratesOf, shortHash, Steering } from "../src/steering.js";
+
+const vm = (id: string, domain: string, state: VmState = "alive"): EntryVm => ({
+    id,
+    incarnation: id,
+    place: { region: "r", domain },
+    callerAddress: `${id}:1`,
+    peerAddress: `${id}:2`,
+    state,
+    load: 0,
+});
+
+const fleet = ["a", "b", "c"].flatMap(domain => [1, 2, 3, 4].map(i => vm(`${domain}${i}`, domain)));
+const settings = { callsPerDispatcher: 100, least: 1, most: 64, shrinkAfterMs: 1_000 };
+
+test("a small host has one dispatcher, the same from every entry VM's view", () => {
+    const steering = new Steering(settings);
+    steering.expect("h", 20);
+    const [first, ...rest] = steering.dispatchers("h", "a", fleet);
+    assert.deepEqual(rest, []);
+    assert.deepEqual(new Steering(settings).dispatchers("h", "b", [...fleet].reverse()), [first]);
+});
+
+test("a host whose servers carry much has dispatchers in every domain before any demand is seen", () => {
+    const steering = new Steering(settings);
+    steering.expect("h", 200);
+    for (const domain of ["a", "b", "c"]) {
+        const found = steering.dispatchers("h", domain, fleet);
+        assert.equal(found.length, 2);
+        assert.ok(found.every(it => it.place.domain === domain));
+    }
+});
+
+test("demand adds dispatchers at once", () => {
+    const steering = new Steering(settings);
+    steering.observe("h", 950, 0);
+    assert.equal(steering.dispatchers("h", "a", fleet).length, 4);
+});
+
+test("callers of a domain without living entry VMs get those of others", () => {
+    const steering = new Steering(settings);
+    steering.observe("h", 950, 0);
+    const left = fleet.filter(it => it.place.domain !== "a");
+    assert.ok(steering.dispatchers("h", "a", left).length >= 8);
+});
+
+test("entry VMs that leave or are suspected get no callers", () => {
+    const steering = new Steering(settings);
+    const [first] = steering.dispatchers("h", "a", fleet);
+    const without = fleet.map(it => (it.id === first?.id ? vm(it.id, it.place.domain, "suspect") : it));
+    assert.notEqual(steering.dispatchers("h", "a", without)[0]?.id, first?.id);
+});
+
+test("demand survives its way through a member's payload", () => {
+    const counter = new DemandCounter(0);
+    for (let i = 0; i < 100; i++) {
+        counter.count("h.example");
+    }
+    const payload = Object.fromEntries(counter.turn(1_000));
+    assert.equal(ratesOf(payload).get(shortHash("h.example")), 100);
+    assert.ok(Object.values(payload).every(it => it.length <= 64));
+});
