Look whether a caller has left before a request that may have lain unread is sent on

Their entry VMs were saturated in the first seconds, read requests up to half a second after their callers had closed, and sent them on before reading the end of the connection behind them. A process that runs behind now waits for a few turns of its event loop before it sends; the test blocks the loop while callers ask and leave (4 of 10 reached the server before, none after; two turns were not enough).

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -12,6 +12,7 @@
 import { RequestBody } from "./body.js";
 import type { Dispatcher, Placement } from "./dispatcher.js";
 import { Exchange, SendError } from "./exchange.js";
+import { caughtUp } from "./looplag.js";
 import { Relay, type RelayEnd } from "./relay.js";
 import type { Wire } from "./wire.js";
 
@@ -52,6 +53,8 @@
     /** Whether one more send of a request is within the budget; a yes is debited. */
     readonly mayRepeat: (service: string) => boolean;
     readonly agents: Readonly<Record<"repeatable" | "once", KeepingAgent>>;
+    /** Whether requests may have waited long before they were read. */
+    readonly isBehind: () => boolean;
     /** Headers of the entry VM's own for this connection, asked for when an answer's head is written. */
     readonly extraHeaders: (req: IncomingMessage) => readonly string[];
     readonly done: (record: ForwardRecord) => void;
@@ -81,12 +84,14 @@
 
     /** Never rejects; `done` is told the end. */
     async run(): Promise<void> {
-        this.#res.on("close", () => {
-            if (!this.#res.writableFinished) {
+        const left = (): void => {
+            if (!this.#res.writableFinished && !this.#callerGone) {
                 this.#callerGone = true;
                 this.#giveUp(new CallError("caller-gone"));
             }
-        });
+        };
+        this.#res.on("close", left);
+        this.#req.on("aborted", left);
         try {
             this.#finish(await this.#forward(), "");
         } catch (err) {
@@ -120,6 +125,10 @@
             this.#giveUp(new CallError("deadline-sent")),
         );
         await this.#abortable(body.hold());
+        if (this.#parts.isBehind()) {
+            // The caller may have left while its request lay unread; the end of its connection is read next.
+            await this.#abortable(caughtUp());
+        }
         const elapsedMs = this.#parts.elapsedMs(route, callerMs);
         let request: Request = {
             id: this.#parts.nextId(),
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -23,6 +23,7 @@
 import { FirstDeadlines } from "./elapsed.js";
 import { ForwardTask, type ForwardParts, type ForwardRecord } from "./forward.js";
 import { AnswerServer, Front } from "./front.js";
+import { LoopLag } from "./looplag.js";
 import { PeerSocket } from "./peersocket.js";
 import { Services } from "./services.js";
 import type { GatewaySettings } from "./settings.js";
@@ -54,6 +55,7 @@
     readonly #asker: LoadAsker;
     readonly #splits = new Splits();
     readonly #deadlines = new FirstDeadlines();
+    readonly #lag = new LoopLag(monotonicMs());
     readonly #demand = new DemandCounter(monotonicMs());
     readonly #steering: Steering;
     readonly #front: Front;
@@ -288,6 +290,7 @@
             mayRepeat: service =>
                 this.#services.budget(service)?.take(monotonicMs(), this.#members.length) ?? false,
             agents: { repeatable: agent(keepIdleMs), once: agent(keepOnceMs) },
+            isBehind: () => this.#lag.isBehind(turnMs, monotonicMs()),
             extraHeaders: req => this.#front.extraHeaders(req),
             done: record => this.#done(record),
         };
@@ -392,6 +395,7 @@
         let demandAt = monotonicMs();
         while (!this.#ended.signal.aborted) {
             await delay(turnMs, this.#ended.signal);
+            this.#lag.ran(turnMs, monotonicMs());
             this.#services.tick();
             if (this.#servers.revision !== revision || this.#state === "starting") {
                 revision = this.#servers.revision;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -11,6 +11,7 @@
 import { FirstDeadlines } from "../src/elapsed.js";
 import { ForwardTask, type ForwardParts, type ForwardRecord } from "../src/forward.js";
 import { Front } from "../src/front.js";
+import { LoopLag } from "../src/looplag.js";
 import { Services } from "../src/services.js";
 import type { Wire } from "../src/wire.js";
 
@@ -121,6 +122,8 @@
     readonly records: ForwardRecord[];
 }
 
+const lagPeriodMs = 10;
+
 /** Starts a front over backend servers. */
 export const startFront = async (
     t: TestContext,
@@ -159,6 +162,7 @@
         once: new KeepingAgent({ idleMs: 500, marginMs: 500 }),
     };
     const records: ForwardRecord[] = [];
+    const lag = new LoopLag(clock());
     let lastId = 0;
     const parts: ForwardParts = {
         wire: testWire,
@@ -179,6 +183,7 @@
         requested: service => services.budget(service)?.requested(clock()),
         mayRepeat: service => services.budget(service)?.take(clock(), 1) ?? false,
         agents,
+        isBehind: () => lag.isBehind(lagPeriodMs, clock()),
         extraHeaders: req => front.extraHeaders(req),
         done: record => records.push(record),
     };
@@ -187,7 +192,10 @@
         () => undefined,
     );
     const port = await front.listen(0, "127.0.0.1");
-    const ticking = setInterval(() => services.tick(), 10);
+    const ticking = setInterval(() => {
+        lag.ran(lagPeriodMs, clock());
+        services.tick();
+    }, lagPeriodMs);
     t.after(() => {
         clearInterval(ticking);
         agents.repeatable.destroy();
