--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -47,8 +47,7 @@
             this.#idle.delete(socket);
         }
         socket.setTimeout(0);
-        socket.ref();
-        req.reusedSocket = true;
+        super.reuseSocket(socket, req);
     }
 
     /** Closes every idle connection to one address. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,6 +1,7 @@
 /** One request to one backend server, to its answer's head; knows whether the server can have begun. */
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import type { SendEnd } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
 import type { KeepingAgent } from "./agent.js";
@@ -35,9 +36,13 @@
     /** The head of the server's own answer to this request; rejects with a SendError. */
     readonly head: Promise<IncomingMessage>;
     readonly #req: ClientRequest;
+    #socket: Socket | undefined = undefined;
     #connected = false;
     #reset = false;
     #fail: (error: SendError) => void = () => undefined;
+    readonly #noteReset = (): void => {
+        this.#reset = true;
+    };
 
     constructor(out: Outgoing, wire: Wire) {
         const { host, port } = splitAddress(out.server.address);
@@ -55,14 +60,18 @@
             this.#req.on("response", res => this.#answered(res, out, wire, resolve));
         });
         this.#req.on("error", err => this.#broke(err.message));
-        this.#req.on("close", () => this.#broke("the connection closed"));
+        this.#req.on("close", () => {
+            this.#socket?.off("error", this.#noteReset);
+            this.#broke("the connection closed");
+        });
         this.#req.once("socket", socket => {
             if (socket.connecting) {
                 socket.once("connect", () => this.#connect(out));
             } else {
                 this.#connect(out);
             }
-            socket.prependListener("error", () => (this.#reset = true));
+            this.#socket = socket;
+            socket.prependListener("error", this.#noteReset);
         });
     }
 
--- a/packages/gateway/test/answers.test.ts
+++ b/packages/gateway/test/answers.test.ts
@@ -115,3 +115,17 @@
     assert.ok(got.bytes.indexOf("for a") < got.bytes.indexOf("for b"));
     assert.ok(got.bytes.includes("for b"));
 });
+
+test("a connection that is used again and again gathers no listeners", async t => {
+    const server = await rawServer(t, "s1", ({ socket, id }) => socket.write(answer(id, "hello")));
+    const { port } = await startFront(t, [server]);
+    const warnings: Error[] = [];
+    const warned = (warning: Error): void => void warnings.push(warning);
+    process.on("warning", warned);
+    t.after(() => process.off("warning", warned));
+    for (let i = 0; i < 30; i++) {
+        await exchange(port, ask(`a${i}`), 20);
+    }
+    assert.equal(server.arrivals.at(-1)?.nth, 29);
+    assert.deepEqual(warnings, []);
+});
