Name the silent server of a request that ran into its deadline

Cause: the log of incident inc-16ee says 'sent to []' for requests that ended as deadline-sent, as the server was noted only with its answer; the operator could not tell whether it had been sent. The test failed before.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -214,6 +214,9 @@
             if (err instanceof SendError) {
                 return settle(err.end);
             }
+            if (exchange.sent) {
+                this.#noteSent(slot);
+            }
             const gone = err instanceof CallError && err.kind === "caller-gone";
             settle({ kind: gone ? "cancelled" : "timeout" });
             throw err;
--- a/packages/gateway/test/leaving.test.ts
+++ b/packages/gateway/test/leaving.test.ts
@@ -69,3 +69,12 @@
     await pause(100);
     assert.equal(closed, false);
 });
+
+test("the record of a request that ran into its deadline names the server that kept silent", async t => {
+    const server = await rawServer(t, "s1", () => undefined);
+    const { port, records } = await startFront(t, [server], { timeoutMs: 200 });
+    const got = await exchange(port, ask("a"), 400);
+    assert.match(got.bytes, /^HTTP\/1\.1 504 /);
+    assert.deepEqual(records[0]?.servers, ["s1"]);
+    assert.equal(records[0]?.outcome, "deadline-sent");
+});
