--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -213,12 +213,16 @@
             peers: () => this.#others.map(vm => vm.peerAddress),
             tell: (peer, news) => this.#peers.tell(peer, news),
             events: {
-                config: (config, source, ageMs) => this.#tookConfig(config, source, ageMs),
-                servers: ({ changes }, source, ageMs) => {
+                config: (config, origin, ageMs) => this.#tookConfig(config, origin, ageMs),
+                servers: ({ changes }, origin, ageMs) => {
                     const told = changes.map(
                         ({ id, entry }) => `${id} ${entry ? (entry.leaving ? "leaving" : "ready") : "gone"}`,
                     );
-                    this.#events.emit("servers-changed", { changes: told.join(", "), source, ageMs });
+                    this.#events.emit("servers-changed", {
+                        changes: told.join(", "),
+                        origin,
+                        ageMs: Math.round(ageMs),
+                    });
                 },
                 store: (topic, reachable, reason) =>
                     reachable
@@ -239,12 +243,17 @@
         return this.#members.filter(vm => vm.id !== this.#settings.id && vm.state !== "dead");
     }
 
-    #tookConfig(config: RouteConfig, source: string, ageMs: number): void {
+    #tookConfig(config: RouteConfig, origin: string, ageMs: number): void {
         this.#table = new RouteTable(config.routes);
         this.#front.follow(config.limits);
         this.#metrics.version(config.version);
         const { version, routes } = config;
-        this.#events.emit("routes-accepted", { version, routes: routes.length, source, ageMs });
+        this.#events.emit("routes-accepted", {
+            version,
+            routes: routes.length,
+            origin,
+            ageMs: Math.round(ageMs),
+        });
         this.#followServers();
     }
 
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -63,21 +63,21 @@
     "routes-accepted": row(
         1020,
         "info",
-        "Configuration {version} in force: {routes} routes, from {source}, {ageMs} ms old.",
+        "Configuration {version} in force: {routes} routes, from {origin}, {ageMs} ms old.",
         {
             version: "number",
             routes: "number",
-            source: "string",
+            origin: "string",
             ageMs: "number",
         },
     ),
     "servers-changed": row(
         1021,
         "info",
-        "Backend servers changed: {changes}; from {source}, {ageMs} ms old.",
+        "Backend servers changed: {changes}; from {origin}, {ageMs} ms old.",
         {
             changes: "string",
-            source: "string",
+            origin: "string",
             ageMs: "number",
         },
     ),
@@ -189,8 +189,8 @@
         doing: "string",
         reason: "string",
     }),
-    "events-suppressed": row(9002, "warn", "{count} more events {event} in a second were not written.", {
-        event: "string",
+    "events-suppressed": row(9002, "warn", "{count} more events {suppressed} in a second were not written.", {
+        suppressed: "string",
         count: "number",
     }),
 } as const satisfies Readonly<Record<string, EventRow>>;
--- a/packages/observe/src/events.ts
+++ b/packages/observe/src/events.ts
@@ -51,9 +51,9 @@
         if (rate && now - rate.since < secondMs && now >= rate.since) {
             return rate;
         }
-        const suppressed = (rate?.count ?? 0) - maxPerSecond;
-        if (suppressed > 0) {
-            this.#write("events-suppressed", { event: name, count: suppressed }, now);
+        const more = (rate?.count ?? 0) - maxPerSecond;
+        if (more > 0) {
+            this.#write("events-suppressed", { suppressed: name, count: more }, now);
         }
         const fresh = { since: now, count: 0 };
         this.#rates.set(name, fresh);
--- a/packages/observe/test/events.test.ts
+++ b/packages/observe/test/events.test.ts
@@ -126,3 +126,11 @@
     assert.match(lines.at(-2)!, /9002 entry-1 7 more events ready/);
     assert.match(lines.at(-1)!, /5003/);
 });
+
+test("no event's field hides what every line says of itself", () => {
+    const own = new Set(["time", "level", "event", "name", "source", "text"]);
+    for (const name of eventNames) {
+        const hiding = Object.keys(events[name].fields).filter(field => own.has(field));
+        assert.deepEqual(hiding, [], name);
+    }
+});
