--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -215,7 +215,7 @@
         return Math.max(1, slots * idleReserveShare, (slackMs * slackShare) / this.#startEveryMs(now));
     }
 
-    /** Room is likely when the requests that wait now are gone; those told to return are spread over that time. */
+    /** A slot is likely to be free when the requests that wait now are gone; those told to return are spread. */
     #overloaded(request: Request, now: number): Refusal {
         const leftMs = Math.max(0, request.deadlineAt - now);
         const drainMs = this.#queue.size * this.#startEveryMs(now);
--- a/packages/balance/src/types.ts
+++ b/packages/balance/src/types.ts
@@ -52,6 +52,6 @@
 /** Why a request gets no server. */
 export interface Refusal {
     readonly why: "no-server" | "overloaded";
-    /** When there is likely to be room. */
+    /** When a slot is likely to be free. */
     readonly retryAfterMs: number;
 }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -3,35 +3,27 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Request, SendEnd, Slot } from "@bramleymoor/balance/types";
 import type { Route } from "@bramleymoor/model/route";
-import { CallError, type ErrorKind } from "@bramleymoor/protocol/kinds";
+import { CallError } from "@bramleymoor/protocol/kinds";
 import { asCallError } from "@bramleymoor/proxy/answers";
 import { headersWithout } from "@bramleymoor/proxy/headers";
 import type { Due, Sweep } from "@bramleymoor/proxy/sweep";
 import type { KeepingAgent } from "./agent.js";
 import { answerOwn } from "./answers.js";
 import { RequestBody } from "./body.js";
-import type { Dispatcher, Placement } from "./dispatcher.js";
+import type { Dispatcher } from "./dispatcher.js";
 import { Exchange, SendError } from "./exchange.js";
 import { caughtUp } from "./looplag.js";
-import { Relay, type RelayEnd } from "./relay.js";
+import {
+    failureOf,
+    relayEnds,
+    relayOutcomes,
+    slotOf,
+    type ForwardOutcome,
+    type ForwardRecord,
+} from "./outcomes.js";
+import { Relay } from "./relay.js";
 import type { Wire } from "./wire.js";
 
-/** What is told of a finished request. */
-export interface ForwardRecord {
-    readonly requestId: string;
-    readonly route: Route | undefined;
-    readonly service: string;
-    readonly outcome: ErrorKind | "answered" | "body-broken" | "caller-gone";
-    readonly status: number;
-    /** Incarnations of the servers that it was sent to, in order. */
-    readonly servers: readonly string[];
-    readonly queueMs: number;
-    readonly serverMs: number;
-    readonly totalMs: number;
-    /** What decided an outcome other than an answer. */
-    readonly detail: string;
-}
-
 /** What all requests share. */
 export interface ForwardParts {
     readonly wire: Wire;
@@ -105,7 +97,7 @@
         }
     }
 
-    async #forward(): Promise<ForwardRecord["outcome"]> {
+    async #forward(): Promise<ForwardOutcome> {
         const { wire, clock } = this.#parts;
         const requestId = wire.requestId(this.#req.headers);
         if (requestId === undefined) {
@@ -209,7 +201,7 @@
             );
             exchange.finished();
             settle(relayed === "whole" ? { kind: "answered", status } : relayEnds[relayed]);
-            return relayed === "broken-unseen" ? { kind: "lost" } : outcomes[relayed];
+            return relayed === "broken-unseen" ? { kind: "lost" } : relayOutcomes[relayed];
         } catch (err) {
             if (err instanceof SendError) {
                 return settle(err.end);
@@ -299,7 +291,7 @@
         });
     }
 
-    #finish(outcome: ForwardRecord["outcome"], detail: string): void {
+    #finish(outcome: ForwardOutcome, detail: string): void {
         this.#parts.done({
             requestId: this.#parts.wire.requestId(this.#req.headers) ?? "",
             route: this.#route,
@@ -315,46 +307,6 @@
     }
 }
 
-const slotOf = (placement: Placement): Slot => {
-    switch (placement.kind) {
-        case "slot":
-            return placement.slot;
-        case "refused":
-            throw new CallError(placement.refusal.why, "", placement.refusal.retryAfterMs);
-        case "withdrawn":
-            throw new CallError("caller-gone");
-    }
-};
-
-const failureOf = (end: SendEnd): CallError => {
-    switch (end.kind) {
-        case "refused":
-            return new CallError("server-refused", `The last one said: ${end.why}.`, refusedRetryMs);
-        case "unreachable":
-            return new CallError("connect-failed", "", refusedRetryMs);
-        case "timeout":
-            return new CallError("deadline-sent");
-        case "answered":
-            return new CallError("server-lost", `The server failed with status ${end.status}.`);
-        default:
-            return new CallError("server-lost");
-    }
-};
-
-const relayEnds: Readonly<Record<Exclude<RelayEnd, "whole">, SendEnd>> = {
-    "broken-unseen": { kind: "lost" },
-    broken: { kind: "lost" },
-    "caller-gone": { kind: "cancelled" },
-};
-
-const outcomes: Readonly<
-    Record<Exclude<RelayEnd, "broken-unseen">, "answered" | "body-broken" | "caller-gone">
-> = {
-    whole: "answered",
-    broken: "body-broken",
-    "caller-gone": "caller-gone",
-};
-
 /** Written anew for each send. */
 const setHere: ReadonlySet<string> = new Set(["content-length", "expect"]);
 
@@ -369,4 +321,3 @@
 /** With less time left than this a repeat would come to nothing. */
 const leastRepeatMs = 60;
 const noServiceRetryMs = 500;
-const refusedRetryMs = 150;
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -155,10 +155,10 @@
         return listenOn(this.#server, port, host);
     }
 
-    /** Closes the port and its idle connections. */
+    /** Closes the port and its connections. */
     close(): void {
         this.#server.close();
-        this.#server.closeIdleConnections();
+        this.#server.closeAllConnections();
     }
 }
 
--- /dev/null
+++ b/packages/gateway/src/memberwatch.ts
@@ -0,0 +1,66 @@
+/** Follows who is alive, tells changes, and derives who reads the store. */
+
+import type { EntryVm } from "@bramleymoor/model/vm";
+import type { EventLog } from "@bramleymoor/observe/events";
+import { orderFor } from "@bramleymoor/placement/placement";
+
+/** The members as one entry VM believes in them. */
+export class MemberWatch {
+    readonly #self: string;
+    readonly #events: EventLog;
+    #members: readonly EntryVm[] = [];
+
+    /** @param self id of this entry VM */
+    constructor(self: string, events: EventLog) {
+        this.#self = self;
+        this.#events = events;
+    }
+
+    /** Every member that is not dead, this one included. */
+    get members(): readonly EntryVm[] {
+        return this.#members;
+    }
+
+    /** The same without this entry VM. */
+    get others(): readonly EntryVm[] {
+        return this.#members.filter(vm => vm.id !== this.#self && vm.state !== "dead");
+    }
+
+    /** This entry VM's place among those that read the store, 0 for the first; those that leave come last. */
+    get readerRank(): number {
+        const alive = this.#members.filter(vm => vm.state === "alive");
+        const rank = orderFor(readersKey, alive).findIndex(vm => vm.id === this.#self);
+        return rank === -1 ? alive.length : rank;
+    }
+
+    /** Takes a newer list. */
+    follow(list: readonly EntryVm[]): void {
+        const before = new Map(this.#members.map(vm => [vm.id, vm]));
+        for (const vm of list) {
+            const known = before.get(vm.id);
+            before.delete(vm.id);
+            if (!known) {
+                const { id, incarnation, place } = vm;
+                this.#events.emit("member-joined", { id, incarnation, ...place });
+            } else if (known.state !== vm.state) {
+                this.#tellState(vm);
+            }
+        }
+        for (const { id, incarnation } of before.values()) {
+            this.#events.emit("member-dead", { id, incarnation });
+        }
+        this.#members = list;
+    }
+
+    #tellState({ id, incarnation, state }: EntryVm): void {
+        if (state === "suspect") {
+            this.#events.emit("member-suspect", { id, incarnation, reason: "no answer to pings" });
+        } else if (state === "leaving") {
+            this.#events.emit("member-left", { id, incarnation });
+        } else {
+            this.#events.emit("member-back", { id, incarnation });
+        }
+    }
+}
+
+const readersKey = "readers of the store";
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -1,7 +1,6 @@
 /** One entry process that serves routes: its parts wired together, its start, its periodic work, its stop. */
 
 import { randomBytes } from "node:crypto";
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { ConfigBook, type ConfigDecoder } from "@bramleymoor/discovery/config";
 import { Follower } from "@bramleymoor/discovery/follower";
 import type { KeyedLog } from "@bramleymoor/discovery/log";
@@ -11,22 +10,24 @@
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { EventLog } from "@bramleymoor/observe/events";
 import { CallMetrics } from "@bramleymoor/observe/metrics";
-import { orderFor } from "@bramleymoor/placement/placement";
 import { CallError } from "@bramleymoor/protocol/kinds";
 import { Sweep } from "@bramleymoor/proxy/sweep";
-import { hostOf, RouteTable } from "@bramleymoor/routing/table";
+import { RouteTable } from "@bramleymoor/routing/table";
 import { Splits } from "@bramleymoor/routing/split";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { KeepingAgent } from "./agent.js";
 import { LoadAsker } from "./asks.js";
-import { monotonicMs, wallClockMs } from "./clock.js";
+import { delay, monotonicMs, wallClockMs } from "./clock.js";
 import { FirstDeadlines } from "./elapsed.js";
-import { ForwardTask, type ForwardParts, type ForwardRecord } from "./forward.js";
-import { AnswerServer, Front } from "./front.js";
+import { ForwardTask, type ForwardParts } from "./forward.js";
+import { Front } from "./front.js";
 import { LoopLag } from "./looplag.js";
+import { MemberWatch } from "./memberwatch.js";
+import type { ForwardRecord } from "./outcomes.js";
 import { PeerSocket } from "./peersocket.js";
 import { Services } from "./services.js";
 import type { GatewaySettings } from "./settings.js";
+import { SideServers } from "./sideservers.js";
 import { DemandCounter, ratesOf, shortHash, Steering } from "./steering.js";
 import type { Wire } from "./wire.js";
 
@@ -46,9 +47,11 @@
     readonly #platform: PlatformParts;
     readonly #events: EventLog;
     readonly #metrics = new CallMetrics(false);
+    readonly #incarnation = randomBytes(incarnationBytes).toString("base64url");
     readonly #config: ConfigBook;
     readonly #servers: ServerBook;
     readonly #peers: PeerSocket;
+    readonly #watch: MemberWatch;
     readonly #membership: Membership;
     readonly #follower: Follower;
     readonly #services: Services;
@@ -59,14 +62,13 @@
     readonly #demand = new DemandCounter(monotonicMs());
     readonly #steering: Steering;
     readonly #front: Front;
-    readonly #ready: AnswerServer;
-    readonly #directory: AnswerServer;
-    readonly #metricsServer: AnswerServer;
+    readonly #side: SideServers;
     readonly #forwarding: ForwardParts;
     readonly #ended = new AbortController();
     #table: RouteTable | undefined = undefined;
-    #members: readonly EntryVm[] = [];
     #lastId = 0;
+    #followedRevision = -1;
+    #demandAt = monotonicMs();
     #state: "starting" | "serving" | "stopping" = "starting";
 
     constructor(settings: GatewaySettings, platform: PlatformParts, events: EventLog) {
@@ -94,6 +96,7 @@
             news: (news, from) => this.#follower.take(news, from),
             refused: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
+        this.#watch = new MemberWatch(settings.id, events);
         this.#membership = this.#join();
         this.#follower = this.#makeFollower();
         this.#forwarding = this.#makeForwarding();
@@ -101,31 +104,33 @@
             (req, res) => new ForwardTask(this.#forwarding, req, res).run(),
             (reason, address) => events.emit("request-malformed", { address, reason }),
         );
-        this.#ready = new AnswerServer((req, res) => this.#answerReady(req, res));
-        this.#directory = new AnswerServer((req, res) => this.#answerAddresses(req, res));
-        this.#metricsServer = new AnswerServer((_, res) => void this.#answerMetrics(res));
+        this.#side = new SideServers({
+            wire: platform.wire,
+            metrics: this.#metrics,
+            isReady: () => this.#state === "serving",
+            dispatchers: (host, domain) => this.#steering.dispatchers(host, domain, this.#watch.members),
+            addressTtlMs: settings.addressTtlMs,
+        });
     }
 
     /** Listens everywhere, joins the peers and follows the store. */
     async start(): Promise<void> {
-        const { front, ready, directory, peers, metrics, id } = this.#settings;
+        const { front, peers, metrics, id } = this.#settings;
         await Promise.all([
             this.#front.listen(front.port, front.host),
-            this.#ready.listen(ready.port, ready.host),
-            this.#directory.listen(directory.port, directory.host),
-            this.#metricsServer.listen(metrics.port, metrics.host),
+            this.#side.listen(this.#settings),
             this.#peers.listen(peers.port, peers.host),
         ]);
         this.#events.emit("started", {
             id,
-            incarnation: "",
+            incarnation: this.#incarnation,
             callers: addressOf(front),
             peers: addressOf(peers),
             operators: addressOf(metrics),
         });
-        void this.#follower.run(this.#ended.signal).catch((err: unknown) => this.#failed("following", err));
-        void this.#gossip();
-        void this.#turns();
+        this.#keepDoing("following the store", this.#follower.run(this.#ended.signal));
+        this.#keepDoing("gossiping", this.#gossip());
+        this.#keepDoing("looking at queues and demand", this.#turns());
     }
 
     /**
@@ -145,15 +150,23 @@
         const finished = new AbortController();
         const finishing = this.#front.finish().finally(() => finished.abort());
         await Promise.race([finishing, delay(stopMs - stopReserveMs, finished.signal)]);
-        this.#ended.abort();
+        this.#close();
         this.#events.emit("stopped", { cut: this.#front.inFlight });
     }
 
+    #close(): void {
+        this.#ended.abort();
+        this.#side.close();
+        this.#peers.close();
+        this.#asker.close();
+        Object.values(this.#forwarding.agents).forEach(it => it.destroy());
+    }
+
     #join(): Membership {
         const { id, place, front, peers, seeds } = this.#settings;
         const self: EntryVm = {
             id,
-            incarnation: randomBytes(incarnationBytes).toString("base64url"),
+            incarnation: this.#incarnation,
             place,
             callerAddress: addressOf(front),
             peerAddress: addressOf(peers),
@@ -170,38 +183,10 @@
         };
         const random = xoroshiro128plus(randomBytes(4).readInt32LE());
         const membership = new Membership(self, this.#peers, settings, random, monotonicMs());
-        membership.members.subscribe(list => this.#follow(list));
+        membership.members.subscribe(list => this.#watch.follow(list));
         return membership;
     }
 
-    #follow(list: readonly EntryVm[]): void {
-        const before = new Map(this.#members.map(vm => [vm.id, vm]));
-        for (const vm of list) {
-            const known = before.get(vm.id);
-            before.delete(vm.id);
-            if (!known) {
-                const { id, incarnation, place } = vm;
-                this.#events.emit("member-joined", { id, incarnation, ...place });
-            } else if (known.state !== vm.state) {
-                this.#tellState(vm);
-            }
-        }
-        for (const { id, incarnation } of before.values()) {
-            this.#events.emit("member-dead", { id, incarnation });
-        }
-        this.#members = list;
-    }
-
-    #tellState({ id, incarnation, state }: EntryVm): void {
-        if (state === "suspect") {
-            this.#events.emit("member-suspect", { id, incarnation, reason: "no answer to pings" });
-        } else if (state === "leaving") {
-            this.#events.emit("member-left", { id, incarnation });
-        } else {
-            this.#events.emit("member-back", { id, incarnation });
-        }
-    }
-
     #makeFollower(): Follower {
         return new Follower({
             log: this.#platform.log,
@@ -209,8 +194,8 @@
             servers: this.#servers,
             clock: monotonicMs,
             delay,
-            rank: () => this.#readerRank(),
-            peers: () => this.#others.map(vm => vm.peerAddress),
+            rank: () => this.#watch.readerRank,
+            peers: () => this.#watch.others.map(vm => vm.peerAddress),
             tell: (peer, news) => this.#peers.tell(peer, news),
             events: {
                 config: (config, origin, ageMs) => this.#tookConfig(config, origin, ageMs),
@@ -232,17 +217,6 @@
         });
     }
 
-    /** Place among the entry VMs that read the store; those that leave come last. */
-    #readerRank(): number {
-        const alive = this.#members.filter(vm => vm.state === "alive");
-        const rank = orderFor(readersKey, alive).findIndex(vm => vm.id === this.#settings.id);
-        return rank === -1 ? alive.length : rank;
-    }
-
-    get #others(): readonly EntryVm[] {
-        return this.#members.filter(vm => vm.id !== this.#settings.id && vm.state !== "dead");
-    }
-
     #tookConfig(config: RouteConfig, origin: string, ageMs: number): void {
         this.#table = new RouteTable(config.routes);
         this.#front.follow(config.limits);
@@ -297,7 +271,7 @@
                 this.#deadlines.elapsedMs(`${route.host}${route.pathPrefix}`, deadlineMs),
             requested: service => this.#services.budget(service)?.requested(monotonicMs()),
             mayRepeat: service =>
-                this.#services.budget(service)?.take(monotonicMs(), this.#members.length) ?? false,
+                this.#services.budget(service)?.take(monotonicMs(), this.#watch.members.length) ?? false,
             agents: { repeatable: agent(keepIdleMs), once: agent(keepOnceMs) },
             isBehind: () => this.#lag.isBehind(turnMs, monotonicMs()),
             extraHeaders: req => this.#front.extraHeaders(req),
@@ -361,35 +335,6 @@
         });
     }
 
-    #answerReady(req: IncomingMessage, res: ServerResponse): void {
-        const known = req.url === this.#platform.wire.readyPath;
-        res.writeHead(known ? (this.#state === "serving" ? 200 : 503) : 404, { "Content-Length": "0" });
-        res.end();
-    }
-
-    #answerAddresses(req: IncomingMessage, res: ServerResponse): void {
-        const { wire } = this.#platform;
-        const question = wire.question(req.url ?? "");
-        const vms = question
-            ? this.#steering.dispatchers(hostOf(question.host), question.domain, this.#members)
-            : [];
-        if (!question || vms.length === 0) {
-            res.writeHead(question ? 503 : 404, { "Content-Length": "0" });
-            res.end();
-            return;
-        }
-        const addresses = vms.map(vm => vm.callerAddress);
-        const text = wire.addresses(addresses, this.#settings.addressTtlMs);
-        res.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(text) });
-        res.end(text);
-    }
-
-    async #answerMetrics(res: ServerResponse): Promise<void> {
-        const text = await this.#metrics.text();
-        res.writeHead(200, { "Content-Type": this.#metrics.contentType });
-        res.end(text);
-    }
-
     async #gossip(): Promise<void> {
         while (!this.#ended.signal.aborted) {
             const now = monotonicMs();
@@ -400,21 +345,22 @@
 
     /** Looks at queues often, and at demand and servers now and then. */
     async #turns(): Promise<void> {
-        let revision = -1;
-        let demandAt = monotonicMs();
         while (!this.#ended.signal.aborted) {
             await delay(turnMs, this.#ended.signal);
-            this.#lag.ran(turnMs, monotonicMs());
-            this.#services.tick();
-            if (this.#servers.revision !== revision || this.#state === "starting") {
-                revision = this.#servers.revision;
-                this.#followServers();
-            }
-            const now = monotonicMs();
-            if (now - demandAt >= demandPeriodMs) {
-                demandAt = now;
-                this.#shareDemand(now);
-            }
+            this.#turn(monotonicMs());
+        }
+    }
+
+    #turn(now: number): void {
+        this.#lag.ran(turnMs, now);
+        this.#services.tick();
+        if (this.#servers.revision !== this.#followedRevision || this.#state === "starting") {
+            this.#followedRevision = this.#servers.revision;
+            this.#followServers();
+        }
+        if (now - this.#demandAt >= demandPeriodMs) {
+            this.#demandAt = now;
+            this.#shareDemand(now);
         }
     }
 
@@ -426,7 +372,7 @@
                 this.#membership.setPayload(key, value);
             }
         }
-        const rates = this.#others.map(vm => ratesOf(this.#membership.payload(vm.id)));
+        const rates = this.#watch.others.map(vm => ratesOf(this.#membership.payload(vm.id)));
         for (const host of this.#table?.hosts ?? []) {
             const hash = shortHash(host);
             const others = rates.reduce((sum, it) => sum + (it.get(hash) ?? 0), 0);
@@ -434,10 +380,12 @@
         }
     }
 
-    #failed(doing: string, err: unknown): void {
-        this.#events.emit("internal-error", {
-            doing,
-            reason: err instanceof Error ? String(err.stack) : String(err),
+    /** A process that can't do one of these any more must end, so that it is started anew. */
+    #keepDoing(doing: string, work: Promise<void>): void {
+        work.catch((err: unknown) => {
+            const reason = err instanceof Error ? String(err.stack) : String(err);
+            this.#events.emit("internal-error", { doing, reason });
+            throw err;
         });
     }
 }
@@ -445,27 +393,11 @@
 const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
     `${host}:${port}`;
 
-const delay = async (ms: number, signal: AbortSignal): Promise<void> => {
-    if (signal.aborted) {
-        return;
-    }
-    await new Promise<void>(resolve => {
-        const done = (): void => {
-            clearTimeout(timer);
-            signal.removeEventListener("abort", done);
-            resolve();
-        };
-        const timer = setTimeout(done, ms);
-        signal.addEventListener("abort", done);
-    });
-};
-
 /** One deployment has one cluster; its network keeps others out. */
 const cluster = "gateway";
-const readersKey = "readers of the store";
 const incarnationBytes = 9;
 const comparedServers = 5;
-/** Requests that a whole core forwards in a second with room for bursts. */
+/** Requests that a whole core forwards in a second, half of what it can, for bursts. */
 const requestsPerCore = 220;
 const leastDispatchers = 1;
 /** Addresses that callers take of one answer. */
--- /dev/null
+++ b/packages/gateway/src/outcomes.ts
@@ -0,0 +1,73 @@
+/** How a routed request can end, and which error kind stands for each failure. */
+
+import type { SendEnd, Slot } from "@bramleymoor/balance/types";
+import type { Route } from "@bramleymoor/model/route";
+import { CallError, type ErrorKind } from "@bramleymoor/protocol/kinds";
+import type { Placement } from "./dispatcher.js";
+import type { RelayEnd } from "./relay.js";
+
+/** How a request ended for its caller. */
+export type ForwardOutcome = ErrorKind | "answered" | "body-broken" | "caller-gone";
+
+/** What is told of a finished request. */
+export interface ForwardRecord {
+    readonly requestId: string;
+    readonly route: Route | undefined;
+    readonly service: string;
+    readonly outcome: ForwardOutcome;
+    readonly status: number;
+    /** Incarnations of the servers that it was sent to, in order. */
+    readonly servers: readonly string[];
+    readonly queueMs: number;
+    readonly serverMs: number;
+    readonly totalMs: number;
+    /** What decided an outcome other than an answer. */
+    readonly detail: string;
+}
+
+/** The slot of a placement; throws the CallError that stands for any other end of the wait. */
+export const slotOf = (placement: Placement): Slot => {
+    switch (placement.kind) {
+        case "slot":
+            return placement.slot;
+        case "refused":
+            throw new CallError(placement.refusal.why, "", placement.refusal.retryAfterMs);
+        case "withdrawn":
+            throw new CallError("caller-gone");
+    }
+};
+
+/** The error of a request whose last send ended like this. */
+export const failureOf = (end: SendEnd): CallError => {
+    switch (end.kind) {
+        case "refused":
+            return new CallError("server-refused", `The last one said: ${end.why}.`, refusedRetryMs);
+        case "unreachable":
+            return new CallError("connect-failed", "", refusedRetryMs);
+        case "timeout":
+            return new CallError("deadline-sent");
+        case "answered":
+            return new CallError("server-lost", `The server failed with status ${end.status}.`);
+        default:
+            return new CallError("server-lost");
+    }
+};
+
+/** How a send ended whose answer was not passed on whole. */
+export const relayEnds: Readonly<Record<Exclude<RelayEnd, "whole">, SendEnd>> = {
+    "broken-unseen": { kind: "lost" },
+    broken: { kind: "lost" },
+    "caller-gone": { kind: "cancelled" },
+};
+
+/** What the caller got of an answer that has begun. */
+export const relayOutcomes: Readonly<
+    Record<Exclude<RelayEnd, "broken-unseen">, "answered" | "body-broken" | "caller-gone">
+> = {
+    whole: "answered",
+    broken: "body-broken",
+    "caller-gone": "caller-gone",
+};
+
+/** By then the connection or slot that was missing is likely to be there. */
+const refusedRetryMs = 150;
--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -35,6 +35,7 @@
     readonly #replies = new Map<number, (reply: GossipReply) => void>();
     #lastNumber = 0;
     #bytes = 0;
+    #closed = false;
 
     constructor(handlers: PeerHandlers) {
         this.#handlers = handlers;
@@ -81,12 +82,13 @@
     }
 
     close(): void {
+        this.#closed = true;
         this.#socket.close();
     }
 
     #write(peerAddress: string, envelope: Envelope): boolean {
         const data = Buffer.from(JSON.stringify(envelope));
-        if (data.length > datagramBytes) {
+        if (this.#closed || data.length > datagramBytes) {
             return false;
         }
         const { host, port } = splitAddress(peerAddress);
