--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -38,7 +38,7 @@
     readonly serviceOf: (route: Route) => string;
     /** undefined if the configuration doesn't know the service. */
     readonly dispatcher: (service: string) => Dispatcher | undefined;
-    /** How long callers of a route wait that have just begun, in milliseconds, and its newest attempt's time. */
+    /** Time since the caller's first attempt, told by how much it still waits; both in milliseconds. */
     readonly elapsedMs: (route: Route, deadlineMs: number) => number;
     /** Counts a first send. */
     readonly requested: (service: string) => void;
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -396,23 +396,36 @@
 /** One deployment has one cluster; its network keeps others out. */
 const cluster = "gateway";
 const incarnationBytes = 9;
+/** Servers asked before a send; the trials of the platform's page gain little beyond 3 to 6. */
 const comparedServers = 5;
 /** Requests that a whole core forwards in a second, half of what it can, for bursts. */
 const requestsPerCore = 220;
+/** One dispatcher sees all of a small host's load. */
 const leastDispatchers = 1;
 /** Addresses that callers take of one answer. */
 const mostDispatchers = 64;
+/** Longer than callers may keep an answer. */
 const shrinkAfterMs = 8_000;
+/** A dead entry VM is suspected within about a second among a few dozen. */
 const gossipPeriodMs = 300;
+/** Many round trips between failure domains, less than a period. */
 const pingTimeoutMs = 250;
+/** Below the 10 s after which servers close idle connections. */
 const keepIdleMs = 8_000;
 /** A request that must not run twice goes out only on a connection that was in use a moment ago. */
 const keepOnceMs = 1_500;
+/** Servers tell that time in whole seconds, so up to one may be missing. */
 const keepMarginMs = 1_500;
+/** Lateness of timeouts that callers don't notice. */
 const sweepPeriodMs = 10;
+/** About the time of a start. */
 const notReadyRetryMs = 300;
+/** Time for the news of a leaving entry VM to reach the others. */
 const leaveSpreadMs = 500;
+/** Kept back from the grace period for the last lines and the end of the process. */
 const stopReserveMs = 400;
 const leastSleepMs = 5;
+/** Queued requests are looked at so often when nothing else happens. */
 const turnMs = 50;
+/** Demand is told as often as gossip can carry it. */
 const demandPeriodMs = 500;
