Requests wait for a server that is not in a slow spell; in-time requests go by their target

Cause: a request's time is settled by its server's speed at its start. A quarter of the slots' time went to requests that could only be late. Ruled out: the queue (p50 24 ms), the links, the dispatchers' processors. Change: a server in a known slow spell gets nothing and is asked again after 50 ms, if the wait is shorter than the slow run. Each choice's load report and its age are in the request's log line.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -81,7 +81,7 @@
         if (usable.length === 0) {
             return { why: "no-server", retryAfterMs: noServerRetryMs * (1 + this.#random()) };
         }
-        if (this.#ahead(request, now) > this.#queueLimit(request, usable, now)) {
+        if (this.#ahead(request, now) > this.#queueLimit(request, now)) {
             return this.#overloaded(request, now);
         }
         this.#queue.add(request);
@@ -108,11 +108,11 @@
     next(now: number): Turn | undefined {
         const free = this.#free(now);
         const [best] = free;
-        if (!best || this.#freeSlots(now) <= this.#openTurns) {
+        if (!best || this.#freeSlots(free, now) <= this.#openTurns) {
             return undefined;
         }
         const soonestMs = this.#timeOn(best, now);
-        const request = this.#queue.peek(now, soonestMs);
+        const request = this.#queue.peek(soonestMs);
         if (!request) {
             return undefined;
         }
@@ -125,13 +125,20 @@
     /** Gives a request the best of the servers compared; it goes on waiting if none has a free slot any more. */
     grant(turn: Turn, now: number): Slot | undefined {
         this.#openTurns--;
-        const free = turn.candidates.filter(it => it.usable(now) && it.free(now) > 0);
+        const free = turn.candidates.filter(
+            it => it.usable(now) && it.free(now) > 0 && !it.knownSlow(now, this.#speed.usualMs),
+        );
         const [best] = this.#cheapest(free, now, turn.request.kind);
         if (!best) {
             this.#queue.add(turn.request);
             return undefined;
         }
-        const slot: Slot = { request: turn.request, server: best.entry, grantedAt: now };
+        const slot: Slot = {
+            request: turn.request,
+            server: best.entry,
+            grantedAt: now,
+            belief: best.belief(now),
+        };
         this.#starts.set(slot, { crowded: best.crowded(now), ownCost: best.ownCost(now) });
         best.start(slot);
         return slot;
@@ -163,19 +170,19 @@
         return this.servers.filter(it => it.usable(now));
     }
 
-    /** Servers with a free slot, cheapest first; those that fail only if there are no others. */
+    /** Servers with a free slot that aren't in a slow spell, cheapest first; those that fail only if there are no others. */
     #free(now: number): readonly ServerState[] {
         const usable = this.#usable(now);
         const sound = usable.filter(it => !it.ejected(now));
         const pool = sound.length > 0 ? sound : usable;
         return this.#cheapest(
-            pool.filter(it => it.free(now) > 0),
+            pool.filter(it => it.free(now) > 0 && !it.knownSlow(now, this.#speed.usualMs)),
             now,
         );
     }
 
-    #freeSlots(now: number): number {
-        return this.#usable(now).reduce((sum, it) => sum + Math.max(0, it.free(now)), 0);
+    #freeSlots(free: readonly ServerState[], now: number): number {
+        return free.reduce((sum, it) => sum + it.free(now), 0);
     }
 
     #candidates(request: Request, free: readonly ServerState[], now: number): readonly ServerState[] {
@@ -204,15 +211,14 @@
 
     /** Requests that would have to start before a new one gets a slot, itself included. */
     #ahead({ priority }: Request, now: number): number {
-        const free = this.#free(now).reduce((sum, it) => sum + it.free(now), 0);
+        const free = this.#freeSlots(this.#free(now), now);
         return this.#queue.asUrgent(priority) + 1 - Math.max(0, free - this.#openTurns);
     }
 
-    /** So many may wait that a new one can still meet its target, and always a few for slots that fall idle. */
-    #queueLimit(request: Request, usable: readonly ServerState[], now: number): number {
-        const slots = usable.reduce((sum, it) => sum + it.entry.slots, 0);
+    /** So many may wait that a new one can still meet its target. */
+    #queueLimit(request: Request, now: number): number {
         const slackMs = request.targetAt - now - this.expectedMs;
-        return Math.max(1, slots * idleReserveShare, (slackMs * slackShare) / this.#startEveryMs(now));
+        return Math.max(lateLimit, (slackMs * slackShare) / this.#startEveryMs(now));
     }
 
     /** A slot is likely to be free when the requests that wait now are gone; those told to return are spread. */
@@ -242,10 +248,10 @@
 const noServerRetryMs = 400;
 /** A caller that comes back sooner than a usual request takes finds the same queue. */
 const leastRetryMs = 120;
-/** Requests that wait for slots that may fall idle, as a share of the slots. */
-const idleReserveShare = 0.1;
+/** A request that can no longer meet its target may wait for a slot that falls idle, but not behind others. */
+const lateLimit = 1;
 /** Part of the time to spare before the target that may be spent waiting; the rest is for slower servers. */
-const slackShare = 0.6;
+const slackShare = 0.4;
 /** With less than this share of the expected time left, a request would probably not be answered. */
 const leastRunShare = 0.5;
 /** Share of the slots that a service which suffers from crowding uses under load. */
--- a/packages/balance/src/queue.ts
+++ b/packages/balance/src/queue.ts
@@ -2,7 +2,7 @@
 
 import type { Request } from "./types.js";
 
-/** Orders by urgency, then newest first; requests that can no longer meet their target come last. */
+/** Orders by urgency, then by target; requests that came too late to meet theirs come last. */
 export class WaitQueue {
     readonly #waiting = new Set<Request>();
 
@@ -19,16 +19,17 @@
     }
 
     /**
-     * The request to start next: of those that can still meet their target the most urgent, the newest first, as
-     * the older ones are the likelier to miss it after all; else the oldest of the others.
+     * The request to start next: of those that came in time the most urgent, the one with the nearest target
+     * first; else the oldest of the others. One that came in time keeps its place when its target passes: it was
+     * let in on the promise of a slot, and newer ones would overtake it until its deadline.
      *
      * @param expectedMs how long an answer takes on the server that is free
      */
-    peek(now: number, expectedMs: number): Request | undefined {
+    peek(expectedMs: number): Request | undefined {
         let best: Request | undefined;
         let bestLate = true;
         for (const request of this.#waiting) {
-            const late = now + expectedMs > request.targetAt;
+            const late = request.arrivedAt + expectedMs > request.targetAt;
             if (best === undefined || precedes(request, late, best, bestLate)) {
                 best = request;
                 bestLate = late;
@@ -61,5 +62,5 @@
     if (a.priority !== b.priority) {
         return a.priority < b.priority;
     }
-    return aLate ? a.arrivedAt < b.arrivedAt : a.targetAt > b.targetAt;
+    return aLate ? a.arrivedAt < b.arrivedAt : a.targetAt < b.targetAt;
 };
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -1,7 +1,7 @@
 /** What one balancer knows of one backend server: its load, its speed and its health. */
 
 import type { ServerEntry } from "@bramleymoor/model/route";
-import type { LoadReport, SendEnd, Slot } from "./types.js";
+import type { Belief, LoadReport, SendEnd, Slot } from "./types.js";
 
 /** One incarnation of a backend server. */
 export class ServerState {
@@ -66,11 +66,28 @@
         return this.#entry.slots - this.#slots.size - this.#others(now);
     }
 
+    /** What a choice made now rests on. */
+    belief(now: number): Belief {
+        return {
+            inFlight: this.#slots.size,
+            report: this.#report?.report,
+            ageMs: this.#report ? now - this.#report.at : 0,
+        };
+    }
+
     /** Whether the newest report is young enough to decide by. */
     isFresh(now: number): boolean {
         return this.#report !== undefined && now - this.#report.at <= freshMs;
     }
 
+    /** Whether its newest report, not yet worth asking again, says that work takes longer there than waiting for another server. */
+    knownSlow(now: number, usualMs: number): boolean {
+        if (!this.#report || now - this.#report.at > askAgainMs) {
+            return false;
+        }
+        return (this.#report.report.slowdown - 1) * usualMs > spellMs;
+    }
+
     /** Whether a request sent now would take one of its last slots. */
     crowded(now: number): boolean {
         return this.#fill(now) > crowdedFill;
@@ -165,14 +182,13 @@
         return Math.max(0, report.running + report.waiting - ownAtReport);
     }
 
-    /** A reported slowdown lasts about as long as a request takes, so only part of it counts. */
+    /** The speed at its start settles how long a request takes; what was told of it fades. */
     #slowdown(now: number): number {
         if (!this.#report) {
             return unknownSlowdown;
         }
         const faded = Math.exp((this.#report.at - now) / slowdownMemoryMs);
-        const told = 1 + (this.#report.report.slowdown - 1) * slowdownShare;
-        return unknownSlowdown + (told - unknownSlowdown) * faded;
+        return unknownSlowdown + (this.#report.report.slowdown - unknownSlowdown) * faded;
     }
 
     #cold(now: number): number {
@@ -187,10 +203,11 @@
 const freshMs = 25;
 /** Other entry VMs' requests are taken to have ended after this; two usual requests. */
 const othersMemoryMs = 300;
-/** A server's speed changes about every 150 ms. */
-const slowdownMemoryMs = 150;
-/** Part of a reported slowdown that a request started now lives through. */
-const slowdownShare = 0.3;
+/** A server's speed lasts for about 150 ms; half of that is left when it is seen. */
+const slowdownMemoryMs = 100;
+const spellMs = 75;
+/** A slow server is asked again after this: a third of the time for which a speed lasts. */
+const askAgainMs = 50;
 /** Slowdown expected of a server of which nothing is known: slow a third of the time. */
 const unknownSlowdown = 1.4;
 /** Share of slots in use above which servers may slow down. */
--- a/packages/balance/src/types.ts
+++ b/packages/balance/src/types.ts
@@ -32,6 +32,18 @@
     readonly request: Request;
     readonly server: ServerEntry;
     readonly grantedAt: number;
+    /** What was believed of the server when it was chosen. */
+    readonly belief: Belief;
+}
+
+/** What a choice of a server rested on. */
+export interface Belief {
+    /** Requests of this entry VM in flight there. */
+    readonly inFlight: number;
+    /** The newest load report; undefined if there was none. */
+    readonly report: LoadReport | undefined;
+    /** Age of that report, in milliseconds. */
+    readonly ageMs: number;
 }
 
 /** How a send ended. */
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,7 +1,7 @@
 /** One routed request, from its head to the last byte of its answer. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Request, SendEnd, Slot } from "@bramleymoor/balance/types";
+import type { Belief, Request, SendEnd, Slot } from "@bramleymoor/balance/types";
 import type { Route } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/kinds";
 import { asCallError } from "@bramleymoor/proxy/answers";
@@ -66,6 +66,7 @@
     #callerGone = false;
     #queueMs = 0;
     #serverMs = 0;
+    #belief: Belief | undefined = undefined;
 
     constructor(parts: ForwardParts, req: IncomingMessage, res: ServerResponse) {
         this.#parts = parts;
@@ -157,7 +158,9 @@
         const placing = dispatcher.place(request);
         const placement = await this.#abortable(placing, () => dispatcher.withdraw(request));
         this.#queueMs += this.#parts.clock() - from;
-        return slotOf(placement);
+        const slot = slotOf(placement);
+        this.#belief = slot.belief;
+        return slot;
     }
 
     /** Sends a request; gives what is told to the caller, or how the send failed if something may be done yet. */
@@ -302,6 +305,7 @@
             queueMs: this.#queueMs,
             serverMs: this.#serverMs,
             totalMs: this.#parts.clock() - this.#arrivedAt,
+            belief: this.#belief,
             detail,
         });
     }
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -23,7 +23,7 @@
 import { Front } from "./front.js";
 import { LoopLag } from "./looplag.js";
 import { MemberWatch } from "./memberwatch.js";
-import type { ForwardRecord } from "./outcomes.js";
+import { describeBelief, type ForwardRecord } from "./outcomes.js";
 import { PeerSocket } from "./peersocket.js";
 import { Services } from "./services.js";
 import type { GatewaySettings } from "./settings.js";
@@ -315,6 +315,7 @@
                 servers: servers.join(" "),
                 totalMs: Math.round(totalMs),
                 queueMs: Math.round(queueMs),
+                ...describeBelief(record.belief),
                 version,
             });
             return;
@@ -328,6 +329,7 @@
             servers: servers.join(" "),
             totalMs: Math.round(totalMs),
             queueMs: Math.round(queueMs),
+            ...describeBelief(record.belief),
             waiting: this.#services.dispatcher(service)?.waiting ?? 0,
             version,
             serversAgeMs: Math.round(monotonicMs() - this.#servers.asOf),
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -1,6 +1,6 @@
 /** How a routed request can end, and which error kind stands for each failure. */
 
-import type { SendEnd, Slot } from "@bramleymoor/balance/types";
+import type { Belief, SendEnd, Slot } from "@bramleymoor/balance/types";
 import type { Route } from "@bramleymoor/model/route";
 import { CallError, type ErrorKind } from "@bramleymoor/protocol/kinds";
 import type { Placement } from "./dispatcher.js";
@@ -21,10 +21,26 @@
     readonly queueMs: number;
     readonly serverMs: number;
     readonly totalMs: number;
+    /** What the last choice of a server rested on; undefined if none was chosen. */
+    readonly belief: Belief | undefined;
     /** What decided an outcome other than an answer. */
     readonly detail: string;
 }
 
+/** A belief as it is logged: requests of this entry VM there, then running, waiting, slots and slowdown as told. */
+export const describeBelief = (
+    belief: Belief | undefined,
+): { readonly load: string; readonly loadAgeMs: number } => {
+    if (!belief) {
+        return { load: "", loadAgeMs: 0 };
+    }
+    const { inFlight, report, ageMs } = belief;
+    const told = report
+        ? `${report.running},${report.waiting},${report.slots},${report.slowdown}`
+        : "not told";
+    return { load: `own ${inFlight}; ${told}`, loadAgeMs: Math.round(ageMs) };
+};
+
 /** The slot of a placement; throws the CallError that stands for any other end of the wait. */
 export const slotOf = (placement: Placement): Slot => {
     switch (placement.kind) {
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -155,7 +155,7 @@
     "request-answered": row(
         8010,
         "info",
-        "Request {requestId} for {route} answered with {status} by {servers} after {totalMs} ms ({queueMs} ms queued); configuration {version}.",
+        "Request {requestId} for {route} answered with {status} by {servers} after {totalMs} ms ({queueMs} ms queued); chosen by load [{load}] of {loadAgeMs} ms ago; configuration {version}.",
         {
             requestId: "string",
             route: "string",
@@ -163,14 +163,18 @@
             servers: "string",
             totalMs: "number",
             queueMs: "number",
+            load: "string",
+            loadAgeMs: "number",
             version: "number",
         },
     ),
     "request-failed": row(
         8011,
         "info",
-        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}]; configuration {version}. {detail}",
+        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] of {loadAgeMs} ms ago; configuration {version}. {detail}",
         {
+            load: "string",
+            loadAgeMs: "number",
             requestId: "string",
             route: "string",
             service: "string",
