A server that was asked for its load gets nothing before it answers; one candidate is asked too

Change: servers asked are out of the choice until they answer (one that never answers stays in it); the first calm, idle answer ends the comparison; a lone candidate is asked; a question that meets a closed connection is asked once more.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -106,7 +106,7 @@
 
     /** Takes the next request from the queue if there is a free slot for it. */
     next(now: number): Turn | undefined {
-        const free = this.#free(now);
+        const free = this.#free(now).filter(it => !it.awaited);
         const [best] = free;
         if (!best || this.#freeSlots(free, now) <= this.#openTurns) {
             return undefined;
@@ -126,7 +126,8 @@
     grant(turn: Turn, now: number): Slot | undefined {
         this.#openTurns--;
         const free = turn.candidates.filter(
-            it => it.usable(now) && it.free(now) > 0 && !it.knownSlow(now, this.#speed.usualMs),
+            it =>
+                it.usable(now) && it.free(now) > 0 && !it.awaited && !it.knownSlow(now, this.#speed.usualMs),
         );
         const [best] = this.#cheapest(free, now, turn.request.kind);
         if (!best) {
@@ -161,6 +162,21 @@
         this.#servers.get(keyOf(server))?.reported(report, at);
     }
 
+    /** Takes note of a load question on its way; until its answer comes the server gets nothing. */
+    asked(server: ServerEntry): void {
+        this.#servers.get(keyOf(server))?.asked();
+    }
+
+    /** Takes note of an answer to a load question that says nothing of load. */
+    answeredWithoutLoad(server: ServerEntry): void {
+        this.#servers.get(keyOf(server))?.answeredWithoutLoad();
+    }
+
+    /** Whether one of a turn's servers is known to be as good as any. */
+    isReady(turn: Turn, now: number): boolean {
+        return turn.candidates.some(it => it.usable(now) && it.isIdeal(now));
+    }
+
     /** Takes note of a load question without an answer. */
     unanswered(server: ServerEntry, now: number): void {
         this.#servers.get(keyOf(server))?.unanswered(now);
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -10,6 +10,12 @@
     readonly #slots = new Set<Slot>();
     readonly #firstSeenAt: number;
     #report: { readonly report: LoadReport; readonly ownAtReport: number; readonly at: number } | undefined;
+    /** Whether a load question to it has no answer yet. */
+    #asked = false;
+    /** Whether its last load question stayed without an answer. */
+    #mute = false;
+    /** Whether it answers such questions without telling its load. */
+    #tellsNothing = false;
     #failures = 0;
     #ejectedUntil = -Infinity;
     #leavingUntil = -Infinity;
@@ -75,9 +81,19 @@
         };
     }
 
-    /** Whether the newest report is young enough to decide by. */
+    /** Whether asking it for its load would tell nothing new. */
     isFresh(now: number): boolean {
-        return this.#report !== undefined && now - this.#report.at <= freshMs;
+        return this.#tellsNothing || (this.#report !== undefined && now - this.#report.at <= freshMs);
+    }
+
+    /** Whether its load is about to be known; a server that doesn't answer such questions isn't waited for. */
+    get awaited(): boolean {
+        return this.#asked && !this.#mute;
+    }
+
+    /** Whether it is known to be calm and to have slots to spare, so that no other can be much better. */
+    isIdeal(now: number): boolean {
+        return this.isFresh(now) && this.free(now) > 0 && !this.crowded(now) && this.ownCost(now) < idealCost;
     }
 
     /** Whether its newest report, not yet worth asking again, says that work takes longer there than waiting for another server. */
@@ -113,8 +129,23 @@
         return this.#slowdown(now) * this.#cold(now) * doubt;
     }
 
+    /** Takes note of a load question on its way. */
+    asked(): void {
+        this.#asked = true;
+    }
+
+    /** Takes note of an answer to a load question that says nothing of load. */
+    answeredWithoutLoad(): void {
+        this.#asked = false;
+        this.#mute = false;
+        this.#tellsNothing = true;
+    }
+
     /** Takes a load report that was made at `at`. */
     reported(report: LoadReport, at: number): void {
+        this.#asked = false;
+        this.#mute = false;
+        this.#tellsNothing = false;
         if (this.#report === undefined || at >= this.#report.at) {
             this.#report = { report, ownAtReport: this.#slots.size, at };
         }
@@ -139,6 +170,8 @@
 
     /** Takes note of a load question that brought no answer. */
     unanswered(now: number): void {
+        this.#asked = false;
+        this.#mute = true;
         this.#judge(true, now);
     }
 
@@ -212,6 +245,8 @@
 const unknownSlowdown = 1.4;
 /** Share of slots in use above which servers may slow down. */
 const crowdedFill = 0.8;
+/** Cost up to which no other server is worth waiting for: a sound one at its usual speed. */
+const idealCost = 1.2;
 /** Prefers emptier servers below that. */
 const fillCost = 0.1;
 const coldCost = 2;
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -157,6 +157,26 @@
     assert.ok(next && it.grant(next, 111));
 });
 
+test("a server that was asked for its load gets nothing before it has answered", () => {
+    const it = balancer(entry("s1"), entry("s2"));
+    it.report(entry("s2"), load(1), 0);
+    it.asked(entry("s1"));
+    assert.equal(place(it, 0)?.server.id, "s2");
+    it.report(entry("s1"), load(0), 5);
+    assert.equal(place(it, 5)?.server.id, "s1");
+});
+
+test("a server that never answers for its load still gets work, after the others", () => {
+    const it = balancer(entry("s1"), entry("s2"));
+    it.asked(entry("s1"));
+    it.unanswered(entry("s1"), 0);
+    it.asked(entry("s1"));
+    it.report(entry("s2"), load(0), 0);
+    assert.equal(place(it, 0)?.server.id, "s2");
+    it.report(entry("s2"), load(2), 1);
+    assert.equal(place(it, 1)?.server.id, "s1");
+});
+
 test("a server that is a little slower is used at once", () => {
     const it = balancer(entry("s1"));
     it.report(entry("s1"), load(0, 1.4), 0);
--- a/packages/gateway/src/asks.ts
+++ b/packages/gateway/src/asks.ts
@@ -47,13 +47,19 @@
         this.#agent.destroy();
     }
 
-    #send(server: ServerEntry, path: string): Promise<LoadAnswer | undefined> {
+    /** Asks; once more over a new connection if the server had closed the one that was used before. */
+    async #send(server: ServerEntry, path: string): Promise<LoadAnswer | undefined> {
+        const first = await this.#exchange(server, path);
+        return first === "closed" ? asAnswer(await this.#exchange(server, path)) : first;
+    }
+
+    #exchange(server: ServerEntry, path: string): Promise<LoadAnswer | "closed" | undefined> {
         this.#asked++;
         const { host, port } = splitAddress(server.address);
         return new Promise(resolve => {
             const req = request({ host, port, path, agent: this.#agent });
-            const timer = setTimeout(() => req.destroy(), answerTimeoutMs);
-            const done = (answer: LoadAnswer | undefined): void => {
+            const timer = setTimeout(() => req.destroy(new AskTimeoutError()), answerTimeoutMs);
+            const done = (answer: LoadAnswer | "closed" | undefined): void => {
                 clearTimeout(timer);
                 resolve(answer);
             };
@@ -66,13 +72,20 @@
                     misdirected: id !== undefined && id !== server.id,
                 });
             });
-            req.on("error", () => done(undefined));
+            req.on("error", err => done(req.reusedSocket && !timedOut(err) ? "closed" : undefined));
             req.on("close", () => done(undefined));
             req.end();
         });
     }
 }
 
+class AskTimeoutError extends Error {}
+
+const timedOut = (err: Error): boolean => err instanceof AskTimeoutError;
+
+const asAnswer = (answer: LoadAnswer | "closed" | undefined): LoadAnswer | undefined =>
+    answer === "closed" ? undefined : answer;
+
 /** A question without an answer is given up after this; far above a round trip, so that it shows a dead server. */
 const answerTimeoutMs = 400;
 const keepMs = 8_000;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -15,14 +15,14 @@
 /** What a dispatcher needs. */
 export interface DispatcherParts {
     readonly balancer: Balancer;
-    readonly asker: LoadAsker;
+    readonly asker: Pick<LoadAsker, "ask">;
     readonly clock: () => number;
 }
 
 /** Places the requests of one service. */
 export class Dispatcher {
     readonly #balancer: Balancer;
-    readonly #asker: LoadAsker;
+    readonly #asker: Pick<LoadAsker, "ask">;
     readonly #clock: () => number;
     readonly #waiting = new Map<Request, (placement: Placement) => void>();
     #settings: ServiceSettings;
@@ -99,35 +99,49 @@
             if (!turn) {
                 return;
             }
-            const stale = this.#stale(turn.candidates);
+            const now = this.#clock();
+            const stale = turn.candidates.filter(it => !it.isFresh(now));
             if (stale.length === 0) {
                 this.#grant(turn, 0);
             } else {
-                void this.#compare(turn, stale);
+                this.#compare(turn, stale);
             }
         }
     }
 
-    /** Servers to ask: none if there is only one to choose. */
-    #stale(candidates: readonly ServerState[]): readonly ServerState[] {
-        const now = this.#clock();
-        return candidates.length < 2 ? [] : candidates.filter(it => !it.isFresh(now));
-    }
-
-    async #compare(turn: Turn, stale: readonly ServerState[]): Promise<void> {
+    /** Asks servers, and grants when one of them is known to be as good as any, all have answered, or time is up. */
+    #compare(turn: Turn, stale: readonly ServerState[]): void {
         const began = this.#clock();
-        const asked = stale.map(it => this.#ask(it.entry, began));
-        await Promise.race([Promise.all(asked), pause(comparingMs)]);
-        this.#grant(turn, this.#clock() - began);
-        this.#pump();
+        let missing = stale.length;
+        let over = false;
+        const finish = (): void => {
+            if (!over) {
+                over = true;
+                clearTimeout(timer);
+                this.#grant(turn, this.#clock() - began);
+            }
+            this.#pump();
+        };
+        const timer = setTimeout(finish, comparingMs);
+        for (const { entry } of stale) {
+            void this.#ask(entry, began).then(() => {
+                missing--;
+                if (over || missing === 0 || this.#balancer.isReady(turn, this.#clock())) {
+                    finish();
+                }
+            });
+        }
     }
 
     async #ask(server: ServerEntry, began: number): Promise<void> {
+        this.#balancer.asked(server);
         const answer = await this.#asker.ask(server, this.#settings.healthPath);
         if (!answer || answer.misdirected) {
             this.#balancer.unanswered(server, this.#clock());
         } else if (answer.report) {
             this.#balancer.report(server, answer.report, began);
+        } else {
+            this.#balancer.answeredWithoutLoad(server);
         }
     }
 
@@ -149,7 +163,5 @@
     }
 }
 
-const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
-
 /** Longest wait for answers about load: several round trips between failure domains. */
 const comparingMs = 12;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -77,6 +77,10 @@
                 }
                 const body = data.slice(head.length, head.length + length);
                 data = data.slice(head.length + length);
+                if (head.startsWith("GET /health ")) {
+                    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
                 const arrival = { socket, head, body, id: /t-id: (\S+)/.exec(head)?.[1] ?? "", nth: nth++ };
                 arrivals.push(arrival);
                 script(arrival);
