--- a/packages/bench/src/fuzz-config-trace.ts
+++ b/packages/bench/src/fuzz-config-trace.ts
@@ -1,7 +1,7 @@
 /** Replay of recorded traces of configuration's faults; the format is described in traces/README.md. */
 
 import { readFile } from "node:fs/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { configSteps } from "./fuzz-config-steps.js";
 import { ConfigWorld } from "./fuzz-config-world.js";
 
--- a/packages/bench/src/loadplan.ts
+++ b/packages/bench/src/loadplan.ts
@@ -2,7 +2,7 @@
 
 import { readFileSync, writeFileSync } from "node:fs";
 import type { Random } from "@bramleymoor/dispatch/random";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A kind of call in a mix. */
 export interface Kind {
--- a/packages/cli/src/entries.ts
+++ b/packages/cli/src/entries.ts
@@ -1,7 +1,7 @@
 /** Asks entry VMs through their operators' ports. */
 
 import { request, type IncomingMessage } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { CliError } from "./exit.js";
 import type { Settings } from "./settings.js";
 
--- a/packages/config/src/checkpoint.ts
+++ b/packages/config/src/checkpoint.ts
@@ -1,7 +1,7 @@
 /** Checkpoints: the accepted version written to a stream of its own, in parts followed by an end record. */
 
 import type { LogService } from "@bramleymoor/platform/log";
-import { z } from "zod";
+import * as z from "zod";
 import { readJson } from "./record.js";
 import { snapshotHeadSchema, type Snapshot, type SnapshotHead } from "./snapshot.js";
 
--- a/packages/config/src/peers.ts
+++ b/packages/config/src/peers.ts
@@ -1,6 +1,6 @@
 /** What entry VMs tell each other of accepted versions. */
 
-import { z } from "zod";
+import * as z from "zod";
 import { snapshotHeadSchema, snapshotSchema } from "./snapshot.js";
 
 /** Asks other entry VMs. */
--- a/packages/config/src/record.ts
+++ b/packages/config/src/record.ts
@@ -1,7 +1,7 @@
 /** Publications as records of the log. */
 
 import type { Change } from "@bramleymoor/model/document";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Stream that operators publish to. */
 export const configStream = "config";
--- a/packages/config/src/snapshot.ts
+++ b/packages/config/src/snapshot.ts
@@ -1,7 +1,7 @@
 /** A whole accepted version with its place in the log, as checkpoints and peers carry it. */
 
 import { Document } from "@bramleymoor/model/document";
-import { z } from "zod";
+import * as z from "zod";
 import { emptyVersion, type Accepted, type Grammars } from "./version.js";
 
 const count = z.number().int().nonnegative();
--- a/packages/discovery/src/news.ts
+++ b/packages/discovery/src/news.ts
@@ -1,6 +1,6 @@
 /** What entry VMs tell each other of the store, with their schema. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 const whole = z.number().int().nonnegative();
 
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -7,7 +7,7 @@
 import type { AddressAnswer } from "@bramleymoor/protocol/answer";
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
-import { z } from "zod";
+import * as z from "zod";
 import type { SharedKey } from "./key.js";
 
 /** Largest message between peers, in bytes; a whole text of the target's size fits. */
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -10,7 +10,7 @@
     type KeyTable,
 } from "@bramleymoor/model/ini-file";
 import { formatError, suggest, textError, type TextError } from "@bramleymoor/model/text-error";
-import { z } from "zod";
+import * as z from "zod";
 import { SharedKey } from "./key.js";
 
 /** "IP:port" taken apart. */
--- a/packages/entry/src/slotchannel.ts
+++ b/packages/entry/src/slotchannel.ts
@@ -7,7 +7,7 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
 import { createSocket, type Socket } from "node:dgram";
 import type { PeerMessage } from "@bramleymoor/dispatch/sharing";
-import { z } from "zod";
+import * as z from "zod";
 
 const macBytes = 16;
 const maxDatagramBytes = 1_400;
--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -10,7 +10,7 @@
     type Transport,
 } from "@bramleymoor/membership/messages";
 import { deflateSync, inflateSync } from "node:zlib";
-import { z } from "zod";
+import * as z from "zod";
 import { splitAddress } from "./exchange.js";
 
 const envelopeSchema = z.discriminatedUnion("kind", [
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -1,6 +1,6 @@
 /** Messages between entry VMs about who is alive, with their schemas and bounds. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { HealthRecord, MemberRecord, Payload } from "./record.js";
 
 /** Number of the messages' form; another form is refused. */
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -1,7 +1,7 @@
 /** The platform over HTTP; the protocol is described in docs/PROTOCOL-PLATFORM.md. */
 
 import { Agent, request, type ClientRequest, type IncomingMessage } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { PlatformError, type LogBatch, type LogService } from "./log.js";
 import type { ListedVm, VmList } from "./vms.js";
 
--- a/packages/protocol/src/answer.ts
+++ b/packages/protocol/src/answer.ts
@@ -1,6 +1,6 @@
 /** The JSON answers that cross process borders: addresses for callers, load reports, error bodies. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** Answer to "which addresses": schema. */
 export const addressAnswerSchema = z.object({
