A service's entry VMs divide its servers by preference; three servers are compared

Change: rendezvous hashing leaves each server to one dispatcher of its failure domain; to the others it costs 1.2 times as much, less than one request running there. Three are asked, not five: if none is calm the next three are. The balancer reckons each cost once and does nothing while nobody waits; an exchange that is over builds no error.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -35,6 +35,8 @@
     readonly #speed = new SpeedModel();
     /** What is needed of slots in flight to learn from their ends. */
     readonly #starts = new Map<Slot, Start>();
+    /** Ids of the servers that are left to this entry VM by preference; undefined if it has no part of its own. */
+    #own: ReadonlySet<string> | undefined = undefined;
     /** Turns handed out and not yet granted or given up; each will take a slot. */
     #openTurns = 0;
 
@@ -75,6 +77,11 @@
         }
     }
 
+    /** Takes which servers the service's entry VMs leave to this one by preference; undefined if it has no part. */
+    prefer(own: ReadonlySet<string> | undefined): void {
+        this.#own = own;
+    }
+
     /** Queues a request, or tells why not. */
     submit(request: Request, now: number): Refusal | undefined {
         const usable = this.#usable(now);
@@ -106,30 +113,30 @@
 
     /** Takes the next request from the queue if there is a free slot for it. */
     next(now: number): Turn | undefined {
+        if (this.#queue.size === 0) {
+            return undefined;
+        }
         const free = this.#free(now).filter(it => !it.awaited);
-        const [best] = free;
-        if (!best || this.#freeSlots(free, now) <= this.#openTurns) {
+        const [best] = this.#cheapest(free, 1, now);
+        if (!best || slotsOf(free, now) <= this.#openTurns) {
             return undefined;
         }
-        const soonestMs = this.#timeOn(best, now);
-        const request = this.#queue.peek(soonestMs);
+        const request = this.#queue.peek(this.#timeOn(best, now));
         if (!request) {
             return undefined;
         }
-        const candidates = this.#candidates(request, free, now);
+        const untried = free.filter(it => !request.tried.includes(it.entry.id));
+        const allowed = untried.length > 0 ? untried : free;
         this.#queue.remove(request);
         this.#openTurns++;
-        return { request, candidates };
+        return { request, candidates: this.#cheapest(allowed, this.#settings.compared, now, request.kind) };
     }
 
     /** Gives a request the best of the servers compared; it goes on waiting if none has a free slot any more. */
     grant(turn: Turn, now: number): Slot | undefined {
         this.#openTurns--;
-        const free = turn.candidates.filter(
-            it =>
-                it.usable(now) && it.free(now) > 0 && !it.awaited && !it.knownSlow(now, this.#speed.usualMs),
-        );
-        const [best] = this.#cheapest(free, now, turn.request.kind);
+        const free = turn.candidates.filter(it => it.usable(now) && !it.awaited && this.#isOpen(it, now));
+        const [best] = this.#cheapest(free, 1, now, turn.request.kind);
         if (!best) {
             this.#queue.add(turn.request);
             return undefined;
@@ -186,48 +193,49 @@
         return this.servers.filter(it => it.usable(now));
     }
 
-    /** Servers with a free slot that aren't in a slow spell, cheapest first; those that fail only if there are no others. */
+    /** Servers with a free slot that aren't in a slow spell; those that fail only if there are no others. */
     #free(now: number): readonly ServerState[] {
         const usable = this.#usable(now);
         const sound = usable.filter(it => !it.ejected(now));
-        const pool = sound.length > 0 ? sound : usable;
-        return this.#cheapest(
-            pool.filter(it => it.free(now) > 0 && !it.knownSlow(now, this.#speed.usualMs)),
-            now,
-        );
+        return (sound.length > 0 ? sound : usable).filter(it => this.#isOpen(it, now));
     }
 
-    #freeSlots(free: readonly ServerState[], now: number): number {
-        return free.reduce((sum, it) => sum + it.free(now), 0);
-    }
-
-    #candidates(request: Request, free: readonly ServerState[], now: number): readonly ServerState[] {
-        const untried = free.filter(it => !request.tried.includes(it.entry.id));
-        const allowed = untried.length > 0 ? untried : free;
-        return this.#cheapest(allowed, now, request.kind).slice(0, this.#settings.compared);
+    #isOpen(server: ServerState, now: number): boolean {
+        return server.free(now) > 0 && !server.knownSlow(now, this.#speed.usualMs);
     }
 
     #timeOn(server: ServerState, now: number): number {
         return this.#speed.usualMs * server.cost(now, this.#speed.crowdedFactor);
     }
 
+    /** The `count` cheapest servers, in order. */
     #cheapest(
         servers: readonly ServerState[],
+        count: number,
         now: number,
         kind: RouteKind = "idempotent",
     ): readonly ServerState[] {
+        const factor = this.#speed.crowdedFactor;
         const costs = servers.map(it => {
             const far = it.entry.domain === this.#settings.domain ? 1 : farCosts[kind];
-            const cost = it.cost(now, this.#speed.crowdedFactor) * far;
-            return { it, cost: cost * (1 + this.#random() * tieSpread) };
+            const foreign = !this.#own || this.#own.has(it.entry.id) ? 1 : foreignCost;
+            return { it, cost: it.cost(now, factor) * far * foreign * (1 + this.#random() * tieSpread) };
         });
-        costs.sort((a, b) => a.cost - b.cost);
-        return costs.map(({ it }) => it);
+        const best: { readonly it: ServerState; readonly cost: number }[] = [];
+        for (const one of costs) {
+            const last = best[count - 1];
+            if (!last || one.cost < last.cost) {
+                const at = best.findIndex(it => one.cost < it.cost);
+                best.splice(at === -1 ? best.length : at, 0, one);
+                best.length = Math.min(best.length, count);
+            }
+        }
+        return best.map(({ it }) => it);
     }
 
     /** Requests that would have to start before a new one gets a slot, itself included. */
     #ahead({ priority }: Request, now: number): number {
-        const free = this.#freeSlots(this.#free(now), now);
+        const free = slotsOf(this.#free(now), now);
         return this.#queue.asUrgent(priority) + 1 - Math.max(0, free - this.#openTurns);
     }
 
@@ -258,6 +266,9 @@
     readonly ownCost: number;
 }
 
+const slotsOf = (servers: readonly ServerState[], now: number): number =>
+    servers.reduce((sum, it) => sum + it.free(now), 0);
+
 /** Tells incarnations apart, also of a server that kept its id over a restart. */
 const keyOf = (entry: ServerEntry): string => `${entry.id}@${entry.bornAt}`;
 
@@ -274,6 +285,8 @@
 const uncrowdedShare = 0.6;
 /** Random spread of costs, so that dispatchers that see the same don't all choose alike. */
 const tieSpread = 0.05;
+/** Cost of a server that is another entry VM's by preference: less than that of one with a request running. */
+const foreignCost = 1.2;
 /** Cost of a server in another failure domain: a longer way, and for downloads many bytes on links that are paid for. */
 const farCosts: Readonly<Record<RouteKind, number>> = {
     idempotent: 1.05,
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -177,6 +177,15 @@
     assert.equal(place(it, 1)?.server.id, "s1");
 });
 
+test("servers left to this entry VM are preferred, but not to an idle one that is another's", () => {
+    const it = balancer(entry("s1"), entry("s2"));
+    it.prefer(new Set(["s1"]));
+    it.report(entry("s1"), load(0), 0);
+    it.report(entry("s2"), load(0), 0);
+    assert.equal(place(it, 0)?.server.id, "s1");
+    assert.equal(place(it, 0)?.server.id, "s2");
+});
+
 test("a server that is a little slower is used at once", () => {
     const it = balancer(entry("s1"));
     it.report(entry("s1"), load(0, 1.4), 0);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -39,6 +39,8 @@
     #socket: Socket | undefined = undefined;
     #connected = false;
     #reset = false;
+    /** Whether `head` has been settled. */
+    #settled = false;
     #fail: (error: SendError) => void = () => undefined;
     readonly #noteReset = (): void => {
         this.#reset = true;
@@ -56,8 +58,14 @@
             setHost: false,
         });
         this.head = new Promise((resolve, reject) => {
-            this.#fail = reject;
-            this.#req.on("response", res => this.#answered(res, out, wire, resolve));
+            this.#fail = error => {
+                this.#settled = true;
+                reject(error);
+            };
+            this.#req.on("response", res => {
+                this.#answered(res, out, wire, resolve);
+                this.#settled = true;
+            });
         });
         this.#req.on("error", err => this.#broke(err.message));
         this.#req.on("close", () => {
@@ -133,6 +141,9 @@
     }
 
     #broke(detail: string): void {
+        if (this.#settled) {
+            return;
+        }
         this.#fail(new SendError({ kind: this.#connected ? "lost" : "unreachable" }, detail));
     }
 }
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -28,7 +28,7 @@
 import { Services } from "./services.js";
 import type { GatewaySettings } from "./settings.js";
 import { SideServers } from "./sideservers.js";
-import { DemandCounter, ratesOf, shortHash, Steering } from "./steering.js";
+import { DemandCounter, ownServers, ratesOf, shortHash, Steering } from "./steering.js";
 import type { Wire } from "./wire.js";
 
 /** What the platform in use gives an entry process. */
@@ -380,6 +380,25 @@
             const others = rates.reduce((sum, it) => sum + (it.get(hash) ?? 0), 0);
             this.#steering.observe(host, others + (this.#demand.rates.get(host) ?? 0), now);
         }
+        this.#shareServers();
+    }
+
+    /** Divides the servers of each service in use here among the entry VMs that serve its hosts. */
+    #shareServers(): void {
+        const hosts = new Map<string, Set<string>>();
+        const used = (this.#config.config?.routes ?? []).filter(it => this.#demand.rates.has(it.host));
+        for (const { host, destinations } of used) {
+            for (const { service } of destinations) {
+                hosts.set(service, (hosts.get(service) ?? new Set()).add(host));
+            }
+        }
+        const entries = this.#servers.servers().map(it => it.entry);
+        for (const [service, names] of hosts) {
+            const dispatchers = this.#steering.dispatchersOfAll(names, this.#watch.members);
+            const servers = entries.filter(it => it.service === service);
+            const own = ownServers(this.#settings.id, dispatchers, servers);
+            this.#services.dispatcher(service)?.balancer.prefer(own);
+        }
     }
 
     /** A process that can't do one of these any more must end, so that it is started anew. */
@@ -399,7 +418,7 @@
 const cluster = "gateway";
 const incarnationBytes = 9;
 /** Servers asked before a send; the trials of the platform's page gain little beyond 3 to 6. */
-const comparedServers = 5;
+const comparedServers = 3;
 /** Requests that a whole core forwards in a second, half of what it can, for bursts. */
 const requestsPerCore = 220;
 /** One dispatcher sees all of a small host's load. */
--- a/packages/gateway/src/steering.ts
+++ b/packages/gateway/src/steering.ts
@@ -1,5 +1,6 @@
 /** Which entry VMs callers of a host are sent to, from the members and the demand that they tell each other. */
 
+import type { ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import { Demand, type DemandSettings } from "@bramleymoor/placement/demand";
 import { place } from "@bramleymoor/placement/placement";
@@ -75,6 +76,18 @@
         this.#demand.observe(host, perSecond, now);
     }
 
+    /** Entry VMs for the callers of some hosts, wherever they are. */
+    dispatchersOfAll(hosts: Iterable<string>, members: readonly EntryVm[]): readonly EntryVm[] {
+        const domains = new Set(members.map(vm => vm.place.domain));
+        const all = new Map<string, EntryVm>();
+        for (const host of hosts) {
+            for (const domain of domains) {
+                this.dispatchers(host, domain, members).forEach(vm => all.set(vm.id, vm));
+            }
+        }
+        return [...all.values()];
+    }
+
     /**
      * Entry VMs for a host's callers in one failure domain: those in the domain, if the host's demand needs so
      * many that every domain has some, else all of them.
@@ -91,6 +104,25 @@
     }
 }
 
+/**
+ * Servers that `self` prefers of those that several dispatchers share: each server is left to one of the
+ * dispatchers of its failure domain, or to one of all if its domain has none. Undefined if `self` is none of them.
+ */
+export const ownServers = (
+    self: string,
+    dispatchers: readonly EntryVm[],
+    servers: readonly ServerEntry[],
+): ReadonlySet<string> | undefined => {
+    if (dispatchers.length < 2 || !dispatchers.some(vm => vm.id === self)) {
+        return undefined;
+    }
+    const own = servers.filter(({ id, domain }) => {
+        const near = dispatchers.filter(vm => vm.place.domain === domain);
+        return place(id, near.length > 0 ? near : dispatchers, 1)[0]?.id === self;
+    });
+    return new Set(own.map(({ id }) => id));
+};
+
 /** Enough to tell hosts apart within one deployment: a clash only adds their rates up. */
 export const shortHash = (host: string): string => {
     let hash = 2166136261;
--- a/packages/gateway/test/steering.test.ts
+++ b/packages/gateway/test/steering.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { EntryVm, VmState } from "@bramleymoor/model/vm";
-import { DemandCounter, ratesOf, shortHash, Steering } from "../src/steering.js";
+import { DemandCounter, ownServers, ratesOf, shortHash, Steering } from "../src/steering.js";
 
 const vm = (id: string, domain: string, state: VmState = "alive"): EntryVm => ({
     id,
@@ -54,6 +54,30 @@
     assert.notEqual(steering.dispatchers("h", "a", without)[0]?.id, first?.id);
 });
 
+test("the dispatchers of a service divide its servers, each taking those of its failure domain", () => {
+    const dispatchers = [vm("a1", "a"), vm("a2", "a"), vm("b1", "b")];
+    const servers = ["a", "b", "c"].flatMap(domain =>
+        Array.from({ length: 20 }, (_, i) => ({
+            id: `${domain}-s${i}`,
+            bornAt: 1,
+            service: "svc",
+            address: "10.0.0.1:80",
+            domain,
+            slots: 2,
+            leaving: false,
+            warmUpMs: 0,
+        })),
+    );
+    const parts = dispatchers.map(({ id }) => ownServers(id, dispatchers, servers) ?? new Set<string>());
+    assert.equal(new Set(parts.flatMap(it => [...it])).size, servers.length);
+    assert.equal(
+        parts.reduce((sum, it) => sum + it.size, 0),
+        servers.length,
+    );
+    assert.ok([...(parts[2] ?? [])].every(id => !id.startsWith("a-")));
+    assert.equal(ownServers("b2", dispatchers, servers), undefined, "no dispatcher, no part");
+});
+
 test("demand survives its way through a member's payload", () => {
     const counter = new DemandCounter(0);
     for (let i = 0; i < 100; i++) {
