--- a/packages/gateway/src/memberwatch.ts
+++ b/packages/gateway/src/memberwatch.ts
@@ -10,6 +10,7 @@
     readonly #hasSeeds: boolean;
     readonly #events: EventLog;
     #members: readonly EntryVm[] = [];
+    #mostMembers = 0;
 
     /**
      * @param self id of this entry VM
@@ -26,7 +27,15 @@
         return this.#members;
     }
 
-    /** The same without this entry VM. */
+    /**
+     * Among how many entry VMs what all may do together is divided: the most that this one ever saw, so that a
+     * partition doesn't double anyone's part; without end before it has met any, though there are others.
+     */
+    get sharers(): number {
+        return this.#hasSeeds && this.#mostMembers < 2 ? Infinity : this.#mostMembers;
+    }
+
+    /** The members without this entry VM. */
     get others(): readonly EntryVm[] {
         return this.#members.filter(vm => vm.id !== this.#self && vm.state !== "dead");
     }
@@ -61,6 +70,7 @@
             this.#events.emit("member-dead", { id, incarnation });
         }
         this.#members = list;
+        this.#mostMembers = Math.max(this.#mostMembers, list.length);
     }
 
     #tellState({ id, incarnation, state }: EntryVm): void {
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -34,6 +34,10 @@
 /** What the platform in use gives an entry process. */
 export interface PlatformParts {
     readonly log: KeyedLog;
+    /** Calls of the store so far. */
+    readonly storeCalls: () => number;
+    /** Log lines dropped so far, as nobody read them fast enough. */
+    readonly droppedLines: () => number;
     readonly wire: Wire;
     readonly decodeConfig: ConfigDecoder;
     readonly decodeServer: ServerDecoder;
@@ -100,6 +104,7 @@
         this.#membership = this.#join();
         this.#follower = this.#makeFollower();
         this.#forwarding = this.#makeForwarding();
+        this.#watchTotals();
         this.#front = new Front(
             (req, res) => new ForwardTask(this.#forwarding, req, res).run(),
             (reason, address) => events.emit("request-malformed", { address, reason }),
@@ -113,6 +118,22 @@
         });
     }
 
+    #watchTotals(): void {
+        const { storeCalls, droppedLines } = this.#platform;
+        this.#metrics.watch("bm_store_calls_total", "Calls of the store.", storeCalls);
+        this.#metrics.watch("bm_dropped_lines_total", "Log lines dropped.", droppedLines);
+        this.#metrics.watch(
+            "bm_load_questions_total",
+            "Load questions to backend servers.",
+            () => this.#asker.asked,
+        );
+        this.#metrics.watch(
+            "bm_peer_bytes_total",
+            "Bytes to and from other entry VMs.",
+            () => this.#peers.bytes,
+        );
+    }
+
     /** Listens everywhere, joins the peers and follows the store. */
     async start(): Promise<void> {
         const { front, peers, metrics, id } = this.#settings;
@@ -183,7 +204,15 @@
         };
         const random = xoroshiro128plus(randomBytes(4).readInt32LE());
         const membership = new Membership(self, this.#peers, settings, random, monotonicMs());
-        membership.members.subscribe(list => this.#watch.follow(list));
+        membership.members.subscribe(list => {
+            this.#watch.follow(list);
+            const count = (state: EntryVm["state"]): number => list.filter(vm => vm.state === state).length;
+            this.#metrics.members({
+                alive: count("alive"),
+                suspect: count("suspect"),
+                leaving: count("leaving"),
+            });
+        });
         return membership;
     }
 
@@ -271,7 +300,7 @@
                 this.#deadlines.elapsedMs(`${route.host}${route.pathPrefix}`, deadlineMs),
             requested: service => this.#services.budget(service)?.requested(monotonicMs()),
             mayRepeat: service =>
-                this.#services.budget(service)?.take(monotonicMs(), this.#watch.members.length) ?? false,
+                this.#services.budget(service)?.take(monotonicMs(), this.#watch.sharers) ?? false,
             agents: { repeatable: agent(keepIdleMs), once: agent(keepOnceMs) },
             isBehind: () => this.#lag.isBehind(turnMs, monotonicMs()),
             extraHeaders: req => this.#front.extraHeaders(req),
--- /dev/null
+++ b/packages/gateway/test/memberwatch.test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RepeatBudget } from "@bramleymoor/balance/budget";
+import type { EntryVm, VmState } from "@bramleymoor/model/vm";
+import { EventLog } from "@bramleymoor/observe/events";
+import { MemberWatch } from "../src/memberwatch.js";
+
+const vm = (id: string, state: VmState = "alive"): EntryVm => ({
+    id,
+    incarnation: id,
+    place: { region: "r", domain: "a" },
+    callerAddress: `${id}:1`,
+    peerAddress: `${id}:2`,
+    state,
+    load: 0,
+});
+
+const events = new EventLog({
+    source: "test",
+    format: "json",
+    level: "error",
+    write: () => undefined,
+    clock: () => 0,
+});
+
+const all = Array.from({ length: 19 }, (_, i) => vm(`vm${i}`));
+
+const watchOf = (id: string): MemberWatch => new MemberWatch(id, true, events);
+
+test("one that has met nobody yet is no first reader, and has no part of what is divided", () => {
+    const watch = watchOf("vm0");
+    watch.follow([vm("vm0")]);
+    assert.equal(watch.readerRank, 1);
+    assert.equal(watch.sharers, Infinity);
+});
+
+test("exactly one of those that know each other reads first", () => {
+    const ranks = all.map(({ id }) => {
+        const watch = watchOf(id);
+        watch.follow(all);
+        return watch.readerRank;
+    });
+    assert.deepEqual(
+        [...ranks].sort((a, b) => a - b),
+        all.map((_, i) => i),
+    );
+});
+
+test("all repeats together stay within the bound through a partition and a start of all", () => {
+    const bound = { ratio: 0.2, slack: 40, windowMs: 10_000 };
+    const watches = all.map(({ id }) => watchOf(id));
+    const budgets = all.map(() => new RepeatBudget(bound));
+    const requests = 1_900;
+    let repeats = 0;
+    const round = (now: number): void => {
+        budgets.forEach((budget, i) => {
+            for (let n = 0; n < requests / all.length / 2; n++) {
+                budget.requested(now);
+            }
+            const sharers = watches[i]?.sharers ?? 1;
+            for (let n = 0; n < 100; n++) {
+                repeats += budget.take(now, sharers) ? 1 : 0;
+            }
+        });
+    };
+    watches.forEach((watch, i) => watch.follow([all[i] ?? vm("?")]));
+    round(0);
+    watches.forEach(watch => watch.follow(all));
+    watches.forEach((watch, i) => watch.follow(i < 2 ? all.slice(0, 2) : all.slice(2)));
+    round(500);
+    assert.ok(repeats <= bound.ratio * requests + bound.slack, `${repeats} repeats of ${requests} requests`);
+});
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -164,6 +164,20 @@
         }
     }
 
+    /** Serves a total that is counted elsewhere, read whenever the metrics are asked for. */
+    watch(name: string, help: string, read: () => number): void {
+        const registers = [this.#registry];
+        new Counter({
+            name,
+            help,
+            registers,
+            collect() {
+                this.reset();
+                this.inc(read());
+            },
+        });
+    }
+
     /** All metrics in the Prometheus text format. */
     text(): Promise<string> {
         return this.#registry.metrics();
--- a/packages/observe/test/metrics.test.ts
+++ b/packages/observe/test/metrics.test.ts
@@ -22,6 +22,15 @@
     ...changed,
 });
 
+test("a total that is counted elsewhere is read when the metrics are", async () => {
+    const metrics = new CallMetrics(false);
+    let total = 3;
+    metrics.watch("bm_test_total", "A total.", () => total);
+    assert.match(await metrics.text(), /^bm_test_total 3$/m);
+    total = 8;
+    assert.match(await metrics.text(), /^bm_test_total 8$/m);
+});
+
 test("a call's queueing, server time and added time are kept apart", async () => {
     const metrics = new CallMetrics();
     metrics.done(record());
