Hosts are spread over entry VMs by their processor share, which members tell

Cause: on the grown sites entry VMs have 0.27 to 1.35 cores; each reckoned how many a host needs by its own share, so their answers differed, and a small one got as many callers as a large one. Change: members tell their share with their record; rendezvous hashing is weighted by it, and a host gets entry VMs until their shares together carry its demand. Test: large ones are chosen in proportion; not yet measured on a grown site.

--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -89,12 +89,7 @@
             balance: { compared: comparedServers, domain: settings.place.domain },
             repeats: settings.repeats,
         });
-        this.#steering = new Steering({
-            callsPerDispatcher: settings.processorShare * requestsPerCore,
-            least: leastDispatchers,
-            most: mostDispatchers,
-            shrinkAfterMs,
-        });
+        this.#steering = new Steering({ callsPerTenth: requestsPerCore / tenths, shrinkAfterMs });
         this.#peers = new PeerSocket({
             gossip: message => this.#membership.receive(message, monotonicMs()),
             news: (news, from) => this.#follower.take(news, from),
@@ -113,7 +108,8 @@
             wire: platform.wire,
             metrics: this.#metrics,
             isReady: () => this.#state === "serving",
-            dispatchers: (host, domain) => this.#steering.dispatchers(host, domain, this.#watch.members),
+            dispatchers: (host, domain) =>
+                this.#steering.dispatchers(host, domain, this.#watch.members, this.#capacityOf),
             addressTtlMs: settings.addressTtlMs,
         });
     }
@@ -183,6 +179,12 @@
         Object.values(this.#forwarding.agents).forEach(it => it.destroy());
     }
 
+    /** Processor share of an entry VM, as it tells with its record. */
+    readonly #capacityOf = (vm: EntryVm): number => {
+        const told = Number(this.#membership.payload(vm.id)[capacityKey]);
+        return told > 0 ? told : usualTenths;
+    };
+
     #join(): Membership {
         const { id, place, front, peers, seeds } = this.#settings;
         const self: EntryVm = {
@@ -204,6 +206,7 @@
         };
         const random = xoroshiro128plus(randomBytes(4).readInt32LE());
         const membership = new Membership(self, this.#peers, settings, random, monotonicMs());
+        membership.setPayload(capacityKey, Math.round(this.#settings.processorShare * tenths));
         membership.members.subscribe(list => {
             this.#watch.follow(list);
             const count = (state: EntryVm["state"]): number => list.filter(vm => vm.state === state).length;
@@ -423,7 +426,7 @@
         }
         const entries = this.#servers.servers().map(it => it.entry);
         for (const [service, names] of hosts) {
-            const dispatchers = this.#steering.dispatchersOfAll(names, this.#watch.members);
+            const dispatchers = this.#steering.dispatchersOfAll(names, this.#watch.members, this.#capacityOf);
             const servers = entries.filter(it => it.service === service);
             const own = ownServers(this.#settings.id, dispatchers, servers);
             this.#services.dispatcher(service)?.balancer.prefer(own);
@@ -450,10 +453,12 @@
 const comparedServers = 3;
 /** Requests that a whole core forwards in a second, half of what it can, for bursts. */
 const requestsPerCore = 220;
-/** One dispatcher sees all of a small host's load. */
-const leastDispatchers = 1;
-/** Addresses that callers take of one answer. */
-const mostDispatchers = 64;
+/** Processor shares are told in tenths of a core. */
+const tenths = 10;
+/** Where members tell their processor share. */
+const capacityKey = "c";
+/** Half a core, until a member has told its share. */
+const usualTenths = 5;
 /** Longer than callers may keep an answer. */
 const shrinkAfterMs = 8_000;
 /** A dead entry VM is suspected within about a second among a few dozen. */
--- a/packages/gateway/src/steering.ts
+++ b/packages/gateway/src/steering.ts
@@ -2,7 +2,7 @@
 
 import type { ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
-import { Demand, type DemandSettings } from "@bramleymoor/placement/demand";
+import { Demand } from "@bramleymoor/placement/demand";
 import { place } from "@bramleymoor/placement/placement";
 
 /** Counts this entry VM's requests by host, and puts them in a form that fits a member's payload. */
@@ -51,15 +51,31 @@
     );
 };
 
-/** Decides how many entry VMs a host's callers get, and which. */
+/** The processor share of an entry VM, in tenths of a core. */
+export type CapacityOf = (vm: EntryVm) => number;
+
+/** Settings of the steering. */
+export interface SteeringSettings {
+    /** Requests per second that a tenth of a core dispatches. */
+    readonly callsPerTenth: number;
+    /** Demand must stay lower for so long before a host's entry VMs become fewer, in milliseconds. */
+    readonly shrinkAfterMs: number;
+}
+
+/** Decides how many entry VMs a host's callers get, and which: large ones more often, and as many as carry it. */
 export class Steering {
     readonly #demand: Demand;
-    readonly #callsPerDispatcher: number;
+    readonly #callsPerTenth: number;
     readonly #floors = new Map<string, number>();
 
-    constructor(settings: DemandSettings) {
-        this.#demand = new Demand(settings);
-        this.#callsPerDispatcher = settings.callsPerDispatcher;
+    constructor({ callsPerTenth, shrinkAfterMs }: SteeringSettings) {
+        this.#demand = new Demand({
+            callsPerDispatcher: callsPerTenth,
+            least: 1,
+            most: mostTenths,
+            shrinkAfterMs,
+        });
+        this.#callsPerTenth = callsPerTenth;
     }
 
     /**
@@ -68,7 +84,7 @@
      */
     expect(host: string, slots: number): void {
         const callsPerSecond = (slots * usualUse * msPerSecond) / usualCallMs;
-        this.#floors.set(host, Math.ceil(callsPerSecond / this.#callsPerDispatcher));
+        this.#floors.set(host, Math.ceil(callsPerSecond / this.#callsPerTenth));
     }
 
     /** Takes the requests per second of a host over all entry VMs. */
@@ -77,12 +93,16 @@
     }
 
     /** Entry VMs for the callers of some hosts, wherever they are. */
-    dispatchersOfAll(hosts: Iterable<string>, members: readonly EntryVm[]): readonly EntryVm[] {
+    dispatchersOfAll(
+        hosts: Iterable<string>,
+        members: readonly EntryVm[],
+        capacityOf: CapacityOf,
+    ): readonly EntryVm[] {
         const domains = new Set(members.map(vm => vm.place.domain));
         const all = new Map<string, EntryVm>();
         for (const host of hosts) {
             for (const domain of domains) {
-                this.dispatchers(host, domain, members).forEach(vm => all.set(vm.id, vm));
+                this.dispatchers(host, domain, members, capacityOf).forEach(vm => all.set(vm.id, vm));
             }
         }
         return [...all.values()];
@@ -92,18 +112,31 @@
      * Entry VMs for a host's callers in one failure domain: those in the domain, if the host's demand needs so
      * many that every domain has some, else all of them.
      */
-    dispatchers(host: string, domain: string, members: readonly EntryVm[]): readonly EntryVm[] {
+    dispatchers(
+        host: string,
+        domain: string,
+        members: readonly EntryVm[],
+        capacityOf: CapacityOf,
+    ): readonly EntryVm[] {
         const alive = members.filter(vm => vm.state === "alive");
-        const domains = new Set(alive.map(vm => vm.place.domain));
-        const want = Math.max(this.#demand.want(host), this.#floors.get(host) ?? 1);
+        const domains = new Set(alive.map(vm => vm.place.domain)).size;
+        const tenths = Math.max(this.#demand.want(host), this.#floors.get(host) ?? 1);
+        const chosen = enough(place(host, alive, alive.length, capacityOf), tenths, capacityOf);
         const near = alive.filter(vm => vm.place.domain === domain);
-        if (want < domains.size || near.length === 0) {
-            return place(host, alive, want);
+        if (chosen.length < domains || near.length === 0) {
+            return chosen;
         }
-        return place(host, near, Math.ceil(want / domains.size));
+        return enough(place(host, near, near.length, capacityOf), tenths / domains, capacityOf);
     }
 }
 
+/** The first of the ranked entry VMs that together have the processor share that is wanted. */
+const enough = (ranked: readonly EntryVm[], tenths: number, capacityOf: CapacityOf): readonly EntryVm[] => {
+    let sum = 0;
+    const count = ranked.findIndex(vm => (sum += capacityOf(vm)) >= tenths);
+    return ranked.slice(0, count === -1 ? ranked.length : count + 1).slice(0, addressesAtMost);
+};
+
 /**
  * Servers that `self` prefers of those that several dispatchers share: each server is left to one of the
  * dispatchers of its failure domain, or to one of all if its domain has none. Undefined if `self` is none of them.
@@ -132,6 +165,10 @@
     return hash.toString(36).slice(-hashLength);
 };
 
+/** Addresses that callers take of one answer. */
+const addressesAtMost = 64;
+/** More than any fleet has, so that only demand and members bound a host's entry VMs. */
+const mostTenths = 10_000;
 const hashLength = 5;
 const keys: readonly string[] = ["d0", "d1", "d2"];
 /** Pairs of at most 11 characters in a payload's value of at most 64. */
--- a/packages/gateway/test/steering.test.ts
+++ b/packages/gateway/test/steering.test.ts
@@ -14,21 +14,23 @@
 });
 
 const fleet = ["a", "b", "c"].flatMap(domain => [1, 2, 3, 4].map(i => vm(`${domain}${i}`, domain)));
-const settings = { callsPerDispatcher: 100, least: 1, most: 64, shrinkAfterMs: 1_000 };
+/** Each entry VM has a whole core, and dispatches 100 requests per second with it. */
+const settings = { callsPerTenth: 10, shrinkAfterMs: 1_000 };
+const core = (): number => 10;
 
 test("a small host has one dispatcher, the same from every entry VM's view", () => {
     const steering = new Steering(settings);
     steering.expect("h", 20);
-    const [first, ...rest] = steering.dispatchers("h", "a", fleet);
+    const [first, ...rest] = steering.dispatchers("h", "a", fleet, core);
     assert.deepEqual(rest, []);
-    assert.deepEqual(new Steering(settings).dispatchers("h", "b", [...fleet].reverse()), [first]);
+    assert.deepEqual(new Steering(settings).dispatchers("h", "b", [...fleet].reverse(), core), [first]);
 });
 
 test("a host whose servers carry much has dispatchers in every domain before any demand is seen", () => {
     const steering = new Steering(settings);
     steering.expect("h", 200);
     for (const domain of ["a", "b", "c"]) {
-        const found = steering.dispatchers("h", domain, fleet);
+        const found = steering.dispatchers("h", domain, fleet, core);
         assert.equal(found.length, 2);
         assert.ok(found.every(it => it.place.domain === domain));
     }
@@ -37,21 +39,35 @@
 test("demand adds dispatchers at once", () => {
     const steering = new Steering(settings);
     steering.observe("h", 950, 0);
-    assert.equal(steering.dispatchers("h", "a", fleet).length, 4);
+    assert.equal(steering.dispatchers("h", "a", fleet, core).length, 4);
+});
+
+test("large entry VMs are chosen more often, and fewer of them are needed", () => {
+    const steering = new Steering(settings);
+    const capacityOf = ({ id }: EntryVm): number => (id.endsWith("1") ? 14 : 3);
+    const hosts = Array.from({ length: 60 }, (_, i) => `host${i}`);
+    hosts.forEach(host => steering.observe(host, 10, 0));
+    const chosen = hosts.flatMap(host => steering.dispatchers(host, "a", fleet, capacityOf));
+    const large = chosen.filter(({ id }) => id.endsWith("1")).length / chosen.length;
+    const share = (3 * 14) / (3 * 14 + 9 * 3);
+    assert.ok(Math.abs(large - share) < 0.15, `${large} of the choices, ${share} of the cores`);
+    steering.observe("busy", 600, 1);
+    const many = steering.dispatchers("busy", "a", fleet, capacityOf);
+    assert.ok(many.reduce((sum, vm) => sum + capacityOf(vm), 0) >= 60 / 3);
 });
 
 test("callers of a domain without living entry VMs get those of others", () => {
     const steering = new Steering(settings);
     steering.observe("h", 950, 0);
     const left = fleet.filter(it => it.place.domain !== "a");
-    assert.ok(steering.dispatchers("h", "a", left).length >= 8);
+    assert.ok(steering.dispatchers("h", "a", left, core).length >= 8);
 });
 
 test("entry VMs that leave or are suspected get no callers", () => {
     const steering = new Steering(settings);
-    const [first] = steering.dispatchers("h", "a", fleet);
+    const [first] = steering.dispatchers("h", "a", fleet, core);
     const without = fleet.map(it => (it.id === first?.id ? vm(it.id, it.place.domain, "suspect") : it));
-    assert.notEqual(steering.dispatchers("h", "a", without)[0]?.id, first?.id);
+    assert.notEqual(steering.dispatchers("h", "a", without, core)[0]?.id, first?.id);
 });
 
 test("the dispatchers of a service divide its servers, each taking those of its failure domain", () => {
