In a large fleet news go by way of relays; no entry VM sends to all

Change: above 32 peers the reader sends to the first of each group of sqrt(n), which hands on to its group.

--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -57,6 +57,10 @@
     take(news: News, from: string): void {
         const { clock, config, servers } = this.#parts;
         const now = clock();
+        if (news.topic !== "question" && news.passTo) {
+            const { passTo, ...rest } = news;
+            this.#tell(passTo, rest);
+        }
         if (news.topic === "question") {
             this.#answer(news, from);
         } else if (news.topic === "servers") {
@@ -179,12 +183,22 @@
     }
 
     /**
-     * Hands on what was read: the first reader and those next to it do; the others read for themselves only, as in
+     * Hands on what was read, in a large fleet by way of some who hand it on to a group each: the first reader and those next to it do; the others read for themselves only, as in
      * a large fleet all of them would otherwise tell all. What a start reads is news to nobody else.
      */
-    #tellAll(news: News): void {
-        if (this.#parts.rank() < tellersAtMost) {
-            this.#tell(this.#parts.peers(), news);
+    #tellAll(news: Exclude<News, { readonly topic: "question" }>): void {
+        const peers = this.#parts.peers();
+        if (this.#parts.rank() >= tellersAtMost) {
+            return;
+        }
+        if (peers.length <= toldAtOnce) {
+            this.#tell(peers, news);
+            return;
+        }
+        const size = Math.ceil(Math.sqrt(peers.length));
+        for (let at = 0; at < peers.length; at += size) {
+            const [first, ...passTo] = peers.slice(at, at + size);
+            this.#tell(first === undefined ? [] : [first], { ...news, passTo });
         }
     }
 
@@ -235,6 +249,8 @@
 const longPollMs = 500;
 const longestSleepMs = 500;
 const askEveryMs = 150;
+/** A link of 7 Mbit/s carries so many datagrams of a few kilobytes within 0.2 s. */
+const toldAtOnce = 32;
 /** The first reader and two stand-ins, so that the loss of two goes unnoticed. */
 const tellersAtMost = 3;
 
--- a/packages/discovery/src/news.ts
+++ b/packages/discovery/src/news.ts
@@ -27,9 +27,12 @@
     })
     .readonly();
 
+/** Addresses of entry VMs that the receiver hands the news on to, so that no one sends to a whole large fleet. */
+const passTo = z.array(z.string()).readonly().optional();
+
 /** News as a schema. Ages are milliseconds since the store was known to hold nothing newer. */
 export const newsSchema = z.discriminatedUnion("topic", [
-    z.object({ topic: z.literal("servers"), ageMs: z.number(), news: serverNewsSchema }).readonly(),
+    z.object({ topic: z.literal("servers"), ageMs: z.number(), news: serverNewsSchema, passTo }).readonly(),
     z
         .object({
             topic: z.literal("configuration"),
@@ -37,6 +40,7 @@
             to: whole,
             /** Absent if the receiver should know it by now, or has to read it itself. */
             text: z.string().optional(),
+            passTo,
         })
         .readonly(),
     /** Asks for what came after these offsets; absent for everything. */
--- a/packages/discovery/test/fleet.test.ts
+++ b/packages/discovery/test/fleet.test.ts
@@ -67,6 +67,23 @@
     }
 });
 
+test("in a large fleet no entry VM sends to all, and news are everywhere within the bound all the same", async t => {
+    const it = await fleet(140, 10);
+    t.after(() => it.stop());
+    it.frozen.add("vm1");
+    it.frozen.add("vm77");
+    it.sent.clear();
+    it.store.put("servers", "s3", serverEntry("s3", true));
+    await it.time.run(3_000 + boundMs);
+    const heard = it.vms.filter(({ id }) => !it.frozen.has(id));
+    const states = heard.map(
+        vm => vm.servers.servers().find(({ entry }) => entry.id === "s3")?.entry.leaving,
+    );
+    assert.deepEqual(new Set(states), new Set([true]));
+    const perSecond = Math.max(...it.sent.values()) / (boundMs / 1_000);
+    assert.ok(perSecond <= 60, `${perSecond} messages a second from one entry VM`);
+});
+
 test("a compacted log is read anew, and what was dropped meanwhile is gone everywhere", async t => {
     const it = await fleet(14, 10);
     t.after(() => it.stop());
--- a/packages/discovery/test/fleet.ts
+++ b/packages/discovery/test/fleet.ts
@@ -124,6 +124,8 @@
     /** Bytes of messages between entry VMs. */
     bytes = 0;
     messages = 0;
+    /** Messages by sender. */
+    readonly sent = new Map<string, number>();
     readonly #followers = new Map<string, Follower>();
     readonly #ended = new AbortController();
     readonly #knownAt: number;
@@ -172,6 +174,7 @@
     }
 
     #carry(from: string, to: string, news: News): void {
+        this.sent.set(from, (this.sent.get(from) ?? 0) + 1);
         this.bytes += JSON.stringify(news).length;
         if (this.loses(this.messages++) || this.frozen.has(from)) {
             return;
