Load questions share the connections of requests; what must not run twice takes one that has just answered

Change: one pool; a request that isn't idempotent takes a kept connection only if it was in use within 150 ms, mostly by its own load question, else a new one. An extra answer that meets a question ends the connection. Downloads prefer servers of their domain by 3 to 1. Tests: forgotten idle connections for both kinds, extra answers before a question, the connection that has just answered. Not yet measured on a site.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -291,6 +291,6 @@
 const farCosts: Readonly<Record<RouteKind, number>> = {
     idempotent: 1.05,
     "non-idempotent": 1.05,
-    download: 1.5,
+    download: 3,
 };
 const serverErrors = 500;
--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -9,12 +9,14 @@
     readonly idleMs: number;
     /** Least time to the moment at which the server closes the connection, in milliseconds. */
     readonly marginMs: number;
+    /** Monotonic milliseconds. */
+    readonly clock: () => number;
 }
 
 /** An HTTP agent that knows how long each of its connections has been idle. */
 export class KeepingAgent extends Agent {
     readonly #settings: KeepSettings;
-    readonly #idle = new WeakMap<Socket, () => void>();
+    readonly #idle = new WeakMap<Socket, { readonly drop: () => void; readonly since: number }>();
 
     constructor(settings: KeepSettings) {
         super({ keepAlive: true, scheduling: "lifo", noDelay: true });
@@ -34,29 +36,27 @@
         socket.on("data", drop);
         socket.on("timeout", drop);
         socket.unref();
-        this.#idle.set(socket, drop);
+        this.#idle.set(socket, { drop, since: this.#settings.clock() });
         return true;
     }
 
     /** Called by the agent when an idle connection is used again. */
     override reuseSocket(socket: Socket, req: ClientRequest): void {
-        const drop = this.#idle.get(socket);
-        if (drop) {
-            socket.off("data", drop);
-            socket.off("timeout", drop);
+        const idle = this.#idle.get(socket);
+        if (idle) {
+            socket.off("data", idle.drop);
+            socket.off("timeout", idle.drop);
             this.#idle.delete(socket);
         }
         socket.setTimeout(0);
         super.reuseSocket(socket, req);
     }
 
-    /** Closes every idle connection to one address. */
-    dropIdle(address: string): void {
-        for (const [name, sockets] of Object.entries(this.freeSockets)) {
-            if (name.startsWith(`${address}:`)) {
-                sockets?.forEach(it => it.destroy());
-            }
-        }
+    /** Whether the connection that the next request to an address would get was in use within the last `ms`. */
+    isFresh(address: string, ms: number): boolean {
+        const socket = this.freeSockets[`${address}:`]?.at(-1);
+        const idle = socket && this.#idle.get(socket);
+        return idle !== undefined && this.#settings.clock() - idle.since <= ms;
     }
 
     #idleMs(socket: Socket): number {
--- a/packages/gateway/src/asks.ts
+++ b/packages/gateway/src/asks.ts
@@ -3,7 +3,7 @@
 import { request } from "node:http";
 import type { LoadReport } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
-import { KeepingAgent } from "./agent.js";
+import type { KeepingAgent } from "./agent.js";
 import { splitAddress } from "./exchange.js";
 import type { Wire } from "./wire.js";
 
@@ -15,15 +15,17 @@
     readonly misdirected: boolean;
 }
 
-/** Asks servers over connections of its own, one question at a time to each. */
+/** Asks servers, one question at a time to each. */
 export class LoadAsker {
     readonly #wire: Wire;
-    readonly #agent = new KeepingAgent({ idleMs: keepMs, marginMs: keepMarginMs });
+    readonly #agent: KeepingAgent;
     readonly #pending = new Map<string, Promise<LoadAnswer | undefined>>();
     #asked = 0;
 
-    constructor(wire: Wire) {
+    /** @param agent its connections; those of requests that may be repeated, as they ask the same servers */
+    constructor(wire: Wire, agent: KeepingAgent) {
         this.#wire = wire;
+        this.#agent = agent;
     }
 
     /** Questions sent so far. */
@@ -42,11 +44,6 @@
         return asking;
     }
 
-    /** Closes every connection. */
-    close(): void {
-        this.#agent.destroy();
-    }
-
     /** Asks; once more over a new connection if the server had closed the one that was used before. */
     async #send(server: ServerEntry, path: string): Promise<LoadAnswer | undefined> {
         const first = await this.#exchange(server, path);
@@ -64,6 +61,11 @@
                 resolve(answer);
             };
             req.on("response", res => {
+                if (this.#wire.isServers(res.headers)) {
+                    // An extra answer to an earlier request on this connection; what comes next can't be told.
+                    req.destroy();
+                    return;
+                }
                 res.resume();
                 const id = this.#wire.serverId(res.headers);
                 done({
@@ -88,5 +90,3 @@
 
 /** A question without an answer is given up after this; far above a round trip, so that it shows a dead server. */
 const answerTimeoutMs = 400;
-const keepMs = 8_000;
-const keepMarginMs = 1_500;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -44,7 +44,8 @@
     readonly requested: (service: string) => void;
     /** Whether one more send of a request is within the budget; a yes is debited. */
     readonly mayRepeat: (service: string) => boolean;
-    readonly agents: Readonly<Record<"repeatable" | "once", KeepingAgent>>;
+    /** Connections to servers: kept ones, and ones for requests that must not meet a connection that may be dead. */
+    readonly agents: Readonly<Record<"kept" | "fresh", KeepingAgent>>;
     /** Whether requests may have waited long before they were read. */
     readonly isBehind: () => boolean;
     /** Headers of the entry VM's own for this connection, asked for when an answer's head is written. */
@@ -238,7 +239,7 @@
         return new Exchange(
             {
                 server: slot.server,
-                agent: slot.request.kind === "non-idempotent" ? agents.once : agents.repeatable,
+                agent: this.#mayRestedServe(slot) ? agents.kept : agents.fresh,
                 method: this.#req.method ?? "GET",
                 target: this.#req.url ?? "/",
                 headers: [...kept, ...body.framing(), ...own],
@@ -249,6 +250,17 @@
         );
     }
 
+    /**
+     * Whether a kept connection will do. A server may have forgotten one that has rested, and what is lost on it
+     * may have run; one that has just brought an answer, to a load question mostly, is alive.
+     */
+    #mayRestedServe({ request, server }: Slot): boolean {
+        return (
+            request.kind !== "non-idempotent" ||
+            this.#parts.agents.kept.isFresh(server.address, restedAtMostMs)
+        );
+    }
+
     /** Once sent, a request that isn't idempotent runs on when its caller leaves: half of it would be worse. */
     #breakOff(exchange: Exchange, slot: Slot): void {
         if (slot.request.kind !== "non-idempotent" || !this.#callerGone || !exchange.sent) {
@@ -325,3 +337,5 @@
 /** With less time left than this a repeat would come to nothing. */
 const leastRepeatMs = 60;
 const noServiceRetryMs = 500;
+/** Below the shortest rest after which servers have been seen to forget a connection, 300 ms. */
+const restedAtMostMs = 150;
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -59,6 +59,10 @@
     readonly #membership: Membership;
     readonly #follower: Follower;
     readonly #services: Services;
+    readonly #agents = {
+        kept: new KeepingAgent({ idleMs: keepIdleMs, marginMs: keepMarginMs, clock: monotonicMs }),
+        fresh: new KeepingAgent({ idleMs: 0, marginMs: keepMarginMs, clock: monotonicMs }),
+    };
     readonly #asker: LoadAsker;
     readonly #splits = new Splits();
     readonly #deadlines = new FirstDeadlines();
@@ -81,7 +85,7 @@
         this.#events = events;
         this.#config = new ConfigBook(platform.configKey, platform.decodeConfig);
         this.#servers = new ServerBook(platform.decodeServer);
-        this.#asker = new LoadAsker(platform.wire);
+        this.#asker = new LoadAsker(platform.wire, this.#agents.kept);
         this.#services = new Services({
             asker: this.#asker,
             clock: monotonicMs,
@@ -175,8 +179,7 @@
         this.#ended.abort();
         this.#side.close();
         this.#peers.close();
-        this.#asker.close();
-        Object.values(this.#forwarding.agents).forEach(it => it.destroy());
+        Object.values(this.#agents).forEach(it => it.destroy());
     }
 
     /** Processor share of an entry VM, as it tells with its record. */
@@ -289,7 +292,6 @@
     }
 
     #makeForwarding(): ForwardParts {
-        const agent = (idleMs: number): KeepingAgent => new KeepingAgent({ idleMs, marginMs: keepMarginMs });
         return {
             wire: this.#platform.wire,
             clock: monotonicMs,
@@ -304,7 +306,7 @@
             requested: service => this.#services.budget(service)?.requested(monotonicMs()),
             mayRepeat: service =>
                 this.#services.budget(service)?.take(monotonicMs(), this.#watch.sharers) ?? false,
-            agents: { repeatable: agent(keepIdleMs), once: agent(keepOnceMs) },
+            agents: this.#agents,
             isBehind: () => this.#lag.isBehind(turnMs, monotonicMs()),
             extraHeaders: req => this.#front.extraHeaders(req),
             done: record => this.#done(record),
@@ -467,8 +469,6 @@
 const pingTimeoutMs = 250;
 /** Below the 10 s after which servers close idle connections. */
 const keepIdleMs = 8_000;
-/** A request that must not run twice goes out only on a connection that was in use a moment ago. */
-const keepOnceMs = 1_500;
 /** Servers tell that time in whole seconds, so up to one may be missing. */
 const keepMarginMs = 1_500;
 /** Lateness of timeouts that callers don't notice. */
--- a/packages/gateway/test/repeats.test.ts
+++ b/packages/gateway/test/repeats.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { answer, ask, exchange, rawServer, startFront, type RawServer, type Script } from "./setup.js";
 
 const status = (bytes: string): number => Number(/^HTTP\/1\.1 (\d+)/.exec(bytes)?.[1] ?? 0);
@@ -94,3 +95,62 @@
         assert.ok(server.arrivals.every(it => !it.body.includes("hidden")));
     });
 }
+
+test("a server that forgets an idle connection costs a repeatable request nothing", async t => {
+    const server = await rawServer(t, "s1", ({ socket, id, nth }) => {
+        if (nth > 0) {
+            socket.resetAndDestroy();
+        } else {
+            socket.write(answer(id, "ok"));
+        }
+    });
+    const { port } = await startFront(t, [server], { maxAttempts: 2 });
+    await exchange(port, ask("a", { extra: "Connection: close\r\n" }), 50);
+    const got = await exchange(port, ask("b", { extra: "Connection: close\r\n" }));
+    assert.equal(status(got.bytes), 200);
+});
+
+test("a request that isn't idempotent goes out on no connection that has rested for long", async t => {
+    const server = await rawServer(t, "s1", ({ socket, id, nth }) => {
+        if (nth > 0) {
+            socket.resetAndDestroy();
+        } else {
+            socket.write(answer(id, "ok"));
+        }
+    });
+    const { port } = await startFront(t, [server], { kind: "non-idempotent" });
+    const post = (id: string): string =>
+        ask(id, { method: "POST", body: "x", extra: "Connection: close\r\n" });
+    await exchange(port, post("a"), 50);
+    await delay(600);
+    const got = await exchange(port, post("b"));
+    assert.equal(status(got.bytes), 200);
+    assert.deepEqual(
+        server.arrivals.map(({ id, nth }) => [id, nth]),
+        [
+            ["a", 0],
+            ["b", 0],
+        ],
+    );
+});
+
+test("an extra answer that meets a load question is no report, and no later request gets it", async t => {
+    const server = await rawServer(t, "s1", ({ socket, id }) => {
+        socket.write(answer(id, "mine"));
+        setTimeout(() => socket.write(answer("ghost", "not yours")), 5);
+    });
+    const { port } = await startFront(t, [server]);
+    for (const id of ["a", "b", "c"]) {
+        const got = await exchange(port, ask(id, { extra: "Connection: close\r\n" }), 60);
+        assert.match(got.bytes, /mine$/);
+    }
+});
+
+test("a connection that has just brought an answer serves a request that isn't idempotent", async t => {
+    const server = await rawServer(t, "s1", ({ socket, id }) => socket.write(answer(id, "ok")));
+    const { port } = await startFront(t, [server], { kind: "non-idempotent" });
+    for (const id of ["a", "b", "c"]) {
+        await exchange(port, ask(id, { method: "POST", body: "x", extra: "Connection: close\r\n" }), 30);
+    }
+    assert.equal(new Set(server.arrivals.map(it => it.socket)).size, 1);
+});
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -147,7 +147,11 @@
         routes: [route(changes)],
         services: new Map([["svc", { name: "svc", healthPath: "/health", maxConnections: 100 }]]),
     };
-    const asker = new LoadAsker(testWire);
+    const agents = {
+        kept: new KeepingAgent({ idleMs: 5_000, marginMs: 500, clock }),
+        fresh: new KeepingAgent({ idleMs: 0, marginMs: 500, clock }),
+    };
+    const asker = new LoadAsker(testWire, agents.kept);
     const repeats = { ratio: 0.2, slack: 20, windowMs: 10_000 };
     const services = new Services({
         asker,
@@ -162,10 +166,6 @@
     );
     const table = new RouteTable(config.routes);
     const deadlines = new FirstDeadlines();
-    const agents = {
-        repeatable: new KeepingAgent({ idleMs: 5_000, marginMs: 500 }),
-        once: new KeepingAgent({ idleMs: 500, marginMs: 500 }),
-    };
     const records: ForwardRecord[] = [];
     const lag = new LoopLag(clock());
     let lastId = 0;
@@ -203,9 +203,8 @@
     }, lagPeriodMs);
     t.after(() => {
         clearInterval(ticking);
-        agents.repeatable.destroy();
-        agents.once.destroy();
-        asker.close();
+        agents.kept.destroy();
+        agents.fresh.destroy();
         void front.finish();
     });
     return { port, front, records };
