A server that is slower than it tells costs what its answers took

Change: answers that take twice as long as expected or more raise a server's cost, until nothing was heard of it for 3 s. Not yet measured on a site.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -147,7 +147,11 @@
             grantedAt: now,
             belief: best.belief(now),
         };
-        this.#starts.set(slot, { crowded: best.crowded(now), ownCost: best.ownCost(now) });
+        this.#starts.set(slot, {
+            crowded: best.crowded(now),
+            ownCost: best.ownCost(now),
+            untold: best.untoldSlowness(now),
+        });
         best.start(slot);
         return slot;
     }
@@ -159,7 +163,10 @@
         this.#starts.delete(slot);
         if (start && end.kind === "answered" && end.status < serverErrors) {
             const crowded = start.crowded || (server?.crowdedNow ?? false);
-            this.#speed.answered(now - slot.grantedAt, crowded, start.ownCost);
+            const ms = now - slot.grantedAt;
+            const factor = crowded ? this.#speed.crowdedFactor : 1;
+            server?.paced((ms * start.untold) / (this.#speed.usualMs * factor * start.ownCost), now);
+            this.#speed.answered(ms, crowded, start.ownCost);
         }
         server?.settle(slot, end, now);
     }
@@ -264,6 +271,8 @@
 interface Start {
     readonly crowded: boolean;
     readonly ownCost: number;
+    /** Part of that cost which the server's reports didn't tell. */
+    readonly untold: number;
 }
 
 const slotsOf = (servers: readonly ServerState[], now: number): number =>
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -22,6 +22,9 @@
     #fullUntil = -Infinity;
     /** Share of recent sends that failed. */
     #failureShare = 0;
+    /** Time of its recent answers as a multiple of what was expected, and when the last one came. */
+    #pace = 1;
+    #pacedAt = -Infinity;
 
     /** @param now when this entry VM first heard of it */
     constructor(entry: ServerEntry, now: number) {
@@ -126,7 +129,13 @@
     /** The same without its load: its speed, whether it is new, and how far it can be trusted. */
     ownCost(now: number): number {
         const doubt = 1 + this.#failureShare * failureCost + (this.#lapsed ? lapsedCost : 0);
-        return this.#slowdown(now) * this.#cold(now) * doubt;
+        return this.#slowdown(now) * this.#cold(now) * this.untoldSlowness(now) * doubt;
+    }
+
+    /** Takes note of how long an answer took, as a multiple of what was expected of the server. */
+    paced(multiple: number, now: number): void {
+        this.#pace += (Math.min(mostPace, multiple) - this.#pace) * paceWeight;
+        this.#pacedAt = now;
     }
 
     /** Takes note of a load question on its way. */
@@ -224,6 +233,11 @@
         return unknownSlowdown + (this.#report.report.slowdown - unknownSlowdown) * faded;
     }
 
+    /** Slowness that its reports don't tell; forgotten after a while, so that it is tried again. */
+    untoldSlowness(now: number): number {
+        return this.#pace >= slowPace && now - this.#pacedAt < paceMemoryMs ? this.#pace : 1;
+    }
+
     #cold(now: number): number {
         const left = this.#firstSeenAt + this.#entry.warmUpMs - now;
         return left > 0 ? coldCost : 1;
@@ -250,6 +264,13 @@
 /** Prefers emptier servers below that. */
 const fillCost = 0.1;
 const coldCost = 2;
+/** Three answers in a row that take four times as long as expected show a slow server. */
+const paceWeight = 0.3;
+const mostPace = 8;
+/** Times of sound servers spread by less than this. */
+const slowPace = 2;
+/** Servers of which nothing was heard for so long are tried again. */
+const paceMemoryMs = 3_000;
 /** Makes a server that fails always as costly as four that are sound. */
 const failureCost = 3;
 const lapsedCost = 2;
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -186,6 +186,31 @@
     assert.equal(place(it, 0)?.server.id, "s2");
 });
 
+test("a server that is much slower than it tells comes after the others, until nothing was heard of it for long", () => {
+    const it = balancer(entry("s1"), entry("s2"));
+    const answerAll = (from: number, times: Readonly<Record<string, number>>): void => {
+        for (let n = 0; n < 12; n++) {
+            const at = from + n * 1_000;
+            ["s1", "s2"].forEach(id => it.report(entry(id), load(0), at));
+            const slots = [place(it, at), place(it, at)].flatMap(slot => (slot ? [slot] : []));
+            slots.forEach(slot =>
+                it.settle(slot, { kind: "answered", status: 200 }, at + (times[slot.server.id] ?? 0)),
+            );
+        }
+    };
+    answerAll(0, { s1: 480, s2: 120 });
+    const chosenAt = (at: number): string | undefined => {
+        ["s1", "s2"].forEach(id => it.report(entry(id), load(0), at));
+        const slot = place(it, at);
+        if (slot) {
+            it.settle(slot, { kind: "cancelled" }, at);
+        }
+        return slot?.server.id;
+    };
+    assert.equal(chosenAt(11_600), "s2");
+    assert.equal(chosenAt(20_000), "s1", "equal again, and the first of equals");
+});
+
 test("a server that is a little slower is used at once", () => {
     const it = balancer(entry("s1"));
     it.report(entry("s1"), load(0, 1.4), 0);
--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -22,6 +22,8 @@
     | "fails"
     /** Never answers. */
     | "hangs"
+    /** Works much slower than the others, and doesn't tell. */
+    | "slow"
     /** Just started: works, but slower. */
     | "cold"
     /** Not there: connections are refused. */
@@ -285,9 +287,16 @@
         const jobs = this.#jobs[server] ?? [];
         const crowding = (jobs.length + 1) / slots > knee.fill ? knee.factor : 1;
         const conduct = this.#conduct(server, slot.grantedAt);
-        const cold = conduct === "cold" ? coldFactor : 1;
-        const working = caller.workMs * (this.#slow[server] ? noise.factor : 1) * crowding * cold;
-        const left = { sound: working, cold: working, fails: failingMs, gone: refusingMs, hangs: Infinity };
+        const untold = { sound: 1, cold: coldFactor, slow: slowFactor, fails: 1, gone: 1, hangs: 1 }[conduct];
+        const working = caller.workMs * (this.#slow[server] ? noise.factor : 1) * crowding * untold;
+        const left = {
+            sound: working,
+            cold: working,
+            slow: working,
+            fails: failingMs,
+            gone: refusingMs,
+            hangs: Infinity,
+        };
         jobs.push({ slot, caller, conduct, left: left[conduct] });
     }
 
@@ -360,6 +369,7 @@
 const failingMs = 5;
 const refusingMs = 2;
 const coldFactor = 3;
+const slowFactor = 4;
 const attemptsAtMost = 2;
 const unreachableAtMost = 4;
 const noiseStagger = 37;
--- a/packages/bench/src/replaypatterns.ts
+++ b/packages/bench/src/replaypatterns.ts
@@ -70,6 +70,8 @@
 export const troublePatterns: readonly Pattern[] = [
     troubled("crowdable failing", crowdable, fullRate.crowdable, someDo("fails")),
     troubled("crowdable hanging", crowdable, fullRate.crowdable, someDo("hangs")),
+    troubled("crowdable slow", crowdable, fullRate.crowdable, someDo("slow")),
+    troubled("roomy slow", roomy, fullRate.roomy, someDo("slow")),
     troubled("crowdable crashed", crowdable, fullRate.crowdable, someDo("gone")),
     troubled("crowdable flapping", crowdable, fullRate.crowdable, flapping),
     troubled("crowdable replaced", crowdable, fullRate.crowdable, replaced),
