--- a/packages/balance/src/budget.ts
+++ b/packages/balance/src/budget.ts
@@ -12,7 +12,7 @@
 
 /** One entry VM's part of a service's repeats. */
 export class RepeatBudget {
-    readonly #bound: RepeatBound;
+    #bound: RepeatBound;
     readonly #requests = new Counter();
     readonly #repeats = new Counter();
 
@@ -20,6 +20,11 @@
         this.#bound = bound;
     }
 
+    /** Takes a changed bound; what was counted stays counted. */
+    follow(bound: RepeatBound): void {
+        this.#bound = bound;
+    }
+
     /** Counts a request's first send. */
     requested(now: number): void {
         this.#requests.add(now, this.#bound.windowMs);
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -47,7 +47,7 @@
 
 /** One run of the entry process. */
 export class GatewayNode {
-    readonly #settings: GatewaySettings;
+    #settings: GatewaySettings;
     readonly #platform: PlatformParts;
     readonly #events: EventLog;
     readonly #metrics = new CallMetrics(false);
@@ -114,7 +114,7 @@
             isReady: () => this.#state === "serving",
             dispatchers: (host, domain) =>
                 this.#steering.dispatchers(host, domain, this.#watch.members, this.#capacityOf),
-            addressTtlMs: settings.addressTtlMs,
+            addressTtlMs: () => this.#settings.addressTtlMs,
         });
     }
 
@@ -154,6 +154,20 @@
         this.#keepDoing("looking at queues and demand", this.#turns());
     }
 
+    /**
+     * Takes changed settings. The bounds are used at once; name, place, ports and seeds from the next start, as
+     * callers and peers know them. Gives the names of those that wait for it.
+     */
+    follow(changed: GatewaySettings): readonly string[] {
+        const { repeats, addressTtlMs, stopMs } = changed;
+        const waiting = fixedSettings.filter(
+            name => JSON.stringify(changed[name]) !== JSON.stringify(this.#settings[name]),
+        );
+        this.#settings = { ...this.#settings, repeats, addressTtlMs, stopMs };
+        this.#services.boundRepeats(repeats);
+        return waiting;
+    }
+
     /**
      * Planned stop: not ready and out of the answers at once, serving callers with old answers for a while, then
      * closing each connection with its last answer.
@@ -448,6 +462,18 @@
 const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
     `${host}:${port}`;
 
+const fixedSettings = [
+    "id",
+    "place",
+    "front",
+    "ready",
+    "directory",
+    "peers",
+    "metrics",
+    "seeds",
+    "processorShare",
+] as const satisfies readonly (keyof GatewaySettings)[];
+
 /** One deployment has one cluster; its network keeps others out. */
 const cluster = "gateway";
 const incarnationBytes = 9;
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -25,9 +25,17 @@
 export class Services {
     readonly #parts: ServicesParts;
     readonly #held = new Map<string, Held>();
+    #repeats: RepeatBound;
 
     constructor(parts: ServicesParts) {
         this.#parts = parts;
+        this.#repeats = parts.repeats;
+    }
+
+    /** Takes a changed bound of repeats. */
+    boundRepeats(repeats: RepeatBound): void {
+        this.#repeats = repeats;
+        this.#held.forEach(it => it.budget.follow(repeats));
     }
 
     /** A service's dispatcher; undefined if the configuration doesn't have it. */
@@ -60,7 +68,7 @@
     }
 
     #make(name: string, config: RouteConfig): Held {
-        const { asker, clock, random, balance, repeats } = this.#parts;
+        const { asker, clock, random, balance } = this.#parts;
         const settings = config.services.get(name);
         if (!settings) {
             throw new Error(`the configuration has no service ${name}`);
@@ -68,7 +76,7 @@
         const balancer = new Balancer(balance, random);
         const held = {
             dispatcher: new Dispatcher(settings, { balancer, asker, clock }),
-            budget: new RepeatBudget(repeats),
+            budget: new RepeatBudget(this.#repeats),
         };
         this.#held.set(name, held);
         return held;
--- a/packages/gateway/src/sideservers.ts
+++ b/packages/gateway/src/sideservers.ts
@@ -15,7 +15,8 @@
     readonly isReady: () => boolean;
     /** Entry VMs for a host's callers in one failure domain. */
     readonly dispatchers: (host: string, domain: string) => readonly EntryVm[];
-    readonly addressTtlMs: number;
+    /** How long callers may keep an answer, in milliseconds. */
+    readonly addressTtlMs: () => number;
 }
 
 /** Listens on three ports. */
@@ -58,7 +59,7 @@
             return;
         }
         const addresses = vms.map(vm => vm.callerAddress);
-        const text = wire.addresses(addresses, addressTtlMs);
+        const text = wire.addresses(addresses, addressTtlMs());
         res.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(text) });
         res.end(text);
     }
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -134,8 +134,8 @@
     "settings-read": row(
         6001,
         "info",
-        "Settings read again; what has changed is used from the next start.",
-        {},
+        "Settings read again; those that changed and are used from the next start only: [{waiting}].",
+        { waiting: "string" },
     ),
     "settings-wrong": row(6002, "error", "The changed settings can't be used, the old ones stay: {reason}.", {
         reason: "string",
