--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -23,12 +23,12 @@
 import { Front } from "./front.js";
 import { LoopLag } from "./looplag.js";
 import { MemberWatch } from "./memberwatch.js";
-import { describeBelief, type ForwardRecord } from "./outcomes.js";
 import { PeerSocket } from "./peersocket.js";
+import { Reporter } from "./reporter.js";
 import { Services } from "./services.js";
 import type { GatewaySettings } from "./settings.js";
+import { Sharing } from "./sharing.js";
 import { SideServers } from "./sideservers.js";
-import { DemandCounter, ownServers, ratesOf, shortHash, Steering } from "./steering.js";
 import type { Wire } from "./wire.js";
 
 /** What the platform in use gives an entry process. */
@@ -67,8 +67,8 @@
     readonly #splits = new Splits();
     readonly #deadlines = new FirstDeadlines();
     readonly #lag = new LoopLag(monotonicMs());
-    readonly #demand = new DemandCounter(monotonicMs());
-    readonly #steering: Steering;
+    readonly #sharing: Sharing;
+    readonly #reporter: Reporter;
     readonly #front: Front;
     readonly #side: SideServers;
     readonly #forwarding: ForwardParts;
@@ -76,7 +76,6 @@
     #table: RouteTable | undefined = undefined;
     #lastId = 0;
     #followedRevision = -1;
-    #demandAt = monotonicMs();
     #state: "starting" | "serving" | "stopping" = "starting";
 
     constructor(settings: GatewaySettings, platform: PlatformParts, events: EventLog) {
@@ -93,7 +92,6 @@
             balance: { compared: comparedServers, domain: settings.place.domain },
             repeats: settings.repeats,
         });
-        this.#steering = new Steering({ callsPerTenth: requestsPerCore / tenths, shrinkAfterMs });
         this.#peers = new PeerSocket({
             gossip: message => this.#membership.receive(message, monotonicMs()),
             news: (news, from) => this.#follower.take(news, from),
@@ -101,6 +99,21 @@
         });
         this.#watch = new MemberWatch(settings.id, settings.seeds.length > 0, events);
         this.#membership = this.#join();
+        this.#sharing = new Sharing({
+            self: settings.id,
+            processorShare: settings.processorShare,
+            membership: this.#membership,
+            members: () => this.#watch.members,
+            prefer: (service, own) => this.#services.dispatcher(service)?.balancer.prefer(own),
+            now: monotonicMs(),
+        });
+        this.#reporter = new Reporter({
+            events,
+            metrics: this.#metrics,
+            version: () => this.#config.config?.version ?? 0,
+            waiting: service => this.#services.dispatcher(service)?.waiting ?? 0,
+            serversAgeMs: () => monotonicMs() - this.#servers.asOf,
+        });
         this.#follower = this.#makeFollower();
         this.#forwarding = this.#makeForwarding();
         this.#watchTotals();
@@ -112,8 +125,7 @@
             wire: platform.wire,
             metrics: this.#metrics,
             isReady: () => this.#state === "serving",
-            dispatchers: (host, domain) =>
-                this.#steering.dispatchers(host, domain, this.#watch.members, this.#capacityOf),
+            dispatchers: (host, domain) => this.#sharing.dispatchers(host, domain),
             addressTtlMs: () => this.#settings.addressTtlMs,
         });
     }
@@ -196,12 +208,6 @@
         Object.values(this.#agents).forEach(it => it.destroy());
     }
 
-    /** Processor share of an entry VM, as it tells with its record. */
-    readonly #capacityOf = (vm: EntryVm): number => {
-        const told = Number(this.#membership.payload(vm.id)[capacityKey]);
-        return told > 0 ? told : usualTenths;
-    };
-
     #join(): Membership {
         const { id, place, front, peers, seeds } = this.#settings;
         const self: EntryVm = {
@@ -223,7 +229,6 @@
         };
         const random = xoroshiro128plus(randomBytes(4).readInt32LE());
         const membership = new Membership(self, this.#peers, settings, random, monotonicMs());
-        membership.setPayload(capacityKey, Math.round(this.#settings.processorShare * tenths));
         membership.members.subscribe(list => {
             this.#watch.follow(list);
             const count = (state: EntryVm["state"]): number => list.filter(vm => vm.state === state).length;
@@ -283,7 +288,7 @@
     #followServers(): void {
         if (this.#config.config) {
             this.#services.follow(this.#config.config, this.#servers.servers());
-            this.#expectDemand(this.#config.config);
+            this.#sharing.follow(this.#config.config, this.#servers.servers());
         }
         if (this.#state === "starting" && this.#config.config && this.#servers.position !== undefined) {
             this.#state = "serving";
@@ -291,20 +296,6 @@
         }
     }
 
-    #expectDemand({ routes }: RouteConfig): void {
-        const services = new Map<string, Set<string>>();
-        for (const { host, destinations } of routes) {
-            const known = services.get(host) ?? new Set<string>();
-            destinations.forEach(it => known.add(it.service));
-            services.set(host, known);
-        }
-        for (const [host, names] of services) {
-            const servers = this.#servers.servers().filter(({ entry }) => names.has(entry.service));
-            const slots = servers.reduce((sum, { entry }) => sum + entry.slots, 0);
-            this.#steering.expect(host, slots);
-        }
-    }
-
     #makeForwarding(): ForwardParts {
         return {
             wire: this.#platform.wire,
@@ -323,7 +314,7 @@
             agents: this.#agents,
             isBehind: () => this.#lag.isBehind(turnMs, monotonicMs()),
             extraHeaders: req => this.#front.extraHeaders(req),
-            done: record => this.#done(record),
+            done: record => this.#reporter.done(record),
         };
     }
 
@@ -335,56 +326,10 @@
         if (!route) {
             throw new CallError("no-route");
         }
-        this.#demand.count(route.host);
+        this.#sharing.count(route.host);
         return route;
     }
 
-    #done(record: ForwardRecord): void {
-        const { requestId, route, service, outcome, status, servers, queueMs, serverMs, totalMs } = record;
-        const version = this.#config.config?.version ?? 0;
-        const name = route?.name ?? "";
-        this.#metrics.done({
-            service,
-            class: name,
-            tenant: "",
-            outcome,
-            status,
-            queueMs,
-            serverMs,
-            addedMs: Math.max(0, totalMs - queueMs - serverMs),
-            hedged: false,
-            retried: servers.length > 1,
-        });
-        if (outcome === "answered") {
-            this.#events.emit("request-answered", {
-                requestId,
-                route: name,
-                status,
-                servers: servers.join(" "),
-                totalMs: Math.round(totalMs),
-                queueMs: Math.round(queueMs),
-                ...describeBelief(record.belief),
-                version,
-            });
-            return;
-        }
-        this.#events.emit("request-failed", {
-            requestId,
-            route: name,
-            service,
-            outcome,
-            status,
-            servers: servers.join(" "),
-            totalMs: Math.round(totalMs),
-            queueMs: Math.round(queueMs),
-            ...describeBelief(record.belief),
-            waiting: this.#services.dispatcher(service)?.waiting ?? 0,
-            version,
-            serversAgeMs: Math.round(monotonicMs() - this.#servers.asOf),
-            detail: record.detail,
-        });
-    }
-
     async #gossip(): Promise<void> {
         while (!this.#ended.signal.aborted) {
             const now = monotonicMs();
@@ -408,45 +353,7 @@
             this.#followedRevision = this.#servers.revision;
             this.#followServers();
         }
-        if (now - this.#demandAt >= demandPeriodMs) {
-            this.#demandAt = now;
-            this.#shareDemand(now);
-        }
-    }
-
-    /** Tells peers this entry VM's demand, and adds theirs up. */
-    #shareDemand(now: number): void {
-        const before = this.#membership.payload(this.#settings.id);
-        for (const [key, value] of this.#demand.turn(now)) {
-            if ((before[key] ?? "") !== value) {
-                this.#membership.setPayload(key, value);
-            }
-        }
-        const rates = this.#watch.others.map(vm => ratesOf(this.#membership.payload(vm.id)));
-        for (const host of this.#table?.hosts ?? []) {
-            const hash = shortHash(host);
-            const others = rates.reduce((sum, it) => sum + (it.get(hash) ?? 0), 0);
-            this.#steering.observe(host, others + (this.#demand.rates.get(host) ?? 0), now);
-        }
-        this.#shareServers();
-    }
-
-    /** Divides the servers of each service in use here among the entry VMs that serve its hosts. */
-    #shareServers(): void {
-        const hosts = new Map<string, Set<string>>();
-        const used = (this.#config.config?.routes ?? []).filter(it => this.#demand.rates.has(it.host));
-        for (const { host, destinations } of used) {
-            for (const { service } of destinations) {
-                hosts.set(service, (hosts.get(service) ?? new Set()).add(host));
-            }
-        }
-        const entries = this.#servers.servers().map(it => it.entry);
-        for (const [service, names] of hosts) {
-            const dispatchers = this.#steering.dispatchersOfAll(names, this.#watch.members, this.#capacityOf);
-            const servers = entries.filter(it => it.service === service);
-            const own = ownServers(this.#settings.id, dispatchers, servers);
-            this.#services.dispatcher(service)?.balancer.prefer(own);
-        }
+        this.#sharing.turn(now);
     }
 
     /** A process that can't do one of these any more must end, so that it is started anew. */
@@ -479,16 +386,6 @@
 const incarnationBytes = 9;
 /** Servers asked before a send; the trials of the platform's page gain little beyond 3 to 6. */
 const comparedServers = 3;
-/** Requests that a whole core forwards in a second, half of what it can, for bursts. */
-const requestsPerCore = 220;
-/** Processor shares are told in tenths of a core. */
-const tenths = 10;
-/** Where members tell their processor share. */
-const capacityKey = "c";
-/** Half a core, until a member has told its share. */
-const usualTenths = 5;
-/** Longer than callers may keep an answer. */
-const shrinkAfterMs = 8_000;
 /** A dead entry VM is suspected within about a second among a few dozen. */
 const gossipPeriodMs = 300;
 /** Many round trips between failure domains, less than a period. */
@@ -508,5 +405,3 @@
 const leastSleepMs = 5;
 /** Queued requests are looked at so often when nothing else happens. */
 const turnMs = 50;
-/** Demand is told as often as gossip can carry it. */
-const demandPeriodMs = 500;
--- /dev/null
+++ b/packages/gateway/test/sharing.test.ts
@@ -0,0 +1,80 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
+import type { EntryVm } from "@bramleymoor/model/vm";
+import { Sharing } from "../src/sharing.js";
+import { route } from "./setup.js";
+
+const vm = (id: string): EntryVm => ({
+    id,
+    incarnation: id,
+    place: { region: "r", domain: "a" },
+    callerAddress: `${id}:1`,
+    peerAddress: `${id}:2`,
+    state: "alive",
+    load: 0,
+});
+
+const entry = (id: string): ServerEntry => ({
+    id,
+    bornAt: 1,
+    service: "svc",
+    address: "10.0.0.1:80",
+    domain: "a",
+    slots: 2,
+    leaving: false,
+    warmUpMs: 0,
+});
+
+const config: RouteConfig = {
+    version: 1,
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    routes: [route()],
+    services: new Map(),
+};
+
+/** Entry VMs that see each other's payloads at once. */
+const fleet = (...ids: readonly string[]) => {
+    const payloads = new Map<string, Record<string, string | number>>(ids.map(id => [id, {}]));
+    const preferred = new Map<string, ReadonlySet<string> | undefined>();
+    const sharings = ids.map(
+        self =>
+            new Sharing({
+                self,
+                processorShare: 0.5,
+                membership: {
+                    payload: id => payloads.get(id) ?? {},
+                    setPayload: (key, value) => {
+                        payloads.set(self, { ...payloads.get(self), [key]: value });
+                    },
+                },
+                members: () => ids.map(vm),
+                prefer: (_, own) => preferred.set(self, own),
+                now: 0,
+            }),
+    );
+    return { sharings, preferred };
+};
+
+test("entry VMs that serve one host see its whole demand, and divide its servers", () => {
+    const { sharings, preferred } = fleet("v1", "v2", "v3");
+    const servers = Array.from({ length: 20 }, (_, i) => ({ entry: entry(`s${i}`), lapsed: false }));
+    sharings.forEach(it => it.follow(config, servers.slice(0, 1)));
+    assert.equal(sharings[0]?.dispatchers("h.example", "a").length, 1);
+    for (let now = 500; now <= 2_000; now += 500) {
+        sharings.forEach(it => {
+            for (let n = 0; n < 50; n++) {
+                it.count("h.example");
+            }
+            it.follow(config, servers);
+            it.turn(now);
+        });
+    }
+    assert.equal(sharings[0]?.dispatchers("h.example", "a").length, 3);
+    const parts = [...preferred.values()].map(it => it ?? new Set<string>());
+    assert.equal(new Set(parts.flatMap(it => [...it])).size, servers.length);
+    assert.equal(
+        parts.reduce((sum, it) => sum + it.size, 0),
+        servers.length,
+    );
+});
