--- a/packages/protocol/src/kinds.ts
+++ b/packages/protocol/src/kinds.ts
@@ -60,13 +60,15 @@
         504,
         "outcome unknown",
         "never",
-        "The deadline passed before the backend server answered.",
+        "The deadline passed before the backend server answered. Whether the request ran isn't known: look whether " +
+            "it took effect before sending it again.",
     ),
     "server-lost": row(
         502,
         "outcome unknown",
         "same",
-        "The backend server's connection broke before its answer.",
+        "The backend server's connection broke before its answer. Whether the request ran isn't known: look " +
+            "whether it took effect before sending it again.",
     ),
     "request-id-missing": row(
         400,
