--- a/packages/gateway/test/repeats.test.ts
+++ b/packages/gateway/test/repeats.test.ts
@@ -27,7 +27,7 @@
     const { port } = await startFront(t, servers, { kind: "non-idempotent", maxAttempts: 2 });
     const lost = await exchange(port, ask("lost", { method: "POST", body: "x" }));
     assert.equal(status(lost.bytes), 502, "which promises nothing");
-    assert.match(lost.bytes, /look whether it took effect before sending it again/);
+    assert.match(lost.bytes, /look whether it took effect before sending it as a new request/);
     assert.equal(arrivalsOf(servers, "lost"), 1);
     const refusing = await Promise.all([rawServer(t, "s1", notRun), rawServer(t, "s2", notRun)]);
     const other = await startFront(t, refusing, { kind: "non-idempotent", maxAttempts: 2 });
--- a/packages/protocol/src/kinds.ts
+++ b/packages/protocol/src/kinds.ts
@@ -61,14 +61,14 @@
         "outcome unknown",
         "never",
         "The deadline passed before the backend server answered. Whether the request ran isn't known: look whether " +
-            "it took effect before sending it again.",
+            "it took effect before sending it as a new request.",
     ),
     "server-lost": row(
         502,
         "outcome unknown",
         "same",
         "The backend server's connection broke before its answer. Whether the request ran isn't known: look " +
-            "whether it took effect before sending it again.",
+            "whether it took effect before sending it as a new request.",
     ),
     "request-id-missing": row(
         400,
