--- a/packages/gateway/src/asks.ts
+++ b/packages/gateway/src/asks.ts
@@ -15,8 +15,13 @@
     readonly misdirected: boolean;
 }
 
-/** Asks servers, one question at a time to each. */
-export class LoadAsker {
+/** Asks a server for its load; undefined if it doesn't answer. */
+export interface Asker {
+    ask(server: ServerEntry, healthPath: string): Promise<LoadAnswer | undefined>;
+}
+
+/** Asks servers over HTTP, one question at a time to each. */
+export class LoadAsker implements Asker {
     readonly #wire: Wire;
     readonly #agent: KeepingAgent;
     readonly #pending = new Map<string, Promise<LoadAnswer | undefined>>();
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -4,7 +4,7 @@
 import type { ServerState } from "@bramleymoor/balance/server";
 import type { LoadReport, Refusal, Request, SendEnd, Slot } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
-import type { LoadAsker } from "./asks.js";
+import type { Asker } from "./asks.js";
 
 /** How the wait for a slot ended. */
 export type Placement =
@@ -15,14 +15,14 @@
 /** What a dispatcher needs. */
 export interface DispatcherParts {
     readonly balancer: Balancer;
-    readonly asker: Pick<LoadAsker, "ask">;
+    readonly asker: Asker;
     readonly clock: () => number;
 }
 
 /** Places the requests of one service. */
 export class Dispatcher {
     readonly #balancer: Balancer;
-    readonly #asker: Pick<LoadAsker, "ask">;
+    readonly #asker: Asker;
     readonly #clock: () => number;
     readonly #waiting = new Map<Request, (placement: Placement) => void>();
     #settings: ServiceSettings;
