--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -101,10 +101,10 @@
             }
             const now = this.#clock();
             const stale = turn.candidates.filter(it => !it.isFresh(now));
-            if (stale.length === 0) {
-                this.#grant(turn, 0);
-            } else {
+            if (stale.length > 0) {
                 this.#compare(turn, stale);
+            } else if (!this.#grant(turn, 0)) {
+                return;
             }
         }
     }
@@ -145,15 +145,17 @@
         }
     }
 
-    #grant(turn: Turn, comparedAgeMs: number): void {
+    /** False if none of the turn's servers has a free slot any more; the request then waits on. */
+    #grant(turn: Turn, comparedAgeMs: number): boolean {
         if (!this.#waiting.has(turn.request)) {
             this.#balancer.giveUp();
-            return;
+            return true;
         }
         const slot = this.#balancer.grant(turn, this.#clock());
         if (slot) {
             this.#end(turn.request, { kind: "slot", slot, comparedAgeMs });
         }
+        return slot !== undefined;
     }
 
     #end(request: Request, placement: Placement): void {
