--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -8,7 +8,7 @@
 
 /** How the wait for a slot ended. */
 export type Placement =
-    | { readonly kind: "slot"; readonly slot: Slot; readonly comparedAgeMs: number }
+    | { readonly kind: "slot"; readonly slot: Slot }
     | { readonly kind: "refused"; readonly refusal: Refusal }
     | { readonly kind: "withdrawn" };
 
@@ -103,7 +103,7 @@
             const stale = turn.candidates.filter(it => !it.isFresh(now));
             if (stale.length > 0) {
                 this.#compare(turn, stale);
-            } else if (!this.#grant(turn, 0)) {
+            } else if (!this.#grant(turn)) {
                 return;
             }
         }
@@ -118,7 +118,7 @@
             if (!over) {
                 over = true;
                 clearTimeout(timer);
-                this.#grant(turn, this.#clock() - began);
+                this.#grant(turn);
             }
             this.#pump();
         };
@@ -146,14 +146,14 @@
     }
 
     /** False if none of the turn's servers has a free slot any more; the request then waits on. */
-    #grant(turn: Turn, comparedAgeMs: number): boolean {
+    #grant(turn: Turn): boolean {
         if (!this.#waiting.has(turn.request)) {
             this.#balancer.giveUp();
             return true;
         }
         const slot = this.#balancer.grant(turn, this.#clock());
         if (slot) {
-            this.#end(turn.request, { kind: "slot", slot, comparedAgeMs });
+            this.#end(turn.request, { kind: "slot", slot });
         }
         return slot !== undefined;
     }
