--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -93,7 +93,11 @@
     }
 
     #send(peerAddress: string, data: Buffer): void {
-        if (this.#closed || data.length > datagramBytes) {
+        if (this.#closed) {
+            return;
+        }
+        if (data.length > datagramBytes) {
+            this.#handlers.refused(peerAddress, `a message of ${data.length} bytes fits no datagram`);
             return;
         }
         const { host, port } = splitAddress(peerAddress);
