--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -239,7 +239,7 @@
         return new Exchange(
             {
                 server: slot.server,
-                agent: this.#mayRestedServe(slot) ? agents.kept : agents.fresh,
+                agent: this.#mayUseKept(slot) ? agents.kept : agents.fresh,
                 method: this.#req.method ?? "GET",
                 target: this.#req.url ?? "/",
                 headers: [...kept, ...body.framing(), ...own],
@@ -254,7 +254,7 @@
      * Whether a kept connection will do. A server may have forgotten one that has rested, and what is lost on it
      * may have run; one that has just brought an answer, to a load question mostly, is alive.
      */
-    #mayRestedServe({ request, server }: Slot): boolean {
+    #mayUseKept({ request, server }: Slot): boolean {
         return (
             request.kind !== "non-idempotent" ||
             this.#parts.agents.kept.isFresh(server.address, restedAtMostMs)
