Read as a newcomer: knowledge and joining leave node.ts, the replay's servers their own module, one copy of builders

Cause: node.ts (407 lines) wired and also kept what is known from the store; replay.ts (375) played callers and servers; the same entry builder stood in six places, delay, the closing of idle connections and a stand-in's listening in two each; an answer's health, whether a connection was reused and the table's hosts were read by nobody. Change: modules split, testkit holds the builders, proxy the shared waiting and closing; sources beside the constants that had none; comments say what they mean.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -186,7 +186,7 @@
         this.#servers.get(keyOf(server))?.answeredWithoutLoad();
     }
 
-    /** Whether one of a turn's servers is known to be as good as any. */
+    /** Whether one of a turn's servers is known to be calm and idle, so that no other is much better. */
     isReady(turn: Turn, now: number): boolean {
         return turn.candidates.some(it => it.usable(now) && it.isIdeal(now));
     }
@@ -281,6 +281,7 @@
 /** Tells incarnations apart, also of a server that kept its id over a restart. */
 const keyOf = (entry: ServerEntry): string => `${entry.id}@${entry.bornAt}`;
 
+/** Servers that come or return are known within about a second. */
 const noServerRetryMs = 400;
 /** A caller that comes back sooner than a usual request takes finds the same queue. */
 const leastRetryMs = 120;
--- a/packages/balance/src/speed.ts
+++ b/packages/balance/src/speed.ts
@@ -42,11 +42,13 @@
     }
 }
 
-/** Assumed until answers tell more. */
+/** Assumed until answers tell more: work of both deployments of the brief. */
 const firstUsualMs = 120;
 /** Seen on servers of two slots: 203 ms with both in use, 124 ms with one. */
 const firstCrowdedFactor = 1.5;
+/** Mean over calm and slow servers, likewise. */
 const firstMeanFactor = 1.5;
+/** Remembers about the last 25 answers, a second or less of a busy service. */
 const weight = 0.04;
 /** Above this factor two requests on one server's last slots are served faster one after the other. */
 const crowdedWorthwhile = 1.35;
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -1,23 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { ServerEntry } from "@bramleymoor/model/route";
+import { serverEntry as entry } from "@bramleymoor/testkit/entries";
 import { Balancer } from "../src/balancer.js";
 import { RepeatBudget } from "../src/budget.js";
 import { WaitQueue } from "../src/queue.js";
 import type { Request } from "../src/types.js";
 
-const entry = (id: string, changes: Partial<ServerEntry> = {}): ServerEntry => ({
-    id,
-    bornAt: 1,
-    service: "svc",
-    address: `10.0.0.1:${id.length}`,
-    domain: "a",
-    slots: 2,
-    leaving: false,
-    warmUpMs: 0,
-    ...changes,
-});
-
 let lastId = 0;
 
 const request = (now: number, changes: Partial<Request> = {}): Request => ({
--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -1,33 +1,9 @@
 /** Replays patterns of overload against a balancer under virtual time: servers, callers and what they earn. */
 
-import type { ServerEntry } from "@bramleymoor/model/route";
 import type { Balancer } from "@bramleymoor/balance/balancer";
-import type { Request, Slot } from "@bramleymoor/balance/types";
+import type { Request } from "@bramleymoor/balance/types";
 import { SeededRandom, type Random } from "@bramleymoor/dispatch/random";
-
-/** Backend servers of a replay. */
-export interface ReplayServers {
-    readonly count: number;
-    readonly slots: number;
-    /** Share of the time for which a server is slow, how slow, and how long a spell lasts. */
-    readonly noise: { readonly share: number; readonly factor: number; readonly everyMs: number };
-    /** Above this share of its slots in use a server slows down by a factor. */
-    readonly knee: { readonly fill: number; readonly factor: number };
-}
-
-/** What a backend server does with the requests that it gets. */
-export type Conduct =
-    | "sound"
-    /** Answers each with an error of its own after a few milliseconds, its health being good. */
-    | "fails"
-    /** Never answers. */
-    | "hangs"
-    /** Works much slower than the others, and doesn't tell. */
-    | "slow"
-    /** Just started: works, but slower. */
-    | "cold"
-    /** Not there: connections are refused. */
-    | "gone";
+import { ReplayFleet, type ConductOf, type Job, type ReplayServers } from "./replayservers.js";
 
 /** Callers of a replay. */
 export interface ReplayCallers {
@@ -48,7 +24,7 @@
     /** New requests per second at a moment. */
     readonly rate: (atMs: number) => number;
     /** What a server does at a moment; all are sound if absent. */
-    readonly conduct?: (server: number, atMs: number) => Conduct;
+    readonly conduct?: ConductOf;
     readonly lengthMs: number;
     readonly seed: number;
 }
@@ -77,22 +53,12 @@
     outcome: "open" | "target" | "late" | "refused" | "failed";
 }
 
-interface Job {
-    readonly slot: Slot;
-    readonly caller: Caller;
-    /** What the server does with it, settled at its start. */
-    readonly conduct: Conduct;
-    left: number;
-}
-
 /** Runs one pattern against one balancer. */
 export class Replay {
     readonly #pattern: Pattern;
     readonly #balancer: Balancer;
     readonly #random: Random;
-    readonly #entries: readonly ServerEntry[];
-    readonly #jobs: Job[][];
-    readonly #slow: boolean[];
+    readonly #fleet: ReplayFleet<Caller>;
     readonly #callers: Caller[] = [];
     readonly #open = new Map<Request, Caller>();
     readonly #returns: { readonly at: number; readonly caller: Caller }[] = [];
@@ -104,11 +70,8 @@
         this.#pattern = pattern;
         this.#balancer = balancer;
         this.#random = new SeededRandom(pattern.seed);
-        this.#entries = Array.from({ length: pattern.servers.count }, (_, i) =>
-            entryOf(i, pattern.servers.slots),
-        );
-        this.#jobs = this.#entries.map(() => []);
-        this.#slow = this.#entries.map(() => false);
+        const sound: ConductOf = () => "sound";
+        this.#fleet = new ReplayFleet(pattern.servers, pattern.conduct ?? sound, this.#random);
     }
 
     run(): ReplayResult {
@@ -117,7 +80,7 @@
             if (now % newsEveryMs === 0) {
                 this.#tellServers(now);
             }
-            this.#shiftNoise(now);
+            this.#fleet.shiftSpells(now);
             if (now < lengthMs) {
                 this.#arrive(now);
             }
@@ -131,28 +94,12 @@
 
     /** The balancer learns which servers are there as late as entry VMs do. */
     #tellServers(now: number): void {
-        const known = this.#entries.filter(
-            (_, i) => this.#conduct(i, Math.max(0, now - newsAgeMs)) !== "gone",
-        );
         this.#balancer.follow(
-            known.map(entry => ({ entry, lapsed: false })),
+            this.#fleet.known(now).map(entry => ({ entry, lapsed: false })),
             now,
         );
     }
 
-    #conduct(server: number, now: number): Conduct {
-        return this.#pattern.conduct?.(server, now) ?? "sound";
-    }
-
-    #shiftNoise(now: number): void {
-        const { noise } = this.#pattern.servers;
-        this.#slow.forEach((_, i) => {
-            if ((now + i * noiseStagger) % noise.everyMs < stepMs) {
-                this.#slow[i] = this.#random.next() < noise.share;
-            }
-        });
-    }
-
     #arrive(now: number): void {
         this.#due += (this.#pattern.rate(now) * stepMs) / msPerSecond;
         for (; this.#due >= 1; this.#due--) {
@@ -212,21 +159,12 @@
     }
 
     #work(now: number): void {
-        this.#jobs.forEach((jobs, i) => {
-            jobs.forEach(job => (job.left -= stepMs));
-            const ended = jobs.filter(job => job.left <= 0 || now >= job.slot.request.deadlineAt);
-            if (ended.length > 0) {
-                this.#jobs[i] = jobs.filter(job => !ended.includes(job));
-                ended.forEach(job => this.#ended(job, i, now));
-            }
-        });
+        this.#fleet.work(stepMs, now).forEach(job => this.#ended(job, now));
     }
 
-    #ended(job: Job, server: number, now: number): void {
-        const entry = this.#entries[server];
-        if (entry) {
-            this.#report(entry, server, now);
-        }
+    #ended(job: Job<Caller>, now: number): void {
+        const { server } = job.slot;
+        this.#balancer.report(server, this.#fleet.load(server), now);
         if (job.conduct === "gone" || job.conduct === "fails") {
             const gone = job.conduct === "gone";
             this.#balancer.settle(
@@ -238,17 +176,17 @@
             return;
         }
         if (job.left > 0) {
-            job.caller.outcome = "failed";
+            job.owner.outcome = "failed";
             this.#balancer.settle(job.slot, { kind: "timeout" }, now);
             return;
         }
-        const inTarget = now - job.caller.firstAt <= this.#pattern.callers.targetMs - wayMs;
-        job.caller.outcome = inTarget ? "target" : "late";
+        const inTarget = now - job.owner.firstAt <= this.#pattern.callers.targetMs - wayMs;
+        job.owner.outcome = inTarget ? "target" : "late";
         this.#balancer.settle(job.slot, { kind: "answered", status: 200 }, now);
     }
 
     /** Places a request once more, as long as its route allows. */
-    #sendAgain({ slot, caller }: Job, most: number, now: number): void {
+    #sendAgain({ slot, owner: caller }: Job<Caller>, most: number, now: number): void {
         const tried = [...slot.request.tried, slot.server.id];
         const request = { ...slot.request, id: ++this.#lastId, arrivedAt: now, tried };
         if (tried.length >= most || this.#balancer.submit(request, now)) {
@@ -270,52 +208,22 @@
 
     #place(now: number): void {
         for (let turn = this.#balancer.next(now); turn; turn = this.#balancer.next(now)) {
-            turn.candidates.forEach(({ entry }) => this.#ask(entry, now));
+            for (const { entry } of turn.candidates) {
+                if (this.#fleet.answers(entry, now)) {
+                    this.#balancer.report(entry, this.#fleet.load(entry), now);
+                } else {
+                    this.#balancer.unanswered(entry, now);
+                }
+            }
             const slot = this.#balancer.grant(turn, now);
             const caller = this.#open.get(turn.request);
             if (slot && caller) {
                 this.#open.delete(turn.request);
-                this.#start(slot, caller);
+                this.#fleet.start(slot, caller, caller.workMs);
             }
         }
     }
 
-    /** A request's time is settled by its server's speed and load at its start. */
-    #start(slot: Slot, caller: Caller): void {
-        const { noise, knee, slots } = this.#pattern.servers;
-        const server = this.#entries.indexOf(slot.server);
-        const jobs = this.#jobs[server] ?? [];
-        const crowding = (jobs.length + 1) / slots > knee.fill ? knee.factor : 1;
-        const conduct = this.#conduct(server, slot.grantedAt);
-        const untold = { sound: 1, cold: coldFactor, slow: slowFactor, fails: 1, gone: 1, hangs: 1 }[conduct];
-        const working = caller.workMs * (this.#slow[server] ? noise.factor : 1) * crowding * untold;
-        const left = {
-            sound: working,
-            cold: working,
-            slow: working,
-            fails: failingMs,
-            gone: refusingMs,
-            hangs: Infinity,
-        };
-        jobs.push({ slot, caller, conduct, left: left[conduct] });
-    }
-
-    #ask(entry: ServerEntry, now: number): void {
-        const server = this.#entries.indexOf(entry);
-        if (this.#conduct(server, now) === "gone") {
-            this.#balancer.unanswered(entry, now);
-        } else {
-            this.#report(entry, server, now);
-        }
-    }
-
-    #report(entry: ServerEntry, server: number, now: number): void {
-        const { slots, noise } = this.#pattern.servers;
-        const running = this.#jobs[server]?.length ?? 0;
-        const slowdown = this.#slow[server] ? noise.factor : 1;
-        this.#balancer.report(entry, { running, waiting: 0, slots, slowdown }, now);
-    }
-
     #result(): ReplayResult {
         const count = (outcome: Caller["outcome"]): number =>
             this.#callers.filter(it => it.outcome === outcome).length;
@@ -347,29 +255,12 @@
         0,
     ) / callers.length;
 
-const entryOf = (i: number, slots: number): ServerEntry => ({
-    id: `s${i}`,
-    bornAt: 1,
-    service: "svc",
-    address: `10.0.0.${i + 1}:80`,
-    domain: "a",
-    slots,
-    leaving: false,
-    warmUpMs: 0,
-});
-
 const stepMs = 1;
 const msPerSecond = 1_000;
 /** One way between callers and entry VMs. */
 const wayMs = 8;
 const lateWorth = 0.1;
-/** How old an entry VM's list of servers is, and how often it is renewed. */
-const newsAgeMs = 700;
+/** How often the balancer gets a list of servers. */
 const newsEveryMs = 500;
-const failingMs = 5;
-const refusingMs = 2;
-const coldFactor = 3;
-const slowFactor = 4;
 const attemptsAtMost = 2;
 const unreachableAtMost = 4;
-const noiseStagger = 37;
--- a/packages/bench/src/replaypatterns.ts
+++ b/packages/bench/src/replaypatterns.ts
@@ -1,6 +1,7 @@
 /** Patterns of overload, at the sizes of the brief's two deployments. */
 
-import type { Conduct, Pattern, ReplayCallers, ReplayServers } from "./replay.js";
+import type { Pattern, ReplayCallers } from "./replay.js";
+import type { Conduct, ReplayServers } from "./replayservers.js";
 
 const noise = { share: 0.35, factor: 5, everyMs: 150 };
 
--- a/packages/discovery/test/fleet.test.ts
+++ b/packages/discovery/test/fleet.test.ts
@@ -1,14 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { RouteConfig } from "@bramleymoor/model/route";
-import { Fleet, serverEntry } from "./fleet.js";
-
-const config = (version: number): RouteConfig => ({
-    version,
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    routes: [],
-    services: new Map(),
-});
+import { routeConfig as config, serverEntry } from "@bramleymoor/testkit/entries";
+import { Fleet } from "./fleet.js";
 
 const boundMs = 2_000;
 
@@ -47,7 +40,7 @@
     const it = await fleet(14, 10);
     t.after(() => it.stop());
     it.loses = n => n % 3 === 0;
-    it.store.put("servers", "s3", serverEntry("s3", true));
+    it.store.put("servers", "s3", serverEntry("s3", { leaving: true }));
     it.store.put("configuration", "config", config(2));
     await it.time.run(3_000 + boundMs - 300);
     assert.deepEqual(new Set(leavingAt(it, "s3")), new Set([true]));
@@ -73,7 +66,7 @@
     it.frozen.add("vm1");
     it.frozen.add("vm77");
     it.sent.clear();
-    it.store.put("servers", "s3", serverEntry("s3", true));
+    it.store.put("servers", "s3", serverEntry("s3", { leaving: true }));
     await it.time.run(3_000 + boundMs);
     const heard = it.vms.filter(({ id }) => !it.frozen.has(id));
     const states = heard.map(
@@ -117,7 +110,7 @@
     it.store.turnedAway.add("vm0");
     it.store.turnedAway.add("vm5");
     await it.time.run(4_000);
-    it.store.put("servers", "s3", serverEntry("s3", true));
+    it.store.put("servers", "s3", serverEntry("s3", { leaving: true }));
     await it.time.run(4_000 + boundMs);
     assert.deepEqual(new Set(leavingAt(it, "s3")), new Set([true]));
 });
@@ -129,7 +122,7 @@
     await it.time.run(9_000);
     assert.deepEqual(new Set(it.vms.map(vm => vm.servers.servers().length)), new Set([10]));
     it.store.turnedAway.clear();
-    it.store.put("servers", "s3", serverEntry("s3", true));
+    it.store.put("servers", "s3", serverEntry("s3", { leaving: true }));
     await it.time.run(9_000 + boundMs + 200);
     assert.deepEqual(new Set(leavingAt(it, "s3")), new Set([true]));
 });
--- a/packages/discovery/test/fleet.ts
+++ b/packages/discovery/test/fleet.ts
@@ -1,7 +1,6 @@
 /** A fleet of followers over one store, under virtual time: no sockets, no real waits. */
 
-import type { RouteConfig } from "@bramleymoor/model/route";
-import type { ServerEntry } from "@bramleymoor/model/route";
+import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { ConfigBook } from "../src/config.js";
 import { Follower } from "../src/follower.js";
 import { HistoryGoneError, type KeyedLog, type KeyedPage, type KeyedTopic } from "../src/log.js";
@@ -192,18 +191,6 @@
     }
 }
 
-/** An entry as a backend server registers it. */
-export const serverEntry = (id: string, leaving = false): ServerEntry => ({
-    id,
-    bornAt: 1,
-    service: "svc",
-    address: `10.0.0.1:${id.length}`,
-    domain: "a",
-    slots: 2,
-    leaving,
-    warmUpMs: 0,
-});
-
 const answerMs = 4;
 const pollMs = 20;
 const wayMs = 1;
--- a/packages/discovery/test/follower.test.ts
+++ b/packages/discovery/test/follower.test.ts
@@ -1,16 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { RouteConfig } from "@bramleymoor/model/route";
+import { routeConfig as config } from "@bramleymoor/testkit/entries";
 import { Cadence } from "../src/cadence.js";
 import { ConfigBook } from "../src/config.js";
 
-const config = (version: number): RouteConfig => ({
-    version,
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    routes: [],
-    services: new Map(),
-});
-
 const value = (version: number): Uint8Array => new TextEncoder().encode(String(version));
 
 const book = (): ConfigBook =>
--- a/packages/discovery/test/servers.test.ts
+++ b/packages/discovery/test/servers.test.ts
@@ -1,21 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { ServerEntry } from "@bramleymoor/model/route";
+import { serverEntry as entry } from "@bramleymoor/testkit/entries";
 import type { KeyedRecord } from "../src/log.js";
 import { ServerBook } from "../src/servers.js";
 
-const entry = (id: string, changes: Partial<ServerEntry> = {}): ServerEntry => ({
-    id,
-    bornAt: 1,
-    service: "svc",
-    address: "10.0.0.1:80",
-    domain: "a",
-    slots: 2,
-    leaving: false,
-    warmUpMs: 0,
-    ...changes,
-});
-
 const put = (offset: number, value: ServerEntry): KeyedRecord => ({
     offset,
     key: value.id,
--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -4,7 +4,7 @@
 import type { CallError } from "@bramleymoor/protocol/kinds";
 import { errorBody } from "@bramleymoor/proxy/answers";
 
-/** Whether an answer was written, or the caller or an earlier answer left nothing to write to. */
+/** Writes an error's answer, unless the caller has gone or an answer has begun. */
 export const answerOwn = (res: ServerResponse, error: CallError, extra: readonly string[]): void => {
     if (res.headersSent || res.destroyed) {
         return;
--- a/packages/gateway/src/asks.ts
+++ b/packages/gateway/src/asks.ts
@@ -10,7 +10,6 @@
 /** What a server answered. */
 export interface LoadAnswer {
     readonly report: LoadReport | undefined;
-    readonly healthy: boolean;
     /** The server that answers there now is another one. */
     readonly misdirected: boolean;
 }
@@ -75,7 +74,6 @@
                 const id = this.#wire.serverId(res.headers);
                 done({
                     report: this.#wire.load(res.headers),
-                    healthy: res.statusCode === 200,
                     misdirected: id !== undefined && id !== server.id,
                 });
             });
--- a/packages/gateway/src/clock.ts
+++ b/packages/gateway/src/clock.ts
@@ -5,19 +5,3 @@
 
 /** Milliseconds since 1970, for log lines and as a first guess at an order of runs; no safety rests on it. */
 export const wallClockMs = (): number => new Date().getTime();
-
-/** Resolves after `ms` milliseconds, or at once when the signal aborts. */
-export const delay = async (ms: number, signal: AbortSignal): Promise<void> => {
-    if (signal.aborted) {
-        return;
-    }
-    await new Promise<void>(resolve => {
-        const done = (): void => {
-            clearTimeout(timer);
-            signal.removeEventListener("abort", done);
-            resolve();
-        };
-        const timer = setTimeout(done, ms);
-        signal.addEventListener("abort", done);
-    });
-};
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -109,7 +109,7 @@
         }
     }
 
-    /** Asks servers, and grants when one of them is known to be as good as any, all have answered, or time is up. */
+    /** Asks servers, and grants when one is known to be calm and idle, all have answered, or time is up. */
     #compare(turn: Turn, stale: readonly ServerState[]): void {
         const began = this.#clock();
         let missing = stale.length;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -88,11 +88,6 @@
         return this.#connected;
     }
 
-    /** Whether the request went out over a connection that was used before. */
-    get reused(): boolean {
-        return this.#req.reusedSocket;
-    }
-
     /** Whether the connection was reset, so that an answer without a length isn't whole. */
     get reset(): boolean {
         return this.#reset;
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -1,7 +1,7 @@
 /** The HTTP servers towards callers: routed requests, the question which addresses to use, readiness. */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Server as NetServer, type AddressInfo, type Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { ClientLimits } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/kinds";
 import { rawError } from "@bramleymoor/proxy/answers";
@@ -85,12 +85,7 @@
 
     /** Takes no new connections, closes idle ones, and resolves when every answer is out. */
     async finish(): Promise<void> {
-        const closed = new Promise<void>(resolve =>
-            NetServer.prototype.close.call(this.#server, () => resolve()),
-        );
-        const looking = setInterval(() => this.#connections.closeIdle(), idleLookMs);
-        await closed;
-        clearInterval(looking);
+        await this.#connections.closeAll(this.#server);
         await Promise.all(this.#running);
     }
 
@@ -175,8 +170,9 @@
 const mostHeadBytes = 64 * 1024;
 /** Bytes of ": " and line end for each pair of name and value, halved. */
 const headerOverhead = 2;
+/** Lateness of the parser's time-outs that callers don't notice. */
 const checkIntervalMs = 1_000;
-const idleLookMs = 50;
+/** The platform looks at readiness each second, callers ask for addresses each two. */
 const answerKeepMs = 5_000;
 /** Connections that wait to be accepted while the process is busy. */
 const backlog = 1_024;
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -1,26 +1,23 @@
 /** One entry process that serves routes: its parts wired together, its start, its periodic work, its stop. */
 
 import { randomBytes } from "node:crypto";
-import { ConfigBook, type ConfigDecoder } from "@bramleymoor/discovery/config";
-import { Follower } from "@bramleymoor/discovery/follower";
-import type { KeyedLog } from "@bramleymoor/discovery/log";
-import { ServerBook, type ServerDecoder } from "@bramleymoor/discovery/servers";
-import { Membership, membershipDefaults } from "@bramleymoor/membership/membership";
-import type { Route, RouteConfig } from "@bramleymoor/model/route";
+import type { Membership } from "@bramleymoor/membership/membership";
+import type { Route } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { EventLog } from "@bramleymoor/observe/events";
 import { CallMetrics } from "@bramleymoor/observe/metrics";
 import { CallError } from "@bramleymoor/protocol/kinds";
+import { delay } from "@bramleymoor/proxy/delay";
 import { Sweep } from "@bramleymoor/proxy/sweep";
-import { RouteTable } from "@bramleymoor/routing/table";
 import { Splits } from "@bramleymoor/routing/split";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { KeepingAgent } from "./agent.js";
 import { LoadAsker } from "./asks.js";
-import { delay, monotonicMs, wallClockMs } from "./clock.js";
+import { monotonicMs, wallClockMs } from "./clock.js";
 import { FirstDeadlines } from "./elapsed.js";
 import { ForwardTask, type ForwardParts } from "./forward.js";
 import { Front } from "./front.js";
+import { addressOf, joinPeers } from "./joining.js";
+import { Knowledge, type StoreParts } from "./knowledge.js";
 import { LoopLag } from "./looplag.js";
 import { MemberWatch } from "./memberwatch.js";
 import { PeerSocket } from "./peersocket.js";
@@ -32,17 +29,12 @@
 import type { Wire } from "./wire.js";
 
 /** What the platform in use gives an entry process. */
-export interface PlatformParts {
-    readonly log: KeyedLog;
+export interface PlatformParts extends StoreParts {
     /** Calls of the store so far. */
     readonly storeCalls: () => number;
     /** Log lines dropped so far, as nobody read them fast enough. */
     readonly droppedLines: () => number;
     readonly wire: Wire;
-    readonly decodeConfig: ConfigDecoder;
-    readonly decodeServer: ServerDecoder;
-    /** Key of the record that holds the configuration. */
-    readonly configKey: string;
 }
 
 /** One run of the entry process. */
@@ -52,12 +44,10 @@
     readonly #events: EventLog;
     readonly #metrics = new CallMetrics(false);
     readonly #incarnation = randomBytes(incarnationBytes).toString("base64url");
-    readonly #config: ConfigBook;
-    readonly #servers: ServerBook;
+    readonly #knowledge: Knowledge;
     readonly #peers: PeerSocket;
     readonly #watch: MemberWatch;
     readonly #membership: Membership;
-    readonly #follower: Follower;
     readonly #services: Services;
     readonly #agents = {
         kept: new KeepingAgent({ idleMs: keepIdleMs, marginMs: keepMarginMs, clock: monotonicMs }),
@@ -73,7 +63,6 @@
     readonly #side: SideServers;
     readonly #forwarding: ForwardParts;
     readonly #ended = new AbortController();
-    #table: RouteTable | undefined = undefined;
     #lastId = 0;
     #followedRevision = -1;
     #state: "starting" | "serving" | "stopping" = "starting";
@@ -82,8 +71,6 @@
         this.#settings = settings;
         this.#platform = platform;
         this.#events = events;
-        this.#config = new ConfigBook(platform.configKey, platform.decodeConfig);
-        this.#servers = new ServerBook(platform.decodeServer);
         this.#asker = new LoadAsker(platform.wire, this.#agents.kept);
         this.#services = new Services({
             asker: this.#asker,
@@ -94,7 +81,7 @@
         });
         this.#peers = new PeerSocket({
             gossip: message => this.#membership.receive(message, monotonicMs()),
-            news: (news, from) => this.#follower.take(news, from, this.#lag.lagMs(turnMs, monotonicMs())),
+            news: (news, from) => this.#knowledge.take(news, from, this.#lag.lagMs(turnMs, monotonicMs())),
             refused: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
         this.#watch = new MemberWatch(settings.id, settings.seeds.length > 0, events);
@@ -110,11 +97,22 @@
         this.#reporter = new Reporter({
             events,
             metrics: this.#metrics,
-            version: () => this.#config.config?.version ?? 0,
+            version: () => this.#knowledge.config?.version ?? 0,
             waiting: service => this.#services.dispatcher(service)?.waiting ?? 0,
-            serversAgeMs: () => monotonicMs() - this.#servers.asOf,
+            serversAgeMs: () => this.#knowledge.serversAgeMs(monotonicMs()),
+        });
+        this.#knowledge = new Knowledge(platform, {
+            events,
+            clock: monotonicMs,
+            rank: () => this.#watch.readerRank,
+            peers: () => this.#watch.others.map(vm => vm.peerAddress),
+            tell: (peers, news) => this.#peers.tell(peers, news),
+            configured: config => {
+                this.#front.follow(config.limits);
+                this.#metrics.version(config.version);
+                this.#followKnowledge();
+            },
         });
-        this.#follower = this.#makeFollower();
         this.#forwarding = this.#makeForwarding();
         this.#watchTotals();
         this.#front = new Front(
@@ -161,7 +159,7 @@
             peers: addressOf(peers),
             operators: addressOf(metrics),
         });
-        this.#keepDoing("following the store", this.#follower.run(this.#ended.signal));
+        this.#keepDoing("following the store", this.#knowledge.run(this.#ended.signal));
         this.#keepDoing("gossiping", this.#gossip());
         this.#keepDoing("looking at queues and demand", this.#turns());
     }
@@ -209,26 +207,13 @@
     }
 
     #join(): Membership {
-        const { id, place, front, peers, seeds } = this.#settings;
-        const self: EntryVm = {
-            id,
-            incarnation: this.#incarnation,
-            place,
-            callerAddress: addressOf(front),
-            peerAddress: addressOf(peers),
-            state: "alive",
-            load: 0,
-        };
-        const settings = {
-            ...membershipDefaults,
-            periodMs: gossipPeriodMs,
-            pingTimeoutMs,
-            cluster,
-            startedAt: wallClockMs(),
-            seeds: seeds.map(host => `${host}:${peers.port}`),
-        };
-        const random = xoroshiro128plus(randomBytes(4).readInt32LE());
-        const membership = new Membership(self, this.#peers, settings, random, monotonicMs());
+        const membership = joinPeers(
+            this.#settings,
+            this.#incarnation,
+            this.#peers,
+            monotonicMs(),
+            wallClockMs(),
+        );
         membership.members.subscribe(list => {
             this.#watch.follow(list);
             const count = (state: EntryVm["state"]): number => list.filter(vm => vm.state === state).length;
@@ -241,58 +226,15 @@
         return membership;
     }
 
-    #makeFollower(): Follower {
-        return new Follower({
-            log: this.#platform.log,
-            config: this.#config,
-            servers: this.#servers,
-            clock: monotonicMs,
-            delay,
-            rank: () => this.#watch.readerRank,
-            peers: () => this.#watch.others.map(vm => vm.peerAddress),
-            tell: (peers, news) => this.#peers.tell(peers, news),
-            events: {
-                config: (config, origin, ageMs) => this.#tookConfig(config, origin, ageMs),
-                servers: ({ changes }, origin, ageMs) => {
-                    const told = changes.map(
-                        ({ id, entry }) => `${id} ${entry ? (entry.leaving ? "leaving" : "ready") : "gone"}`,
-                    );
-                    this.#events.emit("servers-changed", {
-                        changes: told.join(", "),
-                        origin,
-                        ageMs: Math.round(ageMs),
-                    });
-                },
-                store: (topic, reachable, reason) =>
-                    reachable
-                        ? this.#events.emit("store-back", { topic })
-                        : this.#events.emit("store-lost", { topic, reason }),
-            },
-        });
-    }
-
-    #tookConfig(config: RouteConfig, origin: string, ageMs: number): void {
-        this.#table = new RouteTable(config.routes);
-        this.#front.follow(config.limits);
-        this.#metrics.version(config.version);
-        const { version, routes } = config;
-        this.#events.emit("routes-accepted", {
-            version,
-            routes: routes.length,
-            origin,
-            ageMs: Math.round(ageMs),
-        });
-        this.#followServers();
-    }
-
-    #followServers(): void {
-        if (this.#config.config) {
-            this.#services.follow(this.#config.config, this.#servers.servers());
-            this.#sharing.follow(this.#config.config, this.#servers.servers());
+    #followKnowledge(): void {
+        const { config, servers, isComplete } = this.#knowledge;
+        if (config) {
+            this.#services.follow(config, servers);
+            this.#sharing.follow(config, servers);
         }
-        if (this.#state === "starting" && this.#config.config && this.#servers.position !== undefined) {
+        if (this.#state === "starting" && config && isComplete) {
             this.#state = "serving";
-            this.#events.emit("ready", { version: this.#config.config.version });
+            this.#events.emit("ready", { version: config.version });
         }
     }
 
@@ -303,7 +245,7 @@
             sweep: new Sweep(monotonicMs, sweepPeriodMs),
             nextId: () => ++this.#lastId,
             route: (host, target) => this.#findRoute(host, target),
-            maxBodyBytes: () => this.#config.config?.limits.maxBodyBytes ?? 0,
+            maxBodyBytes: () => this.#knowledge.config?.limits.maxBodyBytes ?? 0,
             serviceOf: route => this.#splits.serviceOf(route, Math.random),
             dispatcher: service => this.#services.dispatcher(service),
             elapsedMs: (route, deadlineMs) =>
@@ -319,10 +261,11 @@
     }
 
     #findRoute(host: string, target: string): Route {
-        if (!this.#table || this.#state === "starting") {
+        const { table } = this.#knowledge;
+        if (!table || this.#state === "starting") {
             throw new CallError("not-ready", "", notReadyRetryMs);
         }
-        const route = this.#table.find(host, target);
+        const route = table.find(host, target);
         if (!route) {
             throw new CallError("no-route");
         }
@@ -349,9 +292,9 @@
     #turn(now: number): void {
         this.#lag.ran(turnMs, now);
         this.#services.tick();
-        if (this.#servers.revision !== this.#followedRevision || this.#state === "starting") {
-            this.#followedRevision = this.#servers.revision;
-            this.#followServers();
+        if (this.#knowledge.serversRevision !== this.#followedRevision || this.#state === "starting") {
+            this.#followedRevision = this.#knowledge.serversRevision;
+            this.#followKnowledge();
         }
         this.#sharing.turn(now);
     }
@@ -366,9 +309,6 @@
     }
 }
 
-const addressOf = ({ host, port }: { readonly host: string; readonly port: number }): string =>
-    `${host}:${port}`;
-
 const fixedSettings = [
     "id",
     "place",
@@ -381,15 +321,10 @@
     "processorShare",
 ] as const satisfies readonly (keyof GatewaySettings)[];
 
-/** One deployment has one cluster; its network keeps others out. */
-const cluster = "gateway";
+/** Random bytes, so that no two runs are alike. */
 const incarnationBytes = 9;
 /** Servers asked before a send; the trials of the platform's page gain little beyond 3 to 6. */
 const comparedServers = 3;
-/** A dead entry VM is suspected within about a second among a few dozen. */
-const gossipPeriodMs = 300;
-/** Many round trips between failure domains, less than a period. */
-const pingTimeoutMs = 250;
 /** Below the 10 s after which servers close idle connections. */
 const keepIdleMs = 8_000;
 /** Servers tell that time in whole seconds, so up to one may be missing. */
@@ -402,6 +337,7 @@
 const leaveSpreadMs = 500;
 /** Kept back from the grace period for the last lines and the end of the process. */
 const stopReserveMs = 400;
+/** Keeps a deadline that has just passed from spinning the loop. */
 const leastSleepMs = 5;
 /** Queued requests are looked at so often when nothing else happens. */
 const turnMs = 50;
--- a/packages/gateway/src/services.ts
+++ b/packages/gateway/src/services.ts
@@ -4,7 +4,7 @@
 import { RepeatBudget, type RepeatBound } from "@bramleymoor/balance/budget";
 import type { KnownServer } from "@bramleymoor/discovery/servers";
 import type { RouteConfig } from "@bramleymoor/model/route";
-import type { LoadAsker } from "./asks.js";
+import type { Asker } from "./asks.js";
 import { Dispatcher } from "./dispatcher.js";
 
 interface Held {
@@ -14,7 +14,7 @@
 
 /** What services need. */
 export interface ServicesParts {
-    readonly asker: LoadAsker;
+    readonly asker: Asker;
     readonly clock: () => number;
     readonly random: () => number;
     readonly balance: BalanceSettings;
--- a/packages/gateway/src/steering.ts
+++ b/packages/gateway/src/steering.ts
@@ -169,10 +169,12 @@
 const addressesAtMost = 64;
 /** More than any fleet has, so that only demand and members bound a host's entry VMs. */
 const mostTenths = 10_000;
+/** Base 36: a clash among a dozen hosts in one of a million deployments. */
 const hashLength = 5;
 const keys: readonly string[] = ["d0", "d1", "d2"];
 /** Pairs of at most 11 characters in a payload's value of at most 64. */
 const pairsPerKey = 5;
+/** Rates over less would be noise. */
 const leastPeriodMs = 100;
 /** Part of the slots in use on an ordinary day. */
 const usualUse = 0.5;
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -26,7 +26,7 @@
     isServers(headers: IncomingHttpHeaders): boolean;
     /** Body of the answer to "which addresses". */
     addresses(addresses: readonly string[], ttlMs: number): string;
-    /** Path of the question "which addresses", and what it asks for. */
+    /** Reads the question which addresses to use; undefined if the target is another one. */
     question(target: string): Question | undefined;
     /** Path of the platform's readiness check. */
     readonly readyPath: string;
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -4,20 +4,10 @@
 import { Balancer } from "@bramleymoor/balance/balancer";
 import type { Request } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
+import { serverEntry as entry } from "@bramleymoor/testkit/entries";
 import type { LoadAnswer } from "../src/asks.js";
 import { Dispatcher, type Placement } from "../src/dispatcher.js";
 
-const entry = (id: string): ServerEntry => ({
-    id,
-    bornAt: 1,
-    service: "svc",
-    address: `10.0.0.1:${id.length}`,
-    domain: "a",
-    slots: 2,
-    leaving: false,
-    warmUpMs: 0,
-});
-
 const request = (id: number): Request => ({
     id,
     kind: "idempotent",
@@ -30,7 +20,6 @@
 
 const answer = (running: number, slowdown: number): LoadAnswer => ({
     report: { running, waiting: 0, slots: 2, slowdown },
-    healthy: true,
     misdirected: false,
 });
 
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -5,6 +5,7 @@
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/kinds";
 import { Sweep } from "@bramleymoor/proxy/sweep";
+import { serverEntry } from "@bramleymoor/testkit/entries";
 import { RouteTable } from "@bramleymoor/routing/table";
 import { KeepingAgent } from "../src/agent.js";
 import { LoadAsker } from "../src/asks.js";
@@ -109,16 +110,7 @@
         open.forEach(it => it.destroy());
     });
     const { port } = server.address() as AddressInfo;
-    const entry = {
-        id,
-        bornAt: 1,
-        service: "svc",
-        address: `127.0.0.1:${port}`,
-        domain: "a",
-        slots: 4,
-        leaving: false,
-        warmUpMs: 0,
-    };
+    const entry = serverEntry(id, { address: `127.0.0.1:${port}`, slots: 4 });
     return { entry, arrivals };
 };
 
--- a/packages/gateway/test/sharing.test.ts
+++ b/packages/gateway/test/sharing.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
+import { routeConfig, serverEntry as entry } from "@bramleymoor/testkit/entries";
 import { Sharing } from "../src/sharing.js";
 import { route } from "./setup.js";
 
@@ -15,23 +15,7 @@
     load: 0,
 });
 
-const entry = (id: string): ServerEntry => ({
-    id,
-    bornAt: 1,
-    service: "svc",
-    address: "10.0.0.1:80",
-    domain: "a",
-    slots: 2,
-    leaving: false,
-    warmUpMs: 0,
-});
-
-const config: RouteConfig = {
-    version: 1,
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    routes: [route()],
-    services: new Map(),
-};
+const config = routeConfig(1, { routes: [route()] });
 
 /** Entry VMs that see each other's payloads at once. */
 const fleet = (...ids: readonly string[]) => {
--- a/packages/gateway/test/steering.test.ts
+++ b/packages/gateway/test/steering.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { EntryVm, VmState } from "@bramleymoor/model/vm";
+import { serverEntry } from "@bramleymoor/testkit/entries";
 import { DemandCounter, ownServers, ratesOf, shortHash, Steering } from "../src/steering.js";
 
 const vm = (id: string, domain: string, state: VmState = "alive"): EntryVm => ({
@@ -73,16 +74,7 @@
 test("the dispatchers of a service divide its servers, each taking those of its failure domain", () => {
     const dispatchers = [vm("a1", "a"), vm("a2", "a"), vm("b1", "b")];
     const servers = ["a", "b", "c"].flatMap(domain =>
-        Array.from({ length: 20 }, (_, i) => ({
-            id: `${domain}-s${i}`,
-            bornAt: 1,
-            service: "svc",
-            address: "10.0.0.1:80",
-            domain,
-            slots: 2,
-            leaving: false,
-            warmUpMs: 0,
-        })),
+        Array.from({ length: 20 }, (_, i) => serverEntry(`${domain}-s${i}`, { domain })),
     );
     const parts = dispatchers.map(({ id }) => ownServers(id, dispatchers, servers) ?? new Set<string>());
     assert.equal(new Set(parts.flatMap(it => [...it])).size, servers.length);
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -1,8 +1,8 @@
 /** The callers' connections, so that a planned stop closes just those that are idle. */
 
-import type { ServerResponse } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 
 interface Connection {
     answer: ServerResponse | undefined;
@@ -37,6 +37,17 @@
         return answer && !answer.writableFinished ? answer : undefined;
     }
 
+    /**
+     * Closes a server's port and its connections as they fall idle; resolves when all are closed. The HTTP server's
+     * own close would cut what a slow reader has not got yet.
+     */
+    async closeAll(server: Server): Promise<void> {
+        const closed = new Promise<void>(resolve => NetServer.prototype.close.call(server, () => resolve()));
+        const looking = setInterval(() => this.closeIdle(), idleLookMs);
+        await closed;
+        clearInterval(looking);
+    }
+
     /** Closes the connections that were idle at the last look and on which nothing has come since. */
     closeIdle(): void {
         for (const [socket, connection] of this.#open) {
@@ -51,3 +62,6 @@
         }
     }
 }
+
+/** A connection closes after two looks at which nothing has come, so within twice this. */
+const idleLookMs = 50;
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers. */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Server as NetServer, type AddressInfo, type Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { addressesPrefix, callPrefix } from "@bramleymoor/protocol/headers";
 import { CallError } from "@bramleymoor/protocol/kinds";
@@ -60,13 +60,7 @@
     async stop(drainMs: number): Promise<void> {
         this.#stopping = true;
         await new Promise(resolve => setTimeout(resolve, drainMs));
-        // The HTTP server's own close would cut what a slow reader has not got yet.
-        const closed = new Promise<void>(resolve =>
-            NetServer.prototype.close.call(this.#server, () => resolve()),
-        );
-        const looking = setInterval(() => this.#connections.closeIdle(), idleLookMs);
-        await closed;
-        clearInterval(looking);
+        await this.#connections.closeAll(this.#server);
         await Promise.all(this.#running);
         this.#parts.client.close();
     }
@@ -141,7 +135,6 @@
     }
 }
 
-const idleLookMs = 50;
 const sweepPeriodMs = 10;
 const maxHeaders = 200;
 const checkIntervalMs = 5000;
--- a/packages/routing/src/split.ts
+++ b/packages/routing/src/split.ts
@@ -2,7 +2,7 @@
 
 import type { Destination, Route } from "@bramleymoor/model/route";
 
-/** Smooth weighted round robin: any run of requests deviates by less than one request from each share. */
+/** Smooth weighted round robin: a run of requests deviates from each share by less than one request. */
 export class Split {
     readonly #destinations: readonly Destination[];
     readonly #credit: number[];
--- a/packages/routing/src/table.ts
+++ b/packages/routing/src/table.ts
@@ -17,11 +17,6 @@
         }
     }
 
-    /** Every host that has a route. */
-    get hosts(): readonly string[] {
-        return [...this.#hosts.keys()];
-    }
-
     /**
      * The route of a request; undefined if there is none. One look-up for each slash of the path, whatever the
      * number of routes.
