gateway: log and measure how long a request may have waited unread

Event 8011 has the fields lagMs and acceptMs; bm_accept_wait_seconds and bm_event_loop_lag_seconds are new. No decision reads either value yet but the lag, as before.

--- /dev/null
+++ b/packages/gateway/src/acceptqueue.ts
@@ -0,0 +1,49 @@
+/** Wait in the accept queue: how long a caller's connection may have waited before this process accepted it. */
+
+import type { Socket } from "node:net";
+
+/**
+ * Bounds the wait of accepted connections. Node accepts one connection per turn of its event loop, so a turn that
+ * accepts none shows that the queue is empty, and the next connections can't have waited since before that turn.
+ */
+export class AcceptQueue {
+    readonly #clock: () => number;
+    readonly #waitMs = new WeakMap<Socket, number>();
+    /** When the queue was last seen empty before the present run of connections; undefined if it is empty now. */
+    #nonEmptySince: number | undefined = undefined;
+    #acceptedInTurn = false;
+
+    /** @param clock returns monotonic milliseconds */
+    constructor(clock: () => number) {
+        this.#clock = clock;
+    }
+
+    /** Records that a connection was accepted, and returns for how long at most it waited, in milliseconds. */
+    recordAccepted(socket: Socket): number {
+        const now = this.#clock();
+        this.#acceptedInTurn = true;
+        if (this.#nonEmptySince === undefined) {
+            this.#nonEmptySince = now;
+            setImmediate(() => this.#endTurn());
+        }
+        const waitMs = now - this.#nonEmptySince;
+        this.#waitMs.set(socket, waitMs);
+        return waitMs;
+    }
+
+    /** Returns how long a connection waited, for its first request; 0 afterwards. */
+    takeWaitMs(socket: Socket): number {
+        const waitMs = this.#waitMs.get(socket) ?? 0;
+        this.#waitMs.delete(socket);
+        return waitMs;
+    }
+
+    #endTurn(): void {
+        if (!this.#acceptedInTurn) {
+            this.#nonEmptySince = undefined;
+            return;
+        }
+        this.#acceptedInTurn = false;
+        setImmediate(() => this.#endTurn());
+    }
+}
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -21,6 +21,7 @@
     slotOrThrow,
     type ForwardOutcome,
     type ForwardRecord,
+    type InputDelay,
 } from "./outcomes.js";
 import { Relay } from "./relay.js";
 import type { WireFormat } from "./wireformat.js";
@@ -50,6 +51,8 @@
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
     /** Returns whether requests may have waited long before they were read. */
     readonly isLagging: () => boolean;
+    /** Returns how long a request that has just been read may have waited for that. */
+    readonly inputDelay: (req: IncomingMessage) => InputDelay;
     /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
     readonly extraHeaders: (req: IncomingMessage) => readonly string[];
     /** Called once at the end of each request. */
@@ -62,6 +65,7 @@
     readonly #req: IncomingMessage;
     readonly #res: ServerResponse;
     readonly #arrivedAt: number;
+    readonly #inputDelay: InputDelay;
     /** Slots that count as attempts, in order; several may be of the same server. */
     readonly #sent = new Set<Slot>();
     #route: Route | undefined = undefined;
@@ -82,6 +86,7 @@
         this.#req = req;
         this.#res = res;
         this.#arrivedAt = options.clock();
+        this.#inputDelay = options.inputDelay(req);
     }
 
     /** Forwards the request and reports its end to `onDone`; never rejects. */
@@ -346,6 +351,7 @@
             serverMs: this.#serverMs,
             totalMs: this.#options.clock() - this.#arrivedAt,
             loadSnapshot: this.#loadSnapshot,
+            inputDelay: this.#inputDelay,
             detail,
         });
     }
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -6,12 +6,26 @@
 import { CallError } from "@bramleymoor/protocol/errors";
 import { ConnectionTracker } from "@bramleymoor/proxy/connections";
 import { rawErrorResponse } from "@bramleymoor/proxy/responses";
+import { AcceptQueue } from "./acceptqueue.js";
 import { sendError } from "./errorresponse.js";
 
+/** Dependencies of a `FrontendServer`. */
+export interface FrontendOptions {
+    /** Handles one request to its end; never rejects. */
+    readonly serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
+    /** Called for each request that can't be parsed. */
+    readonly onMalformed: (reason: string, peer: string) => void;
+    /** Called for each accepted connection, with the milliseconds that it may have waited. */
+    readonly onAccepted: (waitMs: number) => void;
+    /** Returns monotonic milliseconds. */
+    readonly clock: () => number;
+}
+
 /** Accepts callers' connections and passes on routed requests. */
 export class FrontendServer {
     readonly #server: Server;
     readonly #connections = new ConnectionTracker();
+    readonly #acceptQueue: AcceptQueue;
     /** Number of requests per connection whose response isn't complete yet. */
     readonly #pendingResponses = new Map<Socket, number>();
     readonly #running = new Set<Promise<void>>();
@@ -21,14 +35,8 @@
     #maxHeadBytes = maxParserHeadBytes;
     #draining = false;
 
-    /**
-     * @param serve handles one request to its end; never rejects
-     * @param onMalformed called for each request that can't be parsed
-     */
-    constructor(
-        serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
-        onMalformed: (reason: string, peer: string) => void,
-    ) {
+    constructor({ serve, onMalformed, onAccepted, clock }: FrontendOptions) {
+        this.#acceptQueue = new AcceptQueue(clock);
         this.#serve = serve;
         this.#onMalformed = onMalformed;
         this.#server = createServer({
@@ -38,7 +46,10 @@
             noDelay: true,
         });
         this.#server.maxHeadersCount = 0;
-        this.#server.on("connection", (socket: Socket) => this.#connections.track(socket));
+        this.#server.on("connection", (socket: Socket) => {
+            this.#connections.track(socket);
+            onAccepted(this.#acceptQueue.recordAccepted(socket));
+        });
         this.#server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#handle(req, res));
         this.#server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
             res.writeContinue();
@@ -54,6 +65,11 @@
         return this.#running.size;
     }
 
+    /** Returns how long a request's connection waited to be accepted, in milliseconds; 0 if it isn't the first one. */
+    takeAcceptWaitMs({ socket }: IncomingMessage): number {
+        return this.#acceptQueue.takeWaitMs(socket);
+    }
+
     /** Applies the limits of a newer configuration. */
     setLimits(limits: ClientLimits): void {
         this.#maxHeadBytes = limits.maxHeaderBytes;
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -121,10 +121,12 @@
         });
         this.#forwardOptions = this.#makeForwardOptions();
         this.#registerTotals();
-        this.#frontend = new FrontendServer(
-            (req, res) => new ForwardTask(this.#forwardOptions, req, res).run(),
-            (reason, address) => events.emit("request-malformed", { address, reason }),
-        );
+        this.#frontend = new FrontendServer({
+            serve: (req, res) => new ForwardTask(this.#forwardOptions, req, res).run(),
+            onMalformed: (reason, address) => events.emit("request-malformed", { address, reason }),
+            onAccepted: waitMs => this.#metrics.recordAcceptWait(waitMs),
+            clock: monotonicMs,
+        });
         this.#auxiliaryServers = new AuxiliaryServers({
             wire: platform.wire,
             metrics: this.#metrics,
@@ -148,6 +150,11 @@
             "Bytes to and from other entry VMs.",
             () => this.#peerSocket.bytes,
         );
+        this.#metrics.registerGauge(
+            "bm_event_loop_lag_seconds",
+            "Lag of the event loop.",
+            () => this.#lag.lagMs(tickMs, monotonicMs()) / msPerSecond,
+        );
     }
 
     /** Listens on all ports, joins the other entry VMs and follows the store. */
@@ -263,6 +270,10 @@
                 false,
             agents: this.#agents,
             isLagging: () => this.#lag.isLagging(tickMs, monotonicMs()),
+            inputDelay: req => ({
+                lagMs: this.#lag.lagMs(tickMs, monotonicMs()),
+                acceptMs: this.#frontend.takeAcceptWaitMs(req),
+            }),
             extraHeaders: req => this.#frontend.extraHeaders(req),
             onDone: record => this.#reporter.report(record),
         };
@@ -350,3 +361,4 @@
 const minSleepMs = 5;
 /** Interval of the periodic work, which also checks queued requests while nothing else triggers it. */
 const tickMs = 50;
+const msPerSecond = 1_000;
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -9,6 +9,14 @@
 /** Outcome of a request as its caller sees it. */
 export type ForwardOutcome = ErrorKind | "answered" | "body-broken" | "caller-gone";
 
+/** How long a request may have waited in this process's sockets before it was read, in milliseconds. */
+export interface InputDelay {
+    /** Event loop lag when the request was read. */
+    readonly lagMs: number;
+    /** Wait of its connection to be accepted; 0 for a request that isn't the first of its connection. */
+    readonly acceptMs: number;
+}
+
 /** Result and timings of a finished request. */
 export interface ForwardRecord {
     readonly requestId: string;
@@ -24,6 +32,8 @@
     readonly totalMs: number;
     /** The load data behind the last choice of a server; undefined if no server was chosen. */
     readonly loadSnapshot: LoadSnapshot | undefined;
+    /** How long the request may have waited before it was read. */
+    readonly inputDelay: InputDelay;
     /** Why the outcome is not "answered"; empty if there is nothing to add. */
     readonly detail: string;
 }
--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -48,6 +48,8 @@
                 outcome,
                 waiting: waiting(service),
                 serversAgeMs: Math.round(serversAgeMs()),
+                lagMs: Math.round(record.inputDelay.lagMs),
+                acceptMs: Math.round(record.inputDelay.acceptMs),
                 detail,
             });
         }
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -203,13 +203,19 @@
         tryRetry: service => services.retryBudget(service)?.tryTake(clock(), 1) ?? false,
         agents,
         isLagging: () => lag.isLagging(lagPeriodMs, clock()),
+        inputDelay: req => ({
+            lagMs: lag.lagMs(lagPeriodMs, clock()),
+            acceptMs: frontend.takeAcceptWaitMs(req),
+        }),
         extraHeaders: req => frontend.extraHeaders(req),
         onDone: record => records.push(record),
     };
-    const frontend = new FrontendServer(
-        (req, res) => new ForwardTask(options, req, res).run(),
-        () => undefined,
-    );
+    const frontend = new FrontendServer({
+        serve: (req, res) => new ForwardTask(options, req, res).run(),
+        onMalformed: () => undefined,
+        onAccepted: () => undefined,
+        clock,
+    });
     const port = await frontend.listen(0, "127.0.0.1");
     const timer = setInterval(() => {
         lag.recordRun(lagPeriodMs, clock());
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -61,6 +61,7 @@
     readonly #probes: Counter<"service">;
     readonly #probeSeconds: Counter<"service">;
     readonly #controlBytes: Counter<"channel" | "direction">;
+    readonly #acceptWait: Histogram;
     readonly #version: Gauge;
     readonly #members: Gauge<"state">;
 
@@ -101,6 +102,12 @@
         ]);
         const controlHelp = "Bytes of control traffic.";
         this.#controlBytes = counter("bm_control_bytes_total", controlHelp, ["channel", "direction"]);
+        this.#acceptWait = new Histogram({
+            name: "bm_accept_wait_seconds",
+            help: "Longest time that callers' connections may have waited to be accepted.",
+            registers,
+            buckets: bucketSeconds,
+        });
         this.#version = new Gauge({ name: "bm_config_version", help: "Version in force.", registers });
         const membersOptions = {
             name: "bm_members",
@@ -164,6 +171,11 @@
         this.#controlBytes.inc({ channel, direction }, bytes);
     }
 
+    /** Records for how long at most a caller's connection waited to be accepted, in milliseconds. */
+    recordAcceptWait(waitMs: number): void {
+        this.#acceptWait.observe(waitMs / msPerSecond);
+    }
+
     /** Records the version of the configuration that is in force. */
     setConfigVersion(version: number): void {
         this.#version.set(version);
@@ -190,6 +202,19 @@
         });
     }
 
+    /** Adds a gauge whose value is kept elsewhere and read at each request for the metrics. */
+    registerGauge(name: string, help: string, read: () => number): void {
+        const registers = [this.#registry];
+        new Gauge({
+            name,
+            help,
+            registers,
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     text(): Promise<string> {
         return this.#registry.metrics();
--- a/packages/observe/test/metrics.test.ts
+++ b/packages/observe/test/metrics.test.ts
@@ -139,3 +139,18 @@
         ["other"],
     );
 });
+
+test("a registered gauge reads its value at each request for the metrics", async () => {
+    const metrics = new CallMetrics(false);
+    let value = 0.5;
+    metrics.registerGauge("bm_test", "A value.", () => value);
+    assert.match(await metrics.text(), /^bm_test 0.5$/m);
+    value = 0.2;
+    assert.match(await metrics.text(), /^bm_test 0.2$/m);
+});
+
+test("waits of connections to be accepted are recorded in seconds", async () => {
+    const metrics = new CallMetrics(false);
+    metrics.recordAcceptWait(800);
+    assert.match(await metrics.text(), /^bm_accept_wait_seconds_sum 0.8$/m);
+});
