gateway: test for requests whose caller left before the connection was accepted

The requests wait in the accept queue, where the event loop lag doesn't show, and count as fresh when they are read.

--- a/packages/gateway/test/callerdisconnect.test.ts
+++ b/packages/gateway/test/callerdisconnect.test.ts
@@ -25,6 +25,13 @@
     });
 `;
 
+/** Source of a worker: callers that connect, send their requests and disconnect without waiting. */
+const hastyCallers = `
+    const { connect } = require("node:net");
+    const { workerData } = require("node:worker_threads");
+    workerData.heads.forEach(head => connect(workerData.port, "127.0.0.1").end(head));
+`;
+
 const delay = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 test("a request whose caller disconnects before it is read reaches no server", async t => {
@@ -46,6 +53,25 @@
     );
 });
 
+test("a request whose caller disconnects before its connection is accepted reaches no server", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id }) => socket.write(responseText(id, "hello")));
+    const { port } = await startFrontend(t, [server]);
+    await sendRaw(port, requestText("warm"), 50);
+    const callers = new Worker(hastyCallers, { eval: true, workerData: { port, heads: requestTexts(60) } });
+    await once(callers, "online");
+    blockEventLoop(300);
+    // Short turns of the event loop, each of which accepts one connection.
+    for (const until = performance.now() + 1_500; performance.now() < until;) {
+        blockEventLoop(8);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    await callers.terminate();
+    assert.deepEqual(
+        server.requests.map(it => it.id),
+        ["warm"],
+    );
+});
+
 test("the send of an idempotent request is aborted when its caller disconnects", async t => {
     let closedAt = 0;
     const server = await startRawServer(t, "s1", ({ socket }) => {
