gateway: read the caller's disconnect before a request from a waiting connection is sent

Cause: input that waits where the process can't see it counts as fresh. Node accepts one connection per turn of its event loop; a busy VM with short turns has no lag while hundreds of connections wait to be accepted. A request read from one of them was sent at once, and its caller's disconnect was read a turn later. Change: the wait in the accept queue, bounded by AcceptQueue, counts like the lag: beyond 50 ms together, pending input is read before the request may take a slot. The lag is checked once more when the slot is granted, as a timer can grant it before the input of the same turn is read. While the queue is short nothing is added.

--- a/packages/gateway/src/eventlooplag.ts
+++ b/packages/gateway/src/eventlooplag.ts
@@ -20,11 +20,6 @@
     lagMs(periodMs: number, now: number): number {
         return Math.max(this.#lagMs, now - this.#lastRunAt - periodMs);
     }
-
-    /** Returns whether requests may have waited unread for long enough to matter to their callers. */
-    isLagging(periodMs: number, now: number): boolean {
-        return this.lagMs(periodMs, now) > laggingThresholdMs;
-    }
 }
 
 /** Resolves when all input that has already reached this process's sockets is read, connection ends included. */
@@ -38,5 +33,3 @@
 const loopTurns = 4;
 /** Factor by which a past lag decays from one run to the next. */
 const lagDecay = 0.8;
-/** A tenth of the time within which a backend server must learn that the caller has disconnected. */
-const laggingThresholdMs = 50;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -49,10 +49,10 @@
     readonly tryRetry: (service: string) => boolean;
     /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
-    /** Returns whether requests may have waited long before they were read. */
-    readonly isLagging: () => boolean;
-    /** Returns how long a request that has just been read may have waited for that. */
-    readonly inputDelay: (req: IncomingMessage) => InputDelay;
+    /** Returns how long input that is read now may have waited since it reached an accepted connection. */
+    readonly lagMs: () => number;
+    /** Returns how long a request's connection waited to be accepted; called once for each request. */
+    readonly takeAcceptWaitMs: (req: IncomingMessage) => number;
     /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
     readonly extraHeaders: (req: IncomingMessage) => readonly string[];
     /** Called once at the end of each request. */
@@ -86,7 +86,7 @@
         this.#req = req;
         this.#res = res;
         this.#arrivedAt = options.clock();
-        this.#inputDelay = options.inputDelay(req);
+        this.#inputDelay = { lagMs: options.lagMs(), acceptMs: options.takeAcceptWaitMs(req) };
     }
 
     /** Forwards the request and reports its end to `onDone`; never rejects. */
@@ -132,10 +132,7 @@
             this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
         );
         await this.#abortable(body.buffer());
-        if (this.#options.isLagging()) {
-            // The caller may have disconnected while its request waited unread; if so, this reads its disconnect.
-            await this.#abortable(drainPendingInput());
-        }
+        await this.#readDisconnect(this.#inputDelay.acceptMs);
         const elapsedMs = this.#options.elapsedMs(route, callerDeadlineMs);
         let request: Request = {
             id: this.#options.nextId(),
@@ -175,9 +172,27 @@
         this.#queueMs += this.#options.clock() - startedAt;
         const slot = slotOrThrow(acquired);
         this.#loadSnapshot = slot.load;
+        try {
+            await this.#readDisconnect(0);
+        } catch (err) {
+            dispatcher.settle(slot, { kind: "cancelled" });
+            throw err;
+        }
         return slot;
     }
 
+    /**
+     * Reads the caller's disconnect, if it may lie unread in this process's sockets.
+     *
+     * @param acceptMs how long the connection waited to be accepted
+     * @throws CallError if the caller has disconnected
+     */
+    async #readDisconnect(acceptMs: number): Promise<void> {
+        if (this.#options.lagMs() + acceptMs > maxUnreadMs) {
+            await this.#abortable(drainPendingInput());
+        }
+    }
+
     /**
      * Sends the request to the slot's server. Returns the outcome once a response has been relayed, or the result of
      * a failed send after which the request may be retried.
@@ -369,6 +384,8 @@
 const connectTimeoutMs = 250;
 /** Maximum number of unreachable servers per request that don't count as attempts, as nothing was sent to them. */
 const maxUnreachableServers = 4;
+/** A tenth of the time within which a backend server must learn that the caller has disconnected. */
+const maxUnreadMs = 50;
 /** With less time than this to the deadline a retry is unlikely to succeed. */
 const minRetryMs = 60;
 /** A configuration with the missing service is being distributed, which takes at most 2 s. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -269,11 +269,8 @@
                 this.#dispatchers.retryBudget(service)?.tryTake(monotonicMs(), this.#members.budgetDivisor) ??
                 false,
             agents: this.#agents,
-            isLagging: () => this.#lag.isLagging(tickMs, monotonicMs()),
-            inputDelay: req => ({
-                lagMs: this.#lag.lagMs(tickMs, monotonicMs()),
-                acceptMs: this.#frontend.takeAcceptWaitMs(req),
-            }),
+            lagMs: () => this.#lag.lagMs(tickMs, monotonicMs()),
+            takeAcceptWaitMs: req => this.#frontend.takeAcceptWaitMs(req),
             extraHeaders: req => this.#frontend.extraHeaders(req),
             onDone: record => this.#reporter.report(record),
         };
--- a/packages/gateway/test/eventlooplag.test.ts
+++ b/packages/gateway/test/eventlooplag.test.ts
@@ -9,9 +9,8 @@
     assert.equal(lag.lagMs(50, 3_100), 3_000, "before the first run after the pause");
     lag.recordRun(50, 3_100);
     assert.equal(lag.lagMs(50, 3_100), 3_000);
-    assert.equal(lag.isLagging(50, 3_100), true);
     for (let now = 3_150; now <= 4_600; now += 50) {
         lag.recordRun(50, now);
     }
-    assert.equal(lag.isLagging(50, 4_600), false);
+    assert.ok(lag.lagMs(50, 4_600) < 50);
 });
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -202,11 +202,8 @@
         countRequest: service => services.retryBudget(service)?.recordRequest(clock()),
         tryRetry: service => services.retryBudget(service)?.tryTake(clock(), 1) ?? false,
         agents,
-        isLagging: () => lag.isLagging(lagPeriodMs, clock()),
-        inputDelay: req => ({
-            lagMs: lag.lagMs(lagPeriodMs, clock()),
-            acceptMs: frontend.takeAcceptWaitMs(req),
-        }),
+        lagMs: () => lag.lagMs(lagPeriodMs, clock()),
+        takeAcceptWaitMs: req => frontend.takeAcceptWaitMs(req),
         extraHeaders: req => frontend.extraHeaders(req),
         onDone: record => records.push(record),
     };
