proxy, entry: read the caller's disconnect before a call from a waiting connection is sent

Change: AcceptQueue, EventLoopLag and the reading of pending input move to proxy, which both processes use; the entry process measures the lag by the task that ticks its dispatchers. The rule of when a disconnect may lie unread has one copy.

--- a/packages/bench/src/oncecost.ts
+++ b/packages/bench/src/oncecost.ts
@@ -173,6 +173,7 @@
             }),
             findIssuer: () => "gone",
             clock: monotonicMs,
+            lagMs: () => 0,
             observer: { callEnded: () => undefined, badRequest: () => undefined },
         },
         { nonIdempotentIdleMs: idleMs },
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -15,6 +15,7 @@
 import type { VmList } from "@bramleymoor/platform/vmlist";
 import { probeDefaults } from "@bramleymoor/probing/budget";
 import { delay } from "@bramleymoor/proxy/delay";
+import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { CallServer } from "@bramleymoor/proxy/server";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { monotonicMs, wallClockMs } from "./clock.js";
@@ -78,6 +79,7 @@
     readonly #peerServer: PeerServer;
     readonly #operatorsServer: OperatorsServer;
     readonly #startedAt = monotonicMs();
+    readonly #lag = new EventLoopLag(Infinity);
     readonly #taskAbort = new AbortController();
     #self: EntryVm | undefined;
     #membership: Membership | undefined;
@@ -250,6 +252,7 @@
             onceTable: this.#onceTable,
             findIssuer: (incarnation: string) => this.#findIssuer(incarnation),
             clock: monotonicMs,
+            lagMs: () => this.#lag.lagMs(monotonicMs()),
             observer: this.#reporter,
         };
         return new CallServer(options, { callerConnections: this.#settings.callers["most-connections"] });
@@ -318,6 +321,7 @@
             probeSender: this.#probeSender,
             vmList: this.#platform,
             events: this.#events,
+            lag: this.#lag,
             self: this.#selfOrThrow,
             clock: monotonicMs,
             delay,
--- a/packages/entry/src/periodictasks.ts
+++ b/packages/entry/src/periodictasks.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import type { OnceTable } from "@bramleymoor/once/table";
 import type { ListedVm, VmList } from "@bramleymoor/platform/vmlist";
+import type { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { WeightController } from "@bramleymoor/placement/weight";
 import { fromEvent, interval, lastValueFrom, takeUntil, tap } from "rxjs";
 import type { PeerClient } from "./peerclient.js";
@@ -30,6 +31,8 @@
     readonly probeSender: ProbeSender;
     readonly vmList: VmList;
     readonly events: EventLog;
+    /** Told of each run of the task that ticks the dispatchers. */
+    readonly lag: EventLoopLag;
     readonly self: EntryVm;
     /** Monotonic milliseconds. */
     readonly clock: () => number;
@@ -80,15 +83,16 @@
     }
 
     async #tickDispatchers(signal: AbortSignal): Promise<void> {
-        const { services, clock, delay } = this.#options;
+        const { services, lag, clock, delay } = this.#options;
         while (!signal.aborted) {
             const now = clock();
             const dueTimes = services.hosted.map(hosted => hosted.dispatcher.tickIfDue(now));
             const maxDelayMs = services.hosted.some(hosted => hosted.dispatcher.hasRequestsInFlight)
                 ? maxTickDelayMs
                 : idleTickDelayMs;
-            const waitMs = Math.min(...dueTimes) - now;
-            await delay(Math.min(maxDelayMs, Math.max(minTickDelayMs, waitMs)), signal);
+            const waitMs = Math.min(maxDelayMs, Math.max(minTickDelayMs, Math.min(...dueTimes) - now));
+            lag.recordRun(now, now + waitMs);
+            await delay(waitMs, signal);
         }
     }
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -7,11 +7,11 @@
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { toCallError } from "@bramleymoor/proxy/responses";
 import type { Timer, TimerSet } from "@bramleymoor/proxy/timers";
+import { drainPendingInput, mayHideDisconnect, type InputDelay } from "@bramleymoor/proxy/unreadinput";
 import type { KeepAliveAgent } from "./agent.js";
 import { RequestBody } from "./body.js";
 import type { Dispatcher } from "./dispatcher.js";
 import { sendError } from "./errorresponse.js";
-import { drainPendingInput } from "./eventlooplag.js";
 import { Exchange, SendError } from "./exchange.js";
 import {
     errorFor,
@@ -21,7 +21,6 @@
     slotOrThrow,
     type ForwardOutcome,
     type ForwardRecord,
-    type InputDelay,
 } from "./outcomes.js";
 import { Relay } from "./relay.js";
 import type { WireFormat } from "./wireformat.js";
@@ -188,7 +187,7 @@
      * @throws CallError if the caller has disconnected
      */
     async #readDisconnect(acceptMs: number): Promise<void> {
-        if (this.#options.lagMs() + acceptMs > maxUnreadMs) {
+        if (mayHideDisconnect({ lagMs: this.#options.lagMs(), acceptMs })) {
             await this.#abortable(drainPendingInput());
         }
     }
@@ -384,8 +383,6 @@
 const connectTimeoutMs = 250;
 /** Maximum number of unreachable servers per request that don't count as attempts, as nothing was sent to them. */
 const maxUnreachableServers = 4;
-/** A tenth of the time within which a backend server must learn that the caller has disconnected. */
-const maxUnreadMs = 50;
 /** With less time than this to the deadline a retry is unlikely to succeed. */
 const minRetryMs = 60;
 /** A configuration with the missing service is being distributed, which takes at most 2 s. */
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -4,9 +4,9 @@
 import type { AddressInfo, Socket } from "node:net";
 import type { ClientLimits } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
+import { AcceptQueue } from "@bramleymoor/proxy/acceptqueue";
 import { ConnectionTracker } from "@bramleymoor/proxy/connections";
 import { rawErrorResponse } from "@bramleymoor/proxy/responses";
-import { AcceptQueue } from "./acceptqueue.js";
 import { sendError } from "./errorresponse.js";
 
 /** Dependencies of a `FrontendServer`. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -8,6 +8,7 @@
 import { CallMetrics } from "@bramleymoor/observe/metrics";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { delay } from "@bramleymoor/proxy/delay";
+import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { TrafficSplits } from "@bramleymoor/routing/split";
 import { KeepAliveAgent } from "./agent.js";
@@ -15,7 +16,6 @@
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { createMembership, formatAddress } from "./createmembership.js";
 import { ElapsedTimeEstimator } from "./elapsed.js";
-import { EventLoopLag } from "./eventlooplag.js";
 import { ForwardTask, type ForwardOptions } from "./forward.js";
 import { FrontendServer } from "./frontend.js";
 import { HttpProbeClient } from "./probeclient.js";
@@ -60,7 +60,7 @@
     readonly #probeClient: HttpProbeClient;
     readonly #splits = new TrafficSplits();
     readonly #elapsedTimes = new ElapsedTimeEstimator();
-    readonly #lag = new EventLoopLag(monotonicMs());
+    readonly #lag = new EventLoopLag(monotonicMs() + tickMs);
     readonly #partitioner: TrafficPartitioner;
     readonly #reporter: RequestReporter;
     readonly #frontend: FrontendServer;
@@ -86,7 +86,7 @@
         this.#peerSocket = new PeerSocket({
             onGossip: message => this.#membership.receive(message, monotonicMs()),
             onDiscovery: (message, from) =>
-                this.#storeView.receive(message, from, this.#lag.lagMs(tickMs, monotonicMs())),
+                this.#storeView.receive(message, from, this.#lag.lagMs(monotonicMs())),
             onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
@@ -153,7 +153,7 @@
         this.#metrics.registerGauge(
             "bm_event_loop_lag_seconds",
             "Lag of the event loop.",
-            () => this.#lag.lagMs(tickMs, monotonicMs()) / msPerSecond,
+            () => this.#lag.lagMs(monotonicMs()) / msPerSecond,
         );
     }
 
@@ -269,7 +269,7 @@
                 this.#dispatchers.retryBudget(service)?.tryTake(monotonicMs(), this.#members.budgetDivisor) ??
                 false,
             agents: this.#agents,
-            lagMs: () => this.#lag.lagMs(tickMs, monotonicMs()),
+            lagMs: () => this.#lag.lagMs(monotonicMs()),
             takeAcceptWaitMs: req => this.#frontend.takeAcceptWaitMs(req),
             extraHeaders: req => this.#frontend.extraHeaders(req),
             onDone: record => this.#reporter.report(record),
@@ -306,7 +306,7 @@
     }
 
     #tick(now: number): void {
-        this.#lag.recordRun(tickMs, now);
+        this.#lag.recordRun(now, now + tickMs);
         this.#dispatchers.tick();
         if (this.#storeView.serversRevision !== this.#appliedRevision || this.#state === "starting") {
             this.#appliedRevision = this.#storeView.serversRevision;
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -3,20 +3,13 @@
 import type { LoadSnapshot, Slot, SlotResult } from "@bramleymoor/balance/types";
 import type { Route } from "@bramleymoor/model/route";
 import { CallError, type ErrorKind } from "@bramleymoor/protocol/errors";
+import type { InputDelay } from "@bramleymoor/proxy/unreadinput";
 import type { AcquireResult } from "./dispatcher.js";
 import type { RelayResult } from "./relay.js";
 
 /** Outcome of a request as its caller sees it. */
 export type ForwardOutcome = ErrorKind | "answered" | "body-broken" | "caller-gone";
 
-/** How long a request may have waited in this process's sockets before it was read, in milliseconds. */
-export interface InputDelay {
-    /** Event loop lag when the request was read. */
-    readonly lagMs: number;
-    /** Wait of its connection to be accepted; 0 for a request that isn't the first of its connection. */
-    readonly acceptMs: number;
-}
-
 /** Result and timings of a finished request. */
 export interface ForwardRecord {
     readonly requestId: string;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -4,12 +4,12 @@
 import type { TestContext } from "node:test";
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
+import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { RouteTable } from "@bramleymoor/routing/table";
 import { serverEntry } from "@bramleymoor/testkit/builders";
 import { KeepAliveAgent } from "../src/agent.js";
 import { ElapsedTimeEstimator } from "../src/elapsed.js";
-import { EventLoopLag } from "../src/eventlooplag.js";
 import { ForwardTask, type ForwardOptions } from "../src/forward.js";
 import { FrontendServer } from "../src/frontend.js";
 import { HttpProbeClient } from "../src/probeclient.js";
@@ -181,7 +181,7 @@
     const table = new RouteTable(config.routes);
     const elapsedTimes = new ElapsedTimeEstimator();
     const records: ForwardRecord[] = [];
-    const lag = new EventLoopLag(clock());
+    const lag = new EventLoopLag(clock() + lagPeriodMs);
     let lastId = 0;
     const options: ForwardOptions = {
         wire: testWire,
@@ -202,7 +202,7 @@
         countRequest: service => services.retryBudget(service)?.recordRequest(clock()),
         tryRetry: service => services.retryBudget(service)?.tryTake(clock(), 1) ?? false,
         agents,
-        lagMs: () => lag.lagMs(lagPeriodMs, clock()),
+        lagMs: () => lag.lagMs(clock()),
         takeAcceptWaitMs: req => frontend.takeAcceptWaitMs(req),
         extraHeaders: req => frontend.extraHeaders(req),
         onDone: record => records.push(record),
@@ -215,7 +215,7 @@
     });
     const port = await frontend.listen(0, "127.0.0.1");
     const timer = setInterval(() => {
-        lag.recordRun(lagPeriodMs, clock());
+        lag.recordRun(clock(), clock() + lagPeriodMs);
         services.tick();
     }, lagPeriodMs);
     t.after(() => {
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -6,6 +6,7 @@
 import { addressesPathPrefix, callPathPrefix } from "@bramleymoor/protocol/headers";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { sendError, sendJson, toCallError, rawErrorResponse } from "./responses.js";
+import { AcceptQueue } from "./acceptqueue.js";
 import { BackendClient } from "./backend.js";
 import { ConnectionTracker } from "./connections.js";
 import { RetryBudgets } from "./retries.js";
@@ -20,6 +21,7 @@
     readonly #server: Server;
     readonly #running = new Set<Promise<void>>();
     readonly #connections = new ConnectionTracker();
+    readonly #acceptQueue: AcceptQueue;
     #lastId = 0;
     #stopping = false;
 
@@ -33,7 +35,9 @@
             retryBudgets: new RetryBudgets(),
             extraHeaders: () => (this.#stopping ? connectionClose : noHeaders),
             nextId: () => ++this.#lastId,
+            takeAcceptWaitMs: ({ socket }) => this.#acceptQueue.takeWaitMs(socket),
         };
+        this.#acceptQueue = new AcceptQueue(options.clock);
         this.#server = this.#createServer();
     }
 
@@ -75,7 +79,10 @@
             requestTimeout: 0,
             noDelay: true,
         });
-        server.on("connection", (socket: Socket) => this.#connections.track(socket));
+        server.on("connection", (socket: Socket) => {
+            this.#connections.track(socket);
+            this.#acceptQueue.recordAccepted(socket);
+        });
         server.maxConnections = limits.callerConnections;
         server.maxHeadersCount = 0;
         server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#handleRequest(req, res));
--- a/packages/proxy/src/services.ts
+++ b/packages/proxy/src/services.ts
@@ -57,6 +57,8 @@
     readonly findIssuer: FindIssuer;
     /** Monotonic clock in milliseconds, shared with tickets, table and dispatchers. */
     readonly clock: () => number;
+    /** Returns the event loop lag: how long input that is read now may have waited, in milliseconds. */
+    readonly lagMs: () => number;
     readonly observer: CallObserver;
 }
 
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -16,9 +16,13 @@
 import { outcomeOfRelay, CallExecution, type CallExecutionOptions } from "./execution.js";
 import type { Timer } from "./timers.js";
 import { CallTiming } from "./timing.js";
+import { drainPendingInput, mayHideDisconnect } from "./unreadinput.js";
 
 /** Dependencies of a CallTask, shared by all calls of a CallServer. */
-export interface CallTaskOptions extends CallServerOptions, CallExecutionOptions {}
+export interface CallTaskOptions extends CallServerOptions, CallExecutionOptions {
+    /** Returns how long a request's connection waited to be accepted; called once for each request. */
+    readonly takeAcceptWaitMs: (req: IncomingMessage) => number;
+}
 
 /** Work that a task is waiting for, notified when its deadline passes or its caller disconnects. */
 interface PendingWork {
@@ -70,6 +74,7 @@
      * attempt may have run.
      */
     async #handle(): Promise<CallOutcome> {
+        await this.#readDisconnect();
         const target = parseTarget(this.#req.url ?? "");
         const headers = parseCallHeaders(this.#req.headers);
         this.#timing.service = target.service;
@@ -83,6 +88,21 @@
             : this.#handleIdempotent(requireRoute(route), cls, target, headers);
     }
 
+    /**
+     * Reads the caller's disconnect, if it may lie unread in this process's sockets.
+     *
+     * @throws CallError if the caller has disconnected
+     */
+    async #readDisconnect(): Promise<void> {
+        const { lagMs, takeAcceptWaitMs } = this.#options;
+        if (mayHideDisconnect({ lagMs: lagMs(), acceptMs: takeAcceptWaitMs(this.#req) })) {
+            await drainPendingInput();
+        }
+        if (this.#res.destroyed) {
+            throw new CallError("caller-gone");
+        }
+    }
+
     #handleIdempotent(
         route: ServiceRoute,
         cls: RequestClass | undefined,
--- /dev/null
+++ b/packages/proxy/test/eventlooplag.test.ts
@@ -0,0 +1,16 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { EventLoopLag } from "../src/eventlooplag.js";
+
+test("a pause raises the lag immediately, and the lag decays while the process runs on time", () => {
+    const lag = new EventLoopLag(50);
+    lag.recordRun(50, 100);
+    assert.equal(lag.lagMs(60), 0);
+    assert.equal(lag.lagMs(3_100), 3_000, "before the first run after the pause");
+    lag.recordRun(3_100, 3_150);
+    assert.equal(lag.lagMs(3_100), 3_000);
+    for (let now = 3_150; now <= 4_600; now += 50) {
+        lag.recordRun(now, now + 50);
+    }
+    assert.ok(lag.lagMs(4_600) < 50);
+});
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -119,6 +119,7 @@
     readonly incarnation?: string;
     readonly findIssuer?: FindIssuer;
     readonly ticketLifeMs?: number;
+    readonly lagMs?: () => number;
     /** Caller addresses of the entry VMs that dispatch the service instead of this one. */
     readonly passTo?: () => readonly string[];
 }
@@ -185,6 +186,7 @@
                 onceTable: this.onceTable,
                 findIssuer: options.findIssuer ?? (() => "gone"),
                 clock,
+                lagMs: options.lagMs ?? (() => 0),
                 observer: { callEnded: record => this.records.push(record), badRequest: () => undefined },
             },
             options.limits,
