gateway: size a host's entry VMs by the smallest one and by their links

Cause: capacity was added up over unequal entry VMs, though callers pick one of their addresses at random, so that a small one gets as much as a large one; and the link didn't count at all. Change: a list of entry VMs has its length times the capacity of its smallest, and an entry VM's capacity is limited by its link, 7 Mbit/s to a tenth of a core. On VMs of equal size with fast links nothing changes.

--- a/packages/gateway/src/entryvmselector.ts
+++ b/packages/gateway/src/entryvmselector.ts
@@ -55,7 +55,7 @@
     );
 };
 
-/** Returns the processor share of an entry VM, in tenths of a core. */
+/** Returns the capacity of an entry VM, in tenths of a core. */
 export type CapacityOf = (vm: EntryVm) => number;
 
 /** Settings of an `EntryVmSelector`. */
@@ -67,8 +67,8 @@
 }
 
 /**
- * Selects as many entry VMs for a host's callers as its demand needs. Entry VMs with a larger processor share are
- * selected more often.
+ * Selects as many entry VMs for a host's callers as its demand needs. Entry VMs with a larger capacity are selected
+ * more often.
  */
 export class EntryVmSelector {
     /** Counts tenths of a core, where other users of the class count dispatchers. */
@@ -146,14 +146,20 @@
     }
 }
 
-/** Returns the first of the ranked entry VMs that together have the requested processor share. */
+/**
+ * Returns the first of the ranked entry VMs that together have the requested capacity. Callers pick one of their
+ * addresses at random, so each of them counts no more than the smallest.
+ */
 const takeCapacity = (
     ranked: readonly EntryVm[],
     tenths: number,
     capacityOf: CapacityOf,
 ): readonly EntryVm[] => {
-    let sum = 0;
-    const count = ranked.findIndex(vm => (sum += capacityOf(vm)) >= tenths);
+    let smallest = Infinity;
+    const count = ranked.findIndex((vm, i) => {
+        smallest = Math.min(smallest, capacityOf(vm));
+        return smallest * (i + 1) >= tenths;
+    });
     return ranked.slice(0, count === -1 ? ranked.length : count + 1).slice(0, maxAddresses);
 };
 
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -94,6 +94,7 @@
         this.#partitioner = new TrafficPartitioner({
             self: settings.id,
             processorShare: settings.processorShare,
+            linkMbps: settings.linkMbps,
             membership: this.#membership,
             members: () => this.#members.members,
             setPreferredServers: (service, serverIds) =>
@@ -336,6 +337,7 @@
     "metrics",
     "seeds",
     "processorShare",
+    "linkMbps",
 ] as const satisfies readonly (keyof GatewaySettings)[];
 
 /** Enough random bytes that no two runs get the same incarnation. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -28,6 +28,8 @@
     readonly seeds: readonly string[];
     /** Number of processor cores that the process may use; may be a fraction. */
     readonly processorShare: number;
+    /** Bandwidth of the entry VM's link, in Mbit/s. */
+    readonly linkMbps: number;
     /** Limits of retries per service, over all entry VMs together. */
     readonly retryLimits: RetryLimits;
     /** How long callers may cache the response to an address query, in milliseconds. */
--- a/packages/gateway/src/trafficpartitioner.ts
+++ b/packages/gateway/src/trafficpartitioner.ts
@@ -1,6 +1,6 @@
 /**
- * Partitions hosts' callers and services' backend servers among the entry VMs, from the demand and the processor
- * shares that the entry VMs publish in their membership payloads.
+ * Partitions hosts' callers and services' backend servers among the entry VMs, from the demand and the capacities
+ * that the entry VMs publish in their membership payloads.
  */
 
 import type { KnownServer } from "@bramleymoor/discovery/servers";
@@ -15,6 +15,8 @@
     readonly self: string;
     /** Number of processor cores that this entry VM may use. */
     readonly processorShare: number;
+    /** Bandwidth of this entry VM's link, in Mbit/s. */
+    readonly linkMbps: number;
     readonly membership: Pick<Membership, "payload" | "setPayload">;
     /** Returns all members that are not dead, including this one. */
     readonly members: () => readonly EntryVm[];
@@ -40,7 +42,7 @@
         this.#options = options;
         this.#demand = new DemandCounter(options.now);
         this.#lastTickAt = options.now;
-        options.membership.setPayload(capacityKey, Math.round(options.processorShare * tenthsPerCore));
+        options.membership.setPayload(capacityKey, capacityTenths(options));
     }
 
     /** Counts a request for a host. */
@@ -118,13 +120,20 @@
         }
     }
 
-    /** Returns the processor share that an entry VM has published, in tenths of a core. */
+    /** Returns the capacity that an entry VM has published, in tenths of a core. */
     readonly #capacityOf = (vm: EntryVm): number => {
         const published = Number(this.#options.membership.payload(vm.id)[capacityKey]);
         return published > 0 ? published : defaultTenths;
     };
 }
 
+/** Returns an entry VM's capacity, in tenths of a core; a slow link limits it like a smaller processor share. */
+const capacityTenths = ({
+    processorShare,
+    linkMbps,
+}: Pick<TrafficPartitionerOptions, "processorShare" | "linkMbps">): number =>
+    Math.max(1, Math.min(Math.round(processorShare * tenthsPerCore), Math.floor(linkMbps / mbpsPerTenth)));
+
 const servicesByHost = ({ routes }: RouteConfig): ReadonlyMap<string, ReadonlySet<string>> => {
     const services = new Map<string, Set<string>>();
     for (const { host, destinations } of routes) {
@@ -137,11 +146,16 @@
 
 /** Requests per second planned for a whole core: half of its capacity, which leaves room for bursts. */
 const requestsPerCore = 220;
-/** Processor shares are published in tenths of a core. */
+/** Capacities are published in tenths of a core. */
 const tenthsPerCore = 10;
-/** Key of the processor share in a member's payload. */
+/**
+ * Bandwidth planned for the requests of a tenth of a core. On average they use a quarter of it, so that the packets of
+ * others don't wait long behind a large response.
+ */
+const mbpsPerTenth = 7;
+/** Key of the capacity in a member's payload. */
 const capacityKey = "c";
-/** Half a core, assumed until a member has published its processor share. */
+/** Half a core, assumed until a member has published its capacity. */
 const defaultTenths = 5;
 /** Longer than callers may cache a list of addresses. */
 const shrinkAfterMs = 8_000;
--- a/packages/gateway/test/entryvmselector.test.ts
+++ b/packages/gateway/test/entryvmselector.test.ts
@@ -63,6 +63,23 @@
     assert.ok(many.reduce((sum, vm) => sum + capacityOf(vm), 0) >= 60 / 3);
 });
 
+test("no entry VM is expected to take more requests than its capacity, though callers pick them evenly", () => {
+    const selector = new EntryVmSelector(settings);
+    const capacityOf = ({ id }: EntryVm): number => (/^.[12]$/.test(id) ? 14 : 3);
+    const vms = ["a", "b", "c"].flatMap(domain =>
+        Array.from({ length: 20 }, (_, i) => vm(`${domain}${i + 1}`, domain)),
+    );
+    selector.observeDemand("h", 900, 0);
+    for (const domain of ["a", "b", "c"]) {
+        const selected = selector.select("h", domain, vms, capacityOf);
+        const requestsPerSecond = 900 / 3 / selected.length;
+        for (const it of selected) {
+            assert.ok(requestsPerSecond <= capacityOf(it) * settings.requestsPerTenthCore, it.id);
+        }
+        assert.ok(selected.length < 20);
+    }
+});
+
 test("callers in a domain without live entry VMs get those of other domains", () => {
     const selector = new EntryVmSelector(settings);
     selector.observeDemand("h", 950, 0);
--- a/packages/gateway/test/trafficpartitioner.test.ts
+++ b/packages/gateway/test/trafficpartitioner.test.ts
@@ -18,7 +18,7 @@
 const config = routeConfig(1, { routes: [route()] });
 
 /** Creates a partitioner per entry VM; all of them see each other's payloads immediately. */
-const fleet = (...ids: readonly string[]) => {
+const fleet = (ids: readonly string[], linkMbps = 1_000) => {
     const payloads = new Map<string, Record<string, string | number>>(ids.map(id => [id, {}]));
     const preferred = new Map<string, ReadonlySet<string> | undefined>();
     const partitioners = ids.map(
@@ -26,6 +26,7 @@
             new TrafficPartitioner({
                 self,
                 processorShare: 0.5,
+                linkMbps,
                 membership: {
                     payload: id => payloads.get(id) ?? {},
                     setPayload: (key, value) => {
@@ -41,7 +42,7 @@
 };
 
 test("entry VMs that serve one host observe its total demand, and partition its servers", () => {
-    const { partitioners, preferred } = fleet("v1", "v2", "v3");
+    const { partitioners, preferred } = fleet(["v1", "v2", "v3"]);
     const servers = Array.from({ length: 20 }, (_, i) => ({ entry: entry(`s${i}`), lapsed: false }));
     partitioners.forEach(it => it.update(config, servers.slice(0, 1)));
     assert.equal(partitioners[0]?.entryVmsFor("h.example", "a").length, 1);
@@ -62,3 +63,15 @@
         servers.length,
     );
 });
+
+test("a host gets more entry VMs if their links are slow", () => {
+    const ids = Array.from({ length: 40 }, (_, i) => `v${i}`);
+    const servers = Array.from({ length: 20 }, (_, i) => ({ entry: entry(`s${i}`), lapsed: false }));
+    const count = (linkMbps: number): number | undefined => {
+        const { partitioners } = fleet(ids, linkMbps);
+        partitioners.forEach(it => it.update(config, servers));
+        return partitioners[0]?.entryVmsFor("h.example", "a").length;
+    };
+    assert.equal(count(1_000), count(200));
+    assert.ok((count(14) ?? 0) >= 2 * (count(200) ?? 0));
+});
