discovery: announce a large configuration and read it from the store at once

Meanwhile reads of the store fail: 306 kB take 0.4 s on that link and more beside others, but a response had to end within 0.6 s; the retry waited. The last VMs had version 13 3.3 s after the first, all from a relay. Besides, a text too large for any datagram was sent without the list of those to pass it to, and a known version was decoded again. Change: a configuration whose copies exceed 0.1 s of such a link is announced; each entry VM reads the store at once, and asks the peer only if the store fails. Known offsets aren't decoded.

--- a/packages/discovery/src/config.ts
+++ b/packages/discovery/src/config.ts
@@ -66,10 +66,14 @@
      * @returns whether it holds a newer version
      */
     apply(update: ConfigUpdate, asOf: number): boolean {
+        const isKnown = this.#position !== undefined && update.to <= this.#position;
         if (update.to >= (this.#position ?? 0)) {
             this.#asOf = Math.max(this.#asOf, asOf);
         }
-        this.#position = Math.max(this.#position ?? 0, update.to);
+        if (isKnown) {
+            return false;
+        }
+        this.#position = update.to;
         const config = update.value && this.#decode(update.value);
         if (!config || (this.#config && config.version <= this.#config.version)) {
             return false;
--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -29,7 +29,7 @@
     readonly rank: () => number;
     /** Returns the addresses of the other entry VMs. */
     readonly peers: () => readonly string[];
-    /** Sends a message to peers; returns false if it is too large. */
+    /** Sends a message to peers; returns false if it is too large to be sent to all of them. */
     readonly send: (peers: readonly string[], message: DiscoveryMessage) => boolean;
     readonly events: FollowerEvents;
 }
@@ -40,6 +40,9 @@
     readonly #configSchedule = new ReadSchedule(configSchedule);
     readonly #serverSchedule = new ReadSchedule(serverSchedule);
     #requestedAt = -Infinity;
+    /** Offset up to which peers have announced a configuration without its text; it has to be read from the store. */
+    #announcedTo = -1;
+    #configSleep = new AbortController();
 
     constructor(options: FollowerOptions) {
         this.#options = options;
@@ -89,7 +92,7 @@
     #applyConfig({ to, text, ageMs }: TopicMessage<"configuration">, from: string, now: number): void {
         const { config, events } = this.#options;
         if (text === undefined && to > (config.position ?? -1)) {
-            this.#requestMissing(from, now);
+            this.#followAnnouncement(to, from, now);
             return;
         }
         const value = text === undefined ? undefined : new TextEncoder().encode(text);
@@ -98,13 +101,27 @@
         }
     }
 
+    /** Reads a configuration that a peer knows, from the store or, if the store can't be read, from the peer. */
+    #followAnnouncement(to: number, from: string, now: number): void {
+        if (this.#configSchedule.failing) {
+            this.#requestMissing(from, now);
+            return;
+        }
+        this.#announcedTo = to;
+        this.#configSleep.abort();
+    }
+
+    get #hasAnnouncement(): boolean {
+        return this.#announcedTo > (this.#options.config.position ?? -1);
+    }
+
     async #pollTopic(topic: KeyedTopic, schedule: ReadSchedule, signal: AbortSignal): Promise<void> {
-        const { clock, delay, rank } = this.#options;
+        const { clock, rank } = this.#options;
         while (!signal.aborted) {
             const asOf = topic === "servers" ? this.#options.servers.asOf : this.#options.config.asOf;
             const waitMs = schedule.nextReadAt(asOf, rank()) - clock();
-            if (waitMs > 0) {
-                await delay(Math.min(waitMs, maxSleepMs), signal);
+            if (waitMs > 0 && !(topic === "configuration" && this.#hasAnnouncement)) {
+                await this.#sleep(topic, Math.min(waitMs, maxSleepMs), signal);
                 this.#options.servers.expire(clock());
                 continue;
             }
@@ -112,6 +129,18 @@
         }
     }
 
+    /** Sleeps until `ms` have passed, the signal aborts, or a configuration is announced that has to be read. */
+    async #sleep(topic: KeyedTopic, ms: number, signal: AbortSignal): Promise<void> {
+        const sleep = new AbortController();
+        if (topic === "configuration") {
+            this.#configSleep = sleep;
+        }
+        const stop = (): void => sleep.abort();
+        signal.addEventListener("abort", stop);
+        await this.#options.delay(ms, sleep.signal);
+        signal.removeEventListener("abort", stop);
+    }
+
     async #readOnce(topic: KeyedTopic, schedule: ReadSchedule): Promise<void> {
         const { clock, events } = this.#options;
         try {
@@ -153,6 +182,7 @@
         const { log, config, clock, rank } = this.#options;
         const asOf = clock();
         const isInitialRead = config.position === undefined;
+        this.#announcedTo = -1;
         const isNewer = await this.#readSinceOrLatest(
             config.position,
             async from => {
@@ -226,7 +256,8 @@
     /** Sends a message. A configuration that is too large is sent without its text; peers then read the store. */
     #send(peers: readonly string[], message: DiscoveryMessage): void {
         if (!this.#options.send(peers, message) && message.topic === "configuration") {
-            this.#options.send(peers, { topic: "configuration", ageMs: message.ageMs, to: message.to });
+            const { topic, ageMs, to, passTo } = message;
+            this.#options.send(peers, { topic, ageMs, to, ...(passTo ? { passTo } : {}) });
         }
     }
 
--- a/packages/discovery/test/fleet.test.ts
+++ b/packages/discovery/test/fleet.test.ts
@@ -129,3 +129,28 @@
     await fleet.time.run(9_000 + limitMs + 200);
     assert.deepEqual(new Set(leavingStates(fleet, "s3")), new Set([true]));
 });
+
+test("a configuration too large for messages is read from the store as soon as it is announced", async t => {
+    const fleet = await startFleet(140, 10);
+    t.after(() => fleet.stop());
+    fleet.maxMessageBytes = 10_000;
+    const routes = Array.from({ length: 1_600 }, (_, i) => ({ name: `r${i}` }));
+    fleet.store.put("configuration", "config", { ...config(2), routes });
+    await fleet.time.run(3_000);
+    fleet.messagesBySender.clear();
+    await fleet.time.run(3_000 + limitMs / 2);
+    assert.deepEqual(new Set(fleet.vms.map(vm => vm.config.config?.version)), new Set([2]));
+    const sent = [...fleet.messagesBySender.values()].reduce((sum, it) => sum + it, 0);
+    assert.ok(sent < 140 * 8, `${sent} messages`);
+});
+
+test("an entry VM that the store rejects gets an announced configuration from a peer", async t => {
+    const fleet = await startFleet(40, 10);
+    t.after(() => fleet.stop());
+    fleet.store.rejectedClients.add("vm20");
+    await fleet.time.run(6_000);
+    fleet.isLost = n => n % 2 === 0;
+    fleet.store.put("configuration", "config", config(2));
+    await fleet.time.run(6_000 + limitMs);
+    assert.equal(fleet.vms[20]?.config.config?.version, 2);
+});
--- a/packages/discovery/test/fleet.ts
+++ b/packages/discovery/test/fleet.ts
@@ -120,6 +120,8 @@
     readonly frozen = new Set<string>();
     /** Returns whether the n-th message is lost. */
     isLost: (n: number) => boolean = () => false;
+    /** Size up to which messages can be sent. */
+    maxMessageBytes = Infinity;
     /** Bytes of the messages between entry VMs. */
     bytes = 0;
     messages = 0;
@@ -164,11 +166,18 @@
             config,
             servers,
             clock: () => this.time.now,
-            delay: ms => this.time.wait(ms),
+            delay: (ms, signal) =>
+                Promise.race([
+                    this.time.wait(ms),
+                    new Promise<void>(resolve => signal.addEventListener("abort", () => resolve())),
+                ]),
             rank: () => (this.time.now < this.#discoveredAt ? 1 : index),
             peers: () =>
                 this.time.now < this.#discoveredAt ? [] : this.vms.map(it => it.id).filter(it => it !== id),
             send: (peers, message) => {
+                if (JSON.stringify(message).length > this.maxMessageBytes) {
+                    return false;
+                }
                 peers.forEach(it => this.#deliver(id, it, message));
                 return true;
             },
--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -78,10 +78,13 @@
         });
     }
 
-    /** Sends an update to peers; returns false if it is too large for a datagram. */
+    /**
+     * Sends an update to peers; returns false if it is too large for a datagram, or a configuration that is too large
+     * for all of them and for those that they pass it to.
+     */
     sendDiscovery(peerAddresses: readonly string[], body: DiscoveryMessage): boolean {
         const data = encode({ kind: "news", body });
-        if (data.length > maxDatagramBytes) {
+        if (data.length > maxDatagramBytes || data.length * copiesOf(peerAddresses, body) > maxBurstBytes) {
             return false;
         }
         peerAddresses.forEach(it => this.#send(it, data));
@@ -137,6 +140,10 @@
     }
 }
 
+/** Number of datagrams that the sender, or one that passes the message on, sends at once if it has alternatives. */
+const copiesOf = (peerAddresses: readonly string[], body: DiscoveryMessage): number =>
+    body.topic === "configuration" ? Math.max(peerAddresses.length, body.passTo?.length ?? 0) : 0;
+
 /** Messages of up to this many bytes are sent uncompressed, as compressing them saves little. */
 const maxPlainBytes = 400;
 
@@ -165,3 +172,5 @@
 const replyTimeoutMs = 2_000;
 /** Largest datagram that is sent; UDP over IPv4 allows 65,507 bytes. */
 const maxDatagramBytes = 60_000;
+/** Bytes of one message to all its receivers; a link of 7 Mbit/s carries them within 0.1 s, and loses few of them. */
+const maxBurstBytes = 90_000;
