--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -189,7 +189,7 @@
     "request-failed": defineEvent(
         8011,
         "info",
-        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read {lagMs} ms late on a connection accepted {acceptMs} ms late; configuration {version}. {detail}",
+        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late; configuration {version}. {detail}",
         {
             load: "string",
             loadAgeMs: "number",
--- a/packages/proxy/src/acceptqueue.ts
+++ b/packages/proxy/src/acceptqueue.ts
@@ -9,7 +9,7 @@
 export class AcceptQueue {
     readonly #clock: () => number;
     readonly #waitMs = new WeakMap<Socket, number>();
-    /** When the queue was last seen empty before the present run of connections; undefined if it is empty now. */
+    /** Start of the present run of turns that each accepted a connection; undefined if the last turn accepted none. */
     #nonEmptySince: number | undefined = undefined;
     #acceptedInTurn = false;
 
