gateway: partition a service's servers only when they or its entry VMs have changed

Change: the maps of hosts and services are made once for a configuration; a service's servers are partitioned again only if the list of entry VMs or of servers differs. The result is the same.

--- a/packages/gateway/src/entryvmselector.ts
+++ b/packages/gateway/src/entryvmselector.ts
@@ -176,10 +176,13 @@
     if (entryVms.length < 2 || !entryVms.some(vm => vm.id === self)) {
         return undefined;
     }
-    const subset = servers.filter(({ id, domain }) => {
-        const local = entryVms.filter(vm => vm.place.domain === domain);
-        return selectEntryVms(id, local.length > 0 ? local : entryVms, 1)[0]?.id === self;
-    });
+    const byDomain = new Map<string, EntryVm[]>();
+    for (const vm of entryVms) {
+        byDomain.set(vm.place.domain, [...(byDomain.get(vm.place.domain) ?? []), vm]);
+    }
+    const subset = servers.filter(
+        ({ id, domain }) => selectEntryVms(id, byDomain.get(domain) ?? entryVms, 1)[0]?.id === self,
+    );
     return new Set(subset.map(({ id }) => id));
 };
 
--- a/packages/gateway/src/trafficpartitioner.ts
+++ b/packages/gateway/src/trafficpartitioner.ts
@@ -34,8 +34,12 @@
         requestsPerTenthCore: requestsPerCore / tenthsPerCore,
         shrinkAfterMs,
     });
-    #config: RouteConfig | undefined = undefined;
+    /** Services by host, and hosts by service, of the active configuration. */
+    #servicesByHost: ReadonlyMap<string, ReadonlySet<string>> = new Map();
+    #hostsByService: ReadonlyMap<string, ReadonlySet<string>> = new Map();
     #servers: readonly KnownServer[] = [];
+    /** Ids of the entry VMs among which each service's present servers are partitioned. */
+    readonly #partitionedAmong = new Map<string, string>();
     #lastTickAt: number;
 
     constructor(options: TrafficPartitionerOptions) {
@@ -57,9 +61,11 @@
 
     /** Applies a newer configuration or a newer list of servers. */
     update(config: RouteConfig, servers: readonly KnownServer[]): void {
-        this.#config = config;
+        this.#servicesByHost = servicesByHost(config);
+        this.#hostsByService = invert(this.#servicesByHost);
         this.#servers = servers;
-        for (const [host, services] of servicesByHost(config)) {
+        this.#partitionedAmong.clear();
+        for (const [host, services] of this.#servicesByHost) {
             const slots = servers
                 .filter(({ entry }) => services.has(entry.service))
                 .reduce((sum, { entry }) => sum + entry.slots, 0);
@@ -95,28 +101,31 @@
         const { self, membership, members } = this.#options;
         const others = members().filter(vm => vm.id !== self);
         const rates = others.map(vm => parseRates(membership.payload(vm.id)));
-        for (const host of this.#config ? servicesByHost(this.#config).keys() : []) {
+        for (const host of this.#servicesByHost.keys()) {
             const hash = shortHash(host);
             const elsewhere = rates.reduce((sum, it) => sum + (it.get(hash) ?? 0), 0);
             this.#selector.observeDemand(host, elsewhere + (this.#demand.rates.get(host) ?? 0), now);
         }
     }
 
-    /** Partitions the servers of each service that gets requests here among the entry VMs that serve its hosts. */
+    /**
+     * Partitions the servers of each service that may get requests here among the entry VMs that serve its hosts, unless
+     * nothing has changed: hashing all servers costs a small VM much of its time.
+     */
     #partitionServers(): void {
         const { self, members, setPreferredServers } = this.#options;
-        const hostsByService = new Map<string, Set<string>>();
-        const activeRoutes = (this.#config?.routes ?? []).filter(it => this.#demand.rates.has(it.host));
-        for (const { host, destinations } of activeRoutes) {
-            for (const { service } of destinations) {
-                hostsByService.set(service, (hostsByService.get(service) ?? new Set()).add(host));
+        for (const [service, allHosts] of this.#hostsByService) {
+            const hosts = [...allHosts].filter(it => this.#demand.rates.has(it));
+            if (hosts.length === 0) {
+                continue;
             }
-        }
-        const entries = this.#servers.map(it => it.entry);
-        for (const [service, hosts] of hostsByService) {
             const entryVms = this.#selector.selectForHosts(hosts, members(), this.#capacityOf);
-            const servers = entries.filter(it => it.service === service);
-            setPreferredServers(service, serverSubset(self, entryVms, servers));
+            const ids = entryVms.map(vm => vm.id).join(" ");
+            if (this.#partitionedAmong.get(service) !== ids) {
+                this.#partitionedAmong.set(service, ids);
+                const servers = this.#servers.map(it => it.entry).filter(it => it.service === service);
+                setPreferredServers(service, serverSubset(self, entryVms, servers));
+            }
         }
     }
 
@@ -144,6 +153,14 @@
     return services;
 };
 
+const invert = (sets: ReadonlyMap<string, ReadonlySet<string>>): ReadonlyMap<string, ReadonlySet<string>> => {
+    const inverted = new Map<string, Set<string>>();
+    for (const [key, values] of sets) {
+        values.forEach(it => inverted.set(it, (inverted.get(it) ?? new Set()).add(key)));
+    }
+    return inverted;
+};
+
 /** Requests per second planned for a whole core: half of its capacity, which leaves room for bursts. */
 const requestsPerCore = 220;
 /** Capacities are published in tenths of a core. */
--- a/packages/gateway/test/trafficpartitioner.test.ts
+++ b/packages/gateway/test/trafficpartitioner.test.ts
@@ -21,6 +21,7 @@
 const fleet = (ids: readonly string[], linkMbps = 1_000) => {
     const payloads = new Map<string, Record<string, string | number>>(ids.map(id => [id, {}]));
     const preferred = new Map<string, ReadonlySet<string> | undefined>();
+    const partitions: string[] = [];
     const partitioners = ids.map(
         self =>
             new TrafficPartitioner({
@@ -34,11 +35,14 @@
                     },
                 },
                 members: () => ids.map(vm),
-                setPreferredServers: (_, serverIds) => preferred.set(self, serverIds),
+                setPreferredServers: (service, serverIds) => {
+                    partitions.push(service);
+                    preferred.set(self, serverIds);
+                },
                 now: 0,
             }),
     );
-    return { partitioners, preferred };
+    return { partitioners, preferred, partitions };
 };
 
 test("entry VMs that serve one host observe its total demand, and partition its servers", () => {
@@ -75,3 +79,25 @@
     assert.equal(count(1_000), count(200));
     assert.ok((count(14) ?? 0) >= 2 * (count(200) ?? 0));
 });
+
+test("servers are partitioned again only if they or the entry VMs have changed", () => {
+    const { partitioners, partitions } = fleet(["v1", "v2"]);
+    const servers = Array.from({ length: 20 }, (_, i) => ({ entry: entry(`s${i}`), lapsed: false }));
+    const runUntil = (from: number, until: number): void => {
+        for (let now = from; now <= until; now += 500) {
+            partitioners.forEach(it => {
+                it.countRequest("h.example");
+                it.tick(now);
+            });
+        }
+    };
+    partitioners.forEach(it => it.update(config, servers));
+    runUntil(500, 1_500);
+    const settled = partitions.length;
+    assert.ok(settled > 0);
+    runUntil(2_000, 10_000);
+    assert.equal(partitions.length, settled);
+    partitioners.forEach(it => it.update(config, servers.slice(1)));
+    runUntil(10_500, 10_500);
+    assert.equal(partitions.length, settled + 2);
+});
