--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -140,7 +140,10 @@
     }
 }
 
-/** Number of datagrams that the sender, or one that passes the message on, sends at once if it has alternatives. */
+/**
+ * Number of copies of a configuration that the sender, or one that passes it on, sends at once. Other messages aren't
+ * limited, as their receivers have no other source.
+ */
 const copiesOf = (peerAddresses: readonly string[], body: DiscoveryMessage): number =>
     body.topic === "configuration" ? Math.max(peerAddresses.length, body.passTo?.length ?? 0) : 0;
 
--- a/packages/gateway/test/callerdisconnect.test.ts
+++ b/packages/gateway/test/callerdisconnect.test.ts
@@ -3,14 +3,9 @@
 import { connect } from "node:net";
 import { test } from "node:test";
 import { Worker } from "node:worker_threads";
+import { blockEventLoop, runShortTurns, startHastyCallers } from "@bramleymoor/testkit/hastycallers";
 import { requestText, responseText, sendRaw, startFrontend, startRawServer } from "./setup.js";
 
-const blockEventLoop = (ms: number): void => {
-    for (const until = performance.now() + ms; performance.now() < until;) {
-        // Keeps the event loop from running, as a busy processor would.
-    }
-};
-
 const requestTexts = (count: number): readonly string[] =>
     Array.from({ length: count }, (_, i) => requestText(`gone-${i}`));
 
@@ -25,13 +20,6 @@
     });
 `;
 
-/** Source of a worker: callers that connect, send their requests and disconnect without waiting. */
-const hastyCallers = `
-    const { connect } = require("node:net");
-    const { workerData } = require("node:worker_threads");
-    workerData.heads.forEach(head => connect(workerData.port, "127.0.0.1").end(head));
-`;
-
 const delay = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 test("a request whose caller disconnects before it is read reaches no server", async t => {
@@ -57,14 +45,10 @@
     const server = await startRawServer(t, "s1", ({ socket, id }) => socket.write(responseText(id, "hello")));
     const { port } = await startFrontend(t, [server]);
     await sendRaw(port, requestText("warm"), 50);
-    const callers = new Worker(hastyCallers, { eval: true, workerData: { port, heads: requestTexts(60) } });
+    const callers = startHastyCallers(port, requestTexts(60));
     await once(callers, "online");
     blockEventLoop(300);
-    // Short turns of the event loop, each of which accepts one connection.
-    for (const until = performance.now() + 1_500; performance.now() < until;) {
-        blockEventLoop(8);
-        await new Promise(resolve => setImmediate(resolve));
-    }
+    await runShortTurns(1_500, 8);
     await callers.terminate();
     assert.deepEqual(
         server.requests.map(it => it.id),
