--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -107,7 +107,7 @@
             this.#requestMissing(from, now);
             return;
         }
-        this.#announcedTo = to;
+        this.#announcedTo = Math.max(this.#announcedTo, to);
         this.#configSleep.abort();
     }
 
--- a/packages/gateway/src/entryvmselector.ts
+++ b/packages/gateway/src/entryvmselector.ts
@@ -178,7 +178,9 @@
     }
     const byDomain = new Map<string, EntryVm[]>();
     for (const vm of entryVms) {
-        byDomain.set(vm.place.domain, [...(byDomain.get(vm.place.domain) ?? []), vm]);
+        const local = byDomain.get(vm.place.domain) ?? [];
+        local.push(vm);
+        byDomain.set(vm.place.domain, local);
     }
     const subset = servers.filter(
         ({ id, domain }) => selectEntryVms(id, byDomain.get(domain) ?? entryVms, 1)[0]?.id === self,
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -25,7 +25,7 @@
 export class FrontendServer {
     readonly #server: Server;
     readonly #connections = new ConnectionTracker();
-    readonly #acceptQueue: AcceptQueue;
+    readonly #acceptQueue = new AcceptQueue();
     /** Number of requests per connection whose response isn't complete yet. */
     readonly #pendingResponses = new Map<Socket, number>();
     readonly #running = new Set<Promise<void>>();
@@ -36,7 +36,6 @@
     #draining = false;
 
     constructor({ serve, onMalformed, onAccepted, clock }: FrontendOptions) {
-        this.#acceptQueue = new AcceptQueue(clock);
         this.#serve = serve;
         this.#onMalformed = onMalformed;
         this.#server = createServer({
@@ -48,7 +47,7 @@
         this.#server.maxHeadersCount = 0;
         this.#server.on("connection", (socket: Socket) => {
             this.#connections.track(socket);
-            onAccepted(this.#acceptQueue.recordAccepted(socket));
+            onAccepted(this.#acceptQueue.recordAccepted(socket, clock()));
         });
         this.#server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#handle(req, res));
         this.#server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
--- a/packages/proxy/src/acceptqueue.ts
+++ b/packages/proxy/src/acceptqueue.ts
@@ -7,20 +7,17 @@
  * accepts none shows that the queue is empty, and the next connections can't have waited since before that turn.
  */
 export class AcceptQueue {
-    readonly #clock: () => number;
     readonly #waitMs = new WeakMap<Socket, number>();
     /** Start of the present run of turns that each accepted a connection; undefined if the last turn accepted none. */
     #nonEmptySince: number | undefined = undefined;
     #acceptedInTurn = false;
 
-    /** @param clock returns monotonic milliseconds */
-    constructor(clock: () => number) {
-        this.#clock = clock;
-    }
-
-    /** Records that a connection was accepted, and returns for how long at most it waited, in milliseconds. */
-    recordAccepted(socket: Socket): number {
-        const now = this.#clock();
+    /**
+     * Records that a connection was accepted, and returns for how long at most it waited, in milliseconds.
+     *
+     * @param now monotonic milliseconds
+     */
+    recordAccepted(socket: Socket, now: number): number {
         this.#acceptedInTurn = true;
         if (this.#nonEmptySince === undefined) {
             this.#nonEmptySince = now;
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -21,7 +21,7 @@
     readonly #server: Server;
     readonly #running = new Set<Promise<void>>();
     readonly #connections = new ConnectionTracker();
-    readonly #acceptQueue: AcceptQueue;
+    readonly #acceptQueue = new AcceptQueue();
     #lastId = 0;
     #stopping = false;
 
@@ -37,7 +37,6 @@
             nextId: () => ++this.#lastId,
             takeAcceptWaitMs: ({ socket }) => this.#acceptQueue.takeWaitMs(socket),
         };
-        this.#acceptQueue = new AcceptQueue(options.clock);
         this.#server = this.#createServer();
     }
 
@@ -81,7 +80,7 @@
         });
         server.on("connection", (socket: Socket) => {
             this.#connections.track(socket);
-            this.#acceptQueue.recordAccepted(socket);
+            this.#acceptQueue.recordAccepted(socket, this.#options.clock());
         });
         server.maxConnections = limits.callerConnections;
         server.maxHeadersCount = 0;
--- a/packages/proxy/test/acceptqueue.test.ts
+++ b/packages/proxy/test/acceptqueue.test.ts
@@ -7,26 +7,24 @@
 
 test("a connection accepted in each turn may have waited since the last turn without one", async () => {
     let now = 1_000;
-    const queue = new AcceptQueue(() => now);
+    const queue = new AcceptQueue();
     const waits: number[] = [];
     for (let i = 0; i < 3; i++) {
-        waits.push(queue.recordAccepted(new Socket()));
+        waits.push(queue.recordAccepted(new Socket(), now));
         await nextTurn();
         now += 40;
     }
     assert.deepEqual(waits, [0, 40, 80]);
     await nextTurn();
     await nextTurn();
-    assert.equal(queue.recordAccepted(new Socket()), 0, "after a turn that accepted none");
+    assert.equal(queue.recordAccepted(new Socket(), now), 0, "after a turn that accepted none");
 });
 
 test("only the first request of a connection waited for its connection", () => {
-    let now = 0;
-    const queue = new AcceptQueue(() => now);
-    queue.recordAccepted(new Socket());
-    now = 70;
+    const queue = new AcceptQueue();
+    queue.recordAccepted(new Socket(), 0);
     const socket = new Socket();
-    queue.recordAccepted(socket);
+    queue.recordAccepted(socket, 70);
     assert.equal(queue.takeWaitMs(socket), 70);
     assert.equal(queue.takeWaitMs(socket), 0);
 });
