gateway: log and count what is sent to servers that name a request limit

The platform's wire format now reads the limit; the new package limits keeps it. Nothing acts on a limit yet.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -1,9 +1,10 @@
 /** Queues the requests of one service, refuses those that can't be served in time, and chooses their servers. */
 
-import type { RouteKind, ServerEntry } from "@bramleymoor/model/route";
+import { incarnationKey, type RouteKind, type ServerEntry } from "@bramleymoor/model/route";
 import { RequestQueue } from "./queue.js";
 import { ServerState } from "./server.js";
 import { LatencyModel } from "./latency.js";
+import { noLimits, type SendLimiter } from "./limiter.js";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "./types.js";
 
 /** A dequeued request for which a free slot is reserved, with the servers that may get it, cheapest first. */
@@ -30,6 +31,7 @@
 export class Balancer {
     readonly #settings: BalancerSettings;
     readonly #random: () => number;
+    readonly #limiter: SendLimiter;
     readonly #servers = new Map<string, ServerState>();
     readonly #queue = new RequestQueue();
     readonly #latency = new LatencyModel();
@@ -40,9 +42,11 @@
     /** Reservations that are neither granted nor cancelled; each will take a slot. */
     #openReservations = 0;
 
-    constructor(settings: BalancerSettings, random: () => number) {
+    /** @param limiter limits the requests to servers that name a limit */
+    constructor(settings: BalancerSettings, random: () => number, limiter: SendLimiter = noLimits) {
         this.#settings = settings;
         this.#random = random;
+        this.#limiter = limiter;
     }
 
     /** Number of queued requests. */
@@ -163,6 +167,7 @@
             unreportedSlowdown: best.unreportedSlowdown(now),
         });
         best.start(slot);
+        this.#limiter.recordSend(best.key, now);
         return slot;
     }
 
@@ -192,7 +197,9 @@
 
     /** Records that a probe was sent; the server gets no requests before it responds. */
     recordProbeSent(server: ServerEntry): void {
-        this.#servers.get(incarnationKey(server))?.recordProbeSent();
+        const key = incarnationKey(server);
+        this.#servers.get(key)?.recordProbeSent();
+        this.#limiter.recordProbe(key);
     }
 
     /** Records a response to a probe that contains no load report. */
@@ -304,9 +311,6 @@
 const totalFreeSlots = (servers: readonly ServerState[], now: number): number =>
     servers.reduce((sum, it) => sum + it.freeSlots(now), 0);
 
-/** Distinguishes incarnations, also those of a server that keeps its id over a restart. */
-const incarnationKey = (entry: ServerEntry): string => `${entry.id}@${entry.bornAt}`;
-
 /** Shortest retry time without a server; new and returning ones become known within about a second. */
 const noServerRetryMs = 400;
 /** About the duration of a request; a caller that retries sooner finds the same queue. */
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -1,12 +1,14 @@
 /** State of one backend server as one balancer knows it: slots in flight, load, speed and health. */
 
-import type { ServerEntry } from "@bramleymoor/model/route";
+import { incarnationKey, type ServerEntry } from "@bramleymoor/model/route";
 import { ServerHealth } from "./health.js";
 import { ServerLoad } from "./load.js";
 import type { LoadReport, LoadSnapshot, Slot, SlotResult } from "./types.js";
 
 /** One incarnation of a backend server. */
 export class ServerState {
+    /** Identifies the incarnation. */
+    readonly key: string;
     readonly #slots = new Set<Slot>();
     readonly #load = new ServerLoad();
     readonly #health = new ServerHealth();
@@ -19,6 +21,7 @@
 
     /** @param now when this entry VM first learned of the server */
     constructor(entry: ServerEntry, now: number) {
+        this.key = incarnationKey(entry);
         this.#entry = entry;
         this.#firstSeenAt = now;
     }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { LoadSnapshot, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
-import type { Route } from "@bramleymoor/model/route";
+import type { Route, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { toCallError } from "@bramleymoor/proxy/responses";
@@ -46,6 +46,8 @@
     readonly countRequest: (service: string) => void;
     /** Takes one retry from the service's budget; returns false if the budget is exhausted. */
     readonly tryRetry: (service: string) => boolean;
+    /** Records the request limit in a server's response: Infinity if it names none, undefined if it can't be parsed. */
+    readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
     /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
     /** Returns how long input that is read now may have waited since it reached an accepted connection. */
@@ -220,6 +222,7 @@
             const serverRes = await this.#abortable(exchange.head, abort);
             this.#serverMs = clock() - startedAt;
             this.#sent.add(slot);
+            this.#options.recordLimit(slot.server, wire.requestLimit(serverRes.headers));
             const load = wire.loadReport(serverRes.headers);
             if (load) {
                 dispatcher.report(slot.server, load);
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -1,8 +1,9 @@
 /** The entry process that serves routes: connects its components, and runs its start, periodic work and shutdown. */
 
 import { randomBytes } from "node:crypto";
+import { RequestLimits } from "@bramleymoor/limits/limits";
 import type { Membership } from "@bramleymoor/membership/membership";
-import type { Route } from "@bramleymoor/model/route";
+import type { Route, ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import { CallMetrics } from "@bramleymoor/observe/metrics";
@@ -58,6 +59,7 @@
         unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: keepAliveMarginMs, clock: monotonicMs }),
     };
     readonly #probeClient: HttpProbeClient;
+    readonly #limits = new RequestLimits(monotonicMs());
     readonly #splits = new TrafficSplits();
     readonly #elapsedTimes = new ElapsedTimeEstimator();
     readonly #lag = new EventLoopLag(monotonicMs() + tickMs);
@@ -82,6 +84,7 @@
             random: Math.random,
             balance: { candidateCount: comparedServers, domain: settings.place.domain },
             retryLimits: settings.retryLimits,
+            limiter: this.#limits,
         });
         this.#peerSocket = new PeerSocket({
             onGossip: message => this.#membership.receive(message, monotonicMs()),
@@ -151,6 +154,11 @@
             "Bytes to and from other entry VMs.",
             () => this.#peerSocket.bytes,
         );
+        this.#metrics.registerGauge(
+            "bm_limited_servers",
+            "Backend servers that name a request limit.",
+            () => this.#limits.limitedServers,
+        );
         this.#metrics.registerGauge(
             "bm_event_loop_lag_seconds",
             "Lag of the event loop.",
@@ -269,6 +277,7 @@
             tryRetry: service =>
                 this.#dispatchers.retryBudget(service)?.tryTake(monotonicMs(), this.#members.budgetDivisor) ??
                 false,
+            recordLimit: (server, perSecond) => this.#recordLimit(server, perSecond),
             agents: this.#agents,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
             takeAcceptWaitMs: req => this.#frontend.takeAcceptWaitMs(req),
@@ -277,6 +286,31 @@
         };
     }
 
+    #recordLimit(server: ServerEntry, perSecond: number | undefined): void {
+        const { id, service } = server;
+        if (perSecond === undefined) {
+            this.#events.emit("request-limit-unreadable", { server: id, service });
+        } else if (this.#limits.record(server, perSecond)) {
+            this.#events.emit("request-limit-changed", {
+                server: id,
+                service,
+                limit: formatLimit(perSecond),
+            });
+        }
+    }
+
+    #reportLimitUsage(now: number): void {
+        for (const { key, perSecond, requests, probes, periodMs } of this.#limits.takeUsage(now)) {
+            this.#events.emit("request-limit-usage", {
+                server: key,
+                limit: formatLimit(perSecond),
+                requests,
+                probes,
+                periodMs: Math.round(periodMs),
+            });
+        }
+    }
+
     #findRoute(host: string, target: string): Route {
         const { table } = this.#storeView;
         if (!table || this.#state === "starting") {
@@ -314,6 +348,7 @@
             this.#applyStoreView();
         }
         this.#partitioner.tick(now);
+        this.#reportLimitUsage(now);
     }
 
     /** Watches a background task: if one fails, the error is rethrown, so that the process ends and is restarted. */
@@ -326,6 +361,8 @@
     }
 }
 
+const formatLimit = (perSecond: number): string => (perSecond === Infinity ? "none" : String(perSecond));
+
 /** Settings that only take effect at the next start. */
 const restartOnlySettings = [
     "id",
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -2,6 +2,7 @@
 
 import { Balancer, type BalancerSettings } from "@bramleymoor/balance/balancer";
 import { RetryBudget, type RetryLimits } from "@bramleymoor/balance/budget";
+import type { SendLimiter } from "@bramleymoor/balance/limiter";
 import type { KnownServer } from "@bramleymoor/discovery/servers";
 import type { RouteConfig } from "@bramleymoor/model/route";
 import { Dispatcher } from "./dispatcher.js";
@@ -21,6 +22,8 @@
     readonly random: () => number;
     readonly balance: BalancerSettings;
     readonly retryLimits: RetryLimits;
+    /** Limits the requests to servers that name a limit. */
+    readonly limiter: SendLimiter;
 }
 
 /** Holds a dispatcher and a retry budget for each service of the configuration. */
@@ -70,12 +73,12 @@
     }
 
     #create(name: string, config: RouteConfig): ServiceState {
-        const { probeClient, clock, random, balance } = this.#options;
+        const { probeClient, clock, random, balance, limiter } = this.#options;
         const settings = config.services.get(name);
         if (!settings) {
             throw new Error(`the configuration has no service ${name}`);
         }
-        const balancer = new Balancer(balance, random);
+        const balancer = new Balancer(balance, random, limiter);
         const service = {
             dispatcher: new Dispatcher(settings, { balancer, probeClient, clock }),
             retryBudget: new RetryBudget(this.#retryLimits),
--- a/packages/gateway/src/wireformat.ts
+++ b/packages/gateway/src/wireformat.ts
@@ -20,6 +20,11 @@
     refusal(status: number, headers: IncomingHttpHeaders): ServerRefusal | undefined;
     /** Returns the server's load at the time of its response; undefined if the response carries none. */
     loadReport(headers: IncomingHttpHeaders): LoadReport | undefined;
+    /**
+     * Returns the requests per second that the server takes from all entry VMs together: Infinity if it names no limit,
+     * undefined if the limit can't be parsed.
+     */
+    requestLimit(headers: IncomingHttpHeaders): number | undefined;
     /** Returns the server incarnation that sent the response; undefined if it doesn't say. */
     serverId(headers: IncomingHttpHeaders): string | undefined;
     /** Returns whether a response is marked as one of the backend server itself. */
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -4,6 +4,7 @@
 import type { TestContext } from "node:test";
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
+import { RequestLimits } from "@bramleymoor/limits/limits";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { RouteTable } from "@bramleymoor/routing/table";
@@ -28,6 +29,7 @@
     requestHeaders: (deadlineMs, serverId) => ["t-deadline", String(deadlineMs), "t-server", serverId],
     refusal: (_, headers) => (headers["t-not-run"] === undefined ? undefined : "full"),
     loadReport: () => undefined,
+    requestLimit: headers => (headers["t-limit"] === undefined ? Infinity : Number(headers["t-limit"])),
     serverId: headers => text(headers["t-server"]),
     isFromServer: headers => headers["t-signed"] !== undefined,
     formatAddresses: addresses => JSON.stringify(addresses),
@@ -167,12 +169,14 @@
     };
     const probeClient = new HttpProbeClient(testWire, agents.pooled);
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
+    const limits = new RequestLimits(clock());
     const services = new ServiceDispatchers({
         probeClient,
         clock,
         random: () => 0,
         balance: { candidateCount: 1, domain: "a" },
         retryLimits,
+        limiter: limits,
     });
     services.update(
         config,
@@ -201,6 +205,7 @@
         elapsedMs: (it, deadlineMs) => elapsedTimes.elapsedMs(it.name, deadlineMs),
         countRequest: service => services.retryBudget(service)?.recordRequest(clock()),
         tryRetry: service => services.retryBudget(service)?.tryTake(clock(), 1) ?? false,
+        recordLimit: (server, perSecond) => limits.record(server, perSecond ?? Infinity),
         agents,
         lagMs: () => lag.lagMs(clock()),
         takeAcceptWaitMs: req => frontend.takeAcceptWaitMs(req),
--- a/packages/model/src/route.ts
+++ b/packages/model/src/route.ts
@@ -76,3 +76,7 @@
     /** Remaining warm-up time that the server announced, as of when the entry was written, in milliseconds. */
     readonly warmUpMs: number;
 }
+
+/** Returns a key that distinguishes incarnations, also those of a server that keeps its id over a restart. */
+export const incarnationKey = ({ id, bornAt }: Pick<ServerEntry, "id" | "bornAt">): string =>
+    `${id}@${bornAt}`;
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -96,6 +96,37 @@
         record: "string",
         reason: "string",
     }),
+    "request-limit-changed": defineEvent(
+        1025,
+        "info",
+        "Backend server {server} of {service} names a request limit per second of {limit}.",
+        {
+            server: "string",
+            service: "string",
+            limit: "string",
+        },
+    ),
+    "request-limit-unreadable": defineEvent(
+        1026,
+        "warn",
+        "Ignored the request limit of backend server {server} of {service}: not a decimal number.",
+        {
+            server: "string",
+            service: "string",
+        },
+    ),
+    "request-limit-usage": defineEvent(
+        1027,
+        "info",
+        "Sent {requests} requests and {probes} probes in {periodMs} ms to backend server {server}, which limits requests to {limit} per second.",
+        {
+            server: "string",
+            limit: "string",
+            requests: "number",
+            probes: "number",
+            periodMs: "number",
+        },
+    ),
     "member-joined": defineEvent(2001, "info", "Entry VM {id} joined from {region}/{domain}.", {
         id: "string",
         incarnation: "string",
