gateway, limits: entry VMs keep servers' request limits together

Cause: no entry VM read the limit; each chose servers by their load alone. A limit holds over all entry VMs, and none of them sees the requests of the others, so that obeying it singly wouldn't keep it either.

Fix: entry VMs with requests for a limited server claim shares of its limit by messages to all peers. The highest-ranking claimants, no more than the limit has requests a second, send at equal shares, evenly spaced; the others send nothing, and nobody probes the server. The balancer counts the limit as capacity, so that requests that no server may be sent in time are refused at once. Limits that change or end are announced, as entry VMs without a share get no responses from the server.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -95,7 +95,10 @@
         if (usable.length === 0) {
             return { reason: "no-server", retryAfterMs: noServerRetryMs * (1 + this.#random()) };
         }
-        if (this.#countAhead(request, now) > this.#queueLimit(request, now)) {
+        usable.filter(it => this.#isLimited(it, now)).forEach(it => this.#limiter.recordDemand(it.key, now));
+        const startAt = this.#earliestStartAt(usable, now);
+        const isTooLate = startAt > now && this.#isTooLate(request, startAt);
+        if (isTooLate || this.#countAhead(request, now) > this.#queueLimit(request, now)) {
             return this.#overloaded(request, now);
         }
         this.#queue.add(request);
@@ -114,9 +117,8 @@
 
     /** Removes and returns the queued requests that would probably get no response before their deadline. */
     expire(now: number): readonly ExpiredRequest[] {
-        const removed = this.#queue.removeWhere(
-            it => now + this.expectedLatencyMs * minRemainingShare > it.deadlineAt,
-        );
+        const startAt = this.#earliestStartAt(this.#usableServers(now), now);
+        const removed = this.#queue.removeWhere(it => this.#isTooLate(it, startAt));
         return removed.map(request => ({ request, refusal: this.#overloaded(request, now) }));
     }
 
@@ -127,7 +129,7 @@
         }
         const free = this.#openServers(now).filter(it => !it.probePending);
         const [best] = this.#cheapest(free, 1, now);
-        if (!best || totalFreeSlots(free, now) <= this.#openReservations) {
+        if (!best || this.#totalFreeSlots(free, now) <= this.#openReservations) {
             return undefined;
         }
         const request = this.#queue.peek(this.#expectedLatencyOn(best, now));
@@ -190,6 +192,11 @@
         server?.settle(slot, result, now);
     }
 
+    /** Whether to probe a server before a send. A limited server isn't probed, as probes would add to its load. */
+    needsProbe(server: ServerState, now: number): boolean {
+        return !server.isFresh(now) && !this.#isLimited(server, now);
+    }
+
     /** Records a server's load report, made at `at`. */
     recordLoad(server: ServerEntry, report: LoadReport, at: number): void {
         this.#servers.get(incarnationKey(server))?.recordLoad(report, at);
@@ -229,7 +236,34 @@
     }
 
     #isOpen(server: ServerState, now: number): boolean {
-        return server.freeSlots(now) > 0 && !server.isInSlowPeriod(now, this.#latency.baselineMs);
+        return (
+            server.freeSlots(now) > 0 &&
+            !server.isInSlowPeriod(now, this.#latency.baselineMs) &&
+            this.#limiter.nextSendAt(server.key, now) <= now
+        );
+    }
+
+    #isLimited(server: ServerState, now: number): boolean {
+        return this.#limiter.shareOf(server.key, now) !== Infinity;
+    }
+
+    /** Returns when the first of the servers may be sent a request; Infinity if none may. */
+    #earliestStartAt(servers: readonly ServerState[], now: number): number {
+        const earliest = Math.min(...servers.map(it => this.#limiter.nextSendAt(it.key, now)));
+        return servers.length === 0 ? now : Math.max(now, earliest);
+    }
+
+    /** Whether a request that starts at `startAt` would probably get no response before its deadline. */
+    #isTooLate(request: Request, startAt: number): boolean {
+        return startAt + this.expectedLatencyMs * minRemainingShare > request.deadlineAt;
+    }
+
+    /** Free slots of the servers; a limited server takes one request at a time. */
+    #totalFreeSlots(servers: readonly ServerState[], now: number): number {
+        return servers.reduce((sum, it) => {
+            const free = it.freeSlots(now);
+            return sum + (this.#isLimited(it, now) ? Math.min(1, free) : free);
+        }, 0);
     }
 
     #expectedLatencyOn(server: ServerState, now: number): number {
@@ -271,7 +305,7 @@
 
     /** Number of requests that have to start until a new one gets a slot, including itself. */
     #countAhead({ priority }: Request, now: number): number {
-        const free = totalFreeSlots(this.#openServers(now), now);
+        const free = this.#totalFreeSlots(this.#openServers(now), now);
         return this.#queue.countAhead(priority) + 1 - Math.max(0, free - this.#openReservations);
     }
 
@@ -287,16 +321,30 @@
      */
     #overloaded(request: Request, now: number): Refusal {
         const leftMs = Math.max(0, request.deadlineAt - now);
-        const drainMs = this.#queue.size * this.#startIntervalMs(now);
+        const usable = this.#usableServers(now);
+        const drainMs = Math.max(
+            this.#queue.size * this.#startIntervalMs(now),
+            this.#earliestStartAt(usable, now) - now,
+        );
         const retryAfterMs = Math.min(leftMs / 3, Math.max(minRetryMs, drainMs)) * (1 + this.#random());
         return { reason: "overloaded", retryAfterMs };
     }
 
     /** Expected time between two starts of requests while the service is fully loaded. */
     #startIntervalMs(now: number): number {
-        const slots = this.#usableServers(now).reduce((sum, it) => sum + it.entry.slots, 0);
-        const used = this.#latency.degradesWhenSaturated ? slots * unsaturatedShare : slots;
-        return this.expectedLatencyMs / Math.max(1, used);
+        const usable = this.#usableServers(now);
+        const limited = usable.filter(it => this.#isLimited(it, now));
+        const slotShare = this.#latency.degradesWhenSaturated ? unsaturatedShare : 1;
+        const slotsOf = (it: ServerState): number => it.entry.slots * slotShare;
+        const unlimitedSlots = usable
+            .filter(it => !limited.includes(it))
+            .reduce((sum, it) => sum + slotsOf(it), 0);
+        const limitedSlots = limited.reduce((sum, it) => {
+            const share = this.#limiter.shareOf(it.key, now);
+            return sum + Math.min(slotsOf(it), (share * this.expectedLatencyMs) / msPerSecond);
+        }, 0);
+        const minSlots = limited.length > 0 && limited.length === usable.length ? minUsedSlots : 1;
+        return this.expectedLatencyMs / Math.max(minSlots, unlimitedSlots + limitedSlots);
     }
 }
 
@@ -308,9 +356,6 @@
     readonly unreportedSlowdown: number;
 }
 
-const totalFreeSlots = (servers: readonly ServerState[], now: number): number =>
-    servers.reduce((sum, it) => sum + it.freeSlots(now), 0);
-
 /** Shortest retry time without a server; new and returning ones become known within about a second. */
 const noServerRetryMs = 400;
 /** About the duration of a request; a caller that retries sooner finds the same queue. */
@@ -323,6 +368,9 @@
 const minRemainingShare = 0.5;
 /** Share of the slots in use under load if the service degrades when its servers are saturated. */
 const unsaturatedShare = 0.6;
+/** Slots in use that are assumed at least if all servers are limited: a request in about ten seconds. */
+const minUsedSlots = 0.02;
+const msPerSecond = 1_000;
 /** Random spread of costs, so that entry VMs with the same knowledge don't all choose the same server. */
 const tieBreakSpread = 0.05;
 /** Cost factor of a server left to other entry VMs: less than the cost of a preferred one with a request running. */
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { ServerEntry } from "@bramleymoor/model/route";
+import { incarnationKey, type ServerEntry } from "@bramleymoor/model/route";
 import { serverEntry as entry } from "@bramleymoor/testkit/builders";
 import { Balancer } from "../src/balancer.js";
+import { noLimits, type SendLimiter } from "../src/limiter.js";
 import { RetryBudget } from "../src/budget.js";
 import { RequestQueue } from "../src/queue.js";
 import type { Request } from "../src/types.js";
@@ -20,8 +21,10 @@
     ...changes,
 });
 
-const makeBalancer = (...entries: readonly ServerEntry[]): Balancer => {
-    const balancer = new Balancer({ candidateCount: 4, domain: "a" }, () => 0);
+const makeBalancer = (...entries: readonly ServerEntry[]): Balancer => makeLimitedBalancer(noLimits, entries);
+
+const makeLimitedBalancer = (limiter: SendLimiter, entries: readonly ServerEntry[]): Balancer => {
+    const balancer = new Balancer({ candidateCount: 4, domain: "a" }, () => 0, limiter);
     balancer.updateServers(
         entries.map(it => ({ entry: it, lapsed: false })),
         0,
@@ -245,3 +248,78 @@
     assert.ok(taken > 0 && taken <= 0.2 * 1_000 + 4, `${taken}`);
     assert.equal(budget.tryTake(20_000, 10), true);
 });
+
+/** Limits one server to a request from `sendAt` on, and then to none. */
+class OneRequestLimiter implements SendLimiter {
+    readonly #key: string;
+    #sendAt: number;
+
+    constructor(server: ServerEntry, sendAt: number) {
+        this.#key = incarnationKey(server);
+        this.#sendAt = sendAt;
+    }
+
+    shareOf(key: string): number {
+        return key === this.#key ? 1 : Infinity;
+    }
+
+    nextSendAt(key: string): number {
+        return key === this.#key ? this.#sendAt : -Infinity;
+    }
+
+    recordSend(key: string): void {
+        this.#sendAt = key === this.#key ? Infinity : this.#sendAt;
+    }
+
+    recordDemand(): void {
+        return;
+    }
+
+    recordProbe(): void {
+        return;
+    }
+}
+
+test("a limited server gets no more requests than its limit allows, and the others get the rest", () => {
+    const [limited, other] = [entry("s1", { slots: 8 }), entry("s2", { slots: 8, domain: "b" })];
+    const balancer = makeLimitedBalancer(new OneRequestLimiter(limited, 0), [limited, other]);
+    const servers = Array.from({ length: 5 }, () => grantOne(balancer, 0)?.server.id);
+    assert.deepEqual(servers, ["s1", "s2", "s2", "s2", "s2"]);
+});
+
+test("a request is refused at once if a limited server can't be sent it before its deadline", () => {
+    const server = entry("s1");
+    for (const sendAt of [Infinity, 2_100]) {
+        const balancer = makeLimitedBalancer(new OneRequestLimiter(server, sendAt), [server]);
+        const refusal = balancer.submit(makeRequest(0), 0);
+        assert.equal(refusal?.reason, "overloaded");
+        assert.ok(refusal && refusal.retryAfterMs > 0 && Number.isFinite(refusal.retryAfterMs));
+    }
+});
+
+test("a request waits for the time at which a limited server may be sent it", () => {
+    const server = entry("s1");
+    const balancer = makeLimitedBalancer(new OneRequestLimiter(server, 500), [server]);
+    assert.equal(balancer.submit(makeRequest(0), 0), undefined);
+    assert.equal(balancer.reserveNext(499), undefined);
+    const reservation = balancer.reserveNext(500);
+    assert.ok(reservation && balancer.grant(reservation, 500));
+});
+
+test("two reservations don't share a limited server's only request", () => {
+    const server = entry("s1", { slots: 8 });
+    const balancer = makeLimitedBalancer(new OneRequestLimiter(server, 0), [server]);
+    assert.equal(balancer.submit(makeRequest(0), 0), undefined);
+    assert.equal(balancer.submit(makeRequest(0), 0), undefined);
+    assert.ok(balancer.reserveNext(0));
+    assert.equal(balancer.reserveNext(0), undefined);
+});
+
+test("a limited server isn't probed", () => {
+    const [limited, other] = [entry("s1"), entry("s2")];
+    const balancer = makeLimitedBalancer(new OneRequestLimiter(limited, 0), [limited, other]);
+    assert.equal(balancer.submit(makeRequest(0), 0), undefined);
+    const reservation = balancer.reserveNext(0);
+    const probed = reservation?.candidates.filter(it => balancer.needsProbe(it, 0)).map(it => it.entry.id);
+    assert.deepEqual(probed, ["s2"]);
+});
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -16,6 +16,8 @@
 export interface DispatcherOptions {
     readonly balancer: Balancer;
     readonly probeClient: ProbeClient;
+    /** Records the request limit that a server names in its response to a probe; undefined if it can't be parsed. */
+    readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -24,14 +26,16 @@
 export class Dispatcher {
     readonly #balancer: Balancer;
     readonly #probeClient: ProbeClient;
+    readonly #recordLimit: DispatcherOptions["recordLimit"];
     readonly #clock: () => number;
     readonly #waiting = new Map<Request, (result: AcquireResult) => void>();
     #settings: ServiceSettings;
 
-    constructor(settings: ServiceSettings, { balancer, probeClient, clock }: DispatcherOptions) {
+    constructor(settings: ServiceSettings, { balancer, probeClient, recordLimit, clock }: DispatcherOptions) {
         this.#settings = settings;
         this.#balancer = balancer;
         this.#probeClient = probeClient;
+        this.#recordLimit = recordLimit;
         this.#clock = clock;
     }
 
@@ -101,7 +105,7 @@
                 return;
             }
             const now = this.#clock();
-            const stale = reservation.candidates.filter(it => !it.isFresh(now));
+            const stale = reservation.candidates.filter(it => this.#balancer.needsProbe(it, now));
             if (stale.length > 0) {
                 this.#probeThenGrant(reservation, stale);
             } else if (!this.#grant(reservation)) {
@@ -146,7 +150,12 @@
         const response = await this.#probeClient.probe(server, this.#settings.healthPath);
         if (!response || response.misdirected) {
             this.#balancer.recordUnansweredProbe(server, this.#clock());
-        } else if (response.report) {
+            return;
+        }
+        if (response.requestLimit !== Infinity) {
+            this.#recordLimit(server, response.requestLimit);
+        }
+        if (response.report) {
             this.#balancer.recordLoad(server, response.report, startedAt);
         } else {
             this.#balancer.recordResponseWithoutLoad(server);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -16,6 +16,11 @@
     /** Names and values alternating, framing included. */
     readonly headers: readonly string[];
     readonly requestId: string;
+    /**
+     * Called with the request limit in the server's response: Infinity if it names none, undefined if it can't be parsed.
+     * A refusal only counts if it names one.
+     */
+    readonly onLimit: (perSecond: number | undefined) => void;
     /** Writes the body and ends the request. */
     readonly writeBody: (req: ClientRequest) => void;
 }
@@ -124,7 +129,11 @@
     ): void {
         const status = res.statusCode ?? 0;
         const refusal = wire.refusal(status, res.headers);
+        const limit = wire.requestLimit(res.headers);
         if (refusal) {
+            if (refusal !== "other-incarnation" && limit !== Infinity) {
+                outgoing.onLimit(limit);
+            }
             res.resume();
             res.on("end", () => this.finish());
             this.#fail(new SendError({ kind: "refused", reason: refusal }, `status ${status}`));
@@ -135,6 +144,7 @@
             this.abort({ kind: "lost" });
             return;
         }
+        outgoing.onLimit(limit);
         resolve(res);
     }
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -222,7 +222,6 @@
             const serverRes = await this.#abortable(exchange.head, abort);
             this.#serverMs = clock() - startedAt;
             this.#sent.add(slot);
-            this.#options.recordLimit(slot.server, wire.requestLimit(serverRes.headers));
             const load = wire.loadReport(serverRes.headers);
             if (load) {
                 dispatcher.report(slot.server, load);
@@ -290,6 +289,7 @@
                 target: this.#req.url ?? "/",
                 headers: [...forwarded, ...body.framingHeaders(), ...added],
                 requestId,
+                onLimit: perSecond => this.#options.recordLimit(slot.server, perSecond),
                 writeBody: req => body.writeTo(req),
             },
             wire,
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -2,8 +2,9 @@
 
 import { randomBytes } from "node:crypto";
 import { RequestLimits } from "@bramleymoor/limits/limits";
+import type { LimitMessage } from "@bramleymoor/limits/messages";
 import type { Membership } from "@bramleymoor/membership/membership";
-import type { Route, ServerEntry } from "@bramleymoor/model/route";
+import { incarnationKey, type Route, type ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import { CallMetrics } from "@bramleymoor/observe/metrics";
@@ -59,7 +60,7 @@
         unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: keepAliveMarginMs, clock: monotonicMs }),
     };
     readonly #probeClient: HttpProbeClient;
-    readonly #limits = new RequestLimits(monotonicMs());
+    readonly #limits: RequestLimits;
     readonly #splits = new TrafficSplits();
     readonly #elapsedTimes = new ElapsedTimeEstimator();
     readonly #lag = new EventLoopLag(monotonicMs() + tickMs);
@@ -77,6 +78,7 @@
         this.#settings = settings;
         this.#platform = platform;
         this.#events = events;
+        this.#limits = new RequestLimits(settings.id, monotonicMs());
         this.#probeClient = new HttpProbeClient(platform.wire, this.#agents.pooled);
         this.#dispatchers = new ServiceDispatchers({
             probeClient: this.#probeClient,
@@ -85,11 +87,13 @@
             balance: { candidateCount: comparedServers, domain: settings.place.domain },
             retryLimits: settings.retryLimits,
             limiter: this.#limits,
+            recordLimit: (server, perSecond) => this.#recordLimit(server, perSecond),
         });
         this.#peerSocket = new PeerSocket({
             onGossip: message => this.#membership.receive(message, monotonicMs()),
             onDiscovery: (message, from) =>
                 this.#storeView.receive(message, from, this.#lag.lagMs(monotonicMs())),
+            onLimits: message => this.#receiveLimits(message),
             onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
@@ -212,6 +216,7 @@
         const { shutdownGraceMs, addressTtlMs } = this.#settings;
         this.#events.emit("stop-asked", { signal });
         this.#membership.leave(monotonicMs());
+        this.#sendLimits(this.#limits.release(monotonicMs()));
         this.#frontend.beginDrain();
         await delay(Math.min(addressTtlMs + leavePropagationMs, shutdownGraceMs / 2), this.#closed.signal);
         const finished = new AbortController();
@@ -290,20 +295,38 @@
         const { id, service } = server;
         if (perSecond === undefined) {
             this.#events.emit("request-limit-unreadable", { server: id, service });
-        } else if (this.#limits.record(server, perSecond)) {
-            this.#events.emit("request-limit-changed", {
-                server: id,
-                service,
-                limit: formatLimit(perSecond),
-            });
+        } else if (this.#limits.record(server, perSecond, monotonicMs())) {
+            this.#logLimit(incarnationKey(server), "own response");
+        }
+    }
+
+    #receiveLimits(message: LimitMessage): void {
+        const now = monotonicMs();
+        for (const key of this.#limits.receive(message, this.#lag.lagMs(now), now)) {
+            this.#logLimit(key, message.from);
         }
     }
 
+    #sendLimits(message: LimitMessage | undefined): void {
+        if (message) {
+            this.#peerSocket.sendLimits(
+                this.#members.others.map(vm => vm.peerAddress),
+                message,
+            );
+        }
+    }
+
+    #logLimit(server: string, origin: string): void {
+        const limit = formatLimit(this.#limits.limitOf(server));
+        this.#events.emit("request-limit-changed", { server, limit, origin });
+    }
+
     #reportLimitUsage(now: number): void {
-        for (const { key, perSecond, requests, probes, periodMs } of this.#limits.takeUsage(now)) {
+        for (const { key, perSecond, share, requests, probes, periodMs } of this.#limits.takeUsage(now)) {
             this.#events.emit("request-limit-usage", {
                 server: key,
                 limit: formatLimit(perSecond),
+                share,
                 requests,
                 probes,
                 periodMs: Math.round(periodMs),
@@ -348,6 +371,7 @@
             this.#applyStoreView();
         }
         this.#partitioner.tick(now);
+        this.#sendLimits(this.#limits.tick(this.#members.budgetDivisor !== Infinity, now));
         this.#reportLimitUsage(now);
     }
 
--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -2,6 +2,7 @@
 
 import { createSocket, type Socket } from "node:dgram";
 import { discoveryMessageSchema, type DiscoveryMessage } from "@bramleymoor/discovery/messages";
+import { limitMessageSchema, type LimitMessage } from "@bramleymoor/limits/messages";
 import {
     gossipMessageSchema,
     gossipReplySchema,
@@ -17,6 +18,7 @@
     z.object({ kind: z.literal("gossip"), n: z.number(), body: gossipMessageSchema }),
     z.object({ kind: z.literal("reply"), n: z.number(), body: gossipReplySchema }),
     z.object({ kind: z.literal("news"), body: discoveryMessageSchema }),
+    z.object({ kind: z.literal("limits"), body: limitMessageSchema }),
 ]);
 
 type Envelope = z.infer<typeof envelopeSchema>;
@@ -26,6 +28,7 @@
     /** Handles a gossip message and returns the reply to send. */
     readonly onGossip: (message: GossipMessage) => Promise<GossipReply>;
     readonly onDiscovery: (message: DiscoveryMessage, from: string) => void;
+    readonly onLimits: (message: LimitMessage) => void;
     /** Called for a datagram that can't be sent, parsed or replied to; `address` is empty if unknown. */
     readonly onRejected: (address: string, reason: string) => void;
 }
@@ -91,6 +94,12 @@
         return true;
     }
 
+    /** Sends what this entry VM knows of servers' request limits to peers. */
+    sendLimits(peerAddresses: readonly string[], body: LimitMessage): void {
+        const data = encode({ kind: "limits", body });
+        peerAddresses.forEach(it => this.#send(it, data));
+    }
+
     close(): void {
         this.#closed = true;
         this.#socket.close();
@@ -136,6 +145,9 @@
             case "news":
                 this.#handlers.onDiscovery(envelope.body, from);
                 break;
+            case "limits":
+                this.#handlers.onLimits(envelope.body);
+                break;
         }
     }
 }
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -11,6 +11,8 @@
 export interface ProbeResponse {
     /** undefined if the response carries no load. */
     readonly report: LoadReport | undefined;
+    /** Request limit that the response names: Infinity if it names none, undefined if it can't be parsed. */
+    readonly requestLimit: number | undefined;
     /** Whether another server incarnation responded at this address. */
     readonly misdirected: boolean;
 }
@@ -78,6 +80,7 @@
                 const id = this.#wire.serverId(res.headers);
                 done({
                     report: this.#wire.loadReport(res.headers),
+                    requestLimit: this.#wire.requestLimit(res.headers),
                     misdirected: id !== undefined && id !== server.id,
                 });
             });
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -20,6 +20,7 @@
 
 const probeResponse = (running: number, slowdown: number): ProbeResponse => ({
     report: { running, waiting: 0, slots: 2, slowdown },
+    requestLimit: Infinity,
     misdirected: false,
 });
 
@@ -28,6 +29,8 @@
     now = 0;
     readonly pendingProbes = new Map<string, (response: ProbeResponse | undefined) => void>();
     readonly dispatcher: Dispatcher;
+    /** Recorded limits by server id. */
+    readonly limits: [string, number | undefined][] = [];
 
     constructor(...ids: readonly string[]) {
         const settings: ServiceSettings = { name: "svc", healthPath: "/healthz", maxConnections: 100 };
@@ -36,7 +39,12 @@
             probe: ({ id }: ServerEntry): Promise<ProbeResponse | undefined> =>
                 new Promise(resolve => this.pendingProbes.set(id, resolve)),
         };
-        this.dispatcher = new Dispatcher(settings, { balancer, probeClient, clock: () => this.now });
+        this.dispatcher = new Dispatcher(settings, {
+            balancer,
+            probeClient,
+            recordLimit: ({ id }, perSecond) => this.limits.push([id, perSecond]),
+            clock: () => this.now,
+        });
         this.dispatcher.update(
             settings,
             ids.map(id => ({ entry: entry(id), lapsed: false })),
@@ -86,3 +94,11 @@
     await fixture.respond("s1", probeResponse(0, 1));
     assert.equal(acquired.server, "s1");
 });
+
+test("a limit in a response to a probe is recorded, while a response without one says nothing of the limit", async () => {
+    const fixture = new DispatcherFixture("s1", "s2");
+    fixture.acquire(1);
+    await fixture.respond("s1", { ...probeResponse(2, 1), requestLimit: 5 });
+    await fixture.respond("s2", probeResponse(0, 1));
+    assert.deepEqual(fixture.limits, [["s1", 5]]);
+});
--- a/packages/gateway/test/peersocket.test.ts
+++ b/packages/gateway/test/peersocket.test.ts
@@ -8,6 +8,7 @@
     const socket = new PeerSocket({
         onGossip: () => Promise.reject(new Error("not used here")),
         onDiscovery: () => undefined,
+        onLimits: () => undefined,
         onRejected: () => undefined,
     });
     await socket.listen(0, "127.0.0.1");
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -169,7 +169,10 @@
     };
     const probeClient = new HttpProbeClient(testWire, agents.pooled);
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
-    const limits = new RequestLimits(clock());
+    const limits = new RequestLimits("vm", clock());
+    const recordLimit = (server: ServerEntry, perSecond: number | undefined): void => {
+        limits.record(server, perSecond ?? Infinity, clock());
+    };
     const services = new ServiceDispatchers({
         probeClient,
         clock,
@@ -177,6 +180,7 @@
         balance: { candidateCount: 1, domain: "a" },
         retryLimits,
         limiter: limits,
+        recordLimit,
     });
     services.update(
         config,
@@ -205,7 +209,7 @@
         elapsedMs: (it, deadlineMs) => elapsedTimes.elapsedMs(it.name, deadlineMs),
         countRequest: service => services.retryBudget(service)?.recordRequest(clock()),
         tryRetry: service => services.retryBudget(service)?.tryTake(clock(), 1) ?? false,
-        recordLimit: (server, perSecond) => limits.record(server, perSecond ?? Infinity),
+        recordLimit,
         agents,
         lagMs: () => lag.lagMs(clock()),
         takeAcceptWaitMs: req => frontend.takeAcceptWaitMs(req),
@@ -221,6 +225,7 @@
     const port = await frontend.listen(0, "127.0.0.1");
     const timer = setInterval(() => {
         lag.recordRun(clock(), clock() + lagPeriodMs);
+        limits.tick(true, clock());
         services.tick();
     }, lagPeriodMs);
     t.after(() => {
--- /dev/null
+++ b/packages/limits/src/messages.ts
@@ -0,0 +1,31 @@
+/** Messages in which entry VMs tell one another of servers' request limits and claim shares of them. */
+
+import * as z from "zod";
+
+/** Largest number of limits in one message. */
+export const maxLimitsPerMessage = 100;
+
+const limitSchema = z
+    .object({
+        /** Incarnation key of the server. */
+        key: z.string().max(200),
+        /** Requests per second from all entry VMs together; absent if the server no longer names a limit. */
+        perSecond: z.number().nonnegative().optional(),
+        /** Time since the server named this, in milliseconds. */
+        ageMs: z.number().nonnegative(),
+        /** Whether the sender claims a share. */
+        claimed: z.boolean(),
+    })
+    .readonly();
+
+/** Schema of a message. */
+export const limitMessageSchema = z
+    .object({
+        /** Stable name of the sending entry VM. */
+        from: z.string().min(1).max(64),
+        limits: z.array(limitSchema).max(maxLimitsPerMessage).readonly(),
+    })
+    .readonly();
+
+/** A message from one entry VM to all others. */
+export type LimitMessage = z.infer<typeof limitMessageSchema>;
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -99,11 +99,11 @@
     "request-limit-changed": defineEvent(
         1025,
         "info",
-        "Backend server {server} of {service} names a request limit per second of {limit}.",
+        "Backend server {server} names a request limit per second of {limit}; from {origin}.",
         {
             server: "string",
-            service: "string",
             limit: "string",
+            origin: "string",
         },
     ),
     "request-limit-unreadable": defineEvent(
@@ -118,10 +118,11 @@
     "request-limit-usage": defineEvent(
         1027,
         "info",
-        "Sent {requests} requests and {probes} probes in {periodMs} ms to backend server {server}, which limits requests to {limit} per second.",
+        "Sent {requests} requests and {probes} probes in {periodMs} ms to backend server {server}, which limits requests to {limit} per second; the share of this entry VM is {share}.",
         {
             server: "string",
             limit: "string",
+            share: "number",
             requests: "number",
             probes: "number",
             periodMs: "number",
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -46,6 +46,10 @@
     return rankByHash(caller, selected, () => 1);
 };
 
+/** Returns an entry VM's rank for a key, from 0 to 1; ranks of different keys are independent. */
+export const hashRank = (key: string, vmId: string): number =>
+    (hashes.h32(`${key}\n${vmId}`) + 0.5) / hashRange;
+
 interface RankedVm {
     readonly vm: EntryVm;
     readonly score: number;
@@ -66,10 +70,8 @@
 const byScore = (a: RankedVm, b: RankedVm): number => b.score - a.score || (a.vm.id < b.vm.id ? -1 : 1);
 
 /** Weighted rendezvous hashing: the probability that an entry VM is first is proportional to its weight. */
-const scoreOf = (key: string, vm: EntryVm, weight: number): number => {
-    const uniform = (hashes.h32(`${key}\n${vm.id}`) + 0.5) / hashRange;
-    return -weight / Math.log(uniform);
-};
+const scoreOf = (key: string, vm: EntryVm, weight: number): number =>
+    -weight / Math.log(hashRank(key, vm.id));
 
 const isEligible = (vm: EntryVm): boolean => vm.state === "alive";
 
