gateway: a refusal with the id of another request is not a refusal of this one

What callers saw: a non-idempotent request whose server had sent a late second copy of an earlier refusal on the same connection was taken as refused and sent again, so it ran twice; with attempts used up it was answered 503, 'not run', and ran.

Cause: the exchange looked at the refusal's headers before it compared the id that the server echoes.

A response with an id other than the request's now ends the exchange as lost, whatever it says: outcome unknown, the connection closed. A response to a probe was tried in the same way and isn't confused; that test stays.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -128,6 +128,11 @@
         resolve: (res: IncomingMessage) => void,
     ): void {
         const status = res.statusCode ?? 0;
+        const echoedId = wire.requestId(res.headers);
+        if (echoedId !== undefined && echoedId !== outgoing.requestId) {
+            this.abort({ kind: "lost" });
+            return;
+        }
         const refusal = wire.refusal(status, res.headers);
         const limit = wire.requestLimit(res.headers);
         if (refusal) {
@@ -139,8 +144,7 @@
             this.#fail(new SendError({ kind: "refused", reason: refusal }, `status ${status}`));
             return;
         }
-        const echoedId = wire.requestId(res.headers);
-        if (echoedId !== outgoing.requestId || !wire.isFromServer(res.headers)) {
+        if (echoedId === undefined || !wire.isFromServer(res.headers)) {
             this.abort({ kind: "lost" });
             return;
         }
--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -57,6 +57,44 @@
     assert.equal(countRequests(refusing, "refused"), 2);
 });
 
+test("a late copy of a refusal of another request isn't a refusal of the one in progress", async t => {
+    const server = await startRawServer(t, "s1", request => {
+        const { socket, id, indexOnConnection } = request;
+        if (id === "first") {
+            refuse(request);
+            return;
+        }
+        if (indexOnConnection > 0) {
+            refuse({ ...request, id: "first" });
+        }
+        setTimeout(() => socket.write(responseText(id, "ran")), 30);
+    });
+    const { port } = await startFrontend(t, [server], { kind: "non-idempotent", maxAttempts: 3 });
+    const post = (id: string): string =>
+        requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" });
+    const first = await sendRaw(port, post("first"));
+    const second = await sendRaw(port, post("second"));
+    assert.equal(status(first.text), 503);
+    assert.equal(countRequests([server], "second"), 1);
+    assert.ok((server.requests.at(-1)?.indexOnConnection ?? 0) > 0, "the connection was reused");
+    assert.notEqual(status(second.text), 503);
+});
+
+test("a late copy of a refusal isn't the response to a probe", async t => {
+    const probed: Socket[] = [];
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        const refusal = `HTTP/1.1 503 Busy\r\nt-id: ${id}\r\nt-not-run: 1\r\nContent-Length: 0\r\n\r\n`;
+        socket.write(responseText(id, "mine"));
+        setTimeout(() => socket.write(refusal), 5);
+        probed.push(socket);
+    });
+    const { port } = await startFrontend(t, [server], { kind: "non-idempotent", maxAttempts: 1 });
+    for (const id of ["a", "b", "c"]) {
+        const result = await sendRaw(port, requestText(id, { method: "POST", body: "x" }));
+        assert.match(result.text, /mine$/);
+    }
+});
+
 test("retries stay within a share of the requests plus the slack", async t => {
     const servers = await Promise.all([startRawServer(t, "s1", refuse), startRawServer(t, "s2", refuse)]);
     const { port } = await startFrontend(t, servers, { maxAttempts: 2 });
