dispatch, protocol: servers of the own interface may limit their requests

A load report, in the bm-load header or from the load endpoint, may now name a limit for all entry VMs together. The dispatchers of a service divide it by their place in its placement: as many as the limit has requests a second hold equal shares, evenly spaced. A call that no server may be sent before its deadline is refused at once; operators see the server as limited.

--- a/packages/bench/src/oncecost.ts
+++ b/packages/bench/src/oncecost.ts
@@ -197,6 +197,7 @@
     recordFirstByte(): void {}
 
     recordLoad(): void {}
+    recordLimit(): void {}
 
     update(): void {}
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -67,6 +67,11 @@
         this.#drain(now);
     }
 
+    recordLimit(address: string, perSecond: number, namedAt: number, now: number): void {
+        this.#pool.recordLimit(address, perSecond, namedAt, now);
+        this.#drain(now);
+    }
+
     update(service: Service, share: Share, now: number): void {
         if (service.chooser !== this.#service.chooser) {
             this.#chooser = makeChooser(service.chooser, this.#random);
@@ -142,6 +147,12 @@
             pending.subscriber.error(new CallError("no-server", "", noServerRetryMs));
             return;
         }
+        const sendAt = this.#pool.earliestSendAt(now);
+        if (sendAt > now && sendAt >= pending.call.deadlineAt) {
+            const retryMs = Math.min(sendAt - now, maxLimitRetryMs);
+            pending.subscriber.error(new CallError("overloaded", "", Math.ceil(retryMs)));
+            return;
+        }
         const waitMs = this.#drainRate.expectedWaitMs(this.#queue.countAhead(pending.call.class.priority));
         if (waitMs > maxWaitShare * (pending.call.deadlineAt - now)) {
             pending.subscriber.error(
@@ -284,6 +295,8 @@
 /** A call whose expected wait exceeds this share of the time to its deadline is refused at once. */
 const maxWaitShare = 0.25;
 const overloadedRetryMs = 100;
+/** Longest retry time while the servers' request limits allow no request: the limits may end before. */
+const maxLimitRetryMs = 2_000;
 
 /** Age from which calls may be hedged, in standard deviations of the log latency above the median. */
 const minHedgeAgeZ = 0;
--- a/packages/dispatch/src/pool.ts
+++ b/packages/dispatch/src/pool.ts
@@ -29,9 +29,10 @@
         this.#ejectShare = service.ejectShare;
         this.#servers = new Map(service.servers.map(it => [it.address, this.#stateFor(it)]));
         this.#ordered = [...this.#servers.values()];
-        this.#ordered.forEach((it, position) =>
-            it.setConnections(connectionShareOf(it.server, position, share)),
-        );
+        this.#ordered.forEach((it, position) => {
+            it.setConnections(connectionShareOf(it.server, position, share));
+            it.setLimitShare({ index: (share.index + position) % share.count, count: share.count });
+        });
         this.#allocation = [];
         for (const [address, state] of before) {
             if (!this.#servers.has(address) && state.inFlight > 0) {
@@ -74,6 +75,11 @@
         this.#state(address)?.recordLoad(report, ageMs, now);
     }
 
+    /** Records the request limit that a server named at `namedAt`; Infinity if it named none. */
+    recordLimit(address: string, perSecond: number, namedAt: number, now: number): void {
+        this.#state(address)?.recordLimit(perSecond, namedAt, now);
+    }
+
     /** Records that the first byte of the response to a slot's request has arrived. */
     recordFirstByte(slot: Slot, now: number): void {
         if (this.#state(slot.server.address)?.recordFirstByte(slot, now)) {
@@ -100,10 +106,18 @@
         return this.servers.some(it => it.isAvailable(now));
     }
 
+    /** Earliest time at which the request limits of the servers that aren't leaving allow a request. */
+    earliestSendAt(now: number): number {
+        const available = this.servers.filter(it => it.isAvailable(now));
+        return Math.min(...available.map(it => it.nextSendAt));
+    }
+
     /** Returns the servers that aren't leaving and have a connection to spare; untried ones if there are any. */
     available(call: Call, now: number): readonly ServerState[] {
         return untried(
-            this.servers.filter(it => it.isAvailable(now) && it.inFlight < it.connections),
+            this.servers.filter(
+                it => it.isAvailable(now) && it.nextSendAt <= now && it.inFlight < it.connections,
+            ),
             call,
         );
     }
@@ -137,6 +151,7 @@
         const fullServers = all.filter(
             it =>
                 it.isAvailable(now) &&
+                it.nextSendAt <= now &&
                 it.inFlight === it.allocated &&
                 it.allocated > 0 &&
                 it.spareConnections > 0 &&
@@ -205,11 +220,12 @@
 }
 
 const limitOf = (state: ServerState, states: ReadonlyMap<ServerState, HealthState>, now: number): number => {
-    if (!state.isAvailable(now)) {
+    if (!state.isAvailable(now) || state.nextSendAt > now) {
         return 0;
     }
     const health = states.get(state) ?? "healthy";
-    return Math.min(state.allocated, slotLimits[health]);
+    // The slots of a limited server are mostly idle, so a share of its limit may be used without an allocated slot.
+    return Math.min(Math.max(state.allocated, state.isLimited ? 1 : 0), slotLimits[health]);
 };
 
 /**
--- a/packages/dispatch/src/server.ts
+++ b/packages/dispatch/src/server.ts
@@ -4,7 +4,8 @@
 import type { LoadReport } from "@bramleymoor/protocol/messages";
 import type { ServerHealth } from "./health.js";
 import { type HealthState } from "./health.js";
-import type { ServerView, Slot, SlotResult } from "./types.js";
+import { RequestLimit } from "./requestlimit.js";
+import type { ServerView, Share, Slot, SlotResult } from "./types.js";
 
 /** A backend server: its slots in flight, load and health. */
 export class ServerState {
@@ -17,6 +18,7 @@
     #peakLatencyMs = 0;
     #peakLatencyAt = 0;
     readonly #health: ServerHealth;
+    readonly #limit = new RequestLimit();
     readonly #slots = new Set<Slot>();
     #latestReport: { readonly report: LoadReport; readonly at: number } | undefined;
 
@@ -96,6 +98,26 @@
         this.#connectionShare = connections;
     }
 
+    /** Sets this dispatcher's place among those that share the server's request limit. */
+    setLimitShare(share: Share): void {
+        this.#limit.setShare(share);
+    }
+
+    /** Earliest time at which the server's request limit allows the next request. */
+    get nextSendAt(): number {
+        return this.#limit.nextSendAt();
+    }
+
+    /** Whether the server names a request limit. */
+    get isLimited(): boolean {
+        return this.#limit.perSecond !== Infinity;
+    }
+
+    /** Records the request limit that the server named at `namedAt`; Infinity if it named none. */
+    recordLimit(perSecond: number, namedAt: number, now: number): void {
+        this.#limit.record(perSecond, namedAt, now);
+    }
+
     /** Sets whether the server is leaving according to the platform's list. */
     markLeaving(leaving: boolean): void {
         this.#leaving = leaving;
@@ -103,6 +125,7 @@
 
     start(slot: Slot): void {
         this.#slots.add(slot);
+        this.#limit.recordSend(slot.grantedAt);
         this.#health.recordStart(slot);
     }
 
@@ -153,6 +176,9 @@
         if (lent && this.#allocated === 0) {
             return "lent";
         }
+        if (this.nextSendAt > now) {
+            return "limited";
+        }
         if (health === "trial") {
             return "cold";
         }
@@ -183,6 +209,7 @@
     cold: "It is new or its last answer was a failure; it gets one request at a time.",
     ejected: "It has failed several times or is probably slow; it gets no new work for now.",
     draining: "It is leaving.",
+    limited: "It limits its requests per second, and this entry VM has used its share.",
     lent: "Its slots are lent to another entry VM.",
 };
 
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -49,7 +49,7 @@
     readonly address: string;
     readonly inFlight: number;
     readonly limit: number;
-    readonly state: "serving" | "cold" | "ejected" | "draining" | "full" | "lent";
+    readonly state: "serving" | "cold" | "ejected" | "draining" | "full" | "limited" | "lent";
     /** Why the server does or doesn't get requests, in one sentence. */
     readonly why: string;
 }
@@ -85,6 +85,11 @@
     recordFirstByte(slot: Slot, now: number): void;
     /** Records a server's load report that is `ageMs` old. */
     recordLoad(address: string, report: LoadReport, ageMs: number, now: number): void;
+    /**
+     * Records the requests per second that a server takes from all dispatchers together, as it said at `namedAt`; Infinity
+     * if it named no limit.
+     */
+    recordLimit(address: string, perSecond: number, namedAt: number, now: number): void;
     /** Applies a newly accepted configuration of the service or a new share; slots in flight are not affected. */
     update(service: Service, share: Share, now: number): void;
     /** Sets the addresses of all servers that are leaving according to the platform's list. */
--- a/packages/entry/src/loadfilteringdispatcher.ts
+++ b/packages/entry/src/loadfilteringdispatcher.ts
@@ -72,6 +72,11 @@
         }
     }
 
+    recordLimit(address: string, perSecond: number, namedAt: number, now: number): void {
+        this.#nextTickAt = -Infinity;
+        this.#inner.recordLimit(address, perSecond, namedAt, now);
+    }
+
     update(service: Service, share: Share, now: number): void {
         this.#slots = slotsByAddress(service);
         this.#filter.retainServers(new Set(this.#slots.keys()));
--- a/packages/entry/src/probesender.ts
+++ b/packages/entry/src/probesender.ts
@@ -57,6 +57,7 @@
         prober.recordResult(result.report !== undefined, endedAt - startedAt, result.bytes);
         this.#onProbe(service.name, probeDefaults.probeCostMs, result.bytes);
         if (result.report) {
+            dispatcher.recordLimit(address, result.report.limit ?? Infinity, startedAt, endedAt);
             dispatcher.recordLoad(address, result.report, endedAt - startedAt, endedAt);
         }
     }
--- a/packages/probing/src/prober.ts
+++ b/packages/probing/src/prober.ts
@@ -10,7 +10,7 @@
     readonly inFlight: number;
     /** Maximum number of this entry VM's requests in flight. */
     readonly limit: number;
-    readonly state: "serving" | "cold" | "ejected" | "draining" | "full" | "lent";
+    readonly state: "serving" | "cold" | "ejected" | "draining" | "full" | "limited" | "lent";
 }
 
 /** The part of a dispatcher's view of its service that the prober needs. */
--- a/packages/protocol/test/protocol.test.ts
+++ b/packages/protocol/test/protocol.test.ts
@@ -29,3 +29,12 @@
 test("an error exposes the response of its kind", () => {
     assert.equal(new CallError("table-full").info.ran, "not run");
 });
+
+test("a load header may name a request limit", () => {
+    const report = { inFlight: 3, latencyMs: 12.5, draining: true, limit: 4.5 };
+    assert.equal(formatLoadHeader(report), "inFlight=3 latencyMs=12.5 limit=4.5 draining");
+    assert.deepEqual(parseLoadHeader(formatLoadHeader(report)), report);
+    for (const limit of ["-1", "few", "1e309", "5,3"]) {
+        assert.equal(parseLoadHeader(`inFlight=3 latencyMs=12.5 limit=${limit}`), undefined);
+    }
+});
--- a/packages/proxy/src/attempt.ts
+++ b/packages/proxy/src/attempt.ts
@@ -157,7 +157,11 @@
         const text = response.headers[responseHeaders.load];
         const report = typeof text === "string" ? parseLoadHeader(text) : undefined;
         if (report) {
-            this.#options.dispatcher.recordLoad(slot.server.address, report, 0, this.#options.clock());
+            const { dispatcher, clock } = this.#options;
+            const { address } = slot.server;
+            const now = clock();
+            dispatcher.recordLimit(address, report.limit ?? Infinity, now, now);
+            dispatcher.recordLoad(address, report, 0, now);
         }
     }
 
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -95,6 +95,10 @@
 
     recordFirstByte(): void {}
 
+    recordLimit(): void {
+        return;
+    }
+
     recordLoad(address: string): void {
         this.reports.push(address);
     }
