proxy, gateway: close the connection of a discarded response that doesn't end

What servers saw: a server whose refusal, failure or response to a probe has a body without end was read for as long as it wrote, after the request had been sent elsewhere or the probe's load was known.

Cause: responses that aren't relayed were resumed and left to end by themselves.

The own interface's retries and refusals use it too.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import type { SlotResult } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
+import { discardResponse } from "@bramleymoor/proxy/discard";
 import type { KeepAliveAgent } from "./agent.js";
 import type { WireFormat } from "./wireformat.js";
 
@@ -139,8 +140,7 @@
             if (refusal !== "other-incarnation" && limit !== Infinity) {
                 outgoing.onLimit(limit);
             }
-            res.resume();
-            res.on("end", () => this.finish());
+            discardResponse(res, () => this.finish());
             this.#fail(new SendError({ kind: "refused", reason: refusal }, `status ${status}`));
             return;
         }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -4,6 +4,7 @@
 import type { LoadSnapshot, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import type { Route, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
+import { discardResponse } from "@bramleymoor/proxy/discard";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { toCallError } from "@bramleymoor/proxy/responses";
 import type { Timer, TimerSet } from "@bramleymoor/proxy/timers";
@@ -228,8 +229,7 @@
             }
             const status = serverRes.statusCode ?? 0;
             if (status >= firstServerErrorStatus && this.#mayRetryServerError(slot, body)) {
-                serverRes.resume();
-                serverRes.on("end", () => exchange.finish());
+                discardResponse(serverRes, () => exchange.finish());
                 return settle({ kind: "answered", status });
             }
             const relay = new Relay(serverRes, this.#res, () => exchange.wasReset);
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -3,6 +3,7 @@
 import { request } from "node:http";
 import type { LoadReport } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
+import { discardResponse } from "@bramleymoor/proxy/discard";
 import type { KeepAliveAgent } from "./agent.js";
 import { splitAddress } from "./exchange.js";
 import type { WireFormat } from "./wireformat.js";
@@ -76,7 +77,7 @@
                     req.destroy();
                     return;
                 }
-                res.resume();
+                discardResponse(res);
                 const id = this.#wire.serverId(res.headers);
                 done({
                     report: this.#wire.loadReport(res.headers),
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -64,12 +64,18 @@
  * Starts a backend server.
  *
  * @param handlesHeads whether the handler is called as soon as the head has arrived; the body is then discarded
+ * @param answerProbe writes the response to a probe
  */
 export const startRawServer = async (
     t: TestContext,
     id: string,
     handler: RequestHandler,
-    { handlesHeads = false } = {},
+    {
+        handlesHeads = false,
+        answerProbe = (socket: Socket): void => {
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        },
+    } = {},
 ): Promise<RawServer> => {
     const requests: ReceivedRequest[] = [];
     const sockets = new Set<Socket>();
@@ -97,7 +103,7 @@
                 bytesToSkip = handlesHeads ? declared - consumed : 0;
                 data = data.slice(head.length + consumed);
                 if (head.startsWith("GET /health ")) {
-                    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    answerProbe(socket);
                     continue;
                 }
                 const request = {
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -6,6 +6,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { SlotResult } from "@bramleymoor/dispatch/types";
 import { responseHeaders } from "@bramleymoor/protocol/headers";
+import { discardResponse } from "./discard.js";
 import type { RequestBody } from "./body.js";
 import type { TimerSet } from "./timers.js";
 
@@ -156,7 +157,7 @@
         this.#responded = true;
         const refused = res.headers[responseHeaders.refused];
         if (refused !== undefined) {
-            res.resume();
+            discardResponse(res);
             this.#fail(
                 new SendError({ kind: "refused", draining: refused === "drain" }, parseRetryAfter(res)),
             );
--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -7,6 +7,7 @@
 import type { OnceTable, Run } from "@bramleymoor/once/table";
 import { callHeaders } from "@bramleymoor/protocol/headers";
 import { CallError } from "@bramleymoor/protocol/errors";
+import { discardResponse } from "./discard.js";
 import type { BackendClient, OutgoingRequest } from "./backend.js";
 import { RequestBody } from "./body.js";
 import { errorFor } from "./errors.js";
@@ -183,7 +184,7 @@
     #discard(attemptResult: AttemptResult, result: SlotResult): void {
         this.#context.timing.retries++;
         if (attemptResult.kind === "response") {
-            attemptResult.response.resume();
+            discardResponse(attemptResult.response);
             attemptResult.slotRequest.settle(result);
         }
     }
