discovery, platform: order the store's records by era and offset

What callers saw, in the test's fleet on the code before: after the store came back from an older copy, a new configuration, a new server and a leaving one stayed unknown until the log had outgrown the old position; requests went on to the server that left.

Cause: positions were offsets alone, which the store gives out again after its return; a read that answered 410 led to a comparison with the same old position.

Now each position, message and announcement carries the era that the store names (Store-Era). A new era begins with the newest record of each key. What the copy has forgotten holds for the time in which it is written again, what it doesn't know yet stays: a leaving or gone incarnation isn't revived, a configuration in force isn't replaced by an older one, and an entry VM that starts between return and rewrite gets the newer version from its peers, as messages name it. Messages of older builds count as of the receiver's era. Event 1028, metric bm_store_era.

--- a/packages/discovery/src/config.ts
+++ b/packages/discovery/src/config.ts
@@ -8,18 +8,24 @@
 
 /** The encoded configuration, as of an offset of the store's log. */
 export interface ConfigUpdate {
+    /** Era of the store; absent if it is the receiver's. */
+    readonly era?: number | undefined;
     /** Offset up to which the log was read, exclusive. */
     readonly to: number;
     /** undefined if there is none, or if the sender left it out. */
     readonly value: Uint8Array | undefined;
 }
 
-/** Keeps the newest version of the configuration. */
+/**
+ * Keeps the newest version of the configuration. It stays in force when the store comes back from an older copy, until a
+ * newer one is written.
+ */
 export class ConfigCache {
     readonly #key: string;
     readonly #decode: ConfigDecoder;
     #config: RouteConfig | undefined = undefined;
     #value: Uint8Array | undefined = undefined;
+    #era = 0;
     #position: number | undefined = undefined;
     #asOf = -Infinity;
 
@@ -34,6 +40,11 @@
         return this.#config;
     }
 
+    /** Era of the store that `position` belongs to. */
+    get era(): number {
+        return this.#era;
+    }
+
     /** Offset up to which the log is known, exclusive; undefined before the first read. */
     get position(): number | undefined {
         return this.#position;
@@ -46,7 +57,15 @@
 
     /** The newest version as an update for peers; undefined before the first read. */
     get update(): ConfigUpdate | undefined {
-        return this.#position === undefined ? undefined : { to: this.#position, value: this.#value };
+        return this.#position === undefined
+            ? undefined
+            : { era: this.#era, to: this.#position, value: this.#value };
+    }
+
+    /** Whether an offset of an era is beyond what is known. */
+    isBeyond(era: number | undefined, to: number): boolean {
+        const ofEra = era ?? this.#era;
+        return ofEra > this.#era || (ofEra === this.#era && to > (this.#position ?? -1));
     }
 
     /**
@@ -57,23 +76,24 @@
     applyRecords(page: KeyedPage, asOf: number): boolean {
         const matching = page.records.filter(it => it.key === this.#key && it.value);
         const latest = matching[matching.length - 1];
-        return this.apply({ to: page.end, value: latest?.value }, asOf);
+        return this.apply({ era: page.era, to: page.end, value: latest?.value }, asOf);
     }
 
     /**
-     * Applies an update from the store or a peer.
+     * Applies an update from the store or a peer; one of an older era changes nothing.
      *
      * @returns whether it holds a newer version
      */
     apply(update: ConfigUpdate, asOf: number): boolean {
-        const isKnown = this.#position !== undefined && update.to <= this.#position;
-        if (update.to >= (this.#position ?? 0)) {
-            this.#asOf = Math.max(this.#asOf, asOf);
-        }
-        if (isKnown) {
+        const era = update.era ?? this.#era;
+        if (era < this.#era) {
             return false;
         }
-        this.#position = update.to;
+        if (era > this.#era || update.to >= (this.#position ?? 0)) {
+            this.#asOf = Math.max(this.#asOf, asOf);
+            this.#era = era;
+            this.#position = update.to;
+        }
         const config = update.value && this.#decode(update.value);
         if (!config || (this.#config && config.version <= this.#config.version)) {
             return false;
--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -3,7 +3,13 @@
 import type { RouteConfig } from "@bramleymoor/model/route";
 import { ReadSchedule, type ReadScheduleSettings } from "./schedule.js";
 import type { ConfigCache } from "./config.js";
-import { RecordsExpiredError, type KeyedLog, type KeyedTopic } from "./log.js";
+import {
+    OutdatedEraError,
+    RecordsExpiredError,
+    type KeyedLog,
+    type KeyedPage,
+    type KeyedTopic,
+} from "./log.js";
 import type { DiscoveryMessage } from "./messages.js";
 import type { ServerCache, ServerUpdate } from "./servers.js";
 
@@ -13,6 +19,8 @@
     readonly configChanged: (config: RouteConfig, origin: string, ageMs: number) => void;
     /** The registered servers have changed. */
     readonly serversChanged: (update: ServerUpdate, origin: string, ageMs: number) => void;
+    /** The store has come back from an older copy, in which the topic ends at offset `end`. */
+    readonly eraChanged: (topic: KeyedTopic, era: number, end: number, origin: string) => void;
     /** Reads of a topic began to fail, for `reason`, or succeed again. */
     readonly storeStatusChanged: (topic: KeyedTopic, reachable: boolean, reason: string) => void;
 }
@@ -40,8 +48,9 @@
     readonly #configSchedule = new ReadSchedule(configSchedule);
     readonly #serverSchedule = new ReadSchedule(serverSchedule);
     #requestedAt = -Infinity;
-    /** Offset up to which peers have announced a configuration without its text; it has to be read from the store. */
-    #announcedTo = -1;
+    /** Up to where peers have announced a configuration without its text; it has to be read from the store. */
+    #announced: { readonly era: number | undefined; readonly to: number } | undefined = undefined;
+    #offeredAt = -Infinity;
     #configSleep = new AbortController();
 
     constructor(options: FollowerOptions) {
@@ -82,37 +91,71 @@
 
     #applyServers({ news: update, ageMs }: TopicMessage<"servers">, from: string, now: number): void {
         const { servers } = this.#options;
-        if (update.from > (servers.position ?? 0)) {
+        if (servers.leavesGap(update)) {
             this.#requestMissing(from, now);
             return;
         }
-        this.#reportServers(servers.apply(update, now - ageMs), from, ageMs);
+        const { era } = servers;
+        const applied = servers.apply(update, now - ageMs);
+        this.#reportServers(applied, from, ageMs);
+        this.#reportEra("servers", era, servers, from);
     }
 
-    #applyConfig({ to, text, ageMs }: TopicMessage<"configuration">, from: string, now: number): void {
+    #applyConfig(message: TopicMessage<"configuration">, from: string, now: number): void {
+        const { era, to, text, version, ageMs } = message;
         const { config, events } = this.#options;
-        if (text === undefined && to > (config.position ?? -1)) {
-            this.#followAnnouncement(to, from, now);
+        if (text === undefined && config.isBeyond(era, to)) {
+            this.#followAnnouncement(era, to, from, now);
             return;
         }
         const value = text === undefined ? undefined : new TextEncoder().encode(text);
-        if (config.apply({ to, value }, now - ageMs) && config.config) {
+        const eraBefore = config.era;
+        if (config.apply({ era, to, value }, now - ageMs) && config.config) {
             events.configChanged(config.config, from, ageMs);
         }
+        this.#reportEra("configuration", eraBefore, config, from);
+        this.#compareVersions(version, from, now);
+    }
+
+    /** Asks a peer for its newer version, or sends it this one: after a return of the store only peers may have it. */
+    #compareVersions(version: number | undefined, peer: string, now: number): void {
+        const { config } = this.#options;
+        const own = config.config?.version;
+        if (version === undefined || own === undefined || version === own) {
+            return;
+        }
+        if (version > own) {
+            this.#requestMissing(peer, now, true);
+        } else if (now - this.#offeredAt >= minRequestIntervalMs) {
+            this.#offeredAt = now;
+            this.#sendConfig(peer);
+        }
+    }
+
+    #reportEra(
+        topic: KeyedTopic,
+        before: number,
+        { era, position = 0 }: Pick<ServerCache, "era" | "position">,
+        origin: string,
+    ): void {
+        if (era !== before) {
+            this.#options.events.eraChanged(topic, era, position, origin);
+        }
     }
 
     /** Reads a configuration that a peer knows, from the store or, if the store can't be read, from the peer. */
-    #followAnnouncement(to: number, from: string, now: number): void {
+    #followAnnouncement(era: number | undefined, to: number, from: string, now: number): void {
         if (this.#configSchedule.failing) {
             this.#requestMissing(from, now);
             return;
         }
-        this.#announcedTo = Math.max(this.#announcedTo, to);
+        this.#announced = { era, to };
         this.#configSleep.abort();
     }
 
     get #hasAnnouncement(): boolean {
-        return this.#announcedTo > (this.#options.config.position ?? -1);
+        const { config } = this.#options;
+        return this.#announced !== undefined && config.isBeyond(this.#announced.era, this.#announced.to);
     }
 
     async #pollTopic(topic: KeyedTopic, schedule: ReadSchedule, signal: AbortSignal): Promise<void> {
@@ -164,15 +207,17 @@
         const { log, servers, clock } = this.#options;
         const asOf = clock();
         const isInitialRead = servers.position === undefined;
+        const { era } = servers;
         const update = await this.#readSinceOrLatest(
             servers.position,
-            async from => {
-                const page = await log.read("servers", from, 0);
-                return servers.applyRecords(page, asOf);
-            },
-            async () => servers.applyLatest(await log.readLatest("servers"), asOf),
+            async from => servers.applyRecords(await this.#readPage("servers", from, 0), asOf),
+            async () =>
+                servers.applyLatest(checkEra("servers", await log.readLatest("servers"), servers.era), asOf),
         );
         this.#reportServers(update, "store", clock() - asOf);
+        if (!isInitialRead) {
+            this.#reportEra("servers", era, servers, "store");
+        }
         if (!isInitialRead) {
             this.#broadcast({ topic: "servers", ageMs: clock() - asOf, news: update });
         }
@@ -182,18 +227,25 @@
         const { log, config, clock, rank } = this.#options;
         const asOf = clock();
         const isInitialRead = config.position === undefined;
-        this.#announcedTo = -1;
+        const { era } = config;
+        this.#announced = undefined;
         const isNewer = await this.#readSinceOrLatest(
             config.position,
             async from => {
                 const waitMs = rank() === 0 ? longPollMs : 0;
-                return config.applyRecords(await log.read("configuration", from, waitMs), asOf);
+                return config.applyRecords(await this.#readPage("configuration", from, waitMs), asOf);
+            },
+            async () => {
+                const page = checkEra("configuration", await log.readLatest("configuration"), config.era);
+                return config.applyRecords(page, asOf);
             },
-            async () => config.applyRecords(await log.readLatest("configuration"), asOf),
         );
         if (isNewer && config.config) {
             this.#options.events.configChanged(config.config, "store", clock() - asOf);
         }
+        if (!isInitialRead) {
+            this.#reportEra("configuration", era, config, "store");
+        }
         const update = config.update;
         if (update && !isInitialRead) {
             const text = isNewer && update.value ? new TextDecoder().decode(update.value) : undefined;
@@ -201,12 +253,30 @@
             this.#broadcast({
                 topic: "configuration",
                 ageMs,
+                era: update.era,
                 to: update.to,
+                version: config.config?.version,
                 ...(text === undefined ? {} : { text }),
             });
         }
     }
 
+    /**
+     * Reads records from an offset of the known era on.
+     *
+     * @throws RecordsExpiredError if a new era has begun, in which the offset means something else
+     */
+    async #readPage(topic: KeyedTopic, from: number, waitMs: number): Promise<KeyedPage> {
+        const { log, servers, config } = this.#options;
+        const cache = topic === "servers" ? servers : config;
+        const eraAtRead = cache.era;
+        const page = checkEra(topic, await log.read(topic, from, waitMs), cache.era);
+        if ((page.era ?? eraAtRead) !== eraAtRead || cache.era !== eraAtRead) {
+            throw new RecordsExpiredError(topic);
+        }
+        return page;
+    }
+
     /** Reads on from a position, or the latest records if there is none or its records have expired. */
     async #readSinceOrLatest<T>(
         position: number | undefined,
@@ -256,13 +326,12 @@
     /** Sends a message. A configuration that is too large is sent without its text; peers then read the store. */
     #send(peers: readonly string[], message: DiscoveryMessage): void {
         if (!this.#options.send(peers, message) && message.topic === "configuration") {
-            const { topic, ageMs, to, passTo } = message;
-            this.#options.send(peers, { topic, ageMs, to, ...(passTo ? { passTo } : {}) });
+            this.#options.send(peers, { ...message, text: undefined });
         }
     }
 
-    /** Requests the missing changes from a peer, at a limited rate. */
-    #requestMissing(peer: string, now: number): void {
+    /** Requests the missing changes, or the whole configuration, from a peer, at a limited rate. */
+    #requestMissing(peer: string, now: number, wholeConfig = false): void {
         if (now - this.#requestedAt < minRequestIntervalMs) {
             return;
         }
@@ -270,8 +339,9 @@
         const { config, servers, send } = this.#options;
         send([peer], {
             topic: "question",
+            era: servers.era,
             ...(servers.position === undefined ? {} : { servers: servers.position }),
-            ...(config.position === undefined ? {} : { configuration: config.position }),
+            ...(config.position === undefined || wholeConfig ? {} : { configuration: config.position }),
         });
     }
 
@@ -284,19 +354,42 @@
 
     #respond(request: TopicMessage<"question">, from: string): void {
         const { config, servers, clock } = this.#options;
-        const changes = request.servers === undefined ? undefined : servers.changesSince(request.servers);
-        const update = changes ?? servers.fullUpdate();
+        const isSameEra = (request.era ?? servers.era) === servers.era;
+        const since = isSameEra ? request.servers : undefined;
+        const update =
+            (since === undefined ? undefined : servers.changesSince(since)) ?? servers.fullUpdate();
         if (update) {
             this.#send([from], { topic: "servers", ageMs: clock() - servers.asOf, news: update });
         }
+        if (!isSameEra || (config.position ?? -1) > (request.configuration ?? -1)) {
+            this.#sendConfig(from);
+        }
+    }
+
+    #sendConfig(peer: string): void {
+        const { config, clock } = this.#options;
         const known = config.update;
-        if (known?.value && known.to > (request.configuration ?? -1)) {
-            const text = new TextDecoder().decode(known.value);
-            this.#send([from], { topic: "configuration", ageMs: clock() - config.asOf, to: known.to, text });
+        if (known?.value) {
+            this.#send([peer], {
+                topic: "configuration",
+                ageMs: clock() - config.asOf,
+                era: known.era,
+                to: known.to,
+                version: config.config?.version,
+                text: new TextDecoder().decode(known.value),
+            });
         }
     }
 }
 
+/** Returns the page; throws an OutdatedEraError if it is of an older era than the known one. */
+const checkEra = (topic: KeyedTopic, page: KeyedPage, knownEra: number): KeyedPage => {
+    if (page.era !== undefined && page.era < knownEra) {
+        throw new OutdatedEraError(topic, page.era, knownEra);
+    }
+    return page;
+};
+
 type TopicMessage<T extends DiscoveryMessage["topic"]> = Extract<DiscoveryMessage, { readonly topic: T }>;
 
 /** Half of the shortest limit on the propagation of a configuration, so that a standby has time to take over. */
--- a/packages/discovery/src/log.ts
+++ b/packages/discovery/src/log.ts
@@ -14,6 +14,11 @@
 export interface KeyedPage {
     readonly records: readonly KeyedRecord[];
     readonly end: number;
+    /**
+     * Era of the store: rises each time it comes back from an older copy, whose offsets are then given out again. Absent
+     * if the store doesn't say.
+     */
+    readonly era?: number | undefined;
 }
 
 /** Reads the store; both methods reject if the store doesn't respond. */
@@ -32,6 +37,18 @@
     readLatest(topic: KeyedTopic): Promise<KeyedPage>;
 }
 
+/** A response of the store of an earlier era than one already seen; it says nothing of the present one. */
+export class OutdatedEraError extends Error {
+    constructor(
+        readonly topic: KeyedTopic,
+        era: number,
+        knownEra: number,
+    ) {
+        super(`the response for ${topic} is of era ${era}, but era ${knownEra} has begun`);
+        this.name = "OutdatedEraError";
+    }
+}
+
 /** The requested records have expired; the latest record of every key has to be read instead. */
 export class RecordsExpiredError extends Error {
     constructor(readonly topic: KeyedTopic) {
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -4,6 +4,9 @@
 
 const offsetSchema = z.number().int().nonnegative();
 
+/** Era of the store in which offsets are valid; absent in messages of older builds, which know only one. */
+const era = z.number().int().nonnegative().optional();
+
 const entrySchema = z
     .object({
         id: z.string(),
@@ -19,6 +22,7 @@
 
 const serverUpdateSchema = z
     .object({
+        era,
         from: offsetSchema,
         to: offsetSchema,
         changes: z
@@ -39,7 +43,10 @@
         .object({
             topic: z.literal("configuration"),
             ageMs: z.number(),
+            era,
             to: offsetSchema,
+            /** Version that the sender has in force; absent in messages of older builds. */
+            version: z.number().optional(),
             /** Absent if it is unchanged, or too large to send, so that the receiver reads the store. */
             text: z.string().optional(),
             passTo,
@@ -49,6 +56,7 @@
     z
         .object({
             topic: z.literal("question"),
+            era,
             servers: offsetSchema.optional(),
             configuration: offsetSchema.optional(),
         })
--- a/packages/discovery/src/servers.ts
+++ b/packages/discovery/src/servers.ts
@@ -1,6 +1,6 @@
 /** One entry VM's copy of the backend servers that are registered in the store. */
 
-import type { ServerEntry } from "@bramleymoor/model/route";
+import { incarnationKey, type ServerEntry } from "@bramleymoor/model/route";
 import type { KeyedPage, KeyedRecord } from "./log.js";
 
 /** Decodes one server's record; returns undefined if it is invalid. */
@@ -16,6 +16,8 @@
 
 /** Every change from offset `from` up to offset `to`, exclusive. */
 export interface ServerUpdate {
+    /** Era of the store; absent if it is the receiver's. An update that begins a new era is complete. */
+    readonly era?: number | undefined;
     readonly from: number;
     readonly to: number;
     readonly changes: readonly ServerChange[];
@@ -41,6 +43,9 @@
     readonly #entries = new Map<string, CachedEntry>();
     readonly #recentChanges: ServerChange[] = [];
     #recentChangesFrom = 0;
+    /** When incarnations were removed, by incarnation key. */
+    readonly #removedAt = new Map<string, number>();
+    #era = 0;
     #position: number | undefined = undefined;
     #asOf = -Infinity;
     #graceUntil = -Infinity;
@@ -50,6 +55,11 @@
         this.#decode = decode;
     }
 
+    /** Era of the store that `position` belongs to. */
+    get era(): number {
+        return this.#era;
+    }
+
     /** Offset up to which the log is known, exclusive; undefined before the first read. */
     get position(): number | undefined {
         return this.#position;
@@ -77,36 +87,57 @@
     applyRecords(page: KeyedPage, asOf: number): ServerUpdate {
         const from = this.#position ?? 0;
         const changes = page.records.flatMap(it => this.#toChange(it));
-        return this.apply({ from, to: page.end, changes }, asOf);
+        return this.apply({ era: page.era, from, to: page.end, changes }, asOf);
     }
 
     /** Applies the latest record of every key; a missing key was removed. Returns the update for peers. */
     applyLatest(page: KeyedPage, asOf: number): ServerUpdate {
+        const { era, end: to } = page;
+        if (this.#beginsEra(era)) {
+            const entries = page.records.flatMap(({ offset, key: id, value }) => {
+                const entry = value && this.#decode(id, value);
+                return entry ? [{ offset, id, entry }] : [];
+            });
+            return this.apply({ era, from: 0, to, changes: entries }, asOf);
+        }
         const keys = new Set(page.records.map(it => it.key));
         const dropped = [...this.#entries.keys()].filter(id => !keys.has(id));
         const removals = dropped.map(id => ({ offset: page.end - 1, id, entry: undefined }));
         const changes = [...page.records.flatMap(it => this.#toChange(it)), ...removals];
-        return this.apply({ from: this.#position ?? 0, to: page.end, changes }, asOf);
+        return this.apply({ era, from: this.#position ?? 0, to, changes }, asOf);
     }
 
     /**
-     * Applies an update from the store or a peer, current as of `asOf`.
+     * Applies an update from the store or a peer, current as of `asOf`; one of an older era changes nothing.
      *
      * @returns the changes that took effect
-     * @throws RangeError if the update begins after `position`, as the changes in between would be missed
+     * @throws RangeError if changes that the update doesn't have would be missed
      */
     apply(update: ServerUpdate, asOf: number): ServerUpdate {
         const position = this.#position ?? 0;
-        if (update.from > position) {
+        if (this.leavesGap(update)) {
             throw new RangeError(`update from offset ${update.from} leaves a gap after ${position}`);
         }
+        const era = update.era ?? this.#era;
+        if (era < this.#era) {
+            return { era: this.#era, from: position, to: position, changes: [] };
+        }
+        if (this.#beginsEra(era)) {
+            return this.#beginEra(era, update, asOf);
+        }
+        this.#era = era;
         if (update.to >= position) {
             this.#advanceAsOf(asOf);
         }
         const applied = update.changes.filter(it => it.offset >= position && this.#apply(it, asOf));
         this.#position = Math.max(position, update.to);
         this.#keepRecentChanges(applied, update);
-        return { from: position, to: this.#position, changes: applied };
+        return { era, from: position, to: this.#position, changes: applied };
+    }
+
+    /** Whether an update doesn't have all changes since `position`, or since the beginning of its era. */
+    leavesGap({ era, from }: ServerUpdate): boolean {
+        return from > (this.#beginsEra(era) ? 0 : (this.#position ?? 0)) && (era ?? this.#era) >= this.#era;
     }
 
     /** Returns the changes from an offset on; undefined if they are no longer kept. */
@@ -115,7 +146,7 @@
             return undefined;
         }
         const changes = this.#recentChanges.filter(it => it.offset >= offset);
-        return { from: offset, to: this.#position, changes };
+        return { era: this.#era, from: offset, to: this.#position, changes };
     }
 
     /** Returns all registered servers as an update for an entry VM without data; undefined before the first read. */
@@ -125,17 +156,65 @@
         }
         const registered = [...this.#entries].filter(([, it]) => it.removeAt === undefined);
         const changes = registered.map(([id, it]) => ({ offset: it.offset, id, entry: it.entry }));
-        return { from: 0, to: this.#position, changes };
+        return { era: this.#era, from: 0, to: this.#position, changes };
     }
 
     /** Removes the entries that expired during an outage and weren't registered again in time. */
     expire(now: number): void {
         for (const [id, cached] of this.#entries) {
             if (cached.removeAt !== undefined && cached.removeAt <= now) {
-                this.#entries.delete(id);
+                this.#remove(id, cached.entry, now);
                 this.#revision++;
             }
         }
+        for (const [key, removedAt] of this.#removedAt) {
+            if (now - removedAt > removedTtlMs) {
+                this.#removedAt.delete(key);
+            }
+        }
+    }
+
+    #remove(id: string, entry: ServerEntry, now: number): void {
+        this.#entries.delete(id);
+        this.#removedAt.set(incarnationKey(entry), now);
+    }
+
+    #beginsEra(era: number | undefined): boolean {
+        return era !== undefined && era > this.#era && this.#position !== undefined;
+    }
+
+    /**
+     * Applies all entries of an older copy of the store. What the copy has forgotten may be written again: a server
+     * that is missing counts as lapsed. What the copy doesn't know yet still holds: a server that was leaving or gone
+     * doesn't return, until it is written again.
+     */
+    #beginEra(era: number, { to, changes }: ServerUpdate, asOf: number): ServerUpdate {
+        const before = new Map(this.#entries);
+        this.#era = era;
+        this.#position = to;
+        this.#asOf = Math.max(this.#asOf, asOf);
+        this.#graceUntil = asOf + reregistrationMs;
+        this.#recentChangesFrom = to;
+        this.#recentChanges.length = 0;
+        this.#entries.clear();
+        for (const { offset, id, entry } of changes) {
+            const known = before.get(id)?.entry;
+            if (entry && (known || !this.#removedAt.has(incarnationKey(entry)))) {
+                const current = known && isOutdated(entry, known) ? known : entry;
+                this.#entries.set(id, { offset, entry: current, removeAt: undefined });
+                before.delete(id);
+            }
+        }
+        for (const [id, { entry, removeAt = Infinity }] of before) {
+            if (entry.leaving) {
+                this.#remove(id, entry, asOf);
+            } else {
+                const until = Math.min(removeAt, this.#graceUntil);
+                this.#entries.set(id, { offset: to - 1, entry, removeAt: until });
+            }
+        }
+        this.#revision++;
+        return this.fullUpdate() ?? { era, from: 0, to, changes: [] };
     }
 
     /**
@@ -172,7 +251,7 @@
         } else if (now < this.#graceUntil && !cached.entry.leaving) {
             this.#entries.set(change.id, { ...cached, offset: change.offset, removeAt: this.#graceUntil });
         } else {
-            this.#entries.delete(change.id);
+            this.#remove(change.id, cached.entry, now);
         }
         this.#revision++;
         return true;
@@ -193,6 +272,10 @@
     }
 }
 
+/** Whether an entry is older than the known one of the same server: incarnations follow one another, and end leaving. */
+const isOutdated = (entry: ServerEntry, known: ServerEntry): boolean =>
+    entry.bornAt < known.bornAt || (entry.bornAt === known.bornAt && known.leaving && !entry.leaving);
+
 const sameEntry = (a: ServerEntry, b: ServerEntry): boolean =>
     a.bornAt === b.bornAt &&
     a.service === b.service &&
@@ -205,5 +288,7 @@
 const outageThresholdMs = 2_500;
 /** Running servers are registered again within this time after an outage of the store. */
 const reregistrationMs = 2_200;
+/** Longer than the time by which a copy of the store is older. */
+const removedTtlMs = 60_000;
 /** Changes kept for peers that missed a message; they cover some seconds in a busy fleet. */
 const maxRecentChanges = 500;
--- a/packages/discovery/test/fleet.ts
+++ b/packages/discovery/test/fleet.ts
@@ -49,6 +49,8 @@
         KeyedTopic,
         { readonly key: string; readonly value: Uint8Array | undefined }[]
     > = { configuration: [], servers: [] };
+    /** Rises each time the store comes back from an older copy; undefined if it isn't named. */
+    era: number | undefined = undefined;
     readonly #first: Record<KeyedTopic, number> = { configuration: 0, servers: 0 };
     calls = 0;
     /** Ids of the entry VMs whose calls fail; "all" for every entry VM. */
@@ -63,6 +65,14 @@
         this.#records[topic].push({ key, value: bytes });
     }
 
+    /** Comes back from a copy that lacks the last records of each topic. */
+    restore(lacking: Readonly<Record<KeyedTopic, number>>): void {
+        this.era = (this.era ?? 0) + 1;
+        for (const topic of topics) {
+            this.#records[topic].length -= lacking[topic];
+        }
+    }
+
     /** Expires all records; the latest of each key can still be read. */
     compact(): void {
         topics.forEach(topic => (this.#first[topic] = this.#records[topic].length));
@@ -78,21 +88,24 @@
 
     async #read(id: string, topic: KeyedTopic, from: number, waitMs: number): Promise<KeyedPage> {
         await this.#simulateCall(id);
-        if (from < this.#first[topic]) {
+        if (from < this.#first[topic] || from > this.#records[topic].length) {
             throw new RecordsExpiredError(topic);
         }
         for (let waited = 0; this.#records[topic].length <= from && waited < waitMs; waited += pollMs) {
             await this.#time.wait(pollMs);
         }
+        if (from > this.#records[topic].length) {
+            throw new RecordsExpiredError(topic);
+        }
         const records = this.#records[topic].slice(from).map((it, i) => ({ ...it, offset: from + i }));
-        return { records, end: this.#records[topic].length };
+        return { records, end: this.#records[topic].length, era: this.era };
     }
 
     async #readLatest(id: string, topic: KeyedTopic): Promise<KeyedPage> {
         await this.#simulateCall(id);
         const byKey = new Map(this.#records[topic].map((it, offset) => [it.key, { ...it, offset }]));
         const records = [...byKey.values()].filter(it => it.value).sort((a, b) => a.offset - b.offset);
-        return { records, end: this.#records[topic].length };
+        return { records, end: this.#records[topic].length, era: this.era };
     }
 
     async #simulateCall(id: string): Promise<void> {
@@ -127,6 +140,13 @@
     messages = 0;
     /** Number of messages by sender. */
     readonly messagesBySender = new Map<string, number>();
+    /** Changes of the era, as the entry VMs noticed them. */
+    readonly eraChanges: {
+        readonly id: string;
+        readonly topic: KeyedTopic;
+        readonly era: number;
+        readonly at: number;
+    }[] = [];
     readonly #followers = new Map<string, Follower>();
     readonly #stopping = new AbortController();
     readonly #discoveredAt: number;
@@ -142,6 +162,13 @@
         this.#followers.forEach(it => void it.run(this.#stopping.signal));
     }
 
+    /** Starts one more entry VM, which the others know at once. */
+    join(): FleetVm {
+        const vm = this.#add(`vm${this.vms.length}`);
+        void this.#followers.get(vm.id)?.run(this.#stopping.signal);
+        return vm;
+    }
+
     stop(): void {
         this.#stopping.abort();
     }
@@ -151,7 +178,7 @@
         this.#followers.get(to)?.receive(message, "late", unreadMs);
     }
 
-    #add(id: string): void {
+    #add(id: string): FleetVm {
         const servers = new ServerCache(
             (_, value) => JSON.parse(new TextDecoder().decode(value)) as ServerEntry,
         );
@@ -159,7 +186,8 @@
             "config",
             value => JSON.parse(new TextDecoder().decode(value)) as RouteConfig,
         );
-        this.vms.push({ id, servers, config });
+        const vm = { id, servers, config };
+        this.vms.push(vm);
         const index = this.vms.length - 1;
         const follower = new Follower({
             log: this.store.clientFor(id),
@@ -184,10 +212,12 @@
             events: {
                 configChanged: () => undefined,
                 serversChanged: () => undefined,
+                eraChanged: (topic, era) => this.eraChanges.push({ id, topic, era, at: this.time.now }),
                 storeStatusChanged: () => undefined,
             },
         });
         this.#followers.set(id, follower);
+        return vm;
     }
 
     #deliver(from: string, to: string, message: DiscoveryMessage): void {
--- a/packages/discovery/test/servers.test.ts
+++ b/packages/discovery/test/servers.test.ts
@@ -25,7 +25,7 @@
     const reader = newCache();
     reader.applyLatest({ records: [put(4, entry("s1"))], end: 5 }, 0);
     const update = reader.applyRecords({ records: [put(5, entry("s1", { warmUpMs: 9 }))], end: 6 }, 500);
-    assert.deepEqual(update, { from: 5, to: 6, changes: [] });
+    assert.deepEqual(update, { era: 0, from: 5, to: 6, changes: [] });
     assert.equal(reader.asOf, 500);
 });
 
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -158,6 +158,11 @@
             "Bytes to and from other entry VMs.",
             () => this.#peerSocket.bytes,
         );
+        this.#metrics.registerGauge(
+            "bm_store_era",
+            "How often the store has come back from an older copy; 0 if it doesn't say.",
+            () => this.#storeView.era,
+        );
         this.#metrics.registerGauge(
             "bm_limited_servers",
             "Backend servers that name a request limit.",
--- a/packages/gateway/src/storeview.ts
+++ b/packages/gateway/src/storeview.ts
@@ -68,6 +68,8 @@
                         ageMs: Math.round(ageMs),
                     });
                 },
+                eraChanged: (topic, era, end, origin) =>
+                    events.emit("store-restored", { topic, era, end, origin }),
                 storeStatusChanged: (topic, reachable, reason) =>
                     reachable
                         ? events.emit("store-back", { topic })
@@ -96,6 +98,11 @@
         return this.#servers.revision;
     }
 
+    /** Era of the store: how often it has come back from an older copy; 0 if it doesn't say. */
+    get era(): number {
+        return this.#servers.era;
+    }
+
     /** Whether a configuration has been accepted and the servers have been read at least once. */
     get isComplete(): boolean {
         return this.#config.config !== undefined && this.#servers.position !== undefined;
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -128,6 +128,17 @@
             periodMs: "number",
         },
     ),
+    "store-restored": defineEvent(
+        1028,
+        "warn",
+        "The store has come back from an older copy ({topic}): era {era}, end {end}; from {origin}.",
+        {
+            topic: "string",
+            era: "number",
+            end: "number",
+            origin: "string",
+        },
+    ),
     "member-joined": defineEvent(2001, "info", "Entry VM {id} joined from {region}/{domain}.", {
         id: "string",
         incarnation: "string",
