proxy: accept waiting connections before a planned stop closes the listener

What callers saw: during a planned stop under load, connections that the operating system had accepted, with their requests, were reset without an answer.

Cause: closing the listener resets what waits in its queue, and a busy process accepts one connection a turn.

--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -3,6 +3,7 @@
 import type { Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import { Server as NetServer, type Socket } from "node:net";
+import { drainPendingInput } from "./unreadinput.js";
 
 interface Connection {
     response: ServerResponse | undefined;
@@ -16,9 +17,12 @@
  */
 export class ConnectionTracker {
     readonly #open = new Map<Duplex, Connection>();
+    /** Number of connections accepted so far. */
+    #accepted = 0;
 
     /** Tracks a connection until it closes. */
     track(socket: Socket): void {
+        this.#accepted++;
         this.#open.set(socket, { response: undefined, idleBytesRead: undefined });
         socket.once("close", () => this.#open.delete(socket));
     }
@@ -42,12 +46,24 @@
      * own close would truncate responses that a slow reader has not received yet.
      */
     async closeAll(server: Server): Promise<void> {
+        await this.#acceptWaiting();
         const closed = new Promise<void>(resolve => NetServer.prototype.close.call(server, () => resolve()));
         const timer = setInterval(() => this.closeIdle(), idleCheckIntervalMs);
         await closed;
         clearInterval(timer);
     }
 
+    /** Accepts the connections that wait for it: when the listener is closed, the operating system resets them. */
+    async #acceptWaiting(): Promise<void> {
+        for (let i = 0; i < maxAcceptRounds; i++) {
+            const before = this.#accepted;
+            await drainPendingInput();
+            if (this.#accepted === before) {
+                return;
+            }
+        }
+    }
+
     /** Closes connections that were idle at the previous check and have received nothing since. */
     closeIdle(): void {
         for (const [socket, connection] of this.#open) {
@@ -63,5 +79,7 @@
     }
 }
 
+/** Enough for several hundred waiting connections, while callers that still connect don't put off the stop. */
+const maxAcceptRounds = 100;
 /** An idle connection is closed at the second check, so within twice this interval. */
 const idleCheckIntervalMs = 50;
--- a/packages/testkit/src/hastycallers.ts
+++ b/packages/testkit/src/hastycallers.ts
@@ -28,3 +28,23 @@
         await new Promise(resolve => setImmediate(resolve));
     }
 };
+
+/**
+ * Starts callers in a thread of their own that connect, send their requests and wait for the responses. The worker posts
+ * how many got one once all connections have ended.
+ */
+export const startPatientCallers = (port: number, requests: readonly string[]): Worker =>
+    new Worker(patientCallers, { eval: true, workerData: { port, requests } });
+
+const patientCallers = `
+    const { connect } = require("node:net");
+    const { parentPort, workerData } = require("node:worker_threads");
+    const call = text => new Promise(resolve => {
+        const socket = connect(workerData.port, "127.0.0.1", () => socket.write(text));
+        let answered = false;
+        socket.on("data", chunk => (answered ||= chunk.toString().startsWith("HTTP/1.1 200")));
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve(answered));
+    });
+    Promise.all(workerData.requests.map(call)).then(all => parentPort.postMessage(all.filter(Boolean).length));
+`;
