gateway: LimitExchange, the request limits' part of the node

Moves what connects the limits with responses, peers and the log out of GatewayNode; no change of behavior. Two comments of limits say what they mean.

--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -1,10 +1,8 @@
 /** The entry process that serves routes: connects its components, and runs its start, periodic work and shutdown. */
 
 import { randomBytes } from "node:crypto";
-import { RequestLimits } from "@bramleymoor/limits/limits";
-import type { LimitMessage } from "@bramleymoor/limits/messages";
 import type { Membership } from "@bramleymoor/membership/membership";
-import { incarnationKey, type Route, type ServerEntry } from "@bramleymoor/model/route";
+import type { Route } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import { CallMetrics } from "@bramleymoor/observe/metrics";
@@ -21,6 +19,7 @@
 import { ForwardTask, type ForwardOptions } from "./forward.js";
 import { FrontendServer } from "./frontend.js";
 import { HttpProbeClient } from "./probeclient.js";
+import { LimitExchange } from "./limitexchange.js";
 import { MemberTracker } from "./membertracker.js";
 import { PeerSocket } from "./peersocket.js";
 import { RequestReporter } from "./reporter.js";
@@ -60,7 +59,7 @@
         unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: keepAliveMarginMs, clock: monotonicMs }),
     };
     readonly #probeClient: HttpProbeClient;
-    readonly #limits: RequestLimits;
+    readonly #limits: LimitExchange;
     readonly #splits = new TrafficSplits();
     readonly #elapsedTimes = new ElapsedTimeEstimator();
     readonly #lag = new EventLoopLag(monotonicMs() + tickMs);
@@ -78,7 +77,17 @@
         this.#settings = settings;
         this.#platform = platform;
         this.#events = events;
-        this.#limits = new RequestLimits(settings.id, monotonicMs());
+        this.#limits = new LimitExchange({
+            self: settings.id,
+            events,
+            hasMetPeers: () => this.#members.budgetDivisor !== Infinity,
+            send: message =>
+                this.#peerSocket.sendLimits(
+                    this.#members.others.map(vm => vm.peerAddress),
+                    message,
+                ),
+            now: monotonicMs(),
+        });
         this.#probeClient = new HttpProbeClient(platform.wire, this.#agents.pooled);
         this.#dispatchers = new ServiceDispatchers({
             probeClient: this.#probeClient,
@@ -86,14 +95,17 @@
             random: Math.random,
             balance: { candidateCount: comparedServers, domain: settings.place.domain },
             retryLimits: settings.retryLimits,
-            limiter: this.#limits,
-            recordLimit: (server, perSecond) => this.#recordLimit(server, perSecond),
+            limiter: this.#limits.limits,
+            recordLimit: (server, perSecond) => this.#limits.record(server, perSecond, monotonicMs()),
         });
         this.#peerSocket = new PeerSocket({
             onGossip: message => this.#membership.receive(message, monotonicMs()),
             onDiscovery: (message, from) =>
                 this.#storeView.receive(message, from, this.#lag.lagMs(monotonicMs())),
-            onLimits: message => this.#receiveLimits(message),
+            onLimits: message => {
+                const now = monotonicMs();
+                this.#limits.receive(message, this.#lag.lagMs(now), now);
+            },
             onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
@@ -166,7 +178,7 @@
         this.#metrics.registerGauge(
             "bm_limited_servers",
             "Backend servers that name a request limit.",
-            () => this.#limits.limitedServers,
+            () => this.#limits.limits.limitedServers,
         );
         this.#metrics.registerGauge(
             "bm_event_loop_lag_seconds",
@@ -221,7 +233,7 @@
         const { shutdownGraceMs, addressTtlMs } = this.#settings;
         this.#events.emit("stop-asked", { signal });
         this.#membership.leave(monotonicMs());
-        this.#sendLimits(this.#limits.release(monotonicMs()));
+        this.#limits.release(monotonicMs());
         this.#frontend.beginDrain();
         await delay(Math.min(addressTtlMs + leavePropagationMs, shutdownGraceMs / 2), this.#closed.signal);
         const finished = new AbortController();
@@ -287,7 +299,7 @@
             tryRetry: service =>
                 this.#dispatchers.retryBudget(service)?.tryTake(monotonicMs(), this.#members.budgetDivisor) ??
                 false,
-            recordLimit: (server, perSecond) => this.#recordLimit(server, perSecond),
+            recordLimit: (server, perSecond) => this.#limits.record(server, perSecond, monotonicMs()),
             agents: this.#agents,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
             takeAcceptWaitMs: req => this.#frontend.takeAcceptWaitMs(req),
@@ -296,49 +308,6 @@
         };
     }
 
-    #recordLimit(server: ServerEntry, perSecond: number | undefined): void {
-        const { id, service } = server;
-        if (perSecond === undefined) {
-            this.#events.emit("request-limit-unreadable", { server: id, service });
-        } else if (this.#limits.record(server, perSecond, monotonicMs())) {
-            this.#logLimit(incarnationKey(server), "own response");
-        }
-    }
-
-    #receiveLimits(message: LimitMessage): void {
-        const now = monotonicMs();
-        for (const key of this.#limits.receive(message, this.#lag.lagMs(now), now)) {
-            this.#logLimit(key, message.from);
-        }
-    }
-
-    #sendLimits(message: LimitMessage | undefined): void {
-        if (message) {
-            this.#peerSocket.sendLimits(
-                this.#members.others.map(vm => vm.peerAddress),
-                message,
-            );
-        }
-    }
-
-    #logLimit(server: string, origin: string): void {
-        const limit = formatLimit(this.#limits.limitOf(server));
-        this.#events.emit("request-limit-changed", { server, limit, origin });
-    }
-
-    #reportLimitUsage(now: number): void {
-        for (const { key, perSecond, share, requests, probes, periodMs } of this.#limits.takeUsage(now)) {
-            this.#events.emit("request-limit-usage", {
-                server: key,
-                limit: formatLimit(perSecond),
-                share,
-                requests,
-                probes,
-                periodMs: Math.round(periodMs),
-            });
-        }
-    }
-
     #findRoute(host: string, target: string): Route {
         const { table } = this.#storeView;
         if (!table || this.#state === "starting") {
@@ -376,8 +345,7 @@
             this.#applyStoreView();
         }
         this.#partitioner.tick(now);
-        this.#sendLimits(this.#limits.tick(this.#members.budgetDivisor !== Infinity, now));
-        this.#reportLimitUsage(now);
+        this.#limits.tick(now);
     }
 
     /** Watches a background task: if one fails, the error is rethrown, so that the process ends and is restarted. */
@@ -390,8 +358,6 @@
     }
 }
 
-const formatLimit = (perSecond: number): string => (perSecond === Infinity ? "none" : String(perSecond));
-
 /** Settings that only take effect at the next start. */
 const restartOnlySettings = [
     "id",
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -22,7 +22,7 @@
 export class RequestLimits implements SendLimiter {
     readonly #self: string;
     readonly #limits = new Map<string, ServerLimit>();
-    /** When the news of a server was last changed here, for as long as it has to be repeated to peers. */
+    /** When this entry VM last changed a server's limit or its claim, for as long as that is repeated to peers. */
     readonly #changedAt = new Map<string, number>();
     #reportedAt: number;
     #sentAt = -Infinity;
@@ -205,7 +205,7 @@
 
 /** Bounds the log volume to one line per limited server in this time. */
 const usagePeriodMs = 2_000;
-/** A claim that two messages in a row can't announce is one of an entry VM that is cut off. */
+/** Interval at which claims are repeated; peers keep a claim for several of them. */
 const messageIntervalMs = 1_000;
 /** Bounds the messages of an entry VM whose servers change their limits all the time. */
 const minMessageIntervalMs = 100;
