discovery: offer a configuration only to a peer whose store forgot it

Read in review: each entry VM with a newer version would have sent it whole to any peer that still named an older one, so that while a version spreads through a large fleet, its slowest reader got as many copies as there are VMs. Versions are now compared only at equal positions, where they differ only after the store has come back without the newer one, and only the first ranks offer theirs.

--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -114,19 +114,24 @@
             events.configChanged(config.config, from, ageMs);
         }
         this.#reportEra("configuration", eraBefore, config, from);
-        this.#compareVersions(version, from, now);
+        if ((era ?? config.era) === config.era && to === config.position) {
+            this.#compareVersions(version, from, now);
+        }
     }
 
-    /** Asks a peer for its newer version, or sends it this one: after a return of the store only peers may have it. */
+    /**
+     * Asks a peer for its newer version, or sends it this one. At the same position versions only differ if the store has
+     * come back without the newer one, which then only peers have. A few of them offer it.
+     */
     #compareVersions(version: number | undefined, peer: string, now: number): void {
-        const { config } = this.#options;
+        const { config, rank } = this.#options;
         const own = config.config?.version;
         if (version === undefined || own === undefined || version === own) {
             return;
         }
         if (version > own) {
             this.#requestMissing(peer, now, true);
-        } else if (now - this.#offeredAt >= minRequestIntervalMs) {
+        } else if (rank() <= maxBroadcasters && now - this.#offeredAt >= minRequestIntervalMs) {
             this.#offeredAt = now;
             this.#sendConfig(peer);
         }
--- a/packages/discovery/test/era.test.ts
+++ b/packages/discovery/test/era.test.ts
@@ -72,6 +72,22 @@
     assert.equal(joined.config.config?.version, 2);
 });
 
+test("entry VMs don't send their configuration to a peer that hasn't read it yet, and only a few to one whose store forgot it", async t => {
+    const fleet = await startFleet(t, 60);
+    fleet.store.put("configuration", "config", config(2));
+    await fleet.time.run(3_000 + limitMs);
+    const countReplies = (to: number): number => {
+        const before = fleet.messages;
+        fleet.vms.forEach(({ id }) =>
+            fleet.deliverUnread(id, { topic: "configuration", ageMs: 0, era: 1, to, version: 1 }, 0),
+        );
+        return fleet.messages - before;
+    };
+    assert.equal(countReplies(1), 0);
+    const replies = countReplies(2);
+    assert.ok(replies > 0 && replies <= 4, `${replies} replies`);
+});
+
 test("a server that is leaving or gone isn't revived by the older copy", async t => {
     const fleet = await startFleet(t);
     fleet.store.put("servers", "s1", serverEntry("s1", { leaving: true }));
