--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -107,13 +107,18 @@
         } else if (path === "/histograms") {
             sendJson(res, 200, await this.#api.histograms());
         } else if (path.startsWith(explainPrefix)) {
-            this.#explain(decodeURIComponent(path.slice(explainPrefix.length)), res);
+            this.#explain(path.slice(explainPrefix.length), res);
         } else {
             sendJson(res, 404, { error: "Known paths: /status, /metrics, /histograms, /explain/SERVICE." });
         }
     }
 
-    #explain(service: string, res: ServerResponse): void {
+    #explain(encodedService: string, res: ServerResponse): void {
+        const service = decodePath(encodedService);
+        if (service === undefined) {
+            sendJson(res, 400, { error: `"${encodedService}" has a malformed escape; % is written as %25.` });
+            return;
+        }
         const explanation = this.#api.explain(service);
         if (explanation) {
             sendJson(res, 200, explanation);
@@ -123,6 +128,15 @@
     }
 }
 
+const decodePath = (path: string): string | undefined => {
+    try {
+        return decodeURIComponent(path);
+    } catch {
+        // The only error is a malformed escape, which the caller reports.
+        return undefined;
+    }
+};
+
 const sendJson = (res: ServerResponse, status: number, body: unknown): void => {
     // Requests are rare, and one sent on an idle connection that is just being closed would fail.
     res.writeHead(status, { "content-type": "application/json", connection: "close" });
