--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -117,6 +117,10 @@
             return;
         }
         const { host, port } = splitAddress(peerAddress);
+        if (!(port > 0 && port <= maxPort)) {
+            this.#handlers.onRejected(peerAddress, "the address has no valid port");
+            return;
+        }
         this.#bytes += data.length;
         this.#socket.send(data, port, host, err => {
             if (err) {
@@ -185,6 +189,7 @@
 
 /** Longer than any wait for the reply to a ping. */
 const replyTimeoutMs = 2_000;
+const maxPort = 65_535;
 /** Largest datagram that is sent; UDP over IPv4 allows 65,507 bytes. */
 const maxDatagramBytes = 60_000;
 /** Bytes of one message to all its receivers; a link of 7 Mbit/s carries them within 0.1 s, and loses few of them. */
