discovery: a start is no return of the store

Read in review: an entry VM that learned the store's era from a peer when it started logged event 1028, as if the store had come back from an older copy. The era is only compared with one that was known. Each test of era.test.ts now asserts that the start reports none; with the old comparison they fail.

--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -95,7 +95,7 @@
             this.#requestMissing(from, now);
             return;
         }
-        const { era } = servers;
+        const era = eraOf(servers);
         const applied = servers.apply(update, now - ageMs);
         this.#reportServers(applied, from, ageMs);
         this.#reportEra("servers", era, servers, from);
@@ -109,7 +109,7 @@
             return;
         }
         const value = text === undefined ? undefined : new TextEncoder().encode(text);
-        const eraBefore = config.era;
+        const eraBefore = eraOf(config);
         if (config.apply({ era, to, value }, now - ageMs) && config.config) {
             events.configChanged(config.config, from, ageMs);
         }
@@ -139,11 +139,11 @@
 
     #reportEra(
         topic: KeyedTopic,
-        before: number,
+        before: number | undefined,
         { era, position = 0 }: Pick<ServerCache, "era" | "position">,
         origin: string,
     ): void {
-        if (era !== before) {
+        if (before !== undefined && era !== before) {
             this.#options.events.eraChanged(topic, era, position, origin);
         }
     }
@@ -212,7 +212,7 @@
         const { log, servers, clock } = this.#options;
         const asOf = clock();
         const isInitialRead = servers.position === undefined;
-        const { era } = servers;
+        const era = eraOf(servers);
         const update = await this.#readSinceOrLatest(
             servers.position,
             async from => servers.applyRecords(await this.#readPage("servers", from, 0), asOf),
@@ -220,9 +220,7 @@
                 servers.applyLatest(checkEra("servers", await log.readLatest("servers"), servers.era), asOf),
         );
         this.#reportServers(update, "store", clock() - asOf);
-        if (!isInitialRead) {
-            this.#reportEra("servers", era, servers, "store");
-        }
+        this.#reportEra("servers", era, servers, "store");
         if (!isInitialRead) {
             this.#broadcast({ topic: "servers", ageMs: clock() - asOf, news: update });
         }
@@ -232,7 +230,7 @@
         const { log, config, clock, rank } = this.#options;
         const asOf = clock();
         const isInitialRead = config.position === undefined;
-        const { era } = config;
+        const era = eraOf(config);
         this.#announced = undefined;
         const isNewer = await this.#readSinceOrLatest(
             config.position,
@@ -248,9 +246,7 @@
         if (isNewer && config.config) {
             this.#options.events.configChanged(config.config, "store", clock() - asOf);
         }
-        if (!isInitialRead) {
-            this.#reportEra("configuration", era, config, "store");
-        }
+        this.#reportEra("configuration", era, config, "store");
         const update = config.update;
         if (update && !isInitialRead) {
             const text = isNewer && update.value ? new TextDecoder().decode(update.value) : undefined;
@@ -387,6 +383,10 @@
     }
 }
 
+/** Returns the known era; undefined before the first read. */
+const eraOf = ({ era, position }: Pick<ServerCache, "era" | "position">): number | undefined =>
+    position === undefined ? undefined : era;
+
 /** Returns the page; throws an OutdatedEraError if it is of an older era than the known one. */
 const checkEra = (topic: KeyedTopic, page: KeyedPage, knownEra: number): KeyedPage => {
     if (page.era !== undefined && page.era < knownEra) {
--- a/packages/discovery/test/era.test.ts
+++ b/packages/discovery/test/era.test.ts
@@ -22,6 +22,7 @@
     }
     fleet.start();
     await fleet.time.run(3_000);
+    assert.deepEqual(fleet.eraChanges, []);
     return fleet;
 };
 
