limits: announce all claims of an entry VM, not only the first hundred

What callers would see: with more than 100 limited servers, the claims of an entry VM on the others were never sent, so that every entry VM held a share of those limits and together they exceeded them.

Cause: a message was cut to its 100 limits. All due limits are now sent, in as many messages as they need.

Evidence: 'the claims of an entry VM on many servers' limits all reach its peers' (250 servers) fails when only the first message is sent, as before, and passes now.

--- a/packages/gateway/src/limitexchange.ts
+++ b/packages/gateway/src/limitexchange.ts
@@ -69,10 +69,8 @@
         this.#send(this.limits.release(now));
     }
 
-    #send(message: LimitMessage | undefined): void {
-        if (message) {
-            this.#options.send(message);
-        }
+    #send(messages: readonly LimitMessage[]): void {
+        messages.forEach(it => this.#options.send(it));
     }
 
     #logLimit(server: string, origin: string): void {
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -81,11 +81,11 @@
     }
 
     /**
-     * Updates the claims and returns the message to send to all peers; undefined if none is due. To be called often.
+     * Updates the claims and returns the messages to send to all peers, if any are due. To be called often.
      *
      * @param hasPeers whether this entry VM knows whom to ask for their claims
      */
-    tick(hasPeers: boolean, now: number): LimitMessage | undefined {
+    tick(hasPeers: boolean, now: number): readonly LimitMessage[] {
         const paused = now - this.#tickedAt > maxTickGapMs;
         this.#tickedAt = now;
         for (const [key, limit] of this.#limits) {
@@ -96,18 +96,18 @@
             }
             this.#forgetIfOver(key, limit, now);
         }
-        return this.#messageIfDue(now);
+        return this.#messagesIfDue(now);
     }
 
-    /** Gives up all shares, before this entry VM stops; returns the message to send to all peers. */
-    release(now: number): LimitMessage | undefined {
+    /** Gives up all shares, before this entry VM stops; returns the messages to send to all peers. */
+    release(now: number): readonly LimitMessage[] {
         this.#released = true;
         for (const [key, limit] of this.#limits) {
             if (limit.dropClaim()) {
                 this.#changedAt.set(key, now);
             }
         }
-        return this.#messageIfDue(now);
+        return this.#messagesIfDue(now);
     }
 
     /** Returns the limit that a server names; Infinity if it names none. */
@@ -181,25 +181,26 @@
         }
     }
 
-    #messageIfDue(now: number): LimitMessage | undefined {
+    #messagesIfDue(now: number): readonly LimitMessage[] {
         const hasNews = [...this.#changedAt.values()].some(it => it > this.#sentAt);
         if (now - this.#sentAt < (hasNews ? minMessageIntervalMs : messageIntervalMs)) {
-            return undefined;
+            return [];
         }
         const limits = [...this.#limits]
             .filter(([key, limit]) => limit.claimed || this.#changedAt.has(key))
-            .slice(0, maxLimitsPerMessage)
             .map(([key, { perSecond, namedAt, claimed }]) => ({
                 key,
                 ...(perSecond === Infinity ? {} : { perSecond }),
                 ageMs: Math.round(now - namedAt),
                 claimed,
             }));
-        if (limits.length === 0) {
-            return undefined;
+        if (limits.length > 0) {
+            this.#sentAt = now;
         }
-        this.#sentAt = now;
-        return { from: this.#self, limits };
+        return Array.from({ length: Math.ceil(limits.length / maxLimitsPerMessage) }, (_, i) => ({
+            from: this.#self,
+            limits: limits.slice(i * maxLimitsPerMessage, (i + 1) * maxLimitsPerMessage),
+        }));
     }
 }
 
--- a/packages/limits/test/fleet.ts
+++ b/packages/limits/test/fleet.ts
@@ -156,10 +156,13 @@
         );
     }
 
-    #broadcast(from: Vm, message: LimitMessage | undefined): void {
-        if (!message || this.now < from.cutUntil) {
-            return;
+    #broadcast(from: Vm, messages: readonly LimitMessage[]): void {
+        if (this.now >= from.cutUntil) {
+            messages.forEach(it => this.#broadcastOne(from, it));
         }
+    }
+
+    #broadcastOne(from: Vm, message: LimitMessage): void {
         for (const vm of this.#vms.values()) {
             if (vm !== from && this.now >= vm.cutUntil && this.#random() >= this.#lossShare) {
                 this.#deliver(vm.id, networkMs, it => it.limits.receive(message, 0, this.now));
--- a/packages/limits/test/limits.test.ts
+++ b/packages/limits/test/limits.test.ts
@@ -4,6 +4,7 @@
 import { serverEntry } from "@bramleymoor/testkit/builders";
 import fc from "fast-check";
 import { RequestLimits } from "../src/limits.js";
+import { limitMessageSchema } from "../src/messages.js";
 import { contactMs, Fleet, windowMs } from "./fleet.js";
 
 /** Returns a seeded source of numbers of at least 0 and below 1. */
@@ -152,6 +153,19 @@
     assert.equal(limits.limitOf(key), 50);
 });
 
+test("the claims of an entry VM on many servers' limits all reach its peers", () => {
+    const servers = Array.from({ length: 250 }, (_, i) => serverEntry(`s${i}`));
+    const limits = new RequestLimits("vm", 0);
+    for (const server of servers) {
+        limits.record(server, 5, 0);
+        limits.recordDemand(incarnationKey(server), 0);
+    }
+    const messages = [limits.tick(true, 0)].flat();
+    messages.forEach(it => assert.ok(limitMessageSchema.safeParse(it).success));
+    const claimed = messages.flatMap(it => it.limits).filter(it => it.claimed);
+    assert.deepEqual(new Set(claimed.map(it => it.key)), new Set(servers.map(incarnationKey)));
+});
+
 test("a new incarnation of a server has no limit", () => {
     const limits = new RequestLimits("vm", 0);
     limits.record(serverEntry("s1", { bornAt: 1 }), 5, 0);
