--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -146,6 +146,11 @@
         };
     }
 
+    /** Number of servers that would be open but for a pending probe. */
+    heldServers(now: number): number {
+        return this.#openServers(now).filter(it => it.probePending).length;
+    }
+
     /** Grants a slot of the best candidate; queues the request again if no candidate has a free slot any more. */
     grant(reservation: Reservation, now: number): Slot | undefined {
         this.#openReservations--;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -5,6 +5,7 @@
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
 import type { ProbeClient } from "./probeclient.js";
+import { ProbeUsage, type ProbeUsageReport } from "./probeusage.js";
 
 /** Result of a wait for a slot. */
 export type AcquireResult =
@@ -28,6 +29,9 @@
     readonly #probeClient: ProbeClient;
     readonly #recordLimit: DispatcherOptions["recordLimit"];
     readonly #clock: () => number;
+    readonly #usage: ProbeUsage;
+    /** Number of probes in flight by server id. */
+    readonly #probesInFlight = new Map<string, number>();
     readonly #waiting = new Map<Request, (result: AcquireResult) => void>();
     #settings: ServiceSettings;
 
@@ -37,6 +41,7 @@
         this.#probeClient = probeClient;
         this.#recordLimit = recordLimit;
         this.#clock = clock;
+        this.#usage = new ProbeUsage(clock());
     }
 
     /** Number of requests that wait for a slot. */
@@ -98,17 +103,28 @@
         this.#dispatchWaiting();
     }
 
+    /** Returns what probes were used for in a period that has ended since the last call. */
+    takeProbeUsage(now: number): ProbeUsageReport | undefined {
+        const period = this.#usage.takePeriod(now);
+        const { name } = this.#settings;
+        return period && { service: name, servers: this.#balancer.servers.length, ...period };
+    }
+
     #dispatchWaiting(): void {
         for (;;) {
             const reservation = this.#balancer.reserveNext(this.#clock());
             if (!reservation) {
+                if (this.#balancer.queued > 0) {
+                    this.#usage.recordBlocked(this.#balancer.heldServers(this.#clock()));
+                }
                 return;
             }
             const now = this.#clock();
+            this.#usage.recordReservation(reservation.candidates.length);
             const stale = reservation.candidates.filter(it => this.#balancer.needsProbe(it, now));
             if (stale.length > 0) {
                 this.#probeThenGrant(reservation, stale);
-            } else if (!this.#grant(reservation)) {
+            } else if (!this.#grant(reservation, 0)) {
                 return;
             }
         }
@@ -126,11 +142,14 @@
             if (!finished) {
                 finished = true;
                 clearTimeout(timer);
-                this.#grant(reservation);
+                this.#grant(reservation, stale.length);
             }
             this.#dispatchWaiting();
         };
-        const timer = setTimeout(finish, probeWaitMs);
+        const timer = setTimeout(() => {
+            this.#usage.record("timedOut");
+            finish();
+        }, probeWaitMs);
         for (const { entry } of stale) {
             void this.#probe(entry, startedAt).then(() => {
                 outstanding--;
@@ -147,7 +166,9 @@
 
     async #probe(server: ServerEntry, startedAt: number): Promise<void> {
         this.#balancer.recordProbeSent(server);
+        this.#recordProbeBegin(server);
         const response = await this.#probeClient.probe(server, this.#settings.healthPath);
+        this.#recordProbeEnd(server, response !== undefined);
         if (!response || response.misdirected) {
             this.#balancer.recordUnansweredProbe(server, this.#clock());
             return;
@@ -162,15 +183,42 @@
         }
     }
 
-    /** Returns false if none of the candidates has a free slot any more; the request then keeps waiting. */
-    #grant(reservation: Reservation): boolean {
+    #recordProbeBegin({ id }: ServerEntry): void {
+        const inFlight = this.#probesInFlight.get(id) ?? 0;
+        this.#probesInFlight.set(id, inFlight + 1);
+        if (inFlight > 0) {
+            this.#usage.record("shared");
+        } else {
+            this.#usage.recordSent(id, this.#probesInFlight.size);
+        }
+    }
+
+    #recordProbeEnd({ id }: ServerEntry, isAnswered: boolean): void {
+        const inFlight = this.#probesInFlight.get(id) ?? 0;
+        if (inFlight > 1) {
+            this.#probesInFlight.set(id, inFlight - 1);
+            return;
+        }
+        this.#probesInFlight.delete(id);
+        this.#usage.record(isAnswered ? "answered" : "unanswered");
+    }
+
+    /**
+     * Returns false if none of the candidates has a free slot any more; the request then keeps waiting.
+     *
+     * @param probes number of probes that were sent for the request
+     */
+    #grant(reservation: Reservation, probes: number): boolean {
         if (!this.#waiting.has(reservation.request)) {
             this.#balancer.cancelReservation();
             return true;
         }
         const slot = this.#balancer.grant(reservation, this.#clock());
         if (slot) {
+            this.#usage.record("granted");
             this.#resolveWait(reservation.request, { kind: "slot", slot });
+        } else {
+            this.#usage.recordRequeued(probes);
         }
         return slot !== undefined;
     }
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -346,6 +346,7 @@
         }
         this.#partitioner.tick(now);
         this.#limits.tick(now);
+        this.#dispatchers.takeProbeUsage(now).forEach(it => this.#reporter.reportProbes(it));
     }
 
     /** Watches a background task: if one fails, the error is rethrown, so that the process ends and is restarted. */
--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import type { CallMetrics } from "@bramleymoor/observe/metrics";
 import { formatLoad, type ForwardRecord } from "./outcomes.js";
+import type { ProbeUsageReport } from "./probeusage.js";
 
 /** Dependencies of a `RequestReporter`. */
 export interface RequestReporterOptions {
@@ -55,6 +56,26 @@
         }
     }
 
+    /** Logs what a service's probes were used for and updates the metrics. */
+    reportProbes(usage: ProbeUsageReport): void {
+        const { reservations, candidates, granted, sent, shared, answered, unanswered } = usage;
+        const { requeued, requeuedProbes, timedOut, blocked } = usage;
+        this.#options.metrics.recordDispatches(usage.service, {
+            reservations,
+            candidates,
+            granted,
+            sent,
+            shared,
+            answered,
+            unanswered,
+            requeued,
+            requeuedProbes,
+            timedOut,
+            blocked,
+        });
+        this.#options.events.emit("probe-usage", { ...usage, periodMs: Math.round(usage.periodMs) });
+    }
+
     #recordMetrics({
         service,
         route,
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -7,6 +7,7 @@
 import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { Dispatcher } from "./dispatcher.js";
 import type { ProbeClient } from "./probeclient.js";
+import type { ProbeUsageReport } from "./probeusage.js";
 
 interface ServiceState {
     readonly dispatcher: Dispatcher;
@@ -74,6 +75,11 @@
         this.#services.forEach(it => it.dispatcher.tick());
     }
 
+    /** Returns what each service's probes were used for in periods that have ended since the last call. */
+    takeProbeUsage(now: number): readonly ProbeUsageReport[] {
+        return [...this.#services.values()].flatMap(it => it.dispatcher.takeProbeUsage(now) ?? []);
+    }
+
     #create(name: string, config: RouteConfig): ServiceState {
         const { probeClient, clock, random, balance, limiter, recordLimit } = this.#options;
         const settings = config.services.get(name);
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -60,6 +60,7 @@
     readonly #retries: Counter<"service">;
     readonly #probes: Counter<"service">;
     readonly #probeSeconds: Counter<"service">;
+    readonly #dispatches: Counter<"service" | "event">;
     readonly #controlBytes: Counter<"channel" | "direction">;
     readonly #acceptWait: Histogram;
     readonly #version: Gauge;
@@ -100,6 +101,10 @@
         this.#probeSeconds = counter("bm_probe_server_seconds_total", "Server time spent on probes.", [
             "service",
         ]);
+        this.#dispatches = counter("bm_dispatch_events_total", "Steps of assigning requests to servers.", [
+            "service",
+            "event",
+        ]);
         const controlHelp = "Bytes of control traffic.";
         this.#controlBytes = counter("bm_control_bytes_total", controlHelp, ["channel", "direction"]);
         this.#acceptWait = new Histogram({
@@ -166,6 +171,13 @@
         this.#probeSeconds.inc(labels, serverMs / msPerSecond);
     }
 
+    /** Adds the counts of the steps in which requests of a service were assigned to servers. */
+    recordDispatches(service: string, counts: Readonly<Record<string, number>>): void {
+        for (const [event, count] of Object.entries(counts)) {
+            this.#dispatches.inc({ service: this.#labels.service(service), event }, count);
+        }
+    }
+
     /** Records control traffic in bytes. */
     recordControlTraffic(channel: ControlChannel, direction: "in" | "out", bytes: number): void {
         this.#controlBytes.inc({ channel, direction }, bytes);
