--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -32,6 +32,8 @@
     readonly linkMbps: number;
     /** Limits of retries per service, over all entry VMs together. */
     readonly retryLimits: RetryLimits;
+    /** Maximum average rate of probes per backend server, from all entry VMs together. */
+    readonly probesPerServerPerSecond: number;
     /** How long callers may cache the response to an address query, in milliseconds. */
     readonly addressTtlMs: number;
     /** Grace period from the termination signal to the end of the process, in milliseconds. */
