--- a/packages/entry/src/probesender.ts
+++ b/packages/entry/src/probesender.ts
@@ -5,6 +5,7 @@
 import type { ServiceLoadView } from "@bramleymoor/probing/prober";
 import { loadReportSchema, type LoadReport } from "@bramleymoor/protocol/messages";
 import { loadPath } from "@bramleymoor/protocol/headers";
+import { startTimeout } from "@bramleymoor/proxy/timers";
 import type { HostedService } from "./hostedservice.js";
 
 const maxReportBytes = 4_096;
@@ -78,7 +79,16 @@
     }
 
     async #get(address: string): Promise<string> {
-        const signal = AbortSignal.timeout(this.#timeoutMs);
+        const timeout = new AbortController();
+        const cancelTimeout = startTimeout(this.#timeoutMs, () => timeout.abort());
+        try {
+            return await this.#read(address, timeout.signal);
+        } finally {
+            cancelTimeout();
+        }
+    }
+
+    async #read(address: string, signal: AbortSignal): Promise<string> {
         const res = await new Promise<IncomingMessage>((resolve, reject) => {
             const req = request(`http://${address}${loadPath}`, { agent: this.#agent, signal }, resolve);
             req.on("error", reject);
--- a/packages/proxy/src/unreadinput.ts
+++ b/packages/proxy/src/unreadinput.ts
@@ -11,10 +11,13 @@
 /** Returns whether the caller's disconnect may have waited as long as the request, so that it is yet to be read. */
 export const mayHideDisconnect = ({ lagMs, acceptMs }: InputDelay): boolean => lagMs + acceptMs > maxUnreadMs;
 
+/** Resolves when the input is read that has already reached connections that this process has accepted or opened. */
+export const readPendingInput = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
 /** Resolves when all input that has already reached this process's sockets is read, connection ends included. */
 export const drainPendingInput = async (): Promise<void> => {
     for (let i = 0; i < loopTurns; i++) {
-        await new Promise(resolve => setImmediate(resolve));
+        await readPendingInput();
     }
 };
 
