--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -202,9 +202,9 @@
         return !server.isFresh(now) && !this.#isLimited(server, now);
     }
 
-    /** Records a server's load report, made at `at`. */
-    recordLoad(server: ServerEntry, report: LoadReport, at: number): void {
-        this.#servers.get(incarnationKey(server))?.recordLoad(report, at);
+    /** Records a server's load report, made at `takenAt` at the earliest. */
+    recordLoad(server: ServerEntry, report: LoadReport, takenAt: number, receivedAt = takenAt): void {
+        this.#servers.get(incarnationKey(server))?.recordLoad(report, takenAt, receivedAt);
     }
 
     /** Records that a probe was sent; the server gets no requests before it responds. */
--- a/packages/balance/src/load.ts
+++ b/packages/balance/src/load.ts
@@ -7,6 +7,7 @@
     /** Requests of this entry VM that are included in the report. */
     readonly ownRequests: number;
     readonly takenAt: number;
+    readonly receivedAt: number;
 }
 
 /** Reported load of one incarnation of a server. */
@@ -34,10 +35,14 @@
         return this.#latest ? now - this.#latest.takenAt : 0;
     }
 
-    /** Whether a probe would add nothing: the latest report is fresh, or the server reports no load. */
+    /**
+     * Whether a probe would add nothing: the latest report is fresh, or the server reports no load. A report is fresh
+     * from its receipt on, as another one would take as long to arrive.
+     */
     isFresh(now: number): boolean {
         return (
-            this.#reportsNoLoad || (this.#latest !== undefined && now - this.#latest.takenAt <= maxFreshAgeMs)
+            this.#reportsNoLoad ||
+            (this.#latest !== undefined && now - this.#latest.receivedAt <= maxFreshAgeMs)
         );
     }
 
@@ -80,13 +85,18 @@
         this.#probeInFlight = true;
     }
 
-    /** Records a report that was made at `takenAt`, when `ownRequests` of this entry VM were on the server. */
-    recordReport(report: LoadReport, ownRequests: number, takenAt: number): void {
+    /**
+     * Records a report.
+     *
+     * @param ownRequests requests of this entry VM that are included in the report
+     * @param takenAt the earliest time at which the report may have been made
+     */
+    recordReport(report: LoadReport, ownRequests: number, takenAt: number, receivedAt: number): void {
         this.#probeInFlight = false;
         this.#lastProbeFailed = false;
         this.#reportsNoLoad = false;
         if (this.#latest === undefined || takenAt >= this.#latest.takenAt) {
-            this.#latest = { report, ownRequests, takenAt };
+            this.#latest = { report, ownRequests, takenAt, receivedAt };
         }
     }
 
@@ -104,7 +114,7 @@
     }
 }
 
-/** Age up to which a report is used without a new probe: a sixth of the time for which a server keeps its speed. */
+/** Time after its receipt for which a report is used without a new probe: a sixth of the time for which a server keeps its speed. */
 const maxFreshAgeMs = 25;
 /** Time after which the reported requests of other entry VMs have probably ended: two normal requests. */
 const otherRequestsTtlMs = 300;
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -139,9 +139,9 @@
         this.#load.recordProbeSent();
     }
 
-    /** Records a load report that was made at `at`. */
-    recordLoad(report: LoadReport, at: number): void {
-        this.#load.recordReport(report, this.#slots.size, at);
+    /** Records a load report that was made at `takenAt` at the earliest. */
+    recordLoad(report: LoadReport, takenAt: number, receivedAt: number): void {
+        this.#load.recordReport(report, this.#slots.size, takenAt, receivedAt);
     }
 
     /** Records a response to a probe that contains no load report. */
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,10 +1,11 @@
 /** Runs one service's balancer: compares servers by up-to-date load, and assigns slots to waiting requests. */
 
 import type { Balancer, Reservation } from "@bramleymoor/balance/balancer";
-import type { ServerState } from "@bramleymoor/balance/server";
+import type { ProbeBudget } from "@bramleymoor/balance/probebudget";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
 import type { ProbeClient } from "./probeclient.js";
+import { ProbeRound } from "./proberound.js";
 import { ProbeUsage, type ProbeUsageReport } from "./probeusage.js";
 
 /** Result of a wait for a slot. */
@@ -17,6 +18,7 @@
 export interface DispatcherOptions {
     readonly balancer: Balancer;
     readonly probeClient: ProbeClient;
+    readonly probeBudget: ProbeBudget;
     /** Records the request limit that a server names in its response to a probe; undefined if it can't be parsed. */
     readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
     /** Returns monotonic milliseconds. */
@@ -27,6 +29,7 @@
 export class Dispatcher {
     readonly #balancer: Balancer;
     readonly #probeClient: ProbeClient;
+    readonly #probeBudget: ProbeBudget;
     readonly #recordLimit: DispatcherOptions["recordLimit"];
     readonly #clock: () => number;
     readonly #usage: ProbeUsage;
@@ -35,10 +38,14 @@
     readonly #waiting = new Map<Request, (result: AcquireResult) => void>();
     #settings: ServiceSettings;
 
-    constructor(settings: ServiceSettings, { balancer, probeClient, recordLimit, clock }: DispatcherOptions) {
+    constructor(
+        settings: ServiceSettings,
+        { balancer, probeClient, probeBudget, recordLimit, clock }: DispatcherOptions,
+    ) {
         this.#settings = settings;
         this.#balancer = balancer;
         this.#probeClient = probeClient;
+        this.#probeBudget = probeBudget;
         this.#recordLimit = recordLimit;
         this.#clock = clock;
         this.#usage = new ProbeUsage(clock());
@@ -65,6 +72,7 @@
 
     /** Waits for a slot; resolves immediately if the request is refused. */
     acquireSlot(request: Request): Promise<AcquireResult> {
+        this.#probeBudget.recordRequest(this.#clock());
         const refusal = this.#balancer.submit(request, this.#clock());
         if (refusal) {
             return Promise.resolve({ kind: "refused", refusal });
@@ -119,55 +127,50 @@
                 }
                 return;
             }
-            const now = this.#clock();
             this.#usage.recordReservation(reservation.candidates.length);
-            const stale = reservation.candidates.filter(it => this.#balancer.needsProbe(it, now));
-            if (stale.length > 0) {
-                this.#probeThenGrant(reservation, stale);
-            } else if (!this.#grant(reservation, 0)) {
+            if (!this.#startProbing(reservation) && !this.#grant(reservation, 0)) {
                 return;
             }
         }
     }
 
     /**
-     * Probes servers for their load, and grants a slot as soon as one is known to be idle and not slow, or all have
-     * responded, or `probeWaitMs` has passed.
+     * Probes the candidates whose load isn't known, and then grants a slot. Returns false if no probe is needed, or none
+     * is left in the budget.
      */
-    #probeThenGrant(reservation: Reservation, stale: readonly ServerState[]): void {
-        const startedAt = this.#clock();
-        let outstanding = stale.length;
-        let finished = false;
-        const finish = (): void => {
-            if (!finished) {
-                finished = true;
-                clearTimeout(timer);
-                this.#grant(reservation, stale.length);
-            }
-            this.#dispatchWaiting();
-        };
-        const timer = setTimeout(() => {
-            this.#usage.record("timedOut");
-            finish();
-        }, probeWaitMs);
-        for (const { entry } of stale) {
-            void this.#probe(entry, startedAt).then(() => {
-                outstanding--;
-                if (
-                    finished ||
-                    outstanding === 0 ||
-                    this.#balancer.hasIdealCandidate(reservation, this.#clock())
-                ) {
-                    finish();
-                }
-            });
+    #startProbing(reservation: Reservation): boolean {
+        if (this.#balancer.hasIdealCandidate(reservation, this.#clock())) {
+            return false;
         }
+        let probes = 0;
+        const round = new ProbeRound({
+            servers: reservation.candidates,
+            needsProbe: it => this.#balancer.needsProbe(it, this.#clock()),
+            tryTake: () => this.#probeBudget.tryTake(this.#clock()),
+            probe: ({ entry }) => {
+                probes++;
+                return this.#probe(entry);
+            },
+            isDecided: () => this.#balancer.hasIdealCandidate(reservation, this.#clock()),
+            onEnd: end => {
+                if (end === "timeout") {
+                    this.#usage.record("timedOut");
+                }
+                this.#grant(reservation, probes);
+                this.#dispatchWaiting();
+            },
+            onLateResult: () => this.#dispatchWaiting(),
+        });
+        return round.start();
     }
 
-    async #probe(server: ServerEntry, startedAt: number): Promise<void> {
+    async #probe(server: ServerEntry): Promise<void> {
+        const startedAt = this.#clock();
         this.#balancer.recordProbeSent(server);
         this.#recordProbeBegin(server);
-        const response = await this.#probeClient.probe(server, this.#settings.healthPath);
+        const response = await this.#probeClient.probe(server, this.#settings.healthPath, () =>
+            this.#probeBudget.recordUnplanned(),
+        );
         this.#recordProbeEnd(server, response !== undefined);
         if (!response || response.misdirected) {
             this.#balancer.recordUnansweredProbe(server, this.#clock());
@@ -177,7 +180,7 @@
             this.#recordLimit(server, response.requestLimit);
         }
         if (response.report) {
-            this.#balancer.recordLoad(server, response.report, startedAt);
+            this.#balancer.recordLoad(server, response.report, startedAt, this.#clock());
         } else {
             this.#balancer.recordResponseWithoutLoad(server);
         }
@@ -229,6 +232,3 @@
         resolve?.(result);
     }
 }
-
-/** Maximum wait for responses to probes: several round trips between failure domains. */
-const probeWaitMs = 12;
--- a/packages/gateway/src/entryvmselector.ts
+++ b/packages/gateway/src/entryvmselector.ts
@@ -1,60 +1,10 @@
-/** Selects the entry VMs for a host's callers, from the members and the demand that they publish. */
+/** Selects the entry VMs for a host's callers, from the members and the demand that is known of all. */
 
 import type { ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import { selectEntryVms } from "@bramleymoor/placement/placement";
 import { DispatcherScaler } from "@bramleymoor/placement/scaler";
 
-/** Counts this entry VM's requests per host, and encodes the rates for the membership payload. */
-export class DemandCounter {
-    #counts = new Map<string, number>();
-    #since: number;
-    #rates: ReadonlyMap<string, number> = new Map();
-
-    constructor(now: number) {
-        this.#since = now;
-    }
-
-    /** Requests per second by host, over the last completed period. */
-    get rates(): ReadonlyMap<string, number> {
-        return this.#rates;
-    }
-
-    count(host: string): void {
-        this.#counts.set(host, (this.#counts.get(host) ?? 0) + 1);
-    }
-
-    /** Ends a period and returns the payload's values by key; they hold the busiest hosts. */
-    endPeriod(now: number): ReadonlyMap<string, string> {
-        const seconds = Math.max(minPeriodMs, now - this.#since) / msPerSecond;
-        this.#rates = new Map([...this.#counts].map(([host, count]) => [host, count / seconds]));
-        this.#counts = new Map();
-        this.#since = now;
-        const busiest = [...this.#rates]
-            .sort((a, b) => b[1] - a[1])
-            .slice(0, payloadKeys.length * pairsPerKey);
-        const pairs = busiest.map(([host, rate]) => `${shortHash(host)}=${Math.ceil(rate)}`);
-        return new Map(
-            payloadKeys.map((key, i) => [key, pairs.slice(i * pairsPerKey, (i + 1) * pairsPerKey).join(" ")]),
-        );
-    }
-}
-
-/** Parses the rates by short hash from a member's payload. */
-export const parseRates = (
-    payload: Readonly<Record<string, string | number>>,
-): ReadonlyMap<string, number> => {
-    const pairs = payloadKeys.flatMap(key => String(payload[key] ?? "").split(" "));
-    return new Map(
-        pairs
-            .filter(it => it.includes("="))
-            .map(it => {
-                const [hash = "", rate = "0"] = it.split("=");
-                return [hash, Number(rate)];
-            }),
-    );
-};
-
 /** Returns the capacity of an entry VM, in tenths of a core. */
 export type CapacityOf = (vm: EntryVm) => number;
 
@@ -188,26 +138,10 @@
     return new Set(subset.map(({ id }) => id));
 };
 
-/** Returns a short FNV-1a hash of a host name; a collision within a deployment only adds up the rates of two hosts. */
-export const shortHash = (host: string): string => {
-    let hash = 2166136261;
-    for (let i = 0; i < host.length; i++) {
-        hash = Math.imul(hash ^ host.charCodeAt(i), 16777619) >>> 0;
-    }
-    return hash.toString(36).slice(-hashLength);
-};
-
 /** Maximum number of addresses that callers use from one response. */
 const maxAddresses = 64;
 /** More than any fleet has, so that only demand and the number of members limit a host's entry VMs. */
 const maxTenths = 10_000;
-/** Length in base 36: with a dozen hosts, about one in a million deployments has a collision. */
-const hashLength = 5;
-const payloadKeys: readonly string[] = ["d0", "d1", "d2"];
-/** Pairs of at most 11 characters that fit into a payload value of at most 64. */
-const pairsPerKey = 5;
-/** Rates over shorter periods would be noise. */
-const minPeriodMs = 100;
 /** Typical share of the slots in use. */
 const typicalUtilization = 0.5;
 /** Time for which a typical request occupies a slot. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -15,6 +15,7 @@
 import { AuxiliaryServers } from "./auxiliaryservers.js";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { createMembership, formatAddress } from "./createmembership.js";
+import { DemandExchange } from "./demand.js";
 import { ElapsedTimeEstimator } from "./elapsed.js";
 import { ForwardTask, type ForwardOptions } from "./forward.js";
 import { FrontendServer } from "./frontend.js";
@@ -63,6 +64,7 @@
     readonly #splits = new TrafficSplits();
     readonly #elapsedTimes = new ElapsedTimeEstimator();
     readonly #lag = new EventLoopLag(monotonicMs() + tickMs);
+    readonly #demand: DemandExchange;
     readonly #partitioner: TrafficPartitioner;
     readonly #reporter: RequestReporter;
     readonly #frontend: FrontendServer;
@@ -95,6 +97,7 @@
             random: Math.random,
             balance: { candidateCount: comparedServers, domain: settings.place.domain },
             retryLimits: settings.retryLimits,
+            probesPerServerPerSecond: settings.probesPerServerPerSecond,
             limiter: this.#limits.limits,
             recordLimit: (server, perSecond) => this.#limits.record(server, perSecond, monotonicMs()),
         });
@@ -110,6 +113,12 @@
         });
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
         this.#membership = this.#createMembership();
+        this.#demand = new DemandExchange({
+            self: settings.id,
+            membership: this.#membership,
+            members: () => this.#members.members,
+            now: monotonicMs(),
+        });
         this.#partitioner = new TrafficPartitioner({
             self: settings.id,
             processorShare: settings.processorShare,
@@ -118,7 +127,7 @@
             members: () => this.#members.members,
             setPreferredServers: (service, serverIds) =>
                 this.#dispatchers.dispatcher(service)?.balancer.setPreferredServers(serverIds),
-            now: monotonicMs(),
+            demand: this.#demand,
         });
         this.#reporter = new RequestReporter({
             events,
@@ -212,12 +221,19 @@
      * take effect at the next start, as callers and peers know them; returns the names of such settings that differ.
      */
     reload(changed: GatewaySettings): readonly string[] {
-        const { retryLimits, addressTtlMs, shutdownGraceMs } = changed;
+        const { retryLimits, probesPerServerPerSecond, addressTtlMs, shutdownGraceMs } = changed;
         const pendingRestart = restartOnlySettings.filter(
             name => JSON.stringify(changed[name]) !== JSON.stringify(this.#settings[name]),
         );
-        this.#settings = { ...this.#settings, retryLimits, addressTtlMs, shutdownGraceMs };
+        this.#settings = {
+            ...this.#settings,
+            retryLimits,
+            probesPerServerPerSecond,
+            addressTtlMs,
+            shutdownGraceMs,
+        };
         this.#dispatchers.setRetryLimits(retryLimits);
+        this.#dispatchers.setProbeLimit(probesPerServerPerSecond);
         return pendingRestart;
     }
 
@@ -291,7 +307,11 @@
             nextId: () => ++this.#lastId,
             findRoute: (host, target) => this.#findRoute(host, target),
             maxBodyBytes: () => this.#storeView.config?.limits.maxBodyBytes ?? 0,
-            chooseService: route => this.#splits.chooseService(route, Math.random),
+            chooseService: route => {
+                const service = this.#splits.chooseService(route, Math.random);
+                this.#demand.countService(service);
+                return service;
+            },
             dispatcher: service => this.#dispatchers.dispatcher(service),
             elapsedMs: (route, deadlineMs) =>
                 this.#elapsedTimes.elapsedMs(`${route.host}${route.pathPrefix}`, deadlineMs),
@@ -317,7 +337,7 @@
         if (!route) {
             throw new CallError("no-route");
         }
-        this.#partitioner.countRequest(route.host);
+        this.#demand.countHost(route.host);
         return route;
     }
 
@@ -344,7 +364,10 @@
             this.#appliedRevision = this.#storeView.serversRevision;
             this.#applyStoreView();
         }
-        this.#partitioner.tick(now);
+        if (this.#demand.tick(now)) {
+            this.#partitioner.updateDemand(now);
+            this.#dispatchers.updateDemand(this.#demand, this.#members.budgetDivisor, now);
+        }
         this.#limits.tick(now);
         this.#dispatchers.takeProbeUsage(now).forEach(it => this.#reporter.reportProbes(it));
     }
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -4,6 +4,7 @@
 import type { LoadReport } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
 import { discardResponse } from "@bramleymoor/proxy/discard";
+import { startTimeout } from "@bramleymoor/proxy/timers";
 import type { KeepAliveAgent } from "./agent.js";
 import { splitAddress } from "./exchange.js";
 import type { WireFormat } from "./wireformat.js";
@@ -20,8 +21,12 @@
 
 /** Probes servers for their load. */
 export interface ProbeClient {
-    /** Probes one server; resolves to undefined if it doesn't respond. */
-    probe(server: ServerEntry, healthPath: string): Promise<ProbeResponse | undefined>;
+    /**
+     * Probes one server; resolves to undefined if it doesn't respond.
+     *
+     * @param onResend called if the probe is sent a second time
+     */
+    probe(server: ServerEntry, healthPath: string, onResend: () => void): Promise<ProbeResponse | undefined>;
 }
 
 /** Probes servers over HTTP, with at most one probe in flight per server. */
@@ -43,12 +48,12 @@
     }
 
     /** Probes one server; resolves to undefined if it doesn't respond. Concurrent callers share one probe. */
-    probe(server: ServerEntry, healthPath: string): Promise<ProbeResponse | undefined> {
+    probe(server: ServerEntry, healthPath: string, onResend: () => void): Promise<ProbeResponse | undefined> {
         const pending = this.#pending.get(server.id);
         if (pending) {
             return pending;
         }
-        const response = this.#probeWithRetry(server, healthPath).finally(() =>
+        const response = this.#probeWithRetry(server, healthPath, onResend).finally(() =>
             this.#pending.delete(server.id),
         );
         this.#pending.set(server.id, response);
@@ -56,9 +61,17 @@
     }
 
     /** Sends a probe, and sends it once more if the server had closed the reused connection. */
-    async #probeWithRetry(server: ServerEntry, path: string): Promise<ProbeResponse | undefined> {
+    async #probeWithRetry(
+        server: ServerEntry,
+        path: string,
+        onResend: () => void,
+    ): Promise<ProbeResponse | undefined> {
         const first = await this.#sendProbe(server, path);
-        return first === "closed" ? withoutClosed(await this.#sendProbe(server, path)) : first;
+        if (first !== "closed") {
+            return first;
+        }
+        onResend();
+        return withoutClosed(await this.#sendProbe(server, path));
     }
 
     #sendProbe(server: ServerEntry, path: string): Promise<ProbeResponse | "closed" | undefined> {
@@ -66,9 +79,9 @@
         const { host, port } = splitAddress(server.address);
         return new Promise(resolve => {
             const req = request({ host, port, path, agent: this.#agent });
-            const timer = setTimeout(() => req.destroy(new ProbeTimeoutError()), probeTimeoutMs);
+            const cancelTimeout = startTimeout(probeTimeoutMs, () => req.destroy(new ProbeTimeoutError()));
             const done = (response: ProbeResponse | "closed" | undefined): void => {
-                clearTimeout(timer);
+                cancelTimeout();
                 resolve(response);
             };
             req.on("response", res => {
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -3,8 +3,10 @@
 import { Balancer, type BalancerSettings } from "@bramleymoor/balance/balancer";
 import { RetryBudget, type RetryLimits } from "@bramleymoor/balance/budget";
 import type { SendLimiter } from "@bramleymoor/balance/limiter";
+import { ProbeBudget } from "@bramleymoor/balance/probebudget";
 import type { KnownServer } from "@bramleymoor/discovery/servers";
 import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
+import type { DemandExchange } from "./demand.js";
 import { Dispatcher } from "./dispatcher.js";
 import type { ProbeClient } from "./probeclient.js";
 import type { ProbeUsageReport } from "./probeusage.js";
@@ -12,6 +14,7 @@
 interface ServiceState {
     readonly dispatcher: Dispatcher;
     readonly retryBudget: RetryBudget;
+    readonly probeBudget: ProbeBudget;
 }
 
 /** Dependencies and settings of `ServiceDispatchers`. */
@@ -23,21 +26,27 @@
     readonly random: () => number;
     readonly balance: BalancerSettings;
     readonly retryLimits: RetryLimits;
+    /** Maximum average rate of probes per backend server, from all entry VMs together. */
+    readonly probesPerServerPerSecond: number;
     /** Limits the requests to servers that name a limit. */
     readonly limiter: SendLimiter;
     /** Records the request limit that a server names; undefined if it can't be parsed. */
     readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
 }
 
-/** Holds a dispatcher and a retry budget for each service of the configuration. */
+type ServiceDemand = Pick<DemandExchange, "serviceRate" | "ownServiceRate" | "knownEntryVms">;
+
+/** Holds a dispatcher, a retry budget and a probe budget for each service of the configuration. */
 export class ServiceDispatchers {
     readonly #options: ServiceDispatchersOptions;
     readonly #services = new Map<string, ServiceState>();
     #retryLimits: RetryLimits;
+    #probesPerServerPerSecond: number;
 
     constructor(options: ServiceDispatchersOptions) {
         this.#options = options;
         this.#retryLimits = options.retryLimits;
+        this.#probesPerServerPerSecond = options.probesPerServerPerSecond;
     }
 
     /** Applies changed retry limits to all services. */
@@ -46,6 +55,29 @@
         this.#services.forEach(it => it.retryBudget.update(limits));
     }
 
+    /** Applies a changed limit of the probes to all services; takes effect with the next `updateDemand`. */
+    setProbeLimit(perServerPerSecond: number): void {
+        this.#probesPerServerPerSecond = perServerPerSecond;
+        this.#services.forEach(it => it.probeBudget.setLimit(perServerPerSecond));
+    }
+
+    /**
+     * Computes the probe budgets from the demand of all entry VMs.
+     *
+     * @param entryVms number of entry VMs that may be sending, whether known or not; Infinity if there is no telling
+     */
+    updateDemand(demand: ServiceDemand, entryVms: number, now: number): void {
+        for (const [name, { dispatcher, probeBudget }] of this.#services) {
+            const fleet = {
+                servers: dispatcher.balancer.servers.length,
+                requestsPerSecond: demand.serviceRate(name),
+                knownEntryVms: demand.knownEntryVms,
+                entryVms,
+            };
+            probeBudget.update(fleet, demand.ownServiceRate(name), now);
+        }
+    }
+
     /** Returns a service's dispatcher; undefined if the service isn't configured. */
     dispatcher(service: string): Dispatcher | undefined {
         return this.#services.get(service)?.dispatcher;
@@ -87,9 +119,11 @@
             throw new Error(`the configuration has no service ${name}`);
         }
         const balancer = new Balancer(balance, random, limiter);
+        const probeBudget = new ProbeBudget(this.#probesPerServerPerSecond, clock());
         const service = {
-            dispatcher: new Dispatcher(settings, { balancer, probeClient, recordLimit, clock }),
+            dispatcher: new Dispatcher(settings, { balancer, probeClient, probeBudget, recordLimit, clock }),
             retryBudget: new RetryBudget(this.#retryLimits),
+            probeBudget,
         };
         this.#services.set(name, service);
         return service;
--- a/packages/gateway/src/trafficpartitioner.ts
+++ b/packages/gateway/src/trafficpartitioner.ts
@@ -1,5 +1,5 @@
 /**
- * Partitions hosts' callers and services' backend servers among the entry VMs, from the demand and the capacities
+ * Partitions hosts' callers and services' backend servers among the entry VMs, from the demand of all and the capacities
  * that the entry VMs publish in their membership payloads.
  */
 
@@ -7,7 +7,8 @@
 import type { Membership } from "@bramleymoor/membership/membership";
 import type { RouteConfig } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
-import { DemandCounter, EntryVmSelector, parseRates, serverSubset, shortHash } from "./entryvmselector.js";
+import type { DemandExchange } from "./demand.js";
+import { EntryVmSelector, serverSubset } from "./entryvmselector.js";
 
 /** Dependencies of a `TrafficPartitioner`. */
 export interface TrafficPartitionerOptions {
@@ -22,14 +23,12 @@
     readonly members: () => readonly EntryVm[];
     /** Sets the ids of the servers of a service that this entry VM prefers; undefined for no preference. */
     readonly setPreferredServers: (service: string, serverIds: ReadonlySet<string> | undefined) => void;
-    /** Current monotonic milliseconds. */
-    readonly now: number;
+    readonly demand: Pick<DemandExchange, "hostRate" | "ownHostRate">;
 }
 
 /** Computes one entry VM's view of the partition. */
 export class TrafficPartitioner {
     readonly #options: TrafficPartitionerOptions;
-    readonly #demand: DemandCounter;
     readonly #selector = new EntryVmSelector({
         requestsPerTenthCore: requestsPerCore / tenthsPerCore,
         shrinkAfterMs,
@@ -40,20 +39,12 @@
     #servers: readonly KnownServer[] = [];
     /** Ids of the entry VMs among which each service's present servers are partitioned. */
     readonly #partitionedAmong = new Map<string, string>();
-    #lastTickAt: number;
 
     constructor(options: TrafficPartitionerOptions) {
         this.#options = options;
-        this.#demand = new DemandCounter(options.now);
-        this.#lastTickAt = options.now;
         options.membership.setPayload(capacityKey, capacityTenths(options));
     }
 
-    /** Counts a request for a host. */
-    countRequest(host: string): void {
-        this.#demand.count(host);
-    }
-
     /** Returns the entry VMs for a host's callers in one failure domain. */
     entryVmsFor(host: string, domain: string): readonly EntryVm[] {
         return this.#selector.select(host, domain, this.#options.members(), this.#capacityOf);
@@ -73,39 +64,12 @@
         }
     }
 
-    /**
-     * Publishes this entry VM's demand, adds up the demand of all and partitions the servers. To be called often: it
-     * does nothing if less than `demandPeriodMs` has passed.
-     */
-    tick(now: number): void {
-        if (now - this.#lastTickAt < demandPeriodMs) {
-            return;
-        }
-        this.#lastTickAt = now;
-        this.#publishDemand(now);
-        this.#aggregateDemand(now);
-        this.#partitionServers();
-    }
-
-    #publishDemand(now: number): void {
-        const { self, membership } = this.#options;
-        const before = membership.payload(self);
-        for (const [key, value] of this.#demand.endPeriod(now)) {
-            if ((before[key] ?? "") !== value) {
-                membership.setPayload(key, value);
-            }
-        }
-    }
-
-    #aggregateDemand(now: number): void {
-        const { self, membership, members } = this.#options;
-        const others = members().filter(vm => vm.id !== self);
-        const rates = others.map(vm => parseRates(membership.payload(vm.id)));
+    /** Applies newer totals of the demand, and partitions the servers. */
+    updateDemand(now: number): void {
         for (const host of this.#servicesByHost.keys()) {
-            const hash = shortHash(host);
-            const elsewhere = rates.reduce((sum, it) => sum + (it.get(hash) ?? 0), 0);
-            this.#selector.observeDemand(host, elsewhere + (this.#demand.rates.get(host) ?? 0), now);
+            this.#selector.observeDemand(host, this.#options.demand.hostRate(host), now);
         }
+        this.#partitionServers();
     }
 
     /**
@@ -113,9 +77,9 @@
      * nothing has changed: hashing all servers costs a small VM much of its time.
      */
     #partitionServers(): void {
-        const { self, members, setPreferredServers } = this.#options;
+        const { self, members, demand, setPreferredServers } = this.#options;
         for (const [service, allHosts] of this.#hostsByService) {
-            const hosts = [...allHosts].filter(it => this.#demand.rates.has(it));
+            const hosts = [...allHosts].filter(it => demand.ownHostRate(it) > 0);
             if (hosts.length === 0) {
                 continue;
             }
@@ -176,5 +140,3 @@
 const defaultTenths = 5;
 /** Longer than callers may cache a list of addresses. */
 const shrinkAfterMs = 8_000;
-/** Demand is published as often as gossip can distribute it. */
-const demandPeriodMs = 500;
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
-import { test } from "node:test";
-import { setTimeout as delay } from "node:timers/promises";
+import { test, type TestContext } from "node:test";
 import { Balancer } from "@bramleymoor/balance/balancer";
+import { ProbeBudget } from "@bramleymoor/balance/probebudget";
 import type { Request } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
 import { serverEntry as entry } from "@bramleymoor/testkit/builders";
@@ -24,15 +24,23 @@
     misdirected: false,
 });
 
+const readInput = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
 /** A dispatcher whose servers respond to probes when the test calls `respond`. */
 class DispatcherFixture {
+    readonly #t: TestContext;
     now = 0;
     readonly pendingProbes = new Map<string, (response: ProbeResponse | undefined) => void>();
     readonly dispatcher: Dispatcher;
+    readonly probeBudget = new ProbeBudget(1_000, 0);
     /** Recorded limits by server id. */
     readonly limits: [string, number | undefined][] = [];
 
-    constructor(...ids: readonly string[]) {
+    constructor(t: TestContext, ...ids: readonly string[]) {
+        t.mock.timers.enable({ apis: ["setTimeout"] });
+        this.#t = t;
+        const fleet = { servers: 100, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
+        this.probeBudget.update(fleet, 1, 0);
         const settings: ServiceSettings = { name: "svc", healthPath: "/healthz", maxConnections: 100 };
         const balancer = new Balancer({ candidateCount: 5, domain: "a" }, () => 0);
         const probeClient = {
@@ -42,6 +50,7 @@
         this.dispatcher = new Dispatcher(settings, {
             balancer,
             probeClient,
+            probeBudget: this.probeBudget,
             recordLimit: ({ id }, perSecond) => this.limits.push([id, perSecond]),
             clock: () => this.now,
         });
@@ -60,43 +69,75 @@
     }
 
     async respond(id: string, response: ProbeResponse | undefined): Promise<void> {
-        this.pendingProbes.get(id)?.(response);
-        await delay(0);
+        const resolve = this.pendingProbes.get(id);
+        assert.ok(resolve, `${id} is probed`);
+        this.pendingProbes.delete(id);
+        resolve(response);
+        await readInput();
+    }
+
+    /** Lets time pass in steps of a millisecond. */
+    async advance(ms: number): Promise<void> {
+        for (let i = 0; i < ms; i++) {
+            this.now++;
+            this.#t.mock.timers.tick(1);
+            await readInput();
+        }
     }
 }
 
-test("the first server that reports that it is idle and not slow gets the request, without a wait for the others", async () => {
-    const fixture = new DispatcherFixture("s1", "s2", "s3");
+test("a server that reports that it is idle and not slow gets the request after a single probe", async t => {
+    const fixture = new DispatcherFixture(t, "s1", "s2", "s3");
+    const acquired = fixture.acquire(1);
+    assert.deepEqual([...fixture.pendingProbes.keys()], ["s1"]);
+    await fixture.respond("s1", probeResponse(0, 1));
+    assert.equal(acquired.server, "s1");
+    assert.equal(fixture.pendingProbes.size, 0);
+});
+
+test("the first server that reports that it is idle and not slow gets the request, without a wait for the others", async t => {
+    const fixture = new DispatcherFixture(t, "s1", "s2", "s3");
     const acquired = fixture.acquire(1);
     await fixture.respond("s1", probeResponse(0, 5));
+    await fixture.advance(5);
     assert.equal(acquired.server, undefined);
     await fixture.respond("s3", probeResponse(0, 1));
     assert.equal(acquired.server, "s3");
 });
 
-test("servers get no request before they respond to a probe", async () => {
-    const fixture = new DispatcherFixture("s1", "s2");
+test("servers get no request before they respond to a probe", async t => {
+    const fixture = new DispatcherFixture(t, "s1", "s2");
     const acquired = fixture.acquire(1);
-    await delay(30);
+    await fixture.advance(30);
     assert.equal(acquired.server, undefined);
     await fixture.respond("s2", probeResponse(0, 1));
     assert.equal(acquired.server, "s2");
 });
 
-test("a request waits while all servers report a slowdown, and is assigned when one has recovered", async () => {
-    const fixture = new DispatcherFixture("s1", "s2");
+test("a request waits while all servers report a slowdown, and is assigned when one has recovered", async t => {
+    const fixture = new DispatcherFixture(t, "s1", "s2");
     const acquired = fixture.acquire(1);
     await fixture.respond("s1", probeResponse(0, 5));
     await fixture.respond("s2", probeResponse(0, 5));
     assert.equal(acquired.server, undefined);
-    fixture.now = 60;
+    await fixture.advance(60);
     fixture.dispatcher.tick();
     await fixture.respond("s1", probeResponse(0, 1));
     assert.equal(acquired.server, "s1");
 });
 
-test("a limit in a response to a probe is recorded, while a response without one says nothing of the limit", async () => {
-    const fixture = new DispatcherFixture("s1", "s2");
+test("a request isn't delayed when the probe budget is used up", async t => {
+    const fixture = new DispatcherFixture(t, "s1", "s2");
+    const fleet = { servers: 0, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
+    fixture.probeBudget.update(fleet, 1, 0);
+    const acquired = fixture.acquire(1);
+    await readInput();
+    assert.equal(acquired.server, "s1");
+    assert.equal(fixture.pendingProbes.size, 0);
+});
+
+test("a limit in a response to a probe is recorded, while a response without one says nothing of the limit", async t => {
+    const fixture = new DispatcherFixture(t, "s1", "s2");
     fixture.acquire(1);
     await fixture.respond("s1", { ...probeResponse(2, 1), requestLimit: 5 });
     await fixture.respond("s2", probeResponse(0, 1));
--- a/packages/gateway/test/entryvmselector.test.ts
+++ b/packages/gateway/test/entryvmselector.test.ts
@@ -2,13 +2,7 @@
 import { test } from "node:test";
 import type { EntryVm, VmState } from "@bramleymoor/model/vm";
 import { serverEntry } from "@bramleymoor/testkit/builders";
-import {
-    DemandCounter,
-    serverSubset,
-    parseRates,
-    shortHash,
-    EntryVmSelector,
-} from "../src/entryvmselector.js";
+import { serverSubset, EntryVmSelector } from "../src/entryvmselector.js";
 
 const vm = (id: string, domain: string, state: VmState = "alive"): EntryVm => ({
     id,
@@ -112,13 +106,3 @@
         "an entry VM that doesn't serve the service has no subset",
     );
 });
-
-test("demand encoded in a member's payload is decoded unchanged", () => {
-    const counter = new DemandCounter(0);
-    for (let i = 0; i < 100; i++) {
-        counter.count("h.example");
-    }
-    const payload = Object.fromEntries(counter.endPeriod(1_000));
-    assert.equal(parseRates(payload).get(shortHash("h.example")), 100);
-    assert.ok(Object.values(payload).every(it => it.length <= 64));
-});
--- a/packages/gateway/test/probeamplification.test.ts
+++ b/packages/gateway/test/probeamplification.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { Balancer } from "@bramleymoor/balance/balancer";
+import { ProbeBudget } from "@bramleymoor/balance/probebudget";
 import type { Request } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
 import { serverEntry } from "@bramleymoor/testkit/builders";
@@ -13,6 +14,7 @@
 const slots = 2;
 const serviceMs = 150;
 const tickMs = 50;
+const demandPeriodMs = 500;
 const speedPeriodMs = 150;
 const slowShare = 0.2;
 const slowSlowdown = 5;
@@ -86,6 +88,10 @@
     granted = 0;
     readonly servers = Array.from({ length: serverCount }, (_, i) => new SimulatedServer(i));
     readonly #dispatchers: readonly Dispatcher[];
+    readonly #budgets = Array.from(
+        { length: entryVms },
+        () => new ProbeBudget(maxProbesPerServerPerSecond, 0),
+    );
     #lastId = 0;
 
     constructor(roundTripMs: number) {
@@ -94,6 +100,7 @@
             const dispatcher = new Dispatcher(settings, {
                 balancer: new Balancer({ candidateCount: 3, domain: "a" }, createRandom(i + 1)),
                 probeClient: { probe: ({ id }) => byId.get(id)!.probe(roundTripMs) },
+                probeBudget: this.#budgets[i]!,
                 recordLimit: () => undefined,
                 clock: () => this.now,
             });
@@ -113,6 +120,11 @@
         this.#dispatchers.forEach(it => it.tick());
     }
 
+    updateDemand(requestsPerSecond: number): void {
+        const fleet = { servers: serverCount, requestsPerSecond, knownEntryVms: entryVms, entryVms };
+        this.#budgets.forEach(it => it.update(fleet, requestsPerSecond / entryVms, this.now));
+    }
+
     async send(): Promise<void> {
         const id = ++this.#lastId;
         const dispatcher = this.#dispatchers[id % entryVms]!;
@@ -166,6 +178,9 @@
         if (ms % tickMs === 0) {
             fleet.tick();
         }
+        if (ms % demandPeriodMs === 0) {
+            fleet.updateDemand(requestsPerMs * msPerSecond);
+        }
         await new Promise(resolve => setImmediate(resolve));
     }
     const { granted, probes } = fleet;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -185,6 +185,7 @@
         random: () => 0,
         balance: { candidateCount: 1, domain: "a" },
         retryLimits,
+        probesPerServerPerSecond: 1_000,
         limiter: limits,
         recordLimit,
     });
--- a/packages/gateway/test/trafficpartitioner.test.ts
+++ b/packages/gateway/test/trafficpartitioner.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import { routeConfig, serverEntry as entry } from "@bramleymoor/testkit/builders";
+import { DemandExchange } from "../src/demand.js";
 import { TrafficPartitioner } from "../src/trafficpartitioner.js";
 import { route } from "./setup.js";
 
@@ -22,26 +23,38 @@
     const payloads = new Map<string, Record<string, string | number>>(ids.map(id => [id, {}]));
     const preferred = new Map<string, ReadonlySet<string> | undefined>();
     const partitions: string[] = [];
-    const partitioners = ids.map(
-        self =>
-            new TrafficPartitioner({
-                self,
-                processorShare: 0.5,
-                linkMbps,
-                membership: {
-                    payload: id => payloads.get(id) ?? {},
-                    setPayload: (key, value) => {
-                        payloads.set(self, { ...payloads.get(self), [key]: value });
-                    },
-                },
-                members: () => ids.map(vm),
-                setPreferredServers: (service, serverIds) => {
-                    partitions.push(service);
-                    preferred.set(self, serverIds);
-                },
-                now: 0,
-            }),
-    );
+    const members = (): readonly EntryVm[] => ids.map(vm);
+    const partitioners = ids.map(self => {
+        const membership = {
+            payload: (id: string) => payloads.get(id) ?? {},
+            setPayload: (key: string, value: string | number) => {
+                payloads.set(self, { ...payloads.get(self), [key]: value });
+            },
+        };
+        const demand = new DemandExchange({ self, membership, members, now: 0 });
+        const partitioner = new TrafficPartitioner({
+            self,
+            processorShare: 0.5,
+            linkMbps,
+            membership,
+            members,
+            setPreferredServers: (service, serverIds) => {
+                partitions.push(service);
+                preferred.set(self, serverIds);
+            },
+            demand,
+        });
+        return {
+            countRequest: (host: string) => demand.countHost(host),
+            update: (...args: Parameters<TrafficPartitioner["update"]>) => partitioner.update(...args),
+            entryVmsFor: (host: string, domain: string) => partitioner.entryVmsFor(host, domain),
+            tick: (now: number) => {
+                if (demand.tick(now)) {
+                    partitioner.updateDemand(now);
+                }
+            },
+        };
+    });
     return { partitioners, preferred, partitions };
 };
 
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -12,7 +12,8 @@
 /** Largest reply to a joining entry VM, in bytes of JSON. */
 export const maxJoinReplyBytes = 32_768;
 
-const maxPayloadBytes = 256;
+/** Maximum size of a payload as JSON, in bytes. */
+export const maxPayloadBytes = 256;
 const maxRecords = 800;
 
 const name = z.string().min(1).max(64);
