--- a/packages/gateway/test/callerdisconnect.test.ts
+++ b/packages/gateway/test/callerdisconnect.test.ts
@@ -94,3 +94,87 @@
     assert.deepEqual(records[0]?.servers, ["s1"]);
     assert.equal(records[0]?.outcome, "deadline-sent");
 });
+
+const waitUntil = async (condition: () => boolean): Promise<void> => {
+    while (!condition()) {
+        await delay(5);
+    }
+};
+
+test("a pipelined request whose caller disconnects before its connection is accepted reaches no server", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id }) => socket.write(responseText(id, "hello")));
+    const { port } = await startFrontend(t, [server]);
+    await sendRaw(port, requestText("warm"));
+    const texts = Array.from(
+        { length: 60 },
+        (_, i) => requestText(`first-${i}`) + requestText(`second-${i}`),
+    );
+    const callers = startHastyCallers(port, texts);
+    await once(callers, "online");
+    blockEventLoop(300);
+    await runShortTurns(1_500, 8);
+    await callers.terminate();
+    assert.deepEqual(
+        server.requests.map(it => it.id),
+        ["warm"],
+    );
+});
+
+test("the send of a pipelined request with a body is aborted when its caller disconnects", async t => {
+    const closed = new Set<string>();
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        socket.on("close", () => closed.add(id));
+    });
+    const { port } = await startFrontend(t, [server]);
+    const socket = connect(port, "127.0.0.1", () =>
+        socket.write(requestText("a") + requestText("b", { method: "PUT", body: "c" })),
+    );
+    await waitUntil(() => server.requests.length === 2);
+    socket.destroy();
+    await waitUntil(() => closed.has("a"));
+    await delay(200);
+    assert.deepEqual([...closed].sort(), ["a", "b"]);
+});
+
+test("a request that is read after a pause in which its caller disconnected reaches no server", async t => {
+    const responses = new Map<string, () => void>();
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        const body = id === "a" ? "hello" : "x".repeat(20_000);
+        responses.set(id, () => socket.write(responseText(id, body)));
+    });
+    const { port, records } = await startFrontend(t, [server]);
+    const socket = connect(port, "127.0.0.1", () => socket.write(requestText("a") + requestText("b")));
+    socket.resume();
+    await waitUntil(() => server.requests.length === 2);
+    responses.get("b")?.();
+    await waitUntil(() => records.length === 1);
+    socket.write(requestText("c"));
+    await waitUntil(() => server.requests.length === 3);
+    socket.end(requestText("d"));
+    await delay(600);
+    responses.get("a")?.();
+    await waitUntil(() => records.length >= 3);
+    await delay(200);
+    assert.deepEqual(
+        server.requests.map(it => it.id),
+        ["a", "b", "c"],
+    );
+});
+
+test("the sends of pipelined requests are aborted when their caller disconnects behind a large response", async t => {
+    const closed = new Set<string>();
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        socket.on("close", () => closed.add(id));
+        if (id === "b") {
+            socket.write(responseText(id, "x".repeat(20_000)));
+        }
+    });
+    const { port, records } = await startFrontend(t, [server]);
+    const socket = connect(port, "127.0.0.1", () => socket.write(requestText("a") + requestText("b")));
+    await waitUntil(() => records.length === 1);
+    socket.write(requestText("c"));
+    await waitUntil(() => server.requests.length === 3);
+    socket.destroy();
+    await delay(500);
+    assert.ok(closed.has("a") && closed.has("c"));
+});
