--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -55,6 +55,8 @@
     readonly lagMs: () => number;
     /** Returns how long a request's connection waited to be accepted; called once for each request. */
     readonly takeAcceptWaitMs: (req: IncomingMessage) => number;
+    /** Returns the number of pending earlier requests on a request's connection; called when the request is read. */
+    readonly countAhead: (req: IncomingMessage) => number;
     /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
     readonly extraHeaders: (req: IncomingMessage) => readonly string[];
     /** Called once at the end of each request. */
@@ -68,6 +70,7 @@
     readonly #res: ServerResponse;
     readonly #arrivedAt: number;
     readonly #inputDelay: InputDelay;
+    readonly #ahead: number;
     /** Slots that count as attempts, in order; several may be of the same server. */
     readonly #sent = new Set<Slot>();
     #route: Route | undefined = undefined;
@@ -77,6 +80,7 @@
     #callerGone = false;
     #queueMs = 0;
     #serverMs = 0;
+    #lastSentAt: number | undefined = undefined;
     #loadSnapshot: LoadSnapshot | undefined = undefined;
     /** The send in progress. */
     #exchange: Exchange | undefined = undefined;
@@ -89,6 +93,7 @@
         this.#res = res;
         this.#arrivedAt = options.clock();
         this.#inputDelay = { lagMs: options.lagMs(), acceptMs: options.takeAcceptWaitMs(req) };
+        this.#ahead = options.countAhead(req);
     }
 
     /** Forwards the request and reports its end to `onDone`; never rejects. */
@@ -207,6 +212,7 @@
     ): Promise<"answered" | "body-broken" | "caller-gone" | SlotResult> {
         const { wire, clock } = this.#options;
         const startedAt = clock();
+        this.#lastSentAt = startedAt;
         const exchange = this.#openExchange(slot, body, requestId);
         this.#exchange = exchange;
         const settle = (result: SlotResult): SlotResult => {
@@ -369,6 +375,8 @@
             totalMs: this.#options.clock() - this.#arrivedAt,
             loadSnapshot: this.#loadSnapshot,
             inputDelay: this.#inputDelay,
+            ahead: this.#ahead,
+            sinceSendMs: this.#lastSentAt === undefined ? -1 : this.#options.clock() - this.#lastSentAt,
             detail,
         });
     }
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -69,6 +69,11 @@
         return this.#acceptQueue.takeWaitMs(socket);
     }
 
+    /** Returns the number of pending requests on a request's connection that are to be answered before it. */
+    countAhead({ socket }: IncomingMessage): number {
+        return Math.max(0, (this.#pendingResponses.get(socket) ?? 0) - 1);
+    }
+
     /** Applies the limits of a newer configuration. */
     setLimits(limits: ClientLimits): void {
         this.#maxHeadBytes = limits.maxHeaderBytes;
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -170,6 +170,11 @@
             "Bytes to and from other entry VMs.",
             () => this.#peerSocket.bytes,
         );
+        this.#metrics.registerCounter(
+            "bm_sends_cancelled_at_once_total",
+            "Requests whose caller's disconnect was read directly after their send.",
+            () => this.#reporter.cancelledAtOnce,
+        );
         this.#metrics.registerGauge(
             "bm_store_era",
             "How often the store has come back from an older copy; 0 if it doesn't say.",
@@ -303,6 +308,7 @@
             agents: this.#agents,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
             takeAcceptWaitMs: req => this.#frontend.takeAcceptWaitMs(req),
+            countAhead: req => this.#frontend.countAhead(req),
             extraHeaders: req => this.#frontend.extraHeaders(req),
             onDone: record => this.#reporter.report(record),
         };
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -27,6 +27,10 @@
     readonly loadSnapshot: LoadSnapshot | undefined;
     /** How long the request may have waited before it was read. */
     readonly inputDelay: InputDelay;
+    /** Number of earlier requests on its connection that were pending when it was read. */
+    readonly ahead: number;
+    /** Time from its last send to its end, in milliseconds; -1 if it wasn't sent. */
+    readonly sinceSendMs: number;
     /** Why the outcome is not "answered"; empty if there is nothing to add. */
     readonly detail: string;
 }
--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -19,13 +19,22 @@
 /** Reports finished requests. */
 export class RequestReporter {
     readonly #options: RequestReporterOptions;
+    #cancelledAtOnce = 0;
 
     constructor(options: RequestReporterOptions) {
         this.#options = options;
     }
 
+    /** Number of requests whose caller's disconnect was read directly after their send. */
+    get cancelledAtOnce(): number {
+        return this.#cancelledAtOnce;
+    }
+
     /** Logs a finished request and updates the metrics. */
     report(record: ForwardRecord): void {
+        if (record.outcome === "caller-gone" && record.sinceSendMs >= 0 && record.sinceSendMs <= atOnceMs) {
+            this.#cancelledAtOnce++;
+        }
         this.#recordMetrics(record);
         const { events, version, waiting, serversAgeMs } = this.#options;
         const { requestId, route, service, outcome, status, servers, queueMs, totalMs, detail } = record;
@@ -50,6 +59,8 @@
                 serversAgeMs: Math.round(serversAgeMs()),
                 lagMs: Math.round(record.inputDelay.lagMs),
                 acceptMs: Math.round(record.inputDelay.acceptMs),
+                ahead: record.ahead,
+                sinceSendMs: Math.round(record.sinceSendMs),
                 detail,
             });
         }
@@ -79,3 +90,6 @@
         });
     }
 }
+
+/** A few turns of a busy event loop. */
+const atOnceMs = 50;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -219,6 +219,7 @@
         agents,
         lagMs: () => lag.lagMs(clock()),
         takeAcceptWaitMs: req => frontend.takeAcceptWaitMs(req),
+        countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
         onDone: record => records.push(record),
     };
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -232,7 +232,7 @@
     "request-failed": defineEvent(
         8011,
         "info",
-        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late; configuration {version}. {detail}",
+        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late, {ahead} ahead of it on the connection; last sent {sinceSendMs} ms before its end; configuration {version}. {detail}",
         {
             load: "string",
             loadAgeMs: "number",
@@ -249,6 +249,8 @@
             serversAgeMs: "number",
             lagMs: "number",
             acceptMs: "number",
+            ahead: "number",
+            sinceSendMs: "number",
             detail: "string",
         },
     ),
