--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -53,8 +53,8 @@
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
     /** Returns how long input that is read now may have waited since it reached an accepted connection. */
     readonly lagMs: () => number;
-    /** Returns how long a request's connection waited to be accepted; called once for each request. */
-    readonly takeAcceptWaitMs: (req: IncomingMessage) => number;
+    /** Returns how long a request may have waited for its connection to be accepted; called when it is read. */
+    readonly acceptWaitMs: (req: IncomingMessage) => number;
     /** Returns the number of pending earlier requests on a request's connection; called when the request is read. */
     readonly countAhead: (req: IncomingMessage) => number;
     /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
@@ -92,7 +92,7 @@
         this.#req = req;
         this.#res = res;
         this.#arrivedAt = options.clock();
-        this.#inputDelay = { lagMs: options.lagMs(), acceptMs: options.takeAcceptWaitMs(req) };
+        this.#inputDelay = { lagMs: options.lagMs(), acceptMs: options.acceptWaitMs(req) };
         this.#ahead = options.countAhead(req);
     }
 
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -64,9 +64,9 @@
         return this.#running.size;
     }
 
-    /** Returns how long a request's connection waited to be accepted, in milliseconds; 0 if it isn't the first one. */
-    takeAcceptWaitMs({ socket }: IncomingMessage): number {
-        return this.#acceptQueue.takeWaitMs(socket);
+    /** Returns how long a request that is read now may have waited for its connection to be accepted, in milliseconds. */
+    acceptWaitMs({ socket }: IncomingMessage): number {
+        return this.#acceptQueue.waitMs(socket);
     }
 
     /** Returns the number of pending requests on a request's connection that are to be answered before it. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -307,7 +307,7 @@
             recordLimit: (server, perSecond) => this.#limits.record(server, perSecond, monotonicMs()),
             agents: this.#agents,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
-            takeAcceptWaitMs: req => this.#frontend.takeAcceptWaitMs(req),
+            acceptWaitMs: req => this.#frontend.acceptWaitMs(req),
             countAhead: req => this.#frontend.countAhead(req),
             extraHeaders: req => this.#frontend.extraHeaders(req),
             onDone: record => this.#reporter.report(record),
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -218,7 +218,7 @@
         recordLimit,
         agents,
         lagMs: () => lag.lagMs(clock()),
-        takeAcceptWaitMs: req => frontend.takeAcceptWaitMs(req),
+        acceptWaitMs: req => frontend.acceptWaitMs(req),
         countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
         onDone: record => records.push(record),
--- a/packages/proxy/src/acceptqueue.ts
+++ b/packages/proxy/src/acceptqueue.ts
@@ -1,6 +1,7 @@
 /** Wait in the accept queue: how long a caller's connection may have waited before this process accepted it. */
 
 import type { Socket } from "node:net";
+import { drainPendingInput } from "./unreadinput.js";
 
 /**
  * Bounds the wait of accepted connections. Node accepts one connection per turn of its event loop, so a turn that
@@ -24,15 +25,16 @@
             setImmediate(() => this.#endTurn());
         }
         const waitMs = now - this.#nonEmptySince;
-        this.#waitMs.set(socket, waitMs);
+        if (waitMs > 0) {
+            this.#waitMs.set(socket, waitMs);
+            void drainPendingInput().then(() => this.#waitMs.delete(socket));
+        }
         return waitMs;
     }
 
-    /** Returns how long a connection waited, for its first request; 0 afterwards. */
-    takeWaitMs(socket: Socket): number {
-        const waitMs = this.#waitMs.get(socket) ?? 0;
-        this.#waitMs.delete(socket);
-        return waitMs;
+    /** Returns how long input that is read now may have waited for its connection to be accepted, in milliseconds. */
+    waitMs(socket: Socket): number {
+        return this.#waitMs.get(socket) ?? 0;
     }
 
     #endTurn(): void {
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -35,7 +35,7 @@
             retryBudgets: new RetryBudgets(),
             extraHeaders: () => (this.#stopping ? connectionClose : noHeaders),
             nextId: () => ++this.#lastId,
-            takeAcceptWaitMs: ({ socket }) => this.#acceptQueue.takeWaitMs(socket),
+            acceptWaitMs: ({ socket }) => this.#acceptQueue.waitMs(socket),
         };
         this.#server = this.#createServer();
     }
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -20,8 +20,8 @@
 
 /** Dependencies of a CallTask, shared by all calls of a CallServer. */
 export interface CallTaskOptions extends CallServerOptions, CallExecutionOptions {
-    /** Returns how long a request's connection waited to be accepted; called once for each request. */
-    readonly takeAcceptWaitMs: (req: IncomingMessage) => number;
+    /** Returns how long a request may have waited for its connection to be accepted; called when it is read. */
+    readonly acceptWaitMs: (req: IncomingMessage) => number;
 }
 
 /** Work that a task is waiting for, notified when its deadline passes or its caller disconnects. */
@@ -94,8 +94,8 @@
      * @throws CallError if the caller has disconnected
      */
     async #readDisconnect(): Promise<void> {
-        const { lagMs, takeAcceptWaitMs } = this.#options;
-        if (mayHideDisconnect({ lagMs: lagMs(), acceptMs: takeAcceptWaitMs(this.#req) })) {
+        const { lagMs, acceptWaitMs } = this.#options;
+        if (mayHideDisconnect({ lagMs: lagMs(), acceptMs: acceptWaitMs(this.#req) })) {
             await drainPendingInput();
         }
         if (this.#res.destroyed) {
