--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -114,7 +114,7 @@
         if (this.#closing.has(socket)) {
             return;
         }
-        this.#connections.setResponse(socket, res);
+        this.#connections.addResponse(socket, res);
         this.#pendingResponses.set(socket, (this.#pendingResponses.get(socket) ?? 0) + 1);
         res.once("close", () => this.#responseClosed(socket));
         const error = this.#validateHead(req);
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -6,13 +6,16 @@
 import { drainPendingInput } from "./unreadinput.js";
 
 interface Connection {
+    /** The response to the latest request. */
     response: ServerResponse | undefined;
+    /** Responses that aren't closed yet. */
+    readonly pending: Set<ServerResponse>;
     /** Value of `bytesRead` when the connection was last seen idle; undefined if it was busy. */
     idleBytesRead: number | undefined;
 }
 
 /**
- * Open connections with the latest response of each. Node's closeIdleConnections treats a response as finished once
+ * Open connections with the responses of each. Node's closeIdleConnections treats a response as finished once
  * its last byte has been buffered, which is before a slow reader has received it.
  */
 export class ConnectionTracker {
@@ -23,15 +26,21 @@
     /** Tracks a connection until it closes. */
     track(socket: Socket): void {
         this.#accepted++;
-        this.#open.set(socket, { response: undefined, idleBytesRead: undefined });
-        socket.once("close", () => this.#open.delete(socket));
+        const pending = new Set<ServerResponse>();
+        this.#open.set(socket, { response: undefined, pending, idleBytesRead: undefined });
+        socket.once("close", () => {
+            this.#open.delete(socket);
+            pending.forEach(closeQueued);
+        });
     }
 
     /** Records the response to the connection's latest request. */
-    setResponse(socket: Socket, response: ServerResponse): void {
+    addResponse(socket: Socket, response: ServerResponse): void {
         const connection = this.#open.get(socket);
         if (connection) {
             connection.response = response;
+            connection.pending.add(response);
+            response.once("close", () => connection.pending.delete(response));
         }
     }
 
@@ -79,6 +88,17 @@
     }
 }
 
+/**
+ * Closes a response that waits for its turn on a connection that has closed. Node closes only the one whose turn it is, so
+ * the others' requests would continue without a caller.
+ */
+const closeQueued = (response: ServerResponse): void => {
+    if (!response.socket && !response.writableFinished) {
+        response.destroy();
+        response.emit("close");
+    }
+};
+
 /** Enough for several hundred waiting connections, while callers that still connect don't put off the stop. */
 const maxAcceptRounds = 100;
 /** An idle connection is closed at the second check, so within twice this interval. */
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -97,7 +97,7 @@
     }
 
     #handleRequest(req: IncomingMessage, res: ServerResponse): void {
-        this.#connections.setResponse(req.socket, res);
+        this.#connections.addResponse(req.socket, res);
         const problem = findHeadProblem(req);
         if (problem !== undefined) {
             sendError(res, new CallError("bad-request", problem), connectionClose);
