--- a/packages/proxy/test/callerdisconnect.test.ts
+++ b/packages/proxy/test/callerdisconnect.test.ts
@@ -31,6 +31,7 @@
     await once(callers, "online");
     blockEventLoop(300);
     await runShortTurns(1_500, 8);
+    await waitUntil(() => proxy.records.length >= heads.length);
     await callers.terminate();
     assert.deepEqual(backends[0]?.counts.runs, {});
     assert.equal(proxy.records.length, heads.length);
