--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -20,13 +20,22 @@
 /** Reports finished requests. */
 export class RequestReporter {
     readonly #options: RequestReporterOptions;
+    #cancelledAtOnce = 0;
 
     constructor(options: RequestReporterOptions) {
         this.#options = options;
     }
 
+    /** Number of requests whose caller's disconnect was read directly after their send. */
+    get cancelledAtOnce(): number {
+        return this.#cancelledAtOnce;
+    }
+
     /** Logs a finished request and updates the metrics. */
     report(record: ForwardRecord): void {
+        if (record.outcome === "caller-gone" && record.sinceSendMs >= 0 && record.sinceSendMs <= atOnceMs) {
+            this.#cancelledAtOnce++;
+        }
         this.#recordMetrics(record);
         const { events, version, waiting, serversAgeMs } = this.#options;
         const { requestId, route, service, outcome, status, servers, queueMs, totalMs, detail } = record;
@@ -51,6 +60,8 @@
                 serversAgeMs: Math.round(serversAgeMs()),
                 lagMs: Math.round(record.inputDelay.lagMs),
                 acceptMs: Math.round(record.inputDelay.acceptMs),
+                ahead: record.ahead,
+                sinceSendMs: Math.round(record.sinceSendMs),
                 detail,
             });
         }
@@ -100,3 +111,6 @@
         });
     }
 }
+
+/** A few turns of a busy event loop. */
+const atOnceMs = 50;
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -35,7 +35,7 @@
             retryBudgets: new RetryBudgets(),
             extraHeaders: () => (this.#stopping ? connectionClose : noHeaders),
             nextId: () => ++this.#lastId,
-            takeAcceptWaitMs: ({ socket }) => this.#acceptQueue.takeWaitMs(socket),
+            acceptWaitMs: ({ socket }) => this.#acceptQueue.waitMs(socket),
         };
         this.#server = this.#createServer();
     }
@@ -97,7 +97,7 @@
     }
 
     #handleRequest(req: IncomingMessage, res: ServerResponse): void {
-        this.#connections.setResponse(req.socket, res);
+        this.#connections.addResponse(req.socket, res);
         const problem = findHeadProblem(req);
         if (problem !== undefined) {
             sendError(res, new CallError("bad-request", problem), connectionClose);
