--- a/packages/bench/src/traffic.ts
+++ b/packages/bench/src/traffic.ts
@@ -2,7 +2,7 @@
 
 import { Caller, CallerError, type CallResponse } from "@bramleymoor/caller/caller";
 import type { Random } from "@bramleymoor/dispatch/random";
-import { errorKinds, type ExecutionState } from "@bramleymoor/protocol/errors";
+import type { ExecutionState } from "@bramleymoor/protocol/errors";
 import { build, type Histogram } from "hdr-histogram-js";
 import { delay, monotonicMs } from "./clock.js";
 
@@ -191,7 +191,7 @@
         if (response.error) {
             response.body.resume();
             this.#recordFailure(stream, id, response.error);
-            return errorKinds[response.error].ran;
+            return response.ran;
         }
         tally.retried += response.attempts > 1 ? 1 : 0;
         const text = await readBody(response).catch((err: unknown) => new Error(String(err)));
--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -13,6 +13,7 @@
     callPathPrefix,
 } from "@bramleymoor/protocol/headers";
 import { isErrorKind, errorKinds, type ErrorKind, type ExecutionState } from "@bramleymoor/protocol/errors";
+import { ExecutionTracker } from "@bramleymoor/protocol/execution";
 import { retryDelayMs, type Random } from "./backoff.js";
 import { exchange, ExchangeError, readJson } from "./exchange.js";
 
@@ -56,6 +57,8 @@
     readonly error: ErrorKind | undefined;
     /** Number of attempts that were made. */
     readonly attempts: number;
+    /** Whether the request was executed, as far as known after all attempts. */
+    readonly ran: ExecutionState;
 }
 
 /** A call that got no response. */
@@ -88,7 +91,7 @@
     attempt: number;
     /** Index into the addresses of the address response. */
     addressIndex: number;
-    ran: ExecutionState;
+    readonly execution: ExecutionTracker;
 }
 
 /** Calls services through the entry VMs. */
@@ -119,7 +122,7 @@
             ticket: undefined,
             attempt: 1,
             addressIndex: 0,
-            ran: "not run",
+            execution: new ExecutionTracker(),
         };
         for (;;) {
             const response = await this.#attempt(state);
@@ -214,16 +217,15 @@
             state.ticket ??= ticket;
             const address = addresses[state.addressIndex % addresses.length] ?? "";
             return await this.#send(address, state);
-        } catch (err) {
-            const sent = !(err instanceof ExchangeError) || err.sent;
-            state.ran = sent ? "outcome unknown" : state.ran;
+        } catch {
             return undefined;
         }
     }
 
     async #send(address: string, state: CallState): Promise<CallResponse> {
-        const { request, attempt } = state;
+        const { request, attempt, execution } = state;
         const timeoutMs = state.deadlineAt - this.#options.clock();
+        execution.start();
         const res = await exchange({
             address,
             method: request.method ?? "GET",
@@ -232,13 +234,22 @@
             body: request.body,
             timeoutMs: timeoutMs + responseGraceMs,
             agent: this.#agent,
+        }).catch((err: unknown) => {
+            execution.settle(err instanceof ExchangeError && !err.sent ? "not run" : "outcome unknown");
+            throw err;
         });
         const kind = res.headers[responseHeaders.error];
         const error = typeof kind === "string" && isErrorKind(kind) ? kind : undefined;
-        if (error) {
-            state.ran = errorKinds[error].ran;
-        }
-        return { status: res.statusCode ?? 0, headers: res.headers, body: res, error, attempts: attempt };
+        execution.settle(kind === undefined ? "ran" : errorKinds[error ?? "internal"].ran);
+        const ran = execution.state;
+        return {
+            status: res.statusCode ?? 0,
+            headers: res.headers,
+            body: res,
+            error,
+            attempts: attempt,
+            ran,
+        };
     }
 
     #requestHeaders(state: CallState, timeoutMs: number): Record<string, string> {
@@ -263,7 +274,7 @@
         if (advice === "ask again") {
             this.#cache.delete(state.request.service);
             state.addressIndex = 0;
-            state.ticket = state.ran === "not run" ? undefined : state.ticket;
+            state.ticket = state.execution.mayHaveRun ? state.ticket : undefined;
         }
     }
 }
@@ -285,5 +296,9 @@
     if (response) {
         return response;
     }
-    throw new CallerError("no response within the attempt limit and deadline", state.ran, state.requestId);
+    throw new CallerError(
+        "no response within the attempt limit and deadline",
+        state.execution.state,
+        state.requestId,
+    );
 };
--- a/packages/caller/test/caller.test.ts
+++ b/packages/caller/test/caller.test.ts
@@ -2,7 +2,13 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
-import { errorKinds, type ErrorKind } from "@bramleymoor/protocol/errors";
+import fc from "fast-check";
+import {
+    errorKindNames,
+    errorKinds,
+    type ErrorKind,
+    type ExecutionState,
+} from "@bramleymoor/protocol/errors";
 import { retryDelayMs } from "../src/backoff.js";
 import { Caller, CallerError, type CallResponse } from "../src/caller.js";
 
@@ -108,6 +114,13 @@
     return { entryVms, caller, time, call };
 };
 
+const ranOf = (reply: Reply): ExecutionState => {
+    if (reply === "ok") {
+        return "ran";
+    }
+    return reply === "reset" ? "outcome unknown" : errorKinds[reply].ran;
+};
+
 const headerValues = (calls: readonly ReceivedCall[], name: string) =>
     calls.map(({ headers }) => headers[name]);
 
@@ -179,6 +192,48 @@
     assert.deepEqual(headerValues(entryVms.calls, "bm-ticket"), ["t1", "t1", "t1"]);
 });
 
+test("a refusal after a lost attempt keeps the ticket, so that no other entry VM runs the request again", async t => {
+    const { entryVms, call } = await setUp(t, ["reset", "stopping"]);
+    await call();
+    assert.equal(entryVms.addressQueries, 2);
+    assert.deepEqual(headerValues(entryVms.calls, "bm-ticket"), ["t1", "t1", "t1"]);
+});
+
+test("if only refusals followed an attempt that may have run, the call reports outcome unknown", async t => {
+    const refused = await setUp(t, ["reset", "overloaded", "overloaded", "overloaded"]);
+    const response = await refused.call();
+    assert.deepEqual([response.error, response.ran], ["overloaded", "outcome unknown"]);
+    const lost = await setUp(t, ["server-lost", "overloaded", "overloaded", "reset"]);
+    await assert.rejects(
+        lost.call(),
+        (err: unknown) => err instanceof CallerError && err.ran === "outcome unknown",
+    );
+});
+
+test("whatever series of results a call gets, it is not run only if all say so, and then only a new ticket is used", async t => {
+    const replyArbitrary = fc.constantFrom<Reply>("ok", "reset", ...errorKindNames);
+    const runs = fc.sample(fc.array(replyArbitrary, { minLength: 4, maxLength: 4 }), {
+        numRuns: 60,
+        seed: 19,
+    });
+    for (const replies of runs) {
+        const { entryVms, call } = await setUp(t, replies);
+        const ran = await call().then(
+            response => response.ran,
+            (err: CallerError) => err.ran,
+        );
+        const received = replies.slice(0, entryVms.calls.length);
+        const states = received.map(ranOf);
+        const unknown = states.includes("outcome unknown") ? "outcome unknown" : "not run";
+        assert.equal(ran, states.includes("ran") ? "ran" : unknown, String(received));
+        const tickets = headerValues(entryVms.calls, "bm-ticket");
+        const firstUnknown = states.findIndex(state => state !== "not run");
+        if (firstUnknown !== -1) {
+            assert.equal(new Set(tickets.slice(firstUnknown)).size, 1, String(received));
+        }
+    }
+});
+
 test("an error kind that forbids retries is returned at once", async t => {
     const { entryVms, call } = await setUp(t, ["issuer-gone"]);
     assert.equal((await call()).error, "issuer-gone");
