--- a/packages/bench/src/fuzz-once-simulation.ts
+++ b/packages/bench/src/fuzz-once-simulation.ts
@@ -284,7 +284,7 @@
         report: (error: CallError) => void,
     ): void {
         run.setBodyDigest(digest);
-        run.markSending();
+        run.execution.start();
         const settle = (result: ServerResult, text: string): void => {
             if (result === "answered") {
                 run.complete(200, [], Buffer.from(text));
@@ -295,7 +295,7 @@
             }
             const kind: ErrorKind = result === "refused" ? "server-refused" : "server-lost";
             if (result === "refused") {
-                run.markNotRun();
+                run.execution.settle("not run");
             }
             run.fail(new CallError(kind));
             report(new CallError(kind));
--- a/packages/bench/src/oncecost.ts
+++ b/packages/bench/src/oncecost.ts
@@ -103,7 +103,7 @@
         throw new Error("a new request was treated as a duplicate");
     }
     claim.run.setBodyDigest(randomBytes(32).toString("base64url"));
-    claim.run.markSending();
+    claim.run.execution.start();
     claim.run.complete(201, headersOf(requestId, bytes), bodyOf(bytes));
 };
 
--- a/packages/once/src/table.ts
+++ b/packages/once/src/table.ts
@@ -6,6 +6,7 @@
  */
 
 import { CallError } from "@bramleymoor/protocol/errors";
+import { ExecutionTracker } from "@bramleymoor/protocol/execution";
 import { RequestEntry, type Outcome } from "./requestentry.js";
 
 /** Limits of a table. */
@@ -175,20 +176,16 @@
 
 /** The right to run one request; must be ended by exactly one call of `fail` or `complete`. */
 export class Run {
+    /** Whether the request was executed, as far as known over all its sends. */
+    readonly execution = new ExecutionTracker();
     readonly #entry: RequestEntry;
     readonly #limitStoredResponse: (outcome: Outcome) => Outcome;
-    #mayHaveRun = false;
 
     constructor(entry: RequestEntry, limitKeptAnswer: (outcome: Outcome) => Outcome) {
         this.#entry = entry;
         this.#limitStoredResponse = limitKeptAnswer;
     }
 
-    /** Whether a byte may have been sent to a backend server that has not refused the request. */
-    get mayHaveRun(): boolean {
-        return this.#mayHaveRun;
-    }
-
     /** Whether duplicates are waiting for the outcome. */
     get hasWaiters(): boolean {
         return this.#entry.hasWaiters;
@@ -199,23 +196,13 @@
         this.#entry.setBodyDigest(digest);
     }
 
-    /** Records that bytes may be sent; must be called before the first byte goes to a backend server. */
-    markSending(): void {
-        this.#mayHaveRun = true;
-    }
-
-    /** Records that the backend server reported that it did not start, or that no byte reached it. */
-    markNotRun(): void {
-        this.#mayHaveRun = false;
-    }
-
     /**
      * Ends the run with an error: refused if the error kind says "not run", otherwise with an unknown outcome.
      *
      * @throws Error if the kind says "not run" but the request may have run
      */
     fail(error: CallError): void {
-        if (error.info.ran === "not run" && this.#mayHaveRun) {
+        if (error.info.ran === "not run" && this.execution.mayHaveRun) {
             throw new Error(`a request that may have run can't be refused as ${error.kind}`);
         }
         this.#entry.end({ kind: error.info.ran === "not run" ? "refused" : "unknown", error });
--- a/packages/once/test/table.test.ts
+++ b/packages/once/test/table.test.ts
@@ -36,7 +36,7 @@
 
 const completeRun = (run: Run, text: string): void => {
     run.setBodyDigest("d");
-    run.markSending();
+    run.execution.start();
     run.complete(200, ["a", "b"], Buffer.from(text));
 };
 
@@ -90,7 +90,7 @@
 test("an unknown outcome stays unknown for every attempt", async () => {
     const onceTable = table();
     const run = runOf(onceTable.claim(request("r"), 0));
-    run.markSending();
+    run.execution.start();
     run.fail(new CallError("server-lost"));
     const outcome = await duplicateOf(onceTable.claim(request("r", { attempt: 9 }), 1)).outcome("d");
     assert.equal(outcome.kind, "unknown");
@@ -98,9 +98,9 @@
 
 test("a request that may have run can't fail as not run, and a run can end only once", () => {
     const run = runOf(table().claim(request("r"), 0));
-    run.markSending();
+    run.execution.start();
     assert.throws(() => run.fail(new CallError("overloaded")), /can't be refused/);
-    run.markNotRun();
+    run.execution.settle("not run");
     run.fail(new CallError("server-refused"));
     assert.throws(() => run.fail(new CallError("internal")), /only once/);
 });
--- a/packages/proxy/src/attempt.ts
+++ b/packages/proxy/src/attempt.ts
@@ -5,6 +5,7 @@
 import { responseHeaders } from "@bramleymoor/protocol/headers";
 import { parseLoadHeader } from "@bramleymoor/protocol/messages";
 import { CallError } from "@bramleymoor/protocol/errors";
+import type { ExecutionTracker } from "@bramleymoor/protocol/execution";
 import type { Subscription } from "rxjs";
 import { SendError, type BackendClient, type Exchange, type OutgoingRequest } from "./backend.js";
 
@@ -48,6 +49,8 @@
     readonly dispatcher: Dispatcher;
     readonly client: BackendClient;
     readonly clock: () => number;
+    /** Tracks the sends of the call, which are started before their first byte is written. */
+    readonly execution: ExecutionTracker;
     /** Whether a hedge may be sent while the first request is running. */
     readonly hedgeable: boolean;
     /** Builds the request for a slot. */
@@ -67,7 +70,7 @@
         this.#options = options;
     }
 
-    /** Whether any byte of the request may have reached a server that may still be executing it. */
+    /** Whether any byte of a running request may have reached its server. */
     get sent(): boolean {
         return [...this.#running].some(slotRequest => slotRequest.exchange.sent);
     }
@@ -123,7 +126,8 @@
     }
 
     #handleResponse(slotRequest: SlotRequest, response: IncomingMessage): void {
-        const { dispatcher, clock } = this.#options;
+        const { dispatcher, clock, execution } = this.#options;
+        execution.settle("ran");
         if (this.#ended) {
             slotRequest.abort({ kind: "cancelled" });
             return;
@@ -139,6 +143,9 @@
     #handleFailure(slotRequest: SlotRequest, err: unknown): void {
         this.#running.delete(slotRequest);
         const error = err instanceof SendError ? err : new SendError({ kind: "lost" });
+        if (slotRequest.exchange.sent) {
+            this.#options.execution.settle(error.isNotRun ? "not run" : "outcome unknown");
+        }
         slotRequest.settle(error.result);
         if (!this.#ended && this.#running.size === 0) {
             this.#finish();
--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -7,10 +7,12 @@
 import type { OnceTable, Run } from "@bramleymoor/once/table";
 import { callHeaders } from "@bramleymoor/protocol/headers";
 import { CallError } from "@bramleymoor/protocol/errors";
+import { ExecutionTracker } from "@bramleymoor/protocol/execution";
 import { discardResponse } from "./discard.js";
 import type { BackendClient, OutgoingRequest } from "./backend.js";
 import { RequestBody } from "./body.js";
 import { errorFor } from "./errors.js";
+import { toCallError } from "./responses.js";
 import { forwardedResponseHeaders, forwardedRequestHeaders } from "./headers.js";
 import type { CallOutcome } from "./observer.js";
 import { BodyCapture, Relay, type RelayResult } from "./relay.js";
@@ -58,17 +60,27 @@
     readonly #options: CallExecutionOptions;
     readonly #context: CallContext;
     readonly #body: RequestBody;
+    readonly #execution: ExecutionTracker;
     #attempt: Attempt | undefined = undefined;
     #reject: (error: CallError) => void = () => undefined;
 
     constructor(options: CallExecutionOptions, context: CallContext) {
         this.#options = options;
         this.#context = context;
+        this.#execution = context.run?.execution ?? new ExecutionTracker();
         this.#body = new RequestBody(context.req, context.res, context.digestPrefix);
     }
 
     /** Runs the call until the last byte of its response; throws a CallError if there is no response. */
     async run(): Promise<CallOutcome> {
+        try {
+            return await this.#run();
+        } catch (err) {
+            throw correctNotRun(toCallError(err), this.#execution);
+        }
+    }
+
+    async #run(): Promise<CallOutcome> {
         checkDepth(this.#context.headers.depth);
         await this.#bufferBody();
         const budget = this.#options.retryBudgets.forService(this.#context.route.service);
@@ -89,7 +101,7 @@
 
     /** Ends the call because its deadline has passed. */
     expire(): void {
-        const error = new CallError(this.#attempt?.sent ? "deadline-sent" : "deadline-queued");
+        const error = new CallError(this.#execution.mayHaveRun ? "deadline-sent" : "deadline-queued");
         this.#attempt?.cancel(error, { kind: "timeout" });
         this.#reject(error);
     }
@@ -131,24 +143,21 @@
 
     async #runAttempt(call: Call, budgetSplit: BudgetSplit): Promise<AttemptResult> {
         const { client, clock } = this.#options;
-        const { route, timing, run } = this.#context;
+        const { route, timing } = this.#context;
         const hedgeable = call.class.idempotent && this.#body.hedgeable;
         const buildRequest = (slot: Slot): OutgoingRequest => this.#buildRequest(slot, budgetSplit);
         const attempt = new Attempt({
             dispatcher: route.dispatcher,
             client,
             clock,
+            execution: this.#execution,
             hedgeable,
             buildRequest,
         });
         this.#attempt = attempt;
         timing.enqueued(clock());
         try {
-            const attemptResult = await attempt.run(call);
-            if (attemptResult.kind === "failed" && attemptResult.error.isNotRun) {
-                run?.markNotRun();
-            }
-            return attemptResult;
+            return await attempt.run(call);
         } finally {
             timing.firstByteReceived(clock());
             this.#attempt = undefined;
@@ -177,7 +186,7 @@
     }
 
     #sending(): void {
-        this.#context.run?.markSending();
+        this.#execution.start();
         this.#context.timing.sending(this.#options.clock());
     }
 
@@ -230,6 +239,15 @@
     }
 }
 
+/** Returns the error to report instead of one that claims "not run" for a request that may have run. */
+const correctNotRun = (error: CallError, execution: ExecutionTracker): CallError => {
+    if (error.info.ran !== "not run" || !execution.mayHaveRun) {
+        return error;
+    }
+    const kind = error.kind === "deadline-queued" ? "deadline-sent" : "server-lost";
+    return new CallError(kind, error.message, error.retryAfterMs);
+};
+
 const viaHeader = "1.1 bramleymoor";
 
 /** The call's outcome for each result of a relay. */
