--- a/packages/proxy/src/peerforward.ts
+++ b/packages/proxy/src/peerforward.ts
@@ -1,8 +1,9 @@
 /** Forwards a call, at most one hop, to the entry VM that issued its ticket or one that dispatches its service. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { callHeaders } from "@bramleymoor/protocol/headers";
-import { CallError } from "@bramleymoor/protocol/errors";
+import { callHeaders, responseHeaders } from "@bramleymoor/protocol/headers";
+import { CallError, type ExecutionState } from "@bramleymoor/protocol/errors";
+import { ExecutionTracker } from "@bramleymoor/protocol/execution";
 import { SendError, type BackendClient, type Exchange, type OutgoingRequest } from "./backend.js";
 import { RequestBody } from "./body.js";
 import { peerResponseHeaders, peerRequestHeaders } from "./headers.js";
@@ -28,6 +29,7 @@
 export class PeerForward {
     readonly #options: PeerForwardOptions;
     readonly #body: RequestBody;
+    readonly #execution = new ExecutionTracker();
     #reject: (error: CallError) => void = () => undefined;
 
     constructor(options: PeerForwardOptions) {
@@ -58,10 +60,10 @@
     /**
      * Forwards an idempotent call to the first entry VM of `addresses` that responds; all dispatch its service.
      *
-     * @throws CallError no-server if none could be reached, server-lost if a connection broke after it was used
+     * @throws CallError no-server if none could be reached, server-lost if a connection broke after it was used and no
+     * other entry VM ran the call
      */
     async toDispatcher(addresses: readonly string[]): Promise<RelayResult> {
-        let lost = false;
         for (const address of addresses) {
             try {
                 return await this.#forward(address);
@@ -69,13 +71,13 @@
                 if (!(err instanceof SendError)) {
                     throw err;
                 }
-                lost ||= err.result.kind === "lost";
             }
             if (!this.#body.replayable) {
                 break;
             }
         }
-        throw new CallError(lost ? "server-lost" : "no-server", "", unreachableRetryMs);
+        const kind = this.#execution.mayHaveRun ? "server-lost" : "no-server";
+        throw new CallError(kind, "", unreachableRetryMs);
     }
 
     async #forward(address: string): Promise<RelayResult> {
@@ -84,6 +86,7 @@
         try {
             const response = await this.#abortable(exchange.head);
             this.#reject = () => undefined;
+            this.#checkNotRun(response);
             return await this.#relay(exchange, response);
         } catch (err) {
             exchange.abort({ kind: "cancelled" });
@@ -91,6 +94,20 @@
         }
     }
 
+    /**
+     * Records whether the entry VM that responded ran the call.
+     *
+     * @throws CallError server-lost if it says "not run" and an entry VM before it may have run the call
+     */
+    #checkNotRun(response: IncomingMessage): void {
+        const claimsNotRun = response.headers[responseHeaders.ran] === notRun;
+        this.#execution.settle(claimsNotRun ? notRun : "ran");
+        if (claimsNotRun && this.#execution.mayHaveRun) {
+            const retryAfterMs = Number(response.headers[responseHeaders.retryAfter]) || unreachableRetryMs;
+            throw new CallError("server-lost", "", retryAfterMs);
+        }
+    }
+
     #buildRequest(address: string): OutgoingRequest {
         const { req, clock, deadlineAt } = this.#options;
         const headers = peerRequestHeaders(req.rawHeaders, req.headers.connection);
@@ -105,7 +122,7 @@
             headers,
             body: this.#body,
             nonIdempotent: false,
-            onSending: () => undefined,
+            onSending: () => this.#execution.start(),
         };
     }
 
@@ -128,4 +145,5 @@
     }
 }
 
+const notRun: ExecutionState = "not run";
 const unreachableRetryMs = 1000;
--- a/packages/proxy/test/execution.test.ts
+++ b/packages/proxy/test/execution.test.ts
@@ -75,3 +75,15 @@
     assert.equal((await response).headers["bm-ran"], "outcome unknown");
     assert.equal(lost.counts.ran, 1);
 });
+
+test("a lookup that an entry VM lost and the next one refuses is reported as outcome unknown", async t => {
+    const lost = await startFakeBackend({ cut: "after-reading" });
+    t.after(() => lost.close());
+    const refusing = await setUp(t);
+    refusing.proxy.dispatcher.refusal = new CallError("overloaded", "", 50);
+    const { proxy } = await setUp(t, [], { passTo: () => [lost.address, refusing.proxy.address] });
+    const { headers } = await sendRequest(proxy.port);
+    assert.deepEqual([headers["bm-error"], headers["bm-ran"]], ["server-lost", "outcome unknown"]);
+    assert.equal(headers["bm-retry-after-ms"], "50");
+    assert.equal(lost.counts.ran, 1);
+});
