--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -79,8 +79,9 @@
         const headers = parseCallHeaders(this.#req.headers);
         this.#timing.service = target.service;
         this.#timing.tenant = headers.tenant;
-        const route = this.#findRoute(target.service, headers.forwarded);
-        const cls = this.#findClass(route, target, headers);
+        const service = this.#findRoute(target.service, headers.forwarded);
+        const found = this.#findClass(service, target, headers);
+        const [route, cls] = found instanceof CallError ? [found, undefined] : [service, found];
         this.#setDeadline(headers, cls);
         const guard = new OnceGuard(this.#options, headers, cls);
         return guard.isNeeded
@@ -181,14 +182,18 @@
         route: ServiceRoute | CallError,
         target: CallTarget,
         headers: CallHeaders,
-    ): RequestClass | undefined {
+    ): RequestClass | CallError {
         if (route instanceof CallError) {
-            return undefined;
+            return route;
+        }
+        try {
+            const method = this.#req.method ?? "GET";
+            const cls = findClass(route.service, method, target.decodedPath, headers.class);
+            this.#timing.class = cls.name;
+            return cls;
+        } catch (err) {
+            return toCallError(err);
         }
-        const method = this.#req.method ?? "GET";
-        const cls = findClass(route.service, method, target.decodedPath, headers.class);
-        this.#timing.class = cls.name;
-        return cls;
     }
 
     #setDeadline(headers: CallHeaders, cls: RequestClass | undefined): void {
--- a/packages/proxy/test/faults.test.ts
+++ b/packages/proxy/test/faults.test.ts
@@ -241,6 +241,7 @@
     assert.ok(service);
     proxy.service = { ...service, classes: service.classes.slice(1) };
     assert.equal((await retry({})).text, "ran o");
+    assert.equal((await retry({ "bm-class": "order" })).text, "ran o");
     proxy.service = undefined;
     assert.equal((await retry({})).text, "ran o");
     assert.deepEqual(backends[0]?.counts.runs, { o: 1 });
