--- a/packages/gateway/test/callerdisconnect.test.ts
+++ b/packages/gateway/test/callerdisconnect.test.ts
@@ -1,39 +1,22 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "node:test";
-import { Worker } from "node:worker_threads";
-import { blockEventLoop, runShortTurns, startHastyCallers } from "@bramleymoor/testkit/hastycallers";
-import { requestText, responseText, sendRaw, startFrontend, startRawServer } from "./setup.js";
+import { HastyCallers, runShortTurns } from "@bramleymoor/testkit/hastycallers";
+import { requestText, responseText, sendRaw, startFrontend, startRawServer, waitUntil } from "./setup.js";
 
 const requestTexts = (count: number): readonly string[] =>
     Array.from({ length: count }, (_, i) => requestText(`gone-${i}`));
 
-/** Source of a worker: callers that connect, and on a message send their requests and disconnect at once. */
-const disconnectingCallers = `
-    const { connect } = require("node:net");
-    const { parentPort, workerData } = require("node:worker_threads");
-    const sockets = workerData.heads.map(() => connect(workerData.port, "127.0.0.1"));
-    Promise.all(sockets.map(it => new Promise(resolve => it.on("connect", resolve)))).then(() => {
-        parentPort.once("message", () => sockets.forEach((it, i) => it.end(workerData.heads[i])));
-        parentPort.postMessage("connected");
-    });
-`;
-
 const delay = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 test("a request whose caller disconnects before it is read reaches no server", async t => {
     const server = await startRawServer(t, "s1", ({ socket, id }) => socket.write(responseText(id, "hello")));
-    const { port } = await startFrontend(t, [server]);
+    const { port, records } = await startFrontend(t, [server]);
     await sendRaw(port, requestText("warm"));
-    const callers = new Worker(disconnectingCallers, {
-        eval: true,
-        workerData: { port, heads: requestTexts(10) },
-    });
-    await once(callers, "message");
-    callers.postMessage("send and disconnect");
-    blockEventLoop(300);
-    await delay(200);
+    const callers = new HastyCallers(port, requestTexts(10));
+    await callers.connected();
+    callers.leaveUnnoticed(300);
+    await waitUntil(() => records.length >= 11);
     await callers.terminate();
     assert.deepEqual(
         server.requests.map(it => it.id),
@@ -43,12 +26,11 @@
 
 test("a request whose caller disconnects before its connection is accepted reaches no server", async t => {
     const server = await startRawServer(t, "s1", ({ socket, id }) => socket.write(responseText(id, "hello")));
-    const { port } = await startFrontend(t, [server]);
+    const { port, records } = await startFrontend(t, [server]);
     await sendRaw(port, requestText("warm"));
-    const callers = startHastyCallers(port, requestTexts(60));
-    await once(callers, "online");
-    blockEventLoop(300);
-    await runShortTurns(1_500, 8);
+    const callers = new HastyCallers(port, requestTexts(60));
+    callers.leaveUnnoticed(300);
+    await runShortTurns(8, () => records.length >= 61);
     await callers.terminate();
     assert.deepEqual(
         server.requests.map(it => it.id),
@@ -57,18 +39,16 @@
 });
 
 test("the send of an idempotent request is aborted when its caller disconnects", async t => {
-    let closedAt = 0;
+    let closed = false;
     const server = await startRawServer(t, "s1", ({ socket }) => {
-        socket.on("close", () => (closedAt = performance.now()));
+        socket.on("close", () => (closed = true));
     });
-    const { port } = await startFrontend(t, [server]);
+    const { port, records } = await startFrontend(t, [server]);
     const socket = connect(port, "127.0.0.1", () => socket.write(requestText("a")));
-    await delay(100);
-    assert.equal(server.requests.length, 1);
-    const leftAt = performance.now();
+    await waitUntil(() => server.requests.length === 1);
     socket.destroy();
-    await delay(100);
-    assert.ok(closedAt > leftAt && closedAt - leftAt < 100);
+    await waitUntil(() => closed && records.length === 1);
+    assert.equal(records[0]?.outcome, "caller-gone");
 });
 
 test("the send of a non-idempotent request continues when its caller disconnects", async t => {
@@ -80,7 +60,7 @@
     const socket = connect(port, "127.0.0.1", () =>
         socket.write(requestText("a", { method: "POST", body: "b" })),
     );
-    await delay(100);
+    await waitUntil(() => server.requests.length === 1);
     socket.destroy();
     await delay(100);
     assert.equal(closed, false);
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -309,3 +309,10 @@
         socket.on("error", () => done("reset"));
         socket.on("close", () => done("closed"));
     });
+
+/** Waits until `condition` holds, checking it in each turn of the event loop. */
+export const waitUntil = async (condition: () => boolean): Promise<void> => {
+    while (!condition()) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+};
--- a/packages/testkit/src/hastycallers.ts
+++ b/packages/testkit/src/hastycallers.ts
@@ -1,16 +1,66 @@
 /** Callers that leave at once, and a busy event loop in which nobody notices. */
 
+import { once } from "node:events";
 import { Worker } from "node:worker_threads";
 
 const source = `
     const { connect } = require("node:net");
-    const { workerData } = require("node:worker_threads");
-    workerData.texts.forEach(text => connect(workerData.port, "127.0.0.1").end(text));
+    const { parentPort, workerData: { port, texts, left } } = require("node:worker_threads");
+    const sockets = texts.map(() => connect(port, "127.0.0.1").on("error", () => undefined));
+    const leave = () => sockets.forEach((socket, i) => socket.end(texts[i], () => {
+        Atomics.add(left, 0, 1);
+        Atomics.notify(left, 0);
+    }));
+    let connected = 0;
+    sockets.forEach(socket => socket.once("connect", () => {
+        connected++;
+        if (connected === texts.length) {
+            parentPort.postMessage("connected");
+        }
+    }));
+    parentPort.once("message", leave);
 `;
 
-/** Starts a worker that opens a connection for each text, sends it and disconnects without waiting. */
-export const startHastyCallers = (port: number, texts: readonly string[]): Worker =>
-    new Worker(source, { eval: true, workerData: { port, texts } });
+/** Callers in a thread of their own that send their requests and disconnect without waiting. */
+export class HastyCallers {
+    readonly #worker: Worker;
+    readonly #count: number;
+    /** Number of callers that have disconnected. */
+    readonly #left = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+
+    /** Opens a connection for each text. */
+    constructor(port: number, texts: readonly string[]) {
+        this.#count = texts.length;
+        this.#worker = new Worker(source, { eval: true, workerData: { port, texts, left: this.#left } });
+    }
+
+    /** Resolves when all connections are established. */
+    async connected(): Promise<void> {
+        await once(this.#worker, "message");
+    }
+
+    /**
+     * Lets the callers send their texts and disconnect; keeps the event loop from running until all have done so, and for
+     * `blockedMs` milliseconds more.
+     *
+     * @throws Error if they have not left within 30 s
+     */
+    leaveUnnoticed(blockedMs: number): void {
+        this.#worker.postMessage("leave");
+        const until = performance.now() + maxWaitMs;
+        for (let left = 0; left < this.#count; left = Atomics.load(this.#left, 0)) {
+            if (Atomics.wait(this.#left, 0, left, until - performance.now()) === "timed-out") {
+                throw new Error(`only ${left} of ${this.#count} callers have left`);
+            }
+        }
+        blockEventLoop(blockedMs);
+    }
+
+    /** Ends the thread. */
+    async terminate(): Promise<void> {
+        await this.#worker.terminate();
+    }
+}
 
 /** Keeps the event loop from running, as a busy processor would. */
 export const blockEventLoop = (ms: number): void => {
@@ -20,15 +70,25 @@
     }
 };
 
-/** Keeps the event loop busy in short turns, each of which accepts one connection. */
-export const runShortTurns = async (totalMs: number, turnMs: number): Promise<void> => {
-    const until = performance.now() + totalMs;
-    while (performance.now() < until) {
+/**
+ * Keeps the event loop busy in short turns, each of which accepts one connection, until `done` returns true.
+ *
+ * @throws Error if that takes more than 30 s
+ */
+export const runShortTurns = async (turnMs: number, done: () => boolean): Promise<void> => {
+    const until = performance.now() + maxWaitMs;
+    while (!done()) {
+        if (performance.now() > until) {
+            throw new Error("the condition did not come true");
+        }
         blockEventLoop(turnMs);
         await new Promise(resolve => setImmediate(resolve));
     }
 };
 
+/** A last resort; on a busy machine a wait may take seconds. */
+const maxWaitMs = 30_000;
+
 /**
  * Starts callers in a thread of their own that connect, send their requests and wait for the responses. The worker posts
  * how many got one once all connections have ended.
