--- a/packages/entry/src/slotchannel.ts
+++ b/packages/entry/src/slotchannel.ts
@@ -62,9 +62,16 @@
         return this.#bytes;
     }
 
-    /** Starts to listen on a UDP port. */
-    async listen(port: number, host: string): Promise<void> {
-        await new Promise<void>(resolve => this.#socket.bind(port, host, resolve));
+    /** Starts to listen on a UDP port; resolves to the port and rejects if it can't be bound. */
+    async listen(port: number, host: string): Promise<number> {
+        await new Promise<void>((resolve, reject) => {
+            this.#socket.once("error", reject);
+            this.#socket.bind(port, host, () => {
+                this.#socket.off("error", reject);
+                resolve();
+            });
+        });
+        return this.#socket.address().port;
     }
 
     /** Sends a message to "IP:port" without confirmation; a message too large for one datagram is dropped. */
