--- a/packages/entry/src/bramleymoord.ts
+++ b/packages/entry/src/bramleymoord.ts
@@ -5,15 +5,12 @@
  */
 
 import { EventLog } from "@bramleymoor/observe/event-log";
+import { reportFailedStart, startExitCodes } from "@bramleymoor/observe/start-failure";
 import { HttpPlatform } from "@bramleymoor/platform/http";
 import { MemoryPlatform } from "@bramleymoor/platform/memory";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { EntryNode, type Platform } from "./node.js";
-import { readSettings, SettingsError, type Settings } from "./settings.js";
-
-const exitCodeSettingsError = 2;
-const exitCodeStartFailed = 3;
-const exitCodeForcedStop = 4;
+import { findPortSetting, readSettings, SettingsError, type Settings } from "./settings.js";
 
 const write = (line: string): void => {
     process.stdout.write(`${line}\n`);
@@ -23,13 +20,13 @@
     const [file, ...rest] = process.argv.slice(2);
     if (file === undefined || rest.length > 0) {
         process.stderr.write("usage: bramleymoord SETTINGS.INI\n");
-        process.exit(exitCodeSettingsError);
+        process.exit(startExitCodes.settingsInvalid);
     }
     try {
         return readSettings(file);
     } catch (err) {
         process.stderr.write(`${err instanceof SettingsError ? err.message : String(err)}\n`);
-        process.exit(exitCodeSettingsError);
+        process.exit(startExitCodes.settingsInvalid);
     }
 };
 
@@ -51,7 +48,7 @@
     const stop = (signal: NodeJS.Signals): void => {
         signalCount++;
         if (signalCount > 1) {
-            process.exit(exitCodeForcedStop);
+            process.exit(startExitCodes.forcedStop);
         }
         void node.stop(signal).then(() => process.exit(0));
     };
@@ -60,8 +57,7 @@
     try {
         await node.start();
     } catch (err) {
-        events.emit("port-unavailable", { address: "a configured port", reason: String(err) });
-        process.exit(exitCodeStartFailed);
+        process.exit(reportFailedStart(events, err, address => findPortSetting(settings, address)));
     }
 };
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -125,6 +125,8 @@
     readonly entry: ParsedSettings["entry"] & { readonly ordinal: number };
     /** The key itself, from `key` or `key-file`. */
     readonly sharedKey: string;
+    /** Where the addresses to listen on are set: "[ports] NAME, FILE:LINE". */
+    readonly portSources: Readonly<Record<keyof ParsedSettings["ports"], string>>;
 };
 
 /** Thrown for an invalid settings file; the message has one line for each error, with file, line number and key. */
@@ -161,7 +163,35 @@
     }
     const { entry, peers } = checked.data;
     const ordinal = entry.ordinal ?? peers["most-vms"];
-    return { ...checked.data, entry: { ...entry, ordinal }, sharedKey: resolveSharedKey(peers, file) };
+    return {
+        ...checked.data,
+        entry: { ...entry, ordinal },
+        sharedKey: resolveSharedKey(peers, file),
+        portSources: findPortSources(ini),
+    };
+};
+
+/**
+ * Returns which settings name an address "IP:port", with file and line. An address whose port the system chose is found by
+ * port 0.
+ */
+export const findPortSetting = ({ ports, portSources }: Settings, address: string): string => {
+    const names = Object.keys(ports) as (keyof Settings["ports"])[];
+    const format = (name: keyof Settings["ports"]): string => `${ports[name].host}:${ports[name].port}`;
+    const exact = names.filter(name => format(name) === address);
+    const anyPort = names.filter(name => format(name) === address.replace(/:\d+$/, ":0"));
+    return (exact.length > 0 ? exact : anyPort).map(name => portSources[name]).join("; ");
+};
+
+const findPortSources = ({ sections: parsed, file }: IniFile): Settings["portSources"] => {
+    const entries = parsed.find(section => section.name === "ports")?.entries ?? [];
+    const sourceOf = (name: string): string =>
+        `[ports] ${name}, ${file}:${entries.find(entry => entry.key === name)?.line}`;
+    return {
+        callers: sourceOf("callers"),
+        operators: sourceOf("operators"),
+        peers: sourceOf("peers"),
+    };
 };
 
 const readFile = (file: string): string => {
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -187,6 +187,7 @@
         signal: "string",
     }),
     stopped: defineEvent(5007, "info", "Stopped; {cut} calls were aborted.", { cut: "number" }),
+    "start-failed": defineEvent(5008, "error", "The start failed: {reason}.", { reason: "string" }),
     "settings-read": defineEvent(
         6001,
         "info",
@@ -201,8 +202,27 @@
             reason: "string",
         },
     ),
-    "port-unavailable": defineEvent(6003, "error", "Can't listen on {address}: {reason}.", {
+    "port-unavailable": defineEvent(
+        6003,
+        "error",
+        "Can't listen on {address}, set by {setting}: {reason}. Another socket uses the port.",
+        { address: "string", setting: "string", reason: "string" },
+    ),
+    "address-not-local": defineEvent(
+        6004,
+        "error",
+        "Can't listen on {address}, set by {setting}: {reason}. No interface of this VM has the address.",
+        { address: "string", setting: "string", reason: "string" },
+    ),
+    "port-forbidden": defineEvent(
+        6005,
+        "error",
+        "Can't listen on {address}, set by {setting}: {reason}. The process lacks the permission.",
+        { address: "string", setting: "string", reason: "string" },
+    ),
+    "listen-failed": defineEvent(6006, "error", "Can't listen on {address}, set by {setting}: {reason}.", {
         address: "string",
+        setting: "string",
         reason: "string",
     }),
     "peer-refused": defineEvent(7001, "warn", "Peer request from {address} refused: {reason}.", {
