--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -300,6 +300,8 @@
         follower.changes.subscribe(accepted => {
             this.#reporter.recordVersion(accepted);
             this.#services.setAccepted(accepted, monotonicMs());
+            this.#slotMessageFilter.retainServices(accepted.spec.services);
+            this.#callServer.retainServices(accepted.spec.services);
             this.#markReady(accepted.number);
         });
         return follower;
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -107,9 +107,11 @@
         return this.#placements.get(service)?.[index]?.peerAddress;
     }
 
-    /** Records the calls per second that another dispatcher of a service receives. */
+    /** Records the calls per second that another dispatcher of a service receives; ignores services unknown here. */
     recordPeerRate(service: string, peer: string, perSecond: number, now: number): void {
-        this.#demandTracker.recordRate(service, peer, perSecond, now);
+        if (this.#accepted?.spec.services.has(service)) {
+            this.#demandTracker.recordRate(service, peer, perSecond, now);
+        }
     }
 
     /** Ends the rate period of every service, and places the services by the updated demand. */
@@ -245,10 +247,11 @@
         for (const service of services.values()) {
             this.#placeService(service, now);
         }
-        for (const name of this.#entries.keys()) {
-            if (!services.has(name)) {
-                this.#entries.delete(name);
-                this.#placements.delete(name);
+        for (const byService of [this.#entries, this.#placements]) {
+            for (const name of byService.keys()) {
+                if (!services.has(name)) {
+                    byService.delete(name);
+                }
             }
         }
     }
--- a/packages/entry/src/slotmessagefilter.ts
+++ b/packages/entry/src/slotmessagefilter.ts
@@ -9,26 +9,37 @@
 
 /** Drops most hints of idle dispatchers. */
 export class SlotMessageFilter {
-    readonly #sentAt = new Map<string, number>();
+    /** When the last hint was sent, by service and by index of the dispatcher. */
+    readonly #sentAt = new Map<string, Map<number, number>>();
 
     /**
      * Returns whether to send a message now to the dispatcher of `service` with index `to`; a hint that is to be sent
      * is recorded as sent.
      */
     shouldSend(service: string, to: number, message: PeerMessage, now: number): boolean {
-        const key = `${service} ${to}`;
+        const sentAt = this.#sentAt.get(service) ?? new Map<number, number>();
         if (message.kind === "loan") {
             // The borrower may not know this demand yet, so the next hint is sent even if idle.
-            this.#sentAt.delete(key);
+            sentAt.delete(to);
         }
         if (message.kind !== "hint") {
             return true;
         }
-        const due = now - (this.#sentAt.get(key) ?? -Infinity) >= idleHintPeriodMs;
+        const due = now - (sentAt.get(to) ?? -Infinity) >= idleHintPeriodMs;
         if (message.demand < idleDemandThreshold && !due) {
             return false;
         }
-        this.#sentAt.set(key, now);
+        sentAt.set(to, now);
+        this.#sentAt.set(service, sentAt);
         return true;
     }
+
+    /** Removes services that the accepted configuration no longer has. */
+    retainServices(services: ReadonlyMap<string, unknown>): void {
+        for (const service of this.#sentAt.keys()) {
+            if (!services.has(service)) {
+                this.#sentAt.delete(service);
+            }
+        }
+    }
 }
--- a/packages/entry/test/slotmessagefilter.test.ts
+++ b/packages/entry/test/slotmessagefilter.test.ts
@@ -32,3 +32,12 @@
     assert.ok(filter.shouldSend("stops", 1, hint(0), 2));
     assert.ok(filter.shouldSend("desk", 1, { version: 1, kind: "ask", from: 0 }, 3));
 });
+
+test("a removed service is forgotten, so that its first hint after its return is sent", () => {
+    const filter = new SlotMessageFilter();
+    assert.ok(filter.shouldSend("desk", 1, hint(0), 0));
+    assert.ok(filter.shouldSend("stops", 1, hint(0), 0));
+    filter.retainServices(new Map([["stops", {}]]));
+    assert.ok(filter.shouldSend("desk", 1, hint(0), 100));
+    assert.ok(!filter.shouldSend("stops", 1, hint(0), 100));
+});
--- a/packages/proxy/src/retries.ts
+++ b/packages/proxy/src/retries.ts
@@ -7,6 +7,15 @@
 export class RetryBudgets {
     readonly #budgets = new Map<string, { readonly share: number; readonly budget: RetryBudget }>();
 
+    /** Removes services that the accepted configuration no longer has. */
+    retainServices(services: ReadonlyMap<string, unknown>): void {
+        for (const name of this.#budgets.keys()) {
+            if (!services.has(name)) {
+                this.#budgets.delete(name);
+            }
+        }
+    }
+
     /** Returns the retry budget of a service. */
     forService(service: Service): RetryBudget {
         const found = this.#budgets.get(service.name);
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -45,6 +45,11 @@
         return this.#running.size;
     }
 
+    /** Removes the retry budgets of services that the accepted configuration no longer has. */
+    retainServices(services: ReadonlyMap<string, unknown>): void {
+        this.#options.retryBudgets.retainServices(services);
+    }
+
     /** Starts listening and resolves with the port; port 0 lets the system choose one. */
     listen(port: number, host: string): Promise<number> {
         return new Promise((resolve, reject) => {
