--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -51,7 +51,7 @@
 
 const name = z
     .string()
-    .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "a name of letters, digits, dots and dashes");
+    .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "a name of letters, digits, dots, underscores and dashes");
 
 const wholeNumber = (min: number, max: number) =>
     z
--- a/packages/entry/test/settings.test.ts
+++ b/packages/entry/test/settings.test.ts
@@ -63,6 +63,13 @@
     }
 });
 
+test("the message on an invalid name lists every character that is accepted", () => {
+    const withName = (id: string) => validLines.map(line => (line.startsWith("id") ? `id = ${id}` : line));
+    const named = parseSettings(withName("a.b-c_9").join("\n"), "node.ini");
+    assert.equal(named.entry.id, "a.b-c_9");
+    assert.match(errorsOf(withName("a b")), /a name of letters, digits, dots, underscores and dashes/);
+});
+
 test("an entry VM without an ordinal gets one that never probes", () => {
     const probing = (lines: readonly string[]) => {
         const { entry, peers } = parseSettings(lines.join("\n"), "node.ini");
