--- a/packages/bench/src/slopes-dispatch.ts
+++ b/packages/bench/src/slopes-dispatch.ts
@@ -209,7 +209,11 @@
 
 const hintBytes = (service: Service, count: number): number => {
     const seconds = 10;
-    const channel = new SlotChannel("a key of this measurement", () => undefined);
+    const channel = new SlotChannel(
+        "a key of this measurement",
+        () => undefined,
+        () => undefined,
+    );
     const id = "entry-001";
     const peers = {
         send: (_to: number, message: Parameters<SlotSharing["receive"]>[0]) =>
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -112,8 +112,10 @@
             (service, serverMs, bytes) => this.#reporter.recordProbe(service, serverMs, bytes),
         );
         this.#services = this.#createServices();
-        this.#slotChannel = new SlotChannel(sharedKey, datagram =>
-            this.#services.receive(datagram, monotonicMs()),
+        this.#slotChannel = new SlotChannel(
+            sharedKey,
+            datagram => this.#services.receive(datagram, monotonicMs()),
+            (address, reason) => events.emit("peer-refused", { address, reason }),
         );
         this.#callServer = this.#createCallServer();
         this.#peerServer = new PeerServer(
--- a/packages/entry/src/slotchannel.ts
+++ b/packages/entry/src/slotchannel.ts
@@ -12,6 +12,7 @@
 const macBytes = 16;
 const maxDatagramBytes = 1_400;
 const maxLentServers = 256;
+const maxPort = 65_535;
 /** Bytes of the IPv4 and UDP headers, counted for each datagram. */
 const ipUdpHeaderBytes = 28;
 
@@ -45,12 +46,21 @@
 export class SlotChannel {
     readonly #key: string;
     readonly #onDatagram: (datagram: SlotDatagram) => void;
+    readonly #onRejected: (address: string, reason: string) => void;
     readonly #socket: Socket = createSocket("udp4");
     #bytes = 0;
 
-    /** @param key the peers' shared key, which authenticates the datagrams */
-    constructor(key: string, onDatagram: (datagram: SlotDatagram) => void) {
+    /**
+     * @param key the peers' shared key, which authenticates the datagrams
+     * @param onRejected called for a message to a peer address that is not valid
+     */
+    constructor(
+        key: string,
+        onDatagram: (datagram: SlotDatagram) => void,
+        onRejected: (address: string, reason: string) => void,
+    ) {
         this.#key = key;
+        this.#onRejected = onRejected;
         this.#onDatagram = onDatagram;
         this.#socket.on("message", data => this.#handleDatagram(data));
         // A send error counts as a lost datagram.
@@ -82,8 +92,13 @@
             return;
         }
         const colon = address.lastIndexOf(":");
+        const port = Number(address.slice(colon + 1));
+        if (!(port > 0 && port <= maxPort)) {
+            this.#onRejected(address, "the address has no valid port");
+            return;
+        }
         this.#bytes += data.length + ipUdpHeaderBytes;
-        this.#socket.send(data, Number(address.slice(colon + 1)), address.slice(0, colon));
+        this.#socket.send(data, port, address.slice(0, colon));
     }
 
     /** Closes the socket. */
