--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -112,8 +112,10 @@
             (service, serverMs, bytes) => this.#reporter.recordProbe(service, serverMs, bytes),
         );
         this.#services = this.#createServices();
-        this.#slotChannel = new SlotChannel(sharedKey, datagram =>
-            this.#services.receive(datagram, monotonicMs()),
+        this.#slotChannel = new SlotChannel(
+            sharedKey,
+            datagram => this.#services.receive(datagram, monotonicMs()),
+            (address, reason) => events.emit("peer-refused", { address, reason }),
         );
         this.#callServer = this.#createCallServer();
         this.#peerServer = new PeerServer(
@@ -300,6 +302,8 @@
         follower.changes.subscribe(accepted => {
             this.#reporter.recordVersion(accepted);
             this.#services.setAccepted(accepted, monotonicMs());
+            this.#slotMessageFilter.retainServices(accepted.spec.services);
+            this.#callServer.retainServices(accepted.spec.services);
             this.#markReady(accepted.number);
         });
         return follower;
--- a/packages/proxy/test/callerdisconnect.test.ts
+++ b/packages/proxy/test/callerdisconnect.test.ts
@@ -1,8 +1,7 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
 import { connect } from "node:net";
 import { test, type TestContext } from "node:test";
-import { blockEventLoop, runShortTurns, startHastyCallers } from "@bramleymoor/testkit/hastycallers";
+import { blockEventLoop, HastyCallers, runShortTurns } from "@bramleymoor/testkit/hastycallers";
 import { EventLoopLag } from "../src/eventlooplag.js";
 import { setUp, waitUntil } from "./setup.js";
 
@@ -27,11 +26,9 @@
 test("a call whose caller disconnects before its connection is accepted reaches no server", async t => {
     const { proxy, backends } = await setUp(t, [{}], { lagMs: startLagMeter(t) });
     const heads = Array.from({ length: 60 }, (_, i) => callHead(`gone-${i}`));
-    const callers = startHastyCallers(proxy.port, heads);
-    await once(callers, "online");
-    blockEventLoop(300);
-    await runShortTurns(1_500, 8);
-    await waitUntil(() => proxy.records.length >= heads.length);
+    const callers = new HastyCallers(proxy.port, heads);
+    callers.leaveUnnoticed(300);
+    await runShortTurns(8, () => proxy.records.length >= heads.length);
     await callers.terminate();
     assert.deepEqual(backends[0]?.counts.runs, {});
     assert.equal(proxy.records.length, heads.length);
@@ -40,10 +37,9 @@
 test("a pipelined call whose caller disconnects before its connection is accepted reaches no server", async t => {
     const { proxy, backends } = await setUp(t, [{}], { lagMs: startLagMeter(t) });
     const texts = Array.from({ length: 60 }, (_, i) => callHead(`first-${i}`) + callHead(`second-${i}`));
-    const callers = startHastyCallers(proxy.port, texts);
-    await once(callers, "online");
-    blockEventLoop(300);
-    await runShortTurns(1_500, 8);
+    const callers = new HastyCallers(proxy.port, texts);
+    callers.leaveUnnoticed(300);
+    await runShortTurns(8, () => proxy.records.length >= 2 * texts.length);
     await callers.terminate();
     assert.deepEqual(backends[0]?.counts.runs, {});
 });
