--- a/packages/balance/src/probebudget.ts
+++ b/packages/balance/src/probebudget.ts
@@ -19,15 +19,18 @@
 export class ProbeBudget {
     #perServerPerSecond: number;
     #tokens = 0;
-    #maxTokens = maxPerRequest;
+    /** Number of requests of about the last second, each counted less the longer ago it was. */
+    #recentRequests = 0;
     #refilledAt: number;
-    #perRequest = initialPerRequest;
+    #perRequest = maxPerRequest;
     #perSecond = 0;
+    readonly #createdAt: number;
 
     /** @param perServerPerSecond maximum probes per second to each server on average, from all entry VMs together */
     constructor(perServerPerSecond: number, now: number) {
         this.#perServerPerSecond = perServerPerSecond;
         this.#refilledAt = now;
+        this.#createdAt = now;
     }
 
     /** Probes that may be sent for each request of this entry VM, on average. */
@@ -42,26 +45,25 @@
 
     /**
      * Computes this entry VM's part anew. Entry VMs that it doesn't know, as after a network partition, are assumed to
-     * have as many requests as the known ones.
-     *
-     * @param ownRequestsPerSecond requests for the service that this entry VM gets
+     * have as many requests as the known ones. While an entry VM that has just started knows none, all of its requests
+     * may be preceded by probes: without any load report it would send them to servers that are full.
      */
-    update(fleet: FleetDemand, ownRequestsPerSecond: number, now: number): void {
+    update(fleet: FleetDemand, now: number): void {
         this.#refill(now);
+        if (fleet.entryVms === Infinity && now - this.#createdAt < startupMs) {
+            return;
+        }
         const total = this.#perServerPerSecond * fleet.servers * safetyFactor;
         const unknownFactor = Math.max(1, fleet.entryVms / Math.max(1, fleet.knownEntryVms));
         const demand = Math.max(1, fleet.requestsPerSecond ?? Infinity) * unknownFactor;
         this.#perSecond = (total * equalShare) / Math.max(1, fleet.entryVms);
         this.#perRequest = Math.min(maxPerRequest, (total * (1 - equalShare)) / demand);
-        this.#maxTokens = Math.max(
-            maxPerRequest,
-            (this.#perSecond + ownRequestsPerSecond * this.#perRequest) * bucketSeconds,
-        );
     }
 
     /** Adds what a request contributes. */
     recordRequest(now: number): void {
         this.#refill(now);
+        this.#recentRequests++;
         this.#add(this.#perRequest);
     }
 
@@ -81,12 +83,17 @@
     }
 
     #refill(now: number): void {
-        this.#add((Math.max(0, now - this.#refilledAt) * this.#perSecond) / msPerSecond);
+        const elapsedMs = Math.max(0, now - this.#refilledAt);
         this.#refilledAt = now;
+        this.#recentRequests *= Math.exp(-elapsedMs / bucketMs);
+        this.#add((this.#perSecond * elapsedMs) / msPerSecond);
     }
 
+    /** Adds probes, up to what a second contributes. */
     #add(tokens: number): void {
-        this.#tokens = Math.min(this.#maxTokens, this.#tokens + tokens);
+        const maxTokens =
+            (this.#perSecond * bucketMs) / msPerSecond + this.#recentRequests * this.#perRequest;
+        this.#tokens = Math.min(Math.max(maxPerRequest, maxTokens), this.#tokens + tokens);
     }
 }
 
@@ -94,10 +101,10 @@
 const safetyFactor = 0.75;
 /** Share of the budget that is divided equally, for entry VMs whose requests the others don't know of. */
 const equalShare = 0.25;
-/** Applies until the first update, while neither demand nor members are known. */
-const initialPerRequest = 1;
+/** Time from the start within which an entry VM usually meets the others. */
+const startupMs = 5_000;
 /** As many as the servers that are compared for one request. */
 const maxPerRequest = 3;
-/** Length of a burst that unused probes may serve. */
-const bucketSeconds = 1;
+/** Time for which probes that aren't used may be used later. */
+const bucketMs = 1_000;
 const msPerSecond = 1_000;
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -34,7 +34,7 @@
     readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
 }
 
-type ServiceDemand = Pick<DemandExchange, "serviceRate" | "ownServiceRate" | "knownEntryVms">;
+type ServiceDemand = Pick<DemandExchange, "serviceRate" | "knownEntryVms">;
 
 /** Holds a dispatcher, a retry budget and a probe budget for each service of the configuration. */
 export class ServiceDispatchers {
@@ -74,7 +74,7 @@
                 knownEntryVms: demand.knownEntryVms,
                 entryVms,
             };
-            probeBudget.update(fleet, demand.ownServiceRate(name), now);
+            probeBudget.update(fleet, now);
         }
     }
 
