--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -3,7 +3,7 @@
 import type { Balancer, Reservation } from "@bramleymoor/balance/balancer";
 import type { ProbeBudget } from "@bramleymoor/balance/probebudget";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
-import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
+import { incarnationKey, type ServerEntry, type ServiceSettings } from "@bramleymoor/model/route";
 import type { ProbeClient } from "./probeclient.js";
 import { ProbeRound } from "./proberound.js";
 import { ProbeUsage, type ProbeUsageReport } from "./probeusage.js";
@@ -33,8 +33,8 @@
     readonly #recordLimit: DispatcherOptions["recordLimit"];
     readonly #clock: () => number;
     readonly #usage: ProbeUsage;
-    /** Number of probes in flight by server id. */
-    readonly #probesInFlight = new Map<string, number>();
+    /** Probes in flight by incarnation key; each resolves when its result has been recorded. */
+    readonly #pendingProbes = new Map<string, Promise<void>>();
     readonly #waiting = new Map<Request, (result: AcquireResult) => void>();
     #settings: ServiceSettings;
 
@@ -146,7 +146,7 @@
         const round = new ProbeRound({
             servers: reservation.candidates,
             needsProbe: it => this.#balancer.needsProbe(it, this.#clock()),
-            tryTake: () => this.#probeBudget.tryTake(this.#clock()),
+            tryTake: ({ key }) => this.#pendingProbes.has(key) || this.#probeBudget.tryTake(this.#clock()),
             probe: ({ entry }) => {
                 probes++;
                 return this.#probe(entry);
@@ -164,14 +164,27 @@
         return round.start();
     }
 
-    async #probe(server: ServerEntry): Promise<void> {
+    /** Probes a server and records the result once, however many requests wait for it. */
+    #probe(server: ServerEntry): Promise<void> {
+        const key = incarnationKey(server);
+        const pending = this.#pendingProbes.get(key);
+        if (pending) {
+            this.#usage.record("shared");
+            return pending;
+        }
+        const result = this.#sendProbe(server).finally(() => this.#pendingProbes.delete(key));
+        this.#pendingProbes.set(key, result);
+        this.#usage.recordSent(server.id, this.#pendingProbes.size);
+        return result;
+    }
+
+    async #sendProbe(server: ServerEntry): Promise<void> {
         const startedAt = this.#clock();
         this.#balancer.recordProbeSent(server);
-        this.#recordProbeBegin(server);
         const response = await this.#probeClient.probe(server, this.#settings.healthPath, () =>
             this.#probeBudget.recordUnplanned(),
         );
-        this.#recordProbeEnd(server, response !== undefined);
+        this.#usage.record(response ? "answered" : "unanswered");
         if (!response || response.misdirected) {
             this.#balancer.recordUnansweredProbe(server, this.#clock());
             return;
@@ -186,26 +199,6 @@
         }
     }
 
-    #recordProbeBegin({ id }: ServerEntry): void {
-        const inFlight = this.#probesInFlight.get(id) ?? 0;
-        this.#probesInFlight.set(id, inFlight + 1);
-        if (inFlight > 0) {
-            this.#usage.record("shared");
-        } else {
-            this.#usage.recordSent(id, this.#probesInFlight.size);
-        }
-    }
-
-    #recordProbeEnd({ id }: ServerEntry, isAnswered: boolean): void {
-        const inFlight = this.#probesInFlight.get(id) ?? 0;
-        if (inFlight > 1) {
-            this.#probesInFlight.set(id, inFlight - 1);
-            return;
-        }
-        this.#probesInFlight.delete(id);
-        this.#usage.record(isAnswered ? "answered" : "unanswered");
-    }
-
     /**
      * Returns false if none of the candidates has a free slot any more; the request then keeps waiting.
      *
--- a/packages/gateway/src/proberound.ts
+++ b/packages/gateway/src/proberound.ts
@@ -9,8 +9,8 @@
     readonly servers: readonly ServerState[];
     /** Whether a probe of a server would still add something. */
     readonly needsProbe: (server: ServerState) => boolean;
-    /** Debits a probe from the budget; false if the budget is used up. */
-    readonly tryTake: () => boolean;
+    /** Debits a probe from the budget, unless one to the server is in flight; false if the budget is used up. */
+    readonly tryTake: (server: ServerState) => boolean;
     /** Probes a server, and resolves when the result has been recorded; never rejects. */
     readonly probe: (server: ServerState) => Promise<void>;
     /** Whether a candidate is known to which no other can be much preferable. */
@@ -57,7 +57,7 @@
     #probeNext(): boolean {
         this.#cancelStagger();
         const server = this.#takeServer();
-        if (!server || !(server.probePending || this.#options.tryTake())) {
+        if (!server || !this.#options.tryTake(server)) {
             return false;
         }
         this.#outstanding++;
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -31,6 +31,7 @@
     readonly #t: TestContext;
     now = 0;
     readonly pendingProbes = new Map<string, (response: ProbeResponse | undefined) => void>();
+    readonly #responses = new Map<string, Promise<ProbeResponse | undefined>>();
     readonly dispatcher: Dispatcher;
     readonly probeBudget = new ProbeBudget(1_000, 0);
     /** Recorded limits by server id. */
@@ -44,8 +45,12 @@
         const settings: ServiceSettings = { name: "svc", healthPath: "/healthz", maxConnections: 100 };
         const balancer = new Balancer({ candidateCount: 5, domain: "a" }, () => 0);
         const probeClient = {
-            probe: ({ id }: ServerEntry): Promise<ProbeResponse | undefined> =>
-                new Promise(resolve => this.pendingProbes.set(id, resolve)),
+            probe: ({ id }: ServerEntry): Promise<ProbeResponse | undefined> => {
+                const pending = this.pendingProbes.has(id) ? this.#responses.get(id) : undefined;
+                const response = pending ?? new Promise(resolve => this.pendingProbes.set(id, resolve));
+                this.#responses.set(id, response);
+                return response;
+            },
         };
         this.dispatcher = new Dispatcher(settings, {
             balancer,
@@ -143,3 +148,12 @@
     await fixture.respond("s2", probeResponse(0, 1));
     assert.deepEqual(fixture.limits, [["s1", 5]]);
 });
+
+test("a single unanswered probe that several requests wait for doesn't eject its server", async t => {
+    const fixture = new DispatcherFixture(t, "s1", "s2", "s3", "s4", "s5");
+    [1, 2, 3].forEach(id => fixture.acquire(id));
+    await fixture.advance(10);
+    await fixture.respond("s3", undefined);
+    const server = fixture.dispatcher.balancer.servers.find(it => it.entry.id === "s3");
+    assert.equal(server?.isEjected(fixture.now), false);
+});
