--- a/packages/balance/src/probebudget.ts
+++ b/packages/balance/src/probebudget.ts
@@ -59,7 +59,7 @@
         );
     }
 
-    /** Adds what a request contributes. */
+    /** Adds what a request contributes; to be called once per request, as retries aren't part of the demand. */
     recordRequest(now: number): void {
         this.#refill(now);
         this.#add(this.#perRequest);
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -72,7 +72,9 @@
 
     /** Waits for a slot; resolves immediately if the request is refused. */
     acquireSlot(request: Request): Promise<AcquireResult> {
-        this.#probeBudget.recordRequest(this.#clock());
+        if (request.tried.length === 0) {
+            this.#probeBudget.recordRequest(this.#clock());
+        }
         const refusal = this.#balancer.submit(request, this.#clock());
         if (refusal) {
             return Promise.resolve({ kind: "refused", refusal });
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -157,3 +157,14 @@
     const server = fixture.dispatcher.balancer.servers.find(it => it.entry.id === "s3");
     assert.equal(server?.isEjected(fixture.now), false);
 });
+
+test("a retry adds nothing to the probe budget, as the demand that it is computed from doesn't include retries", async t => {
+    const fixture = new DispatcherFixture(t, "s1");
+    const probesFor = (id: number, tried: readonly string[]): number => {
+        void fixture.dispatcher.acquireSlot({ ...request(id), tried });
+        return fixture.pendingProbes.size;
+    };
+    assert.equal(probesFor(1, ["s0"]), 0);
+    assert.equal(probesFor(2, []), 1);
+    await readInput();
+});
