--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -178,6 +178,11 @@
         return slot;
     }
 
+    /** Records that the head of the response to a slot's request has arrived. */
+    recordResponseHead(slot: Slot): void {
+        this.#servers.get(incarnationKey(slot.server))?.recordResponseHead(slot);
+    }
+
     /** Records how a slot's request ended and frees the slot. */
     settle(slot: Slot, result: SlotResult, now: number): void {
         const server = this.#servers.get(incarnationKey(slot.server));
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -10,6 +10,8 @@
     /** Identifies the incarnation. */
     readonly key: string;
     readonly #slots = new Set<Slot>();
+    /** The slots whose response hasn't begun to arrive. */
+    readonly #unanswered = new Set<Slot>();
     readonly #load = new ServerLoad();
     readonly #health = new ServerHealth();
     readonly #firstSeenAt: number;
@@ -158,10 +160,17 @@
     /** Records that a slot's request is sent to the server. */
     start(slot: Slot): void {
         this.#slots.add(slot);
+        this.#unanswered.add(slot);
+    }
+
+    /** Records that the head of the response to a slot's request has arrived. */
+    recordResponseHead(slot: Slot): void {
+        this.#unanswered.delete(slot);
     }
 
     /** Records how a slot's request ended; ignored if it is already settled. */
     settle(slot: Slot, result: SlotResult, now: number): void {
+        this.#unanswered.delete(slot);
         if (!this.#slots.delete(slot)) {
             return;
         }
@@ -178,7 +187,7 @@
 
     /** Whether the oldest request has got no response for so long that further ones would probably get none either. */
     #isUnresponsive(now: number): boolean {
-        const [oldest] = this.#slots;
+        const [oldest] = this.#unanswered;
         return oldest !== undefined && now - oldest.grantedAt > unresponsiveMs;
     }
 
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -323,3 +323,14 @@
     const probed = reservation?.candidates.filter(it => balancer.needsProbe(it, 0)).map(it => it.entry.id);
     assert.deepEqual(probed, ["s2"]);
 });
+
+test("a server that relays a long response isn't ejected as unresponsive", () => {
+    const balancer = makeBalancer(entry("s1"), entry("s2"));
+    const slot = grantOne(balancer, 0, { kind: "download", deadlineAt: 60_000 });
+    assert.equal(slot?.server.id, "s1");
+    balancer.recordResponseHead(slot);
+    assert.deepEqual(
+        balancer.servers.map(it => it.isEjected(3_000)),
+        [false, false],
+    );
+});
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -97,6 +97,11 @@
         this.#dispatchWaiting();
     }
 
+    /** Records that the head of the response to a slot's request has arrived. */
+    recordResponseHead(slot: Slot): void {
+        this.#balancer.recordResponseHead(slot);
+    }
+
     /** Records the load that a response reported. */
     report(server: ServerEntry, report: LoadReport): void {
         this.#balancer.recordLoad(server, report, this.#clock());
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -229,6 +229,7 @@
             const serverRes = await this.#abortable(exchange.head, abort);
             this.#serverMs = clock() - startedAt;
             this.#sent.add(slot);
+            dispatcher.recordResponseHead(slot);
             const load = wire.loadReport(serverRes.headers);
             if (load) {
                 dispatcher.report(slot.server, load);
