--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -4,6 +4,7 @@
 import { RequestQueue } from "./queue.js";
 import { ServerState } from "./server.js";
 import { LatencyModel } from "./latency.js";
+import { PauseDetector } from "./pauses.js";
 import { noLimits, type SendLimiter } from "./limiter.js";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "./types.js";
 
@@ -35,6 +36,7 @@
     readonly #servers = new Map<string, ServerState>();
     readonly #queue = new RequestQueue();
     readonly #latency = new LatencyModel();
+    readonly #pauses = new PauseDetector();
     /** Predictions made when the slots in flight were granted, to be compared with their results. */
     readonly #predictions = new Map<Slot, Prediction>();
     /** Ids of the servers that this entry VM prefers; undefined if it has no preference. */
@@ -178,6 +180,11 @@
         return slot;
     }
 
+    /** Records that the process runs; to be called often, so that a longer gap is a pause of the process. */
+    tick(now: number): void {
+        this.#pauses.tick(now);
+    }
+
     /** Records that the head of the response to a slot's request has arrived. */
     recordResponseHead(slot: Slot): void {
         this.#servers.get(incarnationKey(slot.server))?.recordResponseHead(slot);
@@ -188,7 +195,9 @@
         const server = this.#servers.get(incarnationKey(slot.server));
         const prediction = this.#predictions.get(slot);
         this.#predictions.delete(slot);
-        if (prediction && result.kind === "answered" && result.status < firstServerErrorStatus) {
+        const wasPaused = slot.grantedAt < this.#pauses.runningSince(now);
+        const succeeded = result.kind === "answered" && result.status < firstServerErrorStatus;
+        if (prediction && succeeded && !wasPaused) {
             const saturated = prediction.saturated || (server?.isSaturated ?? false);
             const latencyMs = now - slot.grantedAt;
             const factor = saturated ? this.#latency.saturationFactor : 1;
@@ -241,7 +250,8 @@
     /** Servers that have a free slot and aren't in a slow period; ejected ones only if all servers are ejected. */
     #openServers(now: number): readonly ServerState[] {
         const usable = this.#usableServers(now);
-        const healthy = usable.filter(it => !it.isEjected(now));
+        const runningSince = this.#pauses.runningSince(now);
+        const healthy = usable.filter(it => !it.isEjected(now, runningSince));
         return (healthy.length > 0 ? healthy : usable).filter(it => this.#isOpen(it, now));
     }
 
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -58,9 +58,13 @@
         return !this.#entry.leaving && !this.#health.isLeaving(now);
     }
 
-    /** Whether the server is ejected because of failures or because it doesn't respond. */
-    isEjected(now: number): boolean {
-        return this.#health.isEjected(now) || this.#isUnresponsive(now);
+    /**
+     * Whether the server is ejected because of failures or because it doesn't respond.
+     *
+     * @param runningSince end of this process's latest pause, in which it could read no response
+     */
+    isEjected(now: number, runningSince = -Infinity): boolean {
+        return this.#health.isEjected(now) || this.#isUnresponsive(now, runningSince);
     }
 
     /** Estimate of the free slots; the use by other entry VMs is known from reports, which age quickly. */
@@ -186,9 +190,9 @@
     }
 
     /** Whether the oldest request has got no response for so long that further ones would probably get none either. */
-    #isUnresponsive(now: number): boolean {
+    #isUnresponsive(now: number, runningSince: number): boolean {
         const [oldest] = this.#unanswered;
-        return oldest !== undefined && now - oldest.grantedAt > unresponsiveMs;
+        return oldest !== undefined && now - Math.max(oldest.grantedAt, runningSince) > unresponsiveMs;
     }
 
     #warmUpFactor(now: number): number {
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -334,3 +334,53 @@
         [false, false],
     );
 });
+
+const tickMs = 50;
+
+/** Ticks a balancer for a second, grants slots at its end, and pauses the process for three seconds. */
+const pauseWithSlots = (balancer: Balancer, count: number) => {
+    for (let now = 0; now <= 1_000; now += tickMs) {
+        balancer.tick(now);
+    }
+    const slots = Array.from({ length: count }, () => grantOne(balancer, 1_000, { deadlineAt: 60_000 }));
+    return { slots, now: 4_000 };
+};
+
+test("a pause of the process isn't taken for its servers' silence, in input read before and after the next tick", () => {
+    const balancer = makeBalancer(entry("s1"), entry("s2"), entry("s3"));
+    const { now } = pauseWithSlots(balancer, 2);
+    const refusals = Array.from({ length: 4 }, () => balancer.submit(makeRequest(now), now));
+    assert.deepEqual(
+        refusals.map(it => it?.reason),
+        [undefined, undefined, undefined, undefined],
+    );
+    balancer.tick(now + 10);
+    const granted = Array.from({ length: 4 }, () => {
+        const reservation = balancer.reserveNext(now + 10);
+        return reservation && balancer.grant(reservation, now + 10)?.server.id;
+    });
+    assert.deepEqual(new Set(granted), new Set(["s1", "s2", "s3"]));
+});
+
+test("a server that doesn't respond for long after a pause of the process is ejected", () => {
+    const balancer = makeBalancer(entry("s1"), entry("s2"));
+    const { slots, now } = pauseWithSlots(balancer, 1);
+    for (let at = now; at <= now + 2_100; at += tickMs) {
+        balancer.tick(at);
+    }
+    assert.equal(slots[0]?.server.id, "s1");
+    assert.equal(grantOne(balancer, now + 2_100)?.server.id, "s2");
+    assert.equal(grantOne(balancer, now + 2_100)?.server.id, "s2");
+});
+
+test("a pause of the process isn't taken for its servers' latency", () => {
+    const balancer = makeBalancer(entry("s1"), entry("s2"), entry("s3"), entry("s4"));
+    const before = balancer.expectedLatencyMs;
+    const { slots, now } = pauseWithSlots(balancer, 8);
+    slots.forEach(it => it && balancer.settle(it, { kind: "answered", status: 200 }, now));
+    assert.equal(balancer.expectedLatencyMs, before);
+    assert.deepEqual(
+        balancer.servers.map(it => it.unreportedSlowdown(now)),
+        [1, 1, 1, 1],
+    );
+});
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -107,8 +107,9 @@
         this.#balancer.recordLoad(server, report, this.#clock());
     }
 
-    /** Refuses the requests whose deadline has passed, and tries to dispatch the others. */
+    /** Refuses the requests whose deadline has passed, and tries to dispatch the others. To be called often. */
     tick(): void {
+        this.#balancer.tick(this.#clock());
         if (this.#waiting.size === 0) {
             return;
         }
