--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -19,6 +19,7 @@
 import { ElapsedTimeEstimator } from "./elapsed.js";
 import { ForwardTask, type ForwardOptions } from "./forward.js";
 import { FrontendServer } from "./frontend.js";
+import { runGossip } from "./gossip.js";
 import { HttpProbeClient } from "./probeclient.js";
 import { LimitExchange } from "./limitexchange.js";
 import { MemberTracker } from "./membertracker.js";
@@ -217,7 +218,7 @@
             operators: formatAddress(metrics),
         });
         this.#runTask("following the store", this.#storeView.run(this.#closed.signal));
-        this.#runTask("exchanging gossip", this.#gossip());
+        this.#runTask("exchanging gossip", runGossip(this.#membership, this.#closed.signal));
         this.#runTask("periodic work", this.#runTicks());
     }
 
@@ -347,14 +348,6 @@
         return route;
     }
 
-    async #gossip(): Promise<void> {
-        while (!this.#closed.signal.aborted) {
-            const now = monotonicMs();
-            const dueAt = this.#membership.tick(now);
-            await delay(Math.max(minSleepMs, dueAt - now), this.#closed.signal);
-        }
-    }
-
     /** Runs periodic work until the node is closed. */
     async #runTicks(): Promise<void> {
         while (!this.#closed.signal.aborted) {
@@ -418,8 +411,6 @@
 const leavePropagationMs = 500;
 /** Part of the grace period that is reserved for writing the last log lines and exiting. */
 const exitReserveMs = 400;
-/** Keeps a deadline that has just passed from causing a busy loop. */
-const minSleepMs = 5;
 /** Interval of the periodic work, which also checks queued requests while nothing else triggers it. */
 const tickMs = 50;
 const msPerSecond = 1_000;
