--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -159,7 +159,9 @@
                 probes++;
                 return this.#probe(entry);
             },
-            isDecided: () => this.#balancer.hasIdealCandidate(reservation, this.#clock()),
+            isDecided: () =>
+                !this.#waiting.has(reservation.request) ||
+                this.#balancer.hasIdealCandidate(reservation, this.#clock()),
             onEnd: end => {
                 if (end === "timeout") {
                     this.#usage.record("timedOut");
--- a/packages/gateway/src/proberound.ts
+++ b/packages/gateway/src/proberound.ts
@@ -13,7 +13,7 @@
     readonly tryTake: (server: ServerState) => boolean;
     /** Probes a server, and resolves when the result has been recorded; never rejects. */
     readonly probe: (server: ServerState) => Promise<void>;
-    /** Whether a candidate is known to which no other can be much preferable. */
+    /** Whether a candidate is known to which no other can be much preferable, or the request needs none any more. */
     readonly isDecided: () => boolean;
     /** Called once, when the round has ended. */
     readonly onEnd: (end: ProbeRoundEnd) => void;
@@ -23,7 +23,7 @@
 
 /** Why a round ended. */
 export type ProbeRoundEnd =
-    /** A candidate is good enough. */
+    /** A candidate is good enough, or the request needs none any more. */
     | "decided"
     /** All servers that were probed have responded, and there are no further ones or no budget for them. */
     | "exhausted"
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -168,3 +168,14 @@
     assert.equal(probesFor(2, []), 1);
     await readInput();
 });
+
+test("no further servers are probed for a request whose caller has disconnected", async t => {
+    const fixture = new DispatcherFixture(t, "s1", "s2", "s3");
+    const withdrawn = request(1);
+    const acquired = fixture.dispatcher.acquireSlot(withdrawn);
+    assert.deepEqual([...fixture.pendingProbes.keys()], ["s1"]);
+    fixture.dispatcher.withdraw(withdrawn);
+    assert.equal((await acquired).kind, "withdrawn");
+    await fixture.advance(10);
+    assert.deepEqual([...fixture.pendingProbes.keys()], ["s1"]);
+});
