--- a/packages/gateway/src/demand.ts
+++ b/packages/gateway/src/demand.ts
@@ -88,7 +88,7 @@
         this.#lastTickAt = options.now;
     }
 
-    /** Number of entry VMs whose rates are included in the totals. */
+    /** Number of entry VMs whose rates are included in the totals; not those that have published none yet. */
     get knownEntryVms(): number {
         return this.#knownEntryVms;
     }
@@ -143,7 +143,7 @@
         const payloads = others.map(vm => membership.payload(vm.id));
         this.#otherHosts = sumRates(payloads, hostKeys);
         this.#otherServices = sumRates(payloads, [serviceKey]);
-        this.#knownEntryVms = others.length + 1;
+        this.#knownEntryVms = payloads.filter(it => it[serviceKey] !== undefined).length + 1;
         return true;
     }
 
@@ -158,7 +158,7 @@
             value.length - String(before[key] ?? "").length;
         // Values that shrink come first, as the payload has to fit after each change.
         for (const [key, value] of [...values].sort((a, b) => growth(a) - growth(b))) {
-            if ((before[key] ?? "") !== value) {
+            if (before[key] !== value) {
                 membership.setPayload(key, value);
             }
         }
--- a/packages/gateway/test/demand.test.ts
+++ b/packages/gateway/test/demand.test.ts
@@ -83,3 +83,12 @@
         assert.equal(a.hostRate("host-1.example"), hosts > 1 ? 10_000 : 0);
     });
 });
+
+test("entry VMs whose requests aren't known yet don't count as known, but those without requests do", () => {
+    const [a, b] = fleet("a", "b", "c") as [DemandExchange, DemandExchange];
+    a.tick(periodMs);
+    assert.equal(a.knownEntryVms, 1);
+    b.tick(periodMs);
+    a.tick(2 * periodMs);
+    assert.equal(a.knownEntryVms, 2);
+});
