--- a/packages/dispatch/test/sharing.test.ts
+++ b/packages/dispatch/test/sharing.test.ts
@@ -121,3 +121,17 @@
         { seed: 4, numRuns: 200 },
     );
 });
+
+test("a pause of the process isn't taken for the silence of the other dispatchers", () => {
+    const { sharings, sent } = makePair();
+    for (let now = 0; now <= 1_000; now += 20) {
+        sharings.forEach(it => it.tick(usageOf({ inFlight: 14 }), now));
+        sent.splice(0).forEach(([to, message]) => sharings[to]!.receive(message, usageOf(), now));
+    }
+    assert.equal(sum(sharings[0]!.allocation(1_000)), 14);
+    assert.equal(sum(sharings[0]!.allocation(1_500)), 14);
+    for (let now = 1_500; now <= 1_900; now += 20) {
+        sharings[0]!.tick(usageOf({ inFlight: 14 }), now);
+    }
+    assert.equal(sum(sharings[0]!.allocation(1_900)), 28);
+});
