--- a/packages/balance/src/probebudget.ts
+++ b/packages/balance/src/probebudget.ts
@@ -60,7 +60,7 @@
         this.#perRequest = Math.min(maxPerRequest, (total * (1 - equalShare)) / demand);
     }
 
-    /** Adds what a request contributes. */
+    /** Adds what a request contributes; to be called once per request, as retries aren't part of the demand. */
     recordRequest(now: number): void {
         this.#refill(now);
         this.#recentRequests++;
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -10,6 +10,8 @@
     /** Identifies the incarnation. */
     readonly key: string;
     readonly #slots = new Set<Slot>();
+    /** The slots whose response hasn't begun to arrive. */
+    readonly #unanswered = new Set<Slot>();
     readonly #load = new ServerLoad();
     readonly #health = new ServerHealth();
     readonly #firstSeenAt: number;
@@ -56,9 +58,13 @@
         return !this.#entry.leaving && !this.#health.isLeaving(now);
     }
 
-    /** Whether the server is ejected because of failures or because it doesn't respond. */
-    isEjected(now: number): boolean {
-        return this.#health.isEjected(now) || this.#isUnresponsive(now);
+    /**
+     * Whether the server is ejected because of failures or because it doesn't respond.
+     *
+     * @param runningSince end of this process's latest pause, in which it could read no response
+     */
+    isEjected(now: number, runningSince = -Infinity): boolean {
+        return this.#health.isEjected(now) || this.#isUnresponsive(now, runningSince);
     }
 
     /** Estimate of the free slots; the use by other entry VMs is known from reports, which age quickly. */
@@ -158,10 +164,17 @@
     /** Records that a slot's request is sent to the server. */
     start(slot: Slot): void {
         this.#slots.add(slot);
+        this.#unanswered.add(slot);
+    }
+
+    /** Records that the head of the response to a slot's request has arrived. */
+    recordResponseHead(slot: Slot): void {
+        this.#unanswered.delete(slot);
     }
 
     /** Records how a slot's request ended; ignored if it is already settled. */
     settle(slot: Slot, result: SlotResult, now: number): void {
+        this.#unanswered.delete(slot);
         if (!this.#slots.delete(slot)) {
             return;
         }
@@ -177,9 +190,9 @@
     }
 
     /** Whether the oldest request has got no response for so long that further ones would probably get none either. */
-    #isUnresponsive(now: number): boolean {
-        const [oldest] = this.#slots;
-        return oldest !== undefined && now - oldest.grantedAt > unresponsiveMs;
+    #isUnresponsive(now: number, runningSince: number): boolean {
+        const [oldest] = this.#unanswered;
+        return oldest !== undefined && now - Math.max(oldest.grantedAt, runningSince) > unresponsiveMs;
     }
 
     #warmUpFactor(now: number): number {
