--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -2,6 +2,7 @@
 
 import type { Balancer, Reservation } from "@bramleymoor/balance/balancer";
 import type { ServerState } from "@bramleymoor/balance/server";
+import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
 import type { ProbeClient } from "./probeclient.js";
@@ -12,12 +13,19 @@
     | { readonly kind: "refused"; readonly refusal: Refusal }
     | { readonly kind: "withdrawn" };
 
+/** Records what a server says of itself in a response. */
+export type RecordStatement = (
+    server: ServerEntry,
+    statement: ServerStatement,
+    source: StatementSource,
+) => void;
+
 /** Dependencies of a `Dispatcher`. */
 export interface DispatcherOptions {
     readonly balancer: Balancer;
     readonly probeClient: ProbeClient;
-    /** Records the request limit that a server names in its response to a probe; undefined if it can't be parsed. */
-    readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
+    /** Records what a server says of itself in its response to a probe. */
+    readonly recordStatement: RecordStatement;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -26,16 +34,19 @@
 export class Dispatcher {
     readonly #balancer: Balancer;
     readonly #probeClient: ProbeClient;
-    readonly #recordLimit: DispatcherOptions["recordLimit"];
+    readonly #recordStatement: RecordStatement;
     readonly #clock: () => number;
     readonly #waiting = new Map<Request, (result: AcquireResult) => void>();
     #settings: ServiceSettings;
 
-    constructor(settings: ServiceSettings, { balancer, probeClient, recordLimit, clock }: DispatcherOptions) {
+    constructor(
+        settings: ServiceSettings,
+        { balancer, probeClient, recordStatement, clock }: DispatcherOptions,
+    ) {
         this.#settings = settings;
         this.#balancer = balancer;
         this.#probeClient = probeClient;
-        this.#recordLimit = recordLimit;
+        this.#recordStatement = recordStatement;
         this.#clock = clock;
     }
 
@@ -152,9 +163,7 @@
             this.#balancer.recordUnansweredProbe(server, this.#clock());
             return;
         }
-        if (response.requestLimit !== Infinity) {
-            this.#recordLimit(server, response.requestLimit);
-        }
+        this.#recordStatement(server, response.statement, "probe");
         if (response.report) {
             this.#balancer.recordLoad(server, response.report, startedAt);
         } else {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,6 +2,7 @@
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { SlotResult } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
 import { discardResponse } from "@bramleymoor/proxy/discard";
@@ -17,11 +18,8 @@
     /** Names and values alternating, framing included. */
     readonly headers: readonly string[];
     readonly requestId: string;
-    /**
-     * Called with the request limit in the server's response: Infinity if it names none, undefined if it can't be parsed.
-     * A refusal only counts if it names one.
-     */
-    readonly onLimit: (perSecond: number | undefined) => void;
+    /** Called with what the server says of itself in its response. */
+    readonly onStatement: (statement: ServerStatement, source: StatementSource) => void;
     /** Writes the body and ends the request. */
     readonly writeBody: (req: ClientRequest) => void;
 }
@@ -43,6 +41,7 @@
     readonly head: Promise<IncomingMessage>;
     readonly #req: ClientRequest;
     #socket: Socket | undefined = undefined;
+    #statement: ServerStatement | undefined = undefined;
     #connected = false;
     #wasReset = false;
     /** Whether `head` has been settled. */
@@ -94,6 +93,11 @@
         return this.#connected;
     }
 
+    /** What the server says of itself in its response; undefined before the head. */
+    get statement(): ServerStatement | undefined {
+        return this.#statement;
+    }
+
     /** Whether the connection was reset, in which case a response without a declared length is incomplete. */
     get wasReset(): boolean {
         return this.#wasReset;
@@ -135,10 +139,11 @@
             return;
         }
         const refusal = wire.refusal(status, res.headers);
-        const limit = wire.requestLimit(res.headers);
+        const statement = wire.statement(status, res.headersDistinct);
+        this.#statement = statement;
         if (refusal) {
-            if (refusal !== "other-incarnation" && limit !== Infinity) {
-                outgoing.onLimit(limit);
+            if (refusal !== "other-incarnation") {
+                outgoing.onStatement(statement, "refusal");
             }
             discardResponse(res, () => this.finish());
             this.#fail(new SendError({ kind: "refused", reason: refusal }, `status ${status}`));
@@ -148,7 +153,7 @@
             this.abort({ kind: "lost" });
             return;
         }
-        outgoing.onLimit(limit);
+        outgoing.onStatement(statement, "response");
         resolve(res);
     }
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { LoadSnapshot, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
-import type { Route, ServerEntry } from "@bramleymoor/model/route";
+import type { Route } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
@@ -11,7 +11,7 @@
 import { drainPendingInput, mayHideDisconnect, type InputDelay } from "@bramleymoor/proxy/unreadinput";
 import type { KeepAliveAgent } from "./agent.js";
 import { RequestBody } from "./body.js";
-import type { Dispatcher } from "./dispatcher.js";
+import type { Dispatcher, RecordStatement } from "./dispatcher.js";
 import { sendError } from "./errorresponse.js";
 import { Exchange, SendError } from "./exchange.js";
 import {
@@ -47,8 +47,8 @@
     readonly countRequest: (service: string) => void;
     /** Takes one retry from the service's budget; returns false if the budget is exhausted. */
     readonly tryRetry: (service: string) => boolean;
-    /** Records the request limit in a server's response: Infinity if it names none, undefined if it can't be parsed. */
-    readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
+    /** Records what a server says of itself in a response. */
+    readonly recordStatement: RecordStatement;
     /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
     /** Returns how long input that is read now may have waited since it reached an accepted connection. */
@@ -205,7 +205,7 @@
         body: RequestBody,
         requestId: string,
     ): Promise<"answered" | "body-broken" | "caller-gone" | SlotResult> {
-        const { wire, clock } = this.#options;
+        const { clock } = this.#options;
         const startedAt = clock();
         const exchange = this.#openExchange(slot, body, requestId);
         this.#exchange = exchange;
@@ -223,14 +223,15 @@
             const serverRes = await this.#abortable(exchange.head, abort);
             this.#serverMs = clock() - startedAt;
             this.#sent.add(slot);
-            const load = wire.loadReport(serverRes.headers);
+            const load = exchange.statement?.load;
             if (load) {
                 dispatcher.report(slot.server, load);
             }
             const status = serverRes.statusCode ?? 0;
+            const answered: SlotResult = { kind: "answered", status };
             if (status >= firstServerErrorStatus && this.#mayRetryServerError(slot, body)) {
                 discardResponse(serverRes, () => exchange.finish());
-                return settle({ kind: "answered", status });
+                return settle(answered);
             }
             const relay = new Relay(serverRes, this.#res, () => exchange.wasReset);
             const relayResult = await this.#abortable(
@@ -238,9 +239,7 @@
                 abort,
             );
             exchange.finish();
-            settle(
-                relayResult === "complete" ? { kind: "answered", status } : slotResultOfRelay[relayResult],
-            );
+            settle(relayResult === "complete" ? answered : slotResultOfRelay[relayResult]);
             return relayResult === "broken-before-start" ? { kind: "lost" } : outcomeOfRelay[relayResult];
         } catch (err) {
             if (err instanceof SendError) {
@@ -289,7 +288,8 @@
                 target: this.#req.url ?? "/",
                 headers: [...forwarded, ...body.framingHeaders(), ...added],
                 requestId,
-                onLimit: perSecond => this.#options.recordLimit(slot.server, perSecond),
+                onStatement: (statement, source) =>
+                    this.#options.recordStatement(slot.server, statement, source),
                 writeBody: req => body.writeTo(req),
             },
             wire,
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -15,11 +15,12 @@
 import { AuxiliaryServers } from "./auxiliaryservers.js";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { createMembership, formatAddress } from "./createmembership.js";
+import type { RecordStatement } from "./dispatcher.js";
 import { ElapsedTimeEstimator } from "./elapsed.js";
 import { ForwardTask, type ForwardOptions } from "./forward.js";
 import { FrontendServer } from "./frontend.js";
 import { HttpProbeClient } from "./probeclient.js";
-import { LimitExchange } from "./limitexchange.js";
+import { StatementExchange } from "./statementexchange.js";
 import { MemberTracker } from "./membertracker.js";
 import { PeerSocket } from "./peersocket.js";
 import { RequestReporter } from "./reporter.js";
@@ -59,7 +60,7 @@
         unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: keepAliveMarginMs, clock: monotonicMs }),
     };
     readonly #probeClient: HttpProbeClient;
-    readonly #limits: LimitExchange;
+    readonly #statements: StatementExchange;
     readonly #splits = new TrafficSplits();
     readonly #elapsedTimes = new ElapsedTimeEstimator();
     readonly #lag = new EventLoopLag(monotonicMs() + tickMs);
@@ -69,6 +70,8 @@
     readonly #auxiliaryServers: AuxiliaryServers;
     readonly #forwardOptions: ForwardOptions;
     readonly #closed = new AbortController();
+    readonly #recordStatement: RecordStatement = (server, statement, source) =>
+        this.#statements.record(server, statement, source, monotonicMs());
     #lastId = 0;
     #appliedRevision = -1;
     #state: "starting" | "serving" | "stopping" = "starting";
@@ -77,7 +80,7 @@
         this.#settings = settings;
         this.#platform = platform;
         this.#events = events;
-        this.#limits = new LimitExchange({
+        this.#statements = new StatementExchange({
             self: settings.id,
             events,
             hasMetPeers: () => this.#members.budgetDivisor !== Infinity,
@@ -95,8 +98,8 @@
             random: Math.random,
             balance: { candidateCount: comparedServers, domain: settings.place.domain },
             retryLimits: settings.retryLimits,
-            limiter: this.#limits.limits,
-            recordLimit: (server, perSecond) => this.#limits.record(server, perSecond, monotonicMs()),
+            limiter: this.#statements.limits,
+            recordStatement: this.#recordStatement,
         });
         this.#peerSocket = new PeerSocket({
             onGossip: message => this.#membership.receive(message, monotonicMs()),
@@ -104,7 +107,7 @@
                 this.#storeView.receive(message, from, this.#lag.lagMs(monotonicMs())),
             onLimits: message => {
                 const now = monotonicMs();
-                this.#limits.receive(message, this.#lag.lagMs(now), now);
+                this.#statements.receive(message, this.#lag.lagMs(now), now);
             },
             onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
@@ -178,7 +181,7 @@
         this.#metrics.registerGauge(
             "bm_limited_servers",
             "Backend servers that name a request limit.",
-            () => this.#limits.limits.limitedServers,
+            () => this.#statements.limits.limitedServers,
         );
         this.#metrics.registerGauge(
             "bm_event_loop_lag_seconds",
@@ -233,7 +236,7 @@
         const { shutdownGraceMs, addressTtlMs } = this.#settings;
         this.#events.emit("stop-asked", { signal });
         this.#membership.leave(monotonicMs());
-        this.#limits.release(monotonicMs());
+        this.#statements.release(monotonicMs());
         this.#frontend.beginDrain();
         await delay(Math.min(addressTtlMs + leavePropagationMs, shutdownGraceMs / 2), this.#closed.signal);
         const finished = new AbortController();
@@ -272,7 +275,8 @@
     }
 
     #applyStoreView(): void {
-        const { config, servers, isComplete } = this.#storeView;
+        const { config, isComplete } = this.#storeView;
+        const servers = this.#storeView.servers;
         if (config) {
             this.#dispatchers.update(config, servers);
             this.#partitioner.update(config, servers);
@@ -299,7 +303,7 @@
             tryRetry: service =>
                 this.#dispatchers.retryBudget(service)?.tryTake(monotonicMs(), this.#members.budgetDivisor) ??
                 false,
-            recordLimit: (server, perSecond) => this.#limits.record(server, perSecond, monotonicMs()),
+            recordStatement: this.#recordStatement,
             agents: this.#agents,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
             takeAcceptWaitMs: req => this.#frontend.takeAcceptWaitMs(req),
@@ -345,7 +349,7 @@
             this.#applyStoreView();
         }
         this.#partitioner.tick(now);
-        this.#limits.tick(now);
+        this.#statements.tick(now);
     }
 
     /** Watches a background task: if one fails, the error is rethrown, so that the process ends and is restarted. */
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -1,6 +1,7 @@
 /** Probes backend servers for their load just before a request is sent to one of them. */
 
 import { request } from "node:http";
+import type { ServerStatement } from "@bramleymoor/balance/statement";
 import type { LoadReport } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
 import { discardResponse } from "@bramleymoor/proxy/discard";
@@ -12,8 +13,8 @@
 export interface ProbeResponse {
     /** undefined if the response carries no load. */
     readonly report: LoadReport | undefined;
-    /** Request limit that the response names: Infinity if it names none, undefined if it can't be parsed. */
-    readonly requestLimit: number | undefined;
+    /** What the server says of itself. */
+    readonly statement: ServerStatement;
     /** Whether another server incarnation responded at this address. */
     readonly misdirected: boolean;
 }
@@ -78,10 +79,11 @@
                     return;
                 }
                 discardResponse(res);
-                const id = this.#wire.serverId(res.headers);
+                const statement = this.#wire.statement(res.statusCode ?? 0, res.headersDistinct);
+                const { serverId: id, load: report } = statement;
                 done({
-                    report: this.#wire.loadReport(res.headers),
-                    requestLimit: this.#wire.requestLimit(res.headers),
+                    report,
+                    statement,
                     misdirected: id !== undefined && id !== server.id,
                 });
             });
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -4,8 +4,8 @@
 import { RetryBudget, type RetryLimits } from "@bramleymoor/balance/budget";
 import type { SendLimiter } from "@bramleymoor/balance/limiter";
 import type { KnownServer } from "@bramleymoor/discovery/servers";
-import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
-import { Dispatcher } from "./dispatcher.js";
+import type { RouteConfig } from "@bramleymoor/model/route";
+import { Dispatcher, type RecordStatement } from "./dispatcher.js";
 import type { ProbeClient } from "./probeclient.js";
 
 interface ServiceState {
@@ -22,10 +22,10 @@
     readonly random: () => number;
     readonly balance: BalancerSettings;
     readonly retryLimits: RetryLimits;
-    /** Limits the requests to servers that name a limit. */
+    /** Decides when requests may be sent to servers. */
     readonly limiter: SendLimiter;
-    /** Records the request limit that a server names; undefined if it can't be parsed. */
-    readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
+    /** Records what a server says of itself in its response to a probe. */
+    readonly recordStatement: RecordStatement;
 }
 
 /** Holds a dispatcher and a retry budget for each service of the configuration. */
@@ -75,14 +75,14 @@
     }
 
     #create(name: string, config: RouteConfig): ServiceState {
-        const { probeClient, clock, random, balance, limiter, recordLimit } = this.#options;
+        const { probeClient, clock, random, balance, limiter, recordStatement } = this.#options;
         const settings = config.services.get(name);
         if (!settings) {
             throw new Error(`the configuration has no service ${name}`);
         }
         const balancer = new Balancer(balance, random, limiter);
         const service = {
-            dispatcher: new Dispatcher(settings, { balancer, probeClient, recordLimit, clock }),
+            dispatcher: new Dispatcher(settings, { balancer, probeClient, recordStatement, clock }),
             retryBudget: new RetryBudget(this.#retryLimits),
         };
         this.#services.set(name, service);
--- a/packages/gateway/src/wireformat.ts
+++ b/packages/gateway/src/wireformat.ts
@@ -1,11 +1,14 @@
 /** The platform's HTTP conventions between callers, entry VMs and backend servers, as far as the gateway uses them. */
 
-import type { IncomingHttpHeaders } from "node:http";
-import type { LoadReport } from "@bramleymoor/balance/types";
+import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import type { ServerStatement } from "@bramleymoor/balance/statement";
 
 /** Why a server refused a request without running it. */
 export type ServerRefusal = "full" | "leaving" | "other-incarnation";
 
+/** All values of each header, by its name in lower case. */
+export type DistinctHeaders = IncomingMessage["headersDistinct"];
+
 /** Reads and writes the platform's headers and small messages. */
 export interface WireFormat {
     /** Names, in lower case, of the headers that the gateway sets itself and never forwards. */
@@ -18,15 +21,8 @@
     requestHeaders(deadlineMs: number, serverId: string): readonly string[];
     /** Returns why a server refused the request without running it; undefined if it doesn't say that it refused. */
     refusal(status: number, headers: IncomingHttpHeaders): ServerRefusal | undefined;
-    /** Returns the server's load at the time of its response; undefined if the response carries none. */
-    loadReport(headers: IncomingHttpHeaders): LoadReport | undefined;
-    /**
-     * Returns the requests per second that the server takes from all entry VMs together: Infinity if it names no limit,
-     * undefined if the limit can't be parsed.
-     */
-    requestLimit(headers: IncomingHttpHeaders): number | undefined;
-    /** Returns the server incarnation that sent the response; undefined if it doesn't say. */
-    serverId(headers: IncomingHttpHeaders): string | undefined;
+    /** Returns what a server says of itself in a response. */
+    statement(status: number, headers: DistinctHeaders): ServerStatement;
     /** Returns whether a response is marked as one of the backend server itself. */
     isFromServer(headers: IncomingHttpHeaders): boolean;
     /** Returns the body of the response to an address query. */
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { Balancer } from "@bramleymoor/balance/balancer";
+import type { StatementSource } from "@bramleymoor/balance/statement";
 import type { Request } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
 import { serverEntry as entry } from "@bramleymoor/testkit/builders";
@@ -18,19 +19,22 @@
     tried: [],
 });
 
-const probeResponse = (running: number, slowdown: number): ProbeResponse => ({
-    report: { running, waiting: 0, slots: 2, slowdown },
-    requestLimit: Infinity,
-    misdirected: false,
-});
+const probeResponse = (running: number, slowdown: number, requestLimit = Infinity): ProbeResponse => {
+    const load = { running, waiting: 0, slots: 2, slowdown };
+    return {
+        report: load,
+        statement: { serverId: undefined, load, requestLimit, leaving: false, notNowMs: 0 },
+        misdirected: false,
+    };
+};
 
 /** A dispatcher whose servers respond to probes when the test calls `respond`. */
 class DispatcherFixture {
     now = 0;
     readonly pendingProbes = new Map<string, (response: ProbeResponse | undefined) => void>();
     readonly dispatcher: Dispatcher;
-    /** Recorded limits by server id. */
-    readonly limits: [string, number | undefined][] = [];
+    /** Recorded limits by server id, with the kind of response. */
+    readonly limits: [string, number | undefined, StatementSource][] = [];
 
     constructor(...ids: readonly string[]) {
         const settings: ServiceSettings = { name: "svc", healthPath: "/healthz", maxConnections: 100 };
@@ -42,7 +46,8 @@
         this.dispatcher = new Dispatcher(settings, {
             balancer,
             probeClient,
-            recordLimit: ({ id }, perSecond) => this.limits.push([id, perSecond]),
+            recordStatement: ({ id }, { requestLimit }, source) =>
+                this.limits.push([id, requestLimit, source]),
             clock: () => this.now,
         });
         this.dispatcher.update(
@@ -95,10 +100,13 @@
     assert.equal(acquired.server, "s1");
 });
 
-test("a limit in a response to a probe is recorded, while a response without one says nothing of the limit", async () => {
+test("what a server says in a response to a probe is recorded as such", async () => {
     const fixture = new DispatcherFixture("s1", "s2");
     fixture.acquire(1);
-    await fixture.respond("s1", { ...probeResponse(2, 1), requestLimit: 5 });
+    await fixture.respond("s1", probeResponse(2, 1, 5));
     await fixture.respond("s2", probeResponse(0, 1));
-    assert.deepEqual(fixture.limits, [["s1", 5]]);
+    assert.deepEqual(fixture.limits, [
+        ["s1", 5, "probe"],
+        ["s2", Infinity, "probe"],
+    ]);
 });
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -4,18 +4,19 @@
 import type { TestContext } from "node:test";
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
-import { RequestLimits } from "@bramleymoor/limits/limits";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { RouteTable } from "@bramleymoor/routing/table";
 import { serverEntry } from "@bramleymoor/testkit/builders";
 import { KeepAliveAgent } from "../src/agent.js";
+import type { RecordStatement } from "../src/dispatcher.js";
 import { ElapsedTimeEstimator } from "../src/elapsed.js";
 import { ForwardTask, type ForwardOptions } from "../src/forward.js";
 import { FrontendServer } from "../src/frontend.js";
 import { HttpProbeClient } from "../src/probeclient.js";
 import type { ForwardRecord } from "../src/outcomes.js";
 import { ServiceDispatchers } from "../src/servicedispatchers.js";
+import { StatementExchange } from "../src/statementexchange.js";
 import type { WireFormat } from "../src/wireformat.js";
 
 const text = (value: string | readonly string[] | undefined): string | undefined =>
@@ -28,9 +29,13 @@
     deadlineMs: headers => (headers["t-deadline"] === undefined ? undefined : Number(headers["t-deadline"])),
     requestHeaders: (deadlineMs, serverId) => ["t-deadline", String(deadlineMs), "t-server", serverId],
     refusal: (_, headers) => (headers["t-not-run"] === undefined ? undefined : "full"),
-    loadReport: () => undefined,
-    requestLimit: headers => (headers["t-limit"] === undefined ? Infinity : Number(headers["t-limit"])),
-    serverId: headers => text(headers["t-server"]),
+    statement: (_, headers) => ({
+        serverId: headers["t-server"]?.[0],
+        load: undefined,
+        requestLimit: headers["t-limit"] ? Number(headers["t-limit"][0]) : Infinity,
+        leaving: headers["t-leaving"] !== undefined,
+        notNowMs: Number(headers["t-not-now"]?.[0] ?? 0),
+    }),
     isFromServer: headers => headers["t-signed"] !== undefined,
     formatAddresses: addresses => JSON.stringify(addresses),
     parseAddressQuery: () => undefined,
@@ -175,23 +180,29 @@
     };
     const probeClient = new HttpProbeClient(testWire, agents.pooled);
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
-    const limits = new RequestLimits("vm", clock());
-    const recordLimit = (server: ServerEntry, perSecond: number | undefined): void => {
-        limits.record(server, perSecond ?? Infinity, clock());
+    const applyServers = (): void => {
+        const known = servers.map(({ entry }) => ({ entry, lapsed: false }));
+        services.update(config, known);
     };
+    const statements = new StatementExchange({
+        self: "vm",
+        events: { emit: () => undefined },
+        hasMetPeers: () => true,
+        send: () => undefined,
+        now: clock(),
+    });
+    const recordStatement: RecordStatement = (server, statement, source) =>
+        statements.record(server, statement, source, clock());
     const services = new ServiceDispatchers({
         probeClient,
         clock,
         random: () => 0,
         balance: { candidateCount: 1, domain: "a" },
         retryLimits,
-        limiter: limits,
-        recordLimit,
+        limiter: statements.limits,
+        recordStatement,
     });
-    services.update(
-        config,
-        servers.map(({ entry }) => ({ entry, lapsed: false })),
-    );
+    applyServers();
     const table = new RouteTable(config.routes);
     const elapsedTimes = new ElapsedTimeEstimator();
     const records: ForwardRecord[] = [];
@@ -215,7 +226,7 @@
         elapsedMs: (it, deadlineMs) => elapsedTimes.elapsedMs(it.name, deadlineMs),
         countRequest: service => services.retryBudget(service)?.recordRequest(clock()),
         tryRetry: service => services.retryBudget(service)?.tryTake(clock(), 1) ?? false,
-        recordLimit,
+        recordStatement,
         agents,
         lagMs: () => lag.lagMs(clock()),
         takeAcceptWaitMs: req => frontend.takeAcceptWaitMs(req),
@@ -231,7 +242,7 @@
     const port = await frontend.listen(0, "127.0.0.1");
     const timer = setInterval(() => {
         lag.recordRun(clock(), clock() + lagPeriodMs);
-        limits.tick(true, clock());
+        statements.tick(clock());
         services.tick();
     }, lagPeriodMs);
     t.after(() => {
--- /dev/null
+++ b/packages/gateway/test/statementexchange.test.ts
@@ -0,0 +1,62 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ServerStatement } from "@bramleymoor/balance/statement";
+import type { LimitMessage } from "@bramleymoor/limits/messages";
+import { incarnationKey } from "@bramleymoor/model/route";
+import { serverEntry } from "@bramleymoor/testkit/builders";
+import { StatementExchange } from "../src/statementexchange.js";
+
+const server = serverEntry("s1");
+const key = incarnationKey(server);
+
+const statement = (changes: Partial<ServerStatement> = {}): ServerStatement => ({
+    serverId: "s1",
+    load: undefined,
+    requestLimit: Infinity,
+    leaving: false,
+    notNowMs: 0,
+    ...changes,
+});
+
+/** An exchange of one entry VM, and what it did. */
+class ExchangeFixture {
+    readonly messages: LimitMessage[] = [];
+    readonly events: string[] = [];
+    readonly exchange = new StatementExchange({
+        self: "vm",
+        events: { emit: name => this.events.push(name) },
+        hasMetPeers: () => true,
+        send: message => this.messages.push(message),
+        now: 0,
+    });
+}
+
+test("a limit in a response to a probe or a refusal is recorded, while one without says nothing of the limit", () => {
+    for (const source of ["probe", "refusal"] as const) {
+        const { exchange } = new ExchangeFixture();
+        exchange.record(server, statement({ requestLimit: 5 }), source, 0);
+        exchange.record(server, statement(), source, 1);
+        assert.equal(exchange.limits.limitOf(key), 5);
+        exchange.record(server, statement(), "response", 2);
+        assert.equal(exchange.limits.limitOf(key), Infinity);
+    }
+});
+
+test("a statement of another incarnation at a server's address says nothing of that server", () => {
+    const { exchange, events } = new ExchangeFixture();
+    const other = statement({ serverId: "s2", leaving: true, notNowMs: 5_000, requestLimit: 1 });
+    exchange.record(server, other, "response", 0);
+    assert.equal(exchange.limits.nextSendAt(key, 0), -Infinity);
+    assert.deepEqual(events, []);
+});
+
+test("unreadable statements are logged once in a while and bind nothing", () => {
+    const { exchange, events } = new ExchangeFixture();
+    for (let now = 0; now < 10_000; now += 100) {
+        exchange.record(server, statement({ leaving: undefined, notNowMs: undefined }), "response", now);
+    }
+    assert.deepEqual(events, ["backend-statement-unreadable", "backend-statement-unreadable"]);
+    assert.equal(exchange.limits.nextSendAt(key, 10_000), -Infinity);
+    exchange.record(server, statement({ leaving: undefined }), "response", 10_000);
+    assert.equal(events.length, 3);
+});
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -139,6 +139,16 @@
             origin: "string",
         },
     ),
+    "backend-statement-unreadable": defineEvent(
+        1031,
+        "warn",
+        "Ignored an unreadable statement of backend server {server} of {service}: {statement}.",
+        {
+            server: "string",
+            service: "string",
+            statement: "string",
+        },
+    ),
     "member-joined": defineEvent(2001, "info", "Entry VM {id} joined from {region}/{domain}.", {
         id: "string",
         incarnation: "string",
