--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -89,6 +89,7 @@
                     this.#members.others.map(vm => vm.peerAddress),
                     message,
                 ),
+            onLeaving: () => this.#applyStoreView(),
             now: monotonicMs(),
         });
         this.#probeClient = new HttpProbeClient(platform.wire, this.#agents.pooled);
@@ -276,7 +277,7 @@
 
     #applyStoreView(): void {
         const { config, isComplete } = this.#storeView;
-        const servers = this.#storeView.servers;
+        const servers = this.#statements.markLeaving(this.#storeView.servers);
         if (config) {
             this.#dispatchers.update(config, servers);
             this.#partitioner.update(config, servers);
--- a/packages/gateway/src/statementexchange.ts
+++ b/packages/gateway/src/statementexchange.ts
@@ -1,6 +1,8 @@
 /** Connects what servers say of themselves with the balancers, the other entry VMs and the log. */
 
 import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
+import type { KnownServer } from "@bramleymoor/discovery/servers";
+import { ServerAvailability } from "@bramleymoor/limits/availability";
 import { RequestLimits } from "@bramleymoor/limits/limits";
 import type { LimitMessage } from "@bramleymoor/limits/messages";
 import { incarnationKey, type ServerEntry } from "@bramleymoor/model/route";
@@ -15,6 +17,8 @@
     readonly hasMetPeers: () => boolean;
     /** Sends a message to all other entry VMs. */
     readonly send: (message: LimitMessage) => void;
+    /** Called when a server has become known to be leaving. */
+    readonly onLeaving: () => void;
     /** Current monotonic milliseconds. */
     readonly now: number;
 }
@@ -23,12 +27,14 @@
 export class StatementExchange {
     readonly limits: RequestLimits;
     readonly #options: StatementExchangeOptions;
+    readonly #availability: ServerAvailability;
     /** When an unreadable statement of a server was last logged. */
     readonly #unreadableAt = new Map<string, number>();
 
     constructor(options: StatementExchangeOptions) {
         this.#options = options;
         this.limits = new RequestLimits(options.self, options.now);
+        this.#availability = new ServerAvailability(options.self);
     }
 
     /** Records a server's statement; one of another incarnation says nothing of this server. */
@@ -38,6 +44,16 @@
         }
         this.#recordLimit(server, statement.requestLimit, source, now);
         this.#logUnreadable(server, statement, now);
+        this.#applied(this.#availability.record(server, statement, now), "own response");
+    }
+
+    /** Returns servers as registered, with those marked as leaving that have said so themselves. */
+    markLeaving(servers: readonly KnownServer[]): readonly KnownServer[] {
+        return servers.map(it =>
+            !it.entry.leaving && this.#availability.isLeaving(incarnationKey(it.entry))
+                ? { ...it, entry: { ...it.entry, leaving: true } }
+                : it,
+        );
     }
 
     /**
@@ -49,11 +65,13 @@
         for (const key of this.limits.receive(message, unreadMs, now)) {
             this.#logLimit(key, message.from);
         }
+        this.#applied(this.#availability.receive(message), message.from);
     }
 
     /** Updates the shares, sends what is due and logs the use of limited servers. To be called often. */
     tick(now: number): void {
         this.#send(this.limits.tick(this.#options.hasMetPeers(), now));
+        this.#send(this.#availability.tick(now));
         for (const { key, perSecond, share, requests, probes, periodMs } of this.limits.takeUsage(now)) {
             this.#options.events.emit("request-limit-usage", {
                 server: key,
@@ -69,6 +87,7 @@
     /** Gives up all shares, before this entry VM stops. */
     release(now: number): void {
         this.#send(this.limits.release(now));
+        this.#send(this.#availability.tick(now));
     }
 
     /** Records a limit; that a server names none says something only in a response to a request that it served. */
@@ -109,6 +128,13 @@
         }
     }
 
+    #applied(leaving: readonly string[], origin: string): void {
+        leaving.forEach(it => this.#options.events.emit("backend-leaving", { server: it, origin }));
+        if (leaving.length > 0) {
+            this.#options.onLeaving();
+        }
+    }
+
     #send(messages: readonly LimitMessage[]): void {
         messages.forEach(it => this.#options.send(it));
     }
--- a/packages/gateway/src/trafficpartitioner.ts
+++ b/packages/gateway/src/trafficpartitioner.ts
@@ -67,7 +67,7 @@
         this.#partitionedAmong.clear();
         for (const [host, services] of this.#servicesByHost) {
             const slots = servers
-                .filter(({ entry }) => services.has(entry.service))
+                .filter(({ entry }) => services.has(entry.service) && !entry.leaving)
                 .reduce((sum, { entry }) => sum + entry.slots, 0);
             this.#selector.setServerSlots(host, slots);
         }
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -182,13 +182,14 @@
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
     const applyServers = (): void => {
         const known = servers.map(({ entry }) => ({ entry, lapsed: false }));
-        services.update(config, known);
+        services.update(config, statements.markLeaving(known));
     };
     const statements = new StatementExchange({
         self: "vm",
         events: { emit: () => undefined },
         hasMetPeers: () => true,
         send: () => undefined,
+        onLeaving: applyServers,
         now: clock(),
     });
     const recordStatement: RecordStatement = (server, statement, source) =>
--- a/packages/gateway/test/statementexchange.test.ts
+++ b/packages/gateway/test/statementexchange.test.ts
@@ -22,11 +22,13 @@
 class ExchangeFixture {
     readonly messages: LimitMessage[] = [];
     readonly events: string[] = [];
+    leavingCalls = 0;
     readonly exchange = new StatementExchange({
         self: "vm",
         events: { emit: name => this.events.push(name) },
         hasMetPeers: () => true,
         send: message => this.messages.push(message),
+        onLeaving: () => this.leavingCalls++,
         now: 0,
     });
 }
@@ -43,11 +45,35 @@
 });
 
 test("a statement of another incarnation at a server's address says nothing of that server", () => {
-    const { exchange, events } = new ExchangeFixture();
+    const { exchange, events, leavingCalls } = new ExchangeFixture();
     const other = statement({ serverId: "s2", leaving: true, notNowMs: 5_000, requestLimit: 1 });
     exchange.record(server, other, "response", 0);
     assert.equal(exchange.limits.nextSendAt(key, 0), -Infinity);
-    assert.deepEqual(events, []);
+    assert.deepEqual([events, leavingCalls], [[], 0]);
+});
+
+for (const source of ["response", "refusal", "probe"] as const) {
+    test(`a server that says in a ${source} that it is leaving is marked in every list of servers`, () => {
+        const fixture = new ExchangeFixture();
+        fixture.exchange.record(server, statement({ leaving: true }), source, 0);
+        fixture.exchange.record(server, statement({ leaving: true }), source, 1);
+        const [marked, restarted] = fixture.exchange.markLeaving([
+            { entry: server, lapsed: false },
+            { entry: { ...server, bornAt: 2 }, lapsed: false },
+        ]);
+        assert.deepEqual([marked?.entry.leaving, restarted?.entry.leaving], [true, false]);
+        assert.equal(fixture.leavingCalls, 1);
+        assert.deepEqual(fixture.events, ["backend-leaving"]);
+        fixture.exchange.tick(50);
+        assert.deepEqual(fixture.messages, [{ from: "vm", limits: [], servers: [{ key, leaving: true }] }]);
+    });
+}
+
+test("an entry VM that stops tells its peers what it has just heard", () => {
+    const { exchange, messages } = new ExchangeFixture();
+    exchange.record(server, statement({ leaving: true }), "response", 0);
+    exchange.release(1);
+    assert.equal(messages.length, 1);
 });
 
 test("unreadable statements are logged once in a while and bind nothing", () => {
--- a/packages/gateway/test/trafficpartitioner.test.ts
+++ b/packages/gateway/test/trafficpartitioner.test.ts
@@ -80,6 +80,25 @@
     assert.ok((count(14) ?? 0) >= 2 * (count(200) ?? 0));
 });
 
+test("the slots of leaving servers bring no entry VMs to a host", () => {
+    const ids = Array.from({ length: 40 }, (_, i) => `v${i}`);
+    const count = (servers: number, leavingServers: number): number | undefined => {
+        const entries = Array.from({ length: servers + leavingServers }, (_, i) =>
+            entry(`s${i}`, { slots: 40, leaving: i >= servers }),
+        );
+        const { partitioners } = fleet(ids);
+        partitioners.forEach(it =>
+            it.update(
+                config,
+                entries.map(it => ({ entry: it, lapsed: false })),
+            ),
+        );
+        return partitioners[0]?.entryVmsFor("h.example", "a").length;
+    };
+    assert.ok((count(20, 0) ?? 0) > (count(5, 0) ?? 0));
+    assert.equal(count(5, 15), count(5, 0));
+});
+
 test("servers are partitioned again only if they or the entry VMs have changed", () => {
     const { partitioners, partitions } = fleet(["v1", "v2"]);
     const servers = Array.from({ length: 20 }, (_, i) => ({ entry: entry(`s${i}`), lapsed: false }));
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -1,4 +1,7 @@
-/** Messages in which entry VMs tell one another of servers' request limits and claim shares of them. */
+/**
+ * Messages in which entry VMs tell one another of servers' request limits, claim shares of them, and tell of servers that are
+ * leaving.
+ */
 
 import * as z from "zod";
 
@@ -18,12 +21,29 @@
     })
     .readonly();
 
+/** Largest number of servers whose availability one message reports. */
+export const maxServersPerMessage = 100;
+
+const availabilitySchema = z
+    .object({
+        /** Incarnation key of the server. */
+        key: z.string().max(200),
+        /** Whether the server has said that it is leaving. */
+        leaving: z.boolean().optional(),
+    })
+    .readonly();
+
+/** What one entry VM tells others of a server's availability. */
+export type AvailabilityReport = z.infer<typeof availabilitySchema>;
+
 /** Schema of a message. */
 export const limitMessageSchema = z
     .object({
         /** Stable name of the sending entry VM. */
         from: z.string().min(1).max(64),
         limits: z.array(limitSchema).max(maxLimitsPerMessage).readonly(),
+        /** Absent from messages about limits alone. */
+        servers: z.array(availabilitySchema).max(maxServersPerMessage).readonly().optional(),
     })
     .readonly();
 
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -139,6 +139,15 @@
             origin: "string",
         },
     ),
+    "backend-leaving": defineEvent(
+        1029,
+        "info",
+        "Backend server {server} says that it is leaving; from {origin}.",
+        {
+            server: "string",
+            origin: "string",
+        },
+    ),
     "backend-statement-unreadable": defineEvent(
         1031,
         "warn",
