--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -178,6 +178,7 @@
         const server = this.#servers.get(incarnationKey(slot.server));
         const prediction = this.#predictions.get(slot);
         this.#predictions.delete(slot);
+        this.#limiter.recordEnd(incarnationKey(slot.server), slot.grantedAt);
         if (prediction && result.kind === "answered" && result.status < firstServerErrorStatus) {
             const saturated = prediction.saturated || (server?.isSaturated ?? false);
             const latencyMs = now - slot.grantedAt;
@@ -332,7 +333,9 @@
 
     /** Expected time between two starts of requests while the service is fully loaded. */
     #startIntervalMs(now: number): number {
-        const usable = this.#usableServers(now);
+        const all = this.#usableServers(now);
+        const unpaused = all.filter(it => !this.#limiter.isPaused(it.key, now));
+        const usable = unpaused.length > 0 ? unpaused : all;
         const limited = usable.filter(it => this.#isLimited(it, now));
         const slotShare = this.#latency.degradesWhenSaturated ? unsaturatedShare : 1;
         const slotsOf = (it: ServerState): number => it.entry.slots * slotShare;
--- a/packages/balance/src/limiter.ts
+++ b/packages/balance/src/limiter.ts
@@ -1,24 +1,30 @@
-/** What the balancer needs to know of the request limits that servers name. */
+/** What the balancer needs to know of the limits and times that servers name for their requests. */
 
-/** Limits the requests to servers that name a limit. Servers are identified by their incarnation key. */
+/** Decides when requests may be sent to servers. Servers are identified by their incarnation key. */
 export interface SendLimiter {
     /** Requests per second that may be sent to a server from here; Infinity if it names no limit. */
     shareOf(key: string, now: number): number;
     /** Earliest time at which a request may be sent to a server; Infinity if that isn't known. */
     nextSendAt(key: string, now: number): number;
+    /** Whether the server wants no requests for a time, so that it isn't part of the service's present capacity. */
+    isPaused(key: string, now: number): boolean;
     /** Records that there are requests that a server could serve. */
     recordDemand(key: string, now: number): void;
     /** Records that a request is sent to a server. */
     recordSend(key: string, now: number): void;
+    /** Records that a request that was sent at `sentAt` has ended, with or without a response. */
+    recordEnd(key: string, sentAt: number): void;
     /** Records that a probe is sent to a server. */
     recordProbe(key: string): void;
 }
 
-/** Used where no server names a limit. */
+/** Used where servers name neither limits nor times. */
 export const noLimits: SendLimiter = {
     shareOf: () => Infinity,
     nextSendAt: () => -Infinity,
+    isPaused: () => false,
     recordDemand: () => undefined,
     recordSend: () => undefined,
+    recordEnd: () => undefined,
     recordProbe: () => undefined,
 };
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -188,7 +188,7 @@
 }
 
 const isFailure = (result: SlotResult): boolean =>
-    result.kind !== "answered" || result.status >= firstServerErrorStatus;
+    result.kind !== "answered" || (result.status >= firstServerErrorStatus && !result.notNow);
 
 const firstServerErrorStatus = 500;
 /** Share of slots in use above which a server counts as saturated and may slow down. */
--- a/packages/balance/src/types.ts
+++ b/packages/balance/src/types.ts
@@ -48,8 +48,8 @@
 
 /** How a slot's request ended. */
 export type SlotResult =
-    /** The server responded; `status` is the HTTP status. */
-    | { readonly kind: "answered"; readonly status: number }
+    /** The server responded; `status` is the HTTP status, `notNow` whether it named a time until which it wants none. */
+    | { readonly kind: "answered"; readonly status: number; readonly notNow?: boolean }
     /** The server refused the request without running it. */
     | { readonly kind: "refused"; readonly reason: "full" | "leaving" | "other-incarnation" }
     /** No connection could be opened; nothing was sent. */
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -263,6 +263,12 @@
         return key === this.#key ? 1 : Infinity;
     }
 
+    isPaused(): boolean {
+        return false;
+    }
+
+    recordEnd(): void {}
+
     nextSendAt(key: string): number {
         return key === this.#key ? this.#sendAt : -Infinity;
     }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -223,12 +223,12 @@
             const serverRes = await this.#abortable(exchange.head, abort);
             this.#serverMs = clock() - startedAt;
             this.#sent.add(slot);
-            const load = exchange.statement?.load;
+            const { load, notNowMs = 0 } = exchange.statement ?? {};
             if (load) {
                 dispatcher.report(slot.server, load);
             }
             const status = serverRes.statusCode ?? 0;
-            const answered: SlotResult = { kind: "answered", status };
+            const answered: SlotResult = { kind: "answered", status, notNow: notNowMs > 0 };
             if (status >= firstServerErrorStatus && this.#mayRetryServerError(slot, body)) {
                 discardResponse(serverRes, () => exchange.finish());
                 return settle(answered);
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -99,7 +99,7 @@
             random: Math.random,
             balance: { candidateCount: comparedServers, domain: settings.place.domain },
             retryLimits: settings.retryLimits,
-            limiter: this.#statements.limits,
+            limiter: this.#statements.rules,
             recordStatement: this.#recordStatement,
         });
         this.#peerSocket = new PeerSocket({
--- a/packages/gateway/src/statementexchange.ts
+++ b/packages/gateway/src/statementexchange.ts
@@ -2,9 +2,10 @@
 
 import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { KnownServer } from "@bramleymoor/discovery/servers";
-import { ServerAvailability } from "@bramleymoor/limits/availability";
+import { ServerAvailability, type AvailabilityChange } from "@bramleymoor/limits/availability";
 import { RequestLimits } from "@bramleymoor/limits/limits";
 import type { LimitMessage } from "@bramleymoor/limits/messages";
+import { SendRules } from "@bramleymoor/limits/sendrules";
 import { incarnationKey, type ServerEntry } from "@bramleymoor/model/route";
 import type { EventLog } from "@bramleymoor/observe/event-log";
 
@@ -26,6 +27,8 @@
 /** What one entry VM knows from servers' statements, its own and its peers', kept up to date and logged. */
 export class StatementExchange {
     readonly limits: RequestLimits;
+    /** When requests may be sent. */
+    readonly rules: SendRules;
     readonly #options: StatementExchangeOptions;
     readonly #availability: ServerAvailability;
     /** When an unreadable statement of a server was last logged. */
@@ -35,6 +38,7 @@
         this.#options = options;
         this.limits = new RequestLimits(options.self, options.now);
         this.#availability = new ServerAvailability(options.self);
+        this.rules = new SendRules(this.limits, this.#availability);
     }
 
     /** Records a server's statement; one of another incarnation says nothing of this server. */
@@ -65,7 +69,7 @@
         for (const key of this.limits.receive(message, unreadMs, now)) {
             this.#logLimit(key, message.from);
         }
-        this.#applied(this.#availability.receive(message), message.from);
+        this.#applied(this.#availability.receive(message, unreadMs, now), message.from);
     }
 
     /** Updates the shares, sends what is due and logs the use of limited servers. To be called often. */
@@ -128,9 +132,18 @@
         }
     }
 
-    #applied(leaving: readonly string[], origin: string): void {
-        leaving.forEach(it => this.#options.events.emit("backend-leaving", { server: it, origin }));
-        if (leaving.length > 0) {
+    #applied(changes: readonly AvailabilityChange[], origin: string): void {
+        for (const change of changes) {
+            if (change.kind === "leaving") {
+                this.#options.events.emit("backend-leaving", { server: change.key, origin });
+            } else {
+                this.#options.events.emit("backend-not-now", {
+                    server: change.key,
+                    ms: Math.round(change.durationMs),
+                });
+            }
+        }
+        if (changes.some(it => it.kind === "leaving")) {
             this.#options.onLeaving();
         }
     }
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -1,6 +1,5 @@
 /** The request limits that the backend servers of all services name, and this entry VM's shares of them. */
 
-import type { SendLimiter } from "@bramleymoor/balance/limiter";
 import { incarnationKey, type ServerEntry } from "@bramleymoor/model/route";
 import { hashRank } from "@bramleymoor/placement/placement";
 import { maxLimitsPerMessage, type LimitMessage } from "./messages.js";
@@ -19,7 +18,7 @@
 }
 
 /** Divides the servers' request limits among the entry VMs that send to them. */
-export class RequestLimits implements SendLimiter {
+export class RequestLimits {
     readonly #self: string;
     readonly #limits = new Map<string, ServerLimit>();
     /** When this entry VM last changed a server's limit or its claim, for as long as that is repeated to peers. */
@@ -115,10 +114,12 @@
         return this.#limits.get(key)?.perSecond ?? Infinity;
     }
 
+    /** Requests per second that may be sent to a server from here; Infinity if it names no limit. */
     shareOf(key: string, now: number): number {
         return this.#limits.get(key)?.shareOf(now) ?? Infinity;
     }
 
+    /** Earliest time at which a request may be sent to a server; Infinity if that isn't known. */
     nextSendAt(key: string, now: number): number {
         const limit = this.#limits.get(key);
         if (!limit) {
@@ -129,14 +130,17 @@
             : limit.nextSendAt();
     }
 
+    /** Records that there are requests that a server could serve. */
     recordDemand(key: string, now: number): void {
         this.#limits.get(key)?.recordDemand(now);
     }
 
+    /** Records that a request is sent to a server. */
     recordSend(key: string, now: number): void {
         this.#limits.get(key)?.recordSend(now);
     }
 
+    /** Records that a probe is sent to a server. */
     recordProbe(key: string): void {
         this.#limits.get(key)?.recordProbe();
     }
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -1,6 +1,6 @@
 /**
  * Messages in which entry VMs tell one another of servers' request limits, claim shares of them, and tell of servers that are
- * leaving.
+ * leaving or want no requests for a time.
  */
 
 import * as z from "zod";
@@ -30,6 +30,8 @@
         key: z.string().max(200),
         /** Whether the server has said that it is leaving. */
         leaving: z.boolean().optional(),
+        /** Time for which it wants no further requests from the sender, in milliseconds. */
+        notNowMs: z.number().nonnegative().optional(),
     })
     .readonly();
 
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -148,6 +148,15 @@
             origin: "string",
         },
     ),
+    "backend-not-now": defineEvent(
+        1030,
+        "info",
+        "Backend server {server} wants no requests from this entry VM for {ms} ms.",
+        {
+            server: "string",
+            ms: "number",
+        },
+    ),
     "backend-statement-unreadable": defineEvent(
         1031,
         "warn",
