--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -286,7 +286,7 @@
             return {
                 it,
                 cost:
-                    it.cost(now, factor) *
+                    (this.#limiter.isDue(it.key, now) ? 0 : it.cost(now, factor)) *
                     distanceFactor *
                     preferenceFactor *
                     (1 + this.#random() * tieBreakSpread),
--- a/packages/balance/src/limiter.ts
+++ b/packages/balance/src/limiter.ts
@@ -8,6 +8,8 @@
     nextSendAt(key: string, now: number): number;
     /** Whether the server wants no requests for a time, so that it isn't part of the service's present capacity. */
     isPaused(key: string, now: number): boolean;
+    /** Whether a server should get a request although others may serve it better, to learn whether its limit holds. */
+    isDue(key: string, now: number): boolean;
     /** Records that there are requests that a server could serve. */
     recordDemand(key: string, now: number): void;
     /** Records that a request is sent to a server. */
@@ -23,6 +25,7 @@
     shareOf: () => Infinity,
     nextSendAt: () => -Infinity,
     isPaused: () => false,
+    isDue: () => false,
     recordDemand: () => undefined,
     recordSend: () => undefined,
     recordEnd: () => undefined,
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -267,6 +267,10 @@
         return false;
     }
 
+    isDue(): boolean {
+        return false;
+    }
+
     recordEnd(): void {}
 
     nextSendAt(key: string): number {
--- a/packages/balance/test/paused.test.ts
+++ b/packages/balance/test/paused.test.ts
@@ -93,6 +93,23 @@
     assert.equal(first?.retryAfterMs, 700);
 });
 
+test("a limited server whose limit has to be confirmed gets the next request", () => {
+    const granted = (due: boolean): string | undefined => {
+        const isDue = (key: string): boolean => due && key === keyOf("s2");
+        const limiter: SendLimiter = { ...noLimits, isDue };
+        const balancer = new Balancer({ candidateCount: 1, domain: "a" }, () => 0, limiter);
+        const known = [entry("s1"), entry("s2", { domain: "far" })];
+        balancer.updateServers(
+            known.map(it => ({ entry: it, lapsed: false })),
+            0,
+        );
+        balancer.submit(makeRequest(0), 0);
+        return grantAll(balancer, 0)[0]?.id;
+    };
+    assert.equal(granted(true), "s2");
+    assert.equal(granted(false), "s1");
+});
+
 test("turning requests away for a time is no failure and doesn't eject a server", () => {
     const isEjected = (notNow: boolean): boolean => {
         const state = new ServerState(entry("s1"), 0);
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -130,6 +130,11 @@
             : limit.nextSendAt();
     }
 
+    /** Whether the server hasn't named its limit for a while, and this entry VM may ask it with a request. */
+    isDue(key: string, now: number): boolean {
+        return this.#limits.get(key)?.isDue(now) ?? false;
+    }
+
     /** Records that there are requests that a server could serve. */
     recordDemand(key: string, now: number): void {
         this.#limits.get(key)?.recordDemand(now);
--- a/packages/limits/src/sendrules.ts
+++ b/packages/limits/src/sendrules.ts
@@ -26,6 +26,10 @@
         return this.#availability.nextSendAt(key, now) > now;
     }
 
+    isDue(key: string, now: number): boolean {
+        return this.#limits.isDue(key, now);
+    }
+
     recordDemand(key: string, now: number): void {
         this.#limits.recordDemand(key, now);
     }
--- a/packages/limits/src/serverlimit.ts
+++ b/packages/limits/src/serverlimit.ts
@@ -146,6 +146,12 @@
         return Math.max(this.#holdsFrom, this.#sentAt) + intervalMs;
     }
 
+    /** Whether the limit should be confirmed by a request of this entry VM, which holds a share of it. */
+    isDue(now: number): boolean {
+        const askedAt = Math.max(this.#namedAt, this.#sentAt);
+        return this.#perSecond !== Infinity && this.claimed && now - askedAt >= confirmIntervalMs;
+    }
+
     /** Whether nothing has confirmed the limit for so long that it may be forgotten. */
     isOutdated(now: number): boolean {
         return !this.claimed && now - this.#confirmedAt > limitTtlMs;
@@ -180,6 +186,8 @@
 const demandTtlMs = 10_000;
 /** Longest interval between requests to a server; only an answer shows that a very low limit has ended. */
 const maxIntervalMs = 10_000;
+/** Interval at which a limited server that isn't needed gets a request, as only a response shows that the limit has ended. */
+const confirmIntervalMs = 2_000;
 /** Time after which a limit that neither the server nor a peer confirms is forgotten. */
 const limitTtlMs = 60_000;
 const msPerSecond = 1_000;
--- a/packages/limits/test/limits.test.ts
+++ b/packages/limits/test/limits.test.ts
@@ -166,6 +166,24 @@
     assert.deepEqual(new Set(claimed.map(it => it.key)), new Set(servers.map(incarnationKey)));
 });
 
+test("a holder confirms a limit with a request if the server hasn't named it for a while", () => {
+    const server = serverEntry("s1");
+    const key = incarnationKey(server);
+    const limits = new RequestLimits("vm", 0);
+    limits.record(server, 5, 0);
+    assert.ok(!limits.isDue(key, 5_000), "no claim");
+    limits.recordDemand(key, 0);
+    limits.tick(true, 0);
+    assert.ok(!limits.isDue(key, 1_999));
+    assert.ok(limits.isDue(key, 2_000));
+    limits.recordSend(key, 2_500);
+    assert.ok(!limits.isDue(key, 3_000), "one request in flight");
+    limits.receive({ from: "p", limits: [{ key, perSecond: 5, ageMs: 100, claimed: true }] }, 0, 6_000);
+    assert.ok(!limits.isDue(key, 7_000), "a peer has asked");
+    limits.record(server, Infinity, 9_000);
+    assert.ok(!limits.isDue(key, 20_000), "ended");
+});
+
 test("a new incarnation of a server has no limit", () => {
     const limits = new RequestLimits("vm", 0);
     limits.record(serverEntry("s1", { bornAt: 1 }), 5, 0);
