--- a/packages/limits/src/serverlimit.ts
+++ b/packages/limits/src/serverlimit.ts
@@ -114,7 +114,7 @@
         if (this.#perSecond === Infinity || !wanted || higher >= this.#maxHolders) {
             this.#holdsFrom = undefined;
         } else {
-            this.#holdsFrom ??= now + settleMs;
+            this.#holdsFrom = Math.min(this.#holdsFrom ?? Infinity, now + settleMs);
         }
         return before !== this.claimed;
     }
--- a/packages/limits/test/limits.test.ts
+++ b/packages/limits/test/limits.test.ts
@@ -138,6 +138,18 @@
     }
 });
 
+test("an entry VM that meets the others late waits only until it has heard their claims", () => {
+    const server = serverEntry("s1");
+    const key = incarnationKey(server);
+    const limits = new RequestLimits("vm", 0);
+    limits.record(server, 5, 0);
+    for (let now = 0; now <= 6_000; now += 500) {
+        limits.recordDemand(key, now);
+        limits.tick(now >= 3_000, now);
+    }
+    assert.equal(limits.nextSendAt(key, 6_000), 3_000 + 2_200 + 200);
+});
+
 test("an older statement of a peer doesn't replace a newer one", () => {
     const server = serverEntry("s1");
     const key = incarnationKey(server);
