--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -8,7 +8,10 @@
 import { noLimits, type SendLimiter } from "./limiter.js";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "./types.js";
 
-/** A dequeued request for which a free slot is reserved, with the servers that may get it, cheapest first. */
+/**
+ * A dequeued request for which a free slot is reserved, with the servers that may get it. The first one is random, so that
+ * probing them in this order doesn't always begin with the one that is already known to be good.
+ */
 export interface Reservation {
     readonly request: Request;
     readonly candidates: readonly ServerState[];
@@ -142,10 +145,8 @@
         const allowed = untried.length > 0 ? untried : free;
         this.#queue.remove(request);
         this.#openReservations++;
-        return {
-            request,
-            candidates: this.#cheapest(allowed, this.#settings.candidateCount, now, request.kind),
-        };
+        const candidates = this.#cheapest(allowed, this.#settings.candidateCount, now, request.kind);
+        return { request, candidates };
     }
 
     /** Number of servers that would be open but for a pending probe. */
@@ -195,6 +196,7 @@
         const server = this.#servers.get(incarnationKey(slot.server));
         const prediction = this.#predictions.get(slot);
         this.#predictions.delete(slot);
+        this.#limiter.recordEnd(incarnationKey(slot.server), slot.grantedAt);
         const wasPaused = slot.grantedAt < this.#pauses.runningSince(now);
         const succeeded = result.kind === "answered" && result.status < firstServerErrorStatus;
         if (prediction && succeeded && !wasPaused) {
@@ -305,7 +307,7 @@
             return {
                 it,
                 cost:
-                    it.cost(now, factor) *
+                    (this.#limiter.isDue(it.key, now) ? 0 : it.cost(now, factor)) *
                     distanceFactor *
                     preferenceFactor *
                     (1 + this.#random() * tieBreakSpread),
@@ -352,7 +354,9 @@
 
     /** Expected time between two starts of requests while the service is fully loaded. */
     #startIntervalMs(now: number): number {
-        const usable = this.#usableServers(now);
+        const all = this.#usableServers(now);
+        const unpaused = all.filter(it => !this.#limiter.isPaused(it.key, now));
+        const usable = unpaused.length > 0 ? unpaused : all;
         const limited = usable.filter(it => this.#isLimited(it, now));
         const slotShare = this.#latency.degradesWhenSaturated ? unsaturatedShare : 1;
         const slotsOf = (it: ServerState): number => it.entry.slots * slotShare;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -2,6 +2,7 @@
 
 import type { Balancer, Reservation } from "@bramleymoor/balance/balancer";
 import type { ProbeBudget } from "@bramleymoor/balance/probebudget";
+import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import { incarnationKey, type ServerEntry, type ServiceSettings } from "@bramleymoor/model/route";
 import type { ProbeClient } from "./probeclient.js";
@@ -14,13 +15,20 @@
     | { readonly kind: "refused"; readonly refusal: Refusal }
     | { readonly kind: "withdrawn" };
 
+/** Records what a server says of itself in a response. */
+export type RecordStatement = (
+    server: ServerEntry,
+    statement: ServerStatement,
+    source: StatementSource,
+) => void;
+
 /** Dependencies of a `Dispatcher`. */
 export interface DispatcherOptions {
     readonly balancer: Balancer;
     readonly probeClient: ProbeClient;
     readonly probeBudget: ProbeBudget;
-    /** Records the request limit that a server names in its response to a probe; undefined if it can't be parsed. */
-    readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
+    /** Records what a server says of itself in its response to a probe. */
+    readonly recordStatement: RecordStatement;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -30,7 +38,7 @@
     readonly #balancer: Balancer;
     readonly #probeClient: ProbeClient;
     readonly #probeBudget: ProbeBudget;
-    readonly #recordLimit: DispatcherOptions["recordLimit"];
+    readonly #recordStatement: RecordStatement;
     readonly #clock: () => number;
     readonly #usage: ProbeUsage;
     /** Probes in flight by incarnation key; each resolves when its result has been recorded. */
@@ -40,13 +48,13 @@
 
     constructor(
         settings: ServiceSettings,
-        { balancer, probeClient, probeBudget, recordLimit, clock }: DispatcherOptions,
+        { balancer, probeClient, probeBudget, recordStatement, clock }: DispatcherOptions,
     ) {
         this.#settings = settings;
         this.#balancer = balancer;
         this.#probeClient = probeClient;
         this.#probeBudget = probeBudget;
-        this.#recordLimit = recordLimit;
+        this.#recordStatement = recordStatement;
         this.#clock = clock;
         this.#usage = new ProbeUsage(clock());
     }
@@ -199,9 +207,7 @@
             this.#balancer.recordUnansweredProbe(server, this.#clock());
             return;
         }
-        if (response.requestLimit !== Infinity) {
-            this.#recordLimit(server, response.requestLimit);
-        }
+        this.#recordStatement(server, response.statement, "probe");
         if (response.report) {
             this.#balancer.recordLoad(server, response.report, startedAt, this.#clock());
         } else {
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -5,9 +5,9 @@
 import type { SendLimiter } from "@bramleymoor/balance/limiter";
 import { ProbeBudget } from "@bramleymoor/balance/probebudget";
 import type { KnownServer } from "@bramleymoor/discovery/servers";
-import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
+import type { RouteConfig } from "@bramleymoor/model/route";
 import type { DemandExchange } from "./demand.js";
-import { Dispatcher } from "./dispatcher.js";
+import { Dispatcher, type RecordStatement } from "./dispatcher.js";
 import type { ProbeClient } from "./probeclient.js";
 import type { ProbeUsageReport } from "./probeusage.js";
 
@@ -28,10 +28,10 @@
     readonly retryLimits: RetryLimits;
     /** Maximum average rate of probes per backend server, from all entry VMs together. */
     readonly probesPerServerPerSecond: number;
-    /** Limits the requests to servers that name a limit. */
+    /** Decides when requests may be sent to servers. */
     readonly limiter: SendLimiter;
-    /** Records the request limit that a server names; undefined if it can't be parsed. */
-    readonly recordLimit: (server: ServerEntry, perSecond: number | undefined) => void;
+    /** Records what a server says of itself in its response to a probe. */
+    readonly recordStatement: RecordStatement;
 }
 
 type ServiceDemand = Pick<DemandExchange, "serviceRate" | "knownEntryVms">;
@@ -113,7 +113,7 @@
     }
 
     #create(name: string, config: RouteConfig): ServiceState {
-        const { probeClient, clock, random, balance, limiter, recordLimit } = this.#options;
+        const { probeClient, clock, random, balance, limiter, recordStatement } = this.#options;
         const settings = config.services.get(name);
         if (!settings) {
             throw new Error(`the configuration has no service ${name}`);
@@ -121,7 +121,13 @@
         const balancer = new Balancer(balance, random, limiter);
         const probeBudget = new ProbeBudget(this.#probesPerServerPerSecond, clock());
         const service = {
-            dispatcher: new Dispatcher(settings, { balancer, probeClient, probeBudget, recordLimit, clock }),
+            dispatcher: new Dispatcher(settings, {
+                balancer,
+                probeClient,
+                probeBudget,
+                recordStatement,
+                clock,
+            }),
             retryBudget: new RetryBudget(this.#retryLimits),
             probeBudget,
         };
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -2,6 +2,7 @@
 import { test, type TestContext } from "node:test";
 import { Balancer } from "@bramleymoor/balance/balancer";
 import { ProbeBudget } from "@bramleymoor/balance/probebudget";
+import type { StatementSource } from "@bramleymoor/balance/statement";
 import type { Request } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
 import { serverEntry as entry } from "@bramleymoor/testkit/builders";
@@ -18,11 +19,14 @@
     tried: [],
 });
 
-const probeResponse = (running: number, slowdown: number): ProbeResponse => ({
-    report: { running, waiting: 0, slots: 2, slowdown },
-    requestLimit: Infinity,
-    misdirected: false,
-});
+const probeResponse = (running: number, slowdown: number, requestLimit = Infinity): ProbeResponse => {
+    const load = { running, waiting: 0, slots: 2, slowdown };
+    return {
+        report: load,
+        statement: { serverId: undefined, load, requestLimit, leaving: false, notNowMs: 0 },
+        misdirected: false,
+    };
+};
 
 const readInput = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
@@ -34,8 +38,8 @@
     readonly #responses = new Map<string, Promise<ProbeResponse | undefined>>();
     readonly dispatcher: Dispatcher;
     readonly probeBudget = new ProbeBudget(1_000, 0);
-    /** Recorded limits by server id. */
-    readonly limits: [string, number | undefined][] = [];
+    /** Recorded limits by server id, with the kind of response. */
+    readonly limits: [string, number | undefined, StatementSource][] = [];
 
     constructor(t: TestContext, ...ids: readonly string[]) {
         t.mock.timers.enable({ apis: ["setTimeout"] });
@@ -56,7 +60,8 @@
             balancer,
             probeClient,
             probeBudget: this.probeBudget,
-            recordLimit: ({ id }, perSecond) => this.limits.push([id, perSecond]),
+            recordStatement: ({ id }, { requestLimit }, source) =>
+                this.limits.push([id, requestLimit, source]),
             clock: () => this.now,
         });
         this.dispatcher.update(
@@ -141,12 +146,15 @@
     assert.equal(fixture.pendingProbes.size, 0);
 });
 
-test("a limit in a response to a probe is recorded, while a response without one says nothing of the limit", async t => {
+test("what a server says in a response to a probe is recorded as such", async t => {
     const fixture = new DispatcherFixture(t, "s1", "s2");
     fixture.acquire(1);
-    await fixture.respond("s1", { ...probeResponse(2, 1), requestLimit: 5 });
+    await fixture.respond("s1", probeResponse(2, 1, 5));
     await fixture.respond("s2", probeResponse(0, 1));
-    assert.deepEqual(fixture.limits, [["s1", 5]]);
+    assert.deepEqual(fixture.limits, [
+        ["s1", 5, "probe"],
+        ["s2", Infinity, "probe"],
+    ]);
 });
 
 test("a single unanswered probe that several requests wait for doesn't eject its server", async t => {
--- a/packages/gateway/test/probeamplification.test.ts
+++ b/packages/gateway/test/probeamplification.test.ts
@@ -76,7 +76,14 @@
             setTimeout(() => {
                 const waiting = this.#waiting.length;
                 const report = { running: this.#running, waiting, slots, slowdown: this.#slowdown };
-                resolve({ report, requestLimit: Infinity, misdirected: false });
+                const statement = {
+                    serverId: undefined,
+                    load: report,
+                    requestLimit: Infinity,
+                    leaving: false,
+                    notNowMs: 0,
+                };
+                resolve({ report, statement, misdirected: false });
             }, roundTripMs);
         });
     }
@@ -101,7 +108,7 @@
                 balancer: new Balancer({ candidateCount: 3, domain: "a" }, createRandom(i + 1)),
                 probeClient: { probe: ({ id }) => byId.get(id)!.probe(roundTripMs) },
                 probeBudget: this.#budgets[i]!,
-                recordLimit: () => undefined,
+                recordStatement: () => undefined,
                 clock: () => this.now,
             });
             dispatcher.update(
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -139,6 +139,34 @@
             origin: "string",
         },
     ),
+    "backend-leaving": defineEvent(
+        1029,
+        "info",
+        "Backend server {server} says that it is leaving; from {origin}.",
+        {
+            server: "string",
+            origin: "string",
+        },
+    ),
+    "backend-not-now": defineEvent(
+        1030,
+        "info",
+        "Backend server {server} wants no requests from this entry VM for {ms} ms.",
+        {
+            server: "string",
+            ms: "number",
+        },
+    ),
+    "backend-statement-unreadable": defineEvent(
+        1031,
+        "warn",
+        "Ignored an unreadable statement of backend server {server} of {service}: {statement}.",
+        {
+            server: "string",
+            service: "string",
+            statement: "string",
+        },
+    ),
     "member-joined": defineEvent(2001, "info", "Entry VM {id} joined from {region}/{domain}.", {
         id: "string",
         incarnation: "string",
