--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -146,7 +146,8 @@
         this.#queue.remove(request);
         this.#openReservations++;
         const candidates = this.#cheapest(allowed, this.#settings.candidateCount, now, request.kind);
-        return { request, candidates };
+        const first = Math.floor(this.#random() * candidates.length);
+        return { request, candidates: [...candidates.slice(first), ...candidates.slice(0, first)] };
     }
 
     /** Number of servers that would be open but for a pending probe. */
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -394,3 +394,25 @@
         [1, 1, 1, 1],
     );
 });
+
+test("requests of a light load aren't all probed for at the server that is known to be good", () => {
+    const draws = [0, 0.34, 0.67];
+    let drawn = 0;
+    const balancer = new Balancer({ candidateCount: 3, domain: "a" }, () => draws[drawn++ % 3] ?? 0);
+    const entries = ["s1", "s2", "s3"].map(id => ({ entry: entry(id), lapsed: false }));
+    balancer.updateServers(entries, 0);
+    const firsts = new Set<string | undefined>();
+    for (let now = 0; now < 3_000; now += 100) {
+        balancer.submit(makeRequest(now), now);
+        const reservation = balancer.reserveNext(now);
+        assert.ok(reservation);
+        const [first] = reservation.candidates;
+        assert.ok(first);
+        firsts.add(first.entry.id);
+        balancer.recordLoad(first.entry, loadReport(0), now);
+        const slot = balancer.grant(reservation, now);
+        assert.ok(slot);
+        balancer.settle(slot, { kind: "answered", status: 200 }, now + 10);
+    }
+    assert.equal(firsts.size, 3);
+});
