--- a/packages/gateway/src/demand.ts
+++ b/packages/gateway/src/demand.ts
@@ -45,17 +45,16 @@
     }
 }
 
-/** Parses the rates by short hash from the keys of a member's payload. */
+/** Parses the rates by short hash from the keys of a member's payload; ignores what isn't a rate. */
 export const parseRates = (payload: Payload, keys: readonly string[]): ReadonlyMap<string, number> => {
-    const pairs = keys.flatMap(key => String(payload[key] ?? "").split(" "));
-    return new Map(
-        pairs
-            .filter(it => it.includes("="))
-            .map(it => {
-                const [hash = "", rate = "0"] = it.split("=");
-                return [hash, Number(rate)];
-            }),
-    );
+    const rates = new Map<string, number>();
+    for (const pair of keys.flatMap(key => String(payload[key] ?? "").split(" "))) {
+        const [, hash, rate] = /^(\w+)=(\d+)$/.exec(pair) ?? [];
+        if (hash !== undefined && rate !== undefined) {
+            rates.set(hash, Number(rate));
+        }
+    }
+    return rates;
 };
 
 /** Dependencies of a `DemandExchange`. */
--- a/packages/gateway/test/demand.test.ts
+++ b/packages/gateway/test/demand.test.ts
@@ -92,3 +92,8 @@
     a.tick(2 * periodMs);
     assert.equal(a.knownEntryVms, 2);
 });
+
+test("rates in a member's payload that aren't numbers are ignored", () => {
+    const rates = parseRates({ s: "a=5 b=x c=-1 d=Infinity e=" }, ["s"]);
+    assert.deepEqual([...rates], [["a", 5]]);
+});
