--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -17,6 +17,10 @@
     /** Names and values alternating, framing included. */
     readonly headers: readonly string[];
     readonly requestId: string;
+    /** When the remaining time in the headers is outdated, so that a connection established later isn't used. */
+    readonly latestConnectAt: number;
+    /** Returns monotonic milliseconds. */
+    readonly clock: () => number;
     /**
      * Called with the request limit in the server's response: Infinity if it names none, undefined if it can't be parsed.
      * A refusal only counts if it names one.
@@ -116,10 +120,15 @@
     }
 
     #handleConnect(outgoing: OutgoingRequest): void {
-        if (!this.#req.destroyed) {
-            this.#connected = true;
-            outgoing.writeBody(this.#req);
+        if (this.#req.destroyed) {
+            return;
+        }
+        if (outgoing.clock() > outgoing.latestConnectAt) {
+            this.abort({ kind: "unreachable" });
+            return;
         }
+        this.#connected = true;
+        outgoing.writeBody(this.#req);
     }
 
     #handleResponse(
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -296,6 +296,8 @@
                 target: this.#req.url ?? "/",
                 headers: [...forwarded, ...body.framingHeaders(), ...added],
                 requestId,
+                latestConnectAt: clock() + connectTimeoutMs,
+                clock,
                 onLimit: perSecond => this.#options.recordLimit(slot.server, perSecond),
                 writeBody: req => body.writeTo(req),
             },
