--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -18,6 +18,10 @@
     /** Names and values alternating, framing included. */
     readonly headers: readonly string[];
     readonly requestId: string;
+    /** When the remaining time in the headers is outdated, so that a connection established later isn't used. */
+    readonly latestConnectAt: number;
+    /** Returns monotonic milliseconds. */
+    readonly clock: () => number;
     /** Called with what the server says of itself in its response. */
     readonly onStatement: (statement: ServerStatement, source: StatementSource) => void;
     /** Writes the body and ends the request. */
@@ -120,10 +124,15 @@
     }
 
     #handleConnect(outgoing: OutgoingRequest): void {
-        if (!this.#req.destroyed) {
-            this.#connected = true;
-            outgoing.writeBody(this.#req);
+        if (this.#req.destroyed) {
+            return;
+        }
+        if (outgoing.clock() > outgoing.latestConnectAt) {
+            this.abort({ kind: "unreachable" });
+            return;
         }
+        this.#connected = true;
+        outgoing.writeBody(this.#req);
     }
 
     #handleResponse(
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -295,6 +295,8 @@
                 target: this.#req.url ?? "/",
                 headers: [...forwarded, ...body.framingHeaders(), ...added],
                 requestId,
+                latestConnectAt: clock() + connectTimeoutMs,
+                clock,
                 onStatement: (statement, source) =>
                     this.#options.recordStatement(slot.server, statement, source),
                 writeBody: req => body.writeTo(req),
