--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -1,11 +1,12 @@
 /** The HTTP server for routed requests, and a simple one for readiness checks, address queries and metrics. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { createServer, IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Server as NetServer, Socket } from "node:net";
 import type { ClientLimits } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { AcceptQueue } from "@bramleymoor/proxy/acceptqueue";
 import { ConnectionTracker } from "@bramleymoor/proxy/connections";
+import { OrderedResponse } from "@bramleymoor/proxy/orderedresponse";
 import { rawErrorResponse } from "@bramleymoor/proxy/responses";
 import { sendError } from "./errorresponse.js";
 
@@ -23,7 +24,7 @@
 
 /** Accepts callers' connections and passes on routed requests. */
 export class FrontendServer {
-    readonly #server: Server;
+    readonly #server: Server<typeof IncomingMessage, typeof OrderedResponse>;
     readonly #connections = new ConnectionTracker();
     readonly #acceptQueue = new AcceptQueue();
     /** Number of requests per connection whose response isn't complete yet. */
@@ -39,6 +40,8 @@
         this.#serve = serve;
         this.#onMalformed = onMalformed;
         this.#server = createServer({
+            IncomingMessage,
+            ServerResponse: OrderedResponse,
             maxHeaderSize: maxParserHeadBytes,
             connectionsCheckingInterval: connectionCheckIntervalMs,
             requestTimeout: 0,
@@ -49,8 +52,8 @@
             this.#connections.track(socket);
             onAccepted(this.#acceptQueue.recordAccepted(socket, clock()));
         });
-        this.#server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#handle(req, res));
-        this.#server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
+        this.#server.on("request", (req, res) => this.#handle(req, res));
+        this.#server.on("checkContinue", (req, res) => {
             res.writeContinue();
             this.#handle(req, res);
         });
@@ -109,15 +112,21 @@
         await Promise.all(this.#running);
     }
 
-    #handle(req: IncomingMessage, res: ServerResponse): void {
+    #handle(req: IncomingMessage, res: OrderedResponse): void {
         const { socket } = req;
         if (this.#closing.has(socket)) {
             return;
         }
-        this.#connections.addResponse(socket, res);
+        const admission = this.#connections.admit(socket, res);
+        if (admission !== "serve") {
+            req.resume();
+        }
+        if (admission === "ignore") {
+            return;
+        }
         this.#pendingResponses.set(socket, (this.#pendingResponses.get(socket) ?? 0) + 1);
         res.once("close", () => this.#responseClosed(socket));
-        const error = this.#validateHead(req);
+        const error = admission === "refuse" ? tooManyPending() : this.#validateHead(req);
         if (error) {
             sendError(res, error, ["Connection", "close"]);
             return;
@@ -177,7 +186,7 @@
     }
 }
 
-const listenOn = (server: Server, port: number, host: string): Promise<number> =>
+const listenOn = (server: NetServer, port: number, host: string): Promise<number> =>
     new Promise((resolve, reject) => {
         server.once("error", reject);
         server.listen({ port, host, backlog }, () => {
@@ -186,6 +195,11 @@
         });
     });
 
+const tooManyPending = (): CallError =>
+    new CallError("overloaded", "Too many requests are pending on the connection.", pipelinedRetryMs);
+
+/** Time after which a caller with too many pending requests may retry on another connection. */
+const pipelinedRetryMs = 150;
 /** Largest request head that the parser accepts, in bytes; the configured limit is checked after parsing. */
 const maxParserHeadBytes = 64 * 1024;
 /** Half of the 4 bytes of ": " and the line end, as names and values are counted separately. */
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -1,19 +1,26 @@
-/** Tracks the callers' connections, so that a graceful shutdown closes only idle ones. */
+/** Tracks the callers' connections: bounds what is pending on them, and closes only idle ones at a graceful shutdown. */
 
-import type { Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import { Server as NetServer, type Socket } from "node:net";
+import type { OrderedResponse } from "./orderedresponse.js";
 import { drainPendingInput } from "./unreadinput.js";
 
 interface Connection {
     /** The response to the latest request. */
-    response: ServerResponse | undefined;
+    response: OrderedResponse | undefined;
     /** Responses that aren't closed yet. */
-    readonly pending: Set<ServerResponse>;
+    readonly pending: Set<OrderedResponse>;
+    /** Number of requests that were ignored because the response to an earlier one closes the connection. */
+    ignored: number;
+    /** Whether a request has been refused, so that its response closes the connection. */
+    refused: boolean;
     /** Value of `bytesRead` when the connection was last seen idle; undefined if it was busy. */
     idleBytesRead: number | undefined;
 }
 
+/** Whether a request may be served; one that follows a refused request can't get a response. */
+export type Admission = "serve" | "refuse" | "ignore";
+
 /**
  * Open connections with the responses of each. Node's closeIdleConnections treats a response as finished once
  * its last byte has been buffered, which is before a slow reader has received it.
@@ -22,30 +29,47 @@
     readonly #open = new Map<Duplex, Connection>();
     /** Number of connections accepted so far. */
     #accepted = 0;
+    /** Bytes of responses that wait for their turn. */
+    #heldBytes = 0;
 
     /** Tracks a connection until it closes. */
     track(socket: Socket): void {
         this.#accepted++;
-        const pending = new Set<ServerResponse>();
-        this.#open.set(socket, { response: undefined, pending, idleBytesRead: undefined });
+        const pending = new Set<OrderedResponse>();
+        this.#open.set(socket, {
+            response: undefined,
+            pending,
+            ignored: 0,
+            refused: false,
+            idleBytesRead: undefined,
+        });
         socket.once("close", () => {
             this.#open.delete(socket);
             pending.forEach(closeQueued);
         });
     }
 
-    /** Records the response to the connection's latest request. */
-    addResponse(socket: Socket, response: ServerResponse): void {
+    /**
+     * Records the response to the connection's latest request, and returns whether to serve the request. The response to a
+     * refused one must close the connection.
+     */
+    admit(socket: Socket, response: OrderedResponse): Admission {
         const connection = this.#open.get(socket);
-        if (connection) {
-            connection.response = response;
-            connection.pending.add(response);
-            response.once("close", () => connection.pending.delete(response));
+        if (!connection) {
+            return "serve";
+        }
+        if (connection.refused) {
+            this.#ignore(socket, connection);
+            return "ignore";
         }
+        this.#addResponse(connection, response);
+        const { size } = connection.pending;
+        connection.refused = size > maxPipelinedRequests || (size > 1 && this.#heldBytes > maxHeldBytes);
+        return connection.refused ? "refuse" : "serve";
     }
 
     /** Returns the connection's latest response, if it hasn't been sent completely. */
-    unfinishedResponse(socket: Duplex): ServerResponse | undefined {
+    unfinishedResponse(socket: Duplex): OrderedResponse | undefined {
         const response = this.#open.get(socket)?.response;
         return response && !response.writableFinished ? response : undefined;
     }
@@ -54,7 +78,7 @@
      * Stops listening and closes connections as they become idle; resolves when all are closed. The HTTP server's
      * own close would truncate responses that a slow reader has not received yet.
      */
-    async closeAll(server: Server): Promise<void> {
+    async closeAll(server: NetServer): Promise<void> {
         await this.#acceptWaiting();
         const closed = new Promise<void>(resolve => NetServer.prototype.close.call(server, () => resolve()));
         const timer = setInterval(() => this.closeIdle(), idleCheckIntervalMs);
@@ -73,6 +97,24 @@
         }
     }
 
+    #addResponse(connection: Connection, response: OrderedResponse): void {
+        connection.response = response;
+        connection.pending.add(response);
+        response.trackHeldBytes(bytes => (this.#heldBytes += bytes));
+        response.once("close", () => {
+            connection.pending.delete(response);
+            response.discardHeld();
+        });
+    }
+
+    /** Stops reading from a caller that keeps sending requests without reading the response that closes its connection. */
+    #ignore(socket: Socket, connection: Connection): void {
+        connection.ignored++;
+        if (connection.ignored >= maxPipelinedRequests) {
+            socket.pause();
+        }
+    }
+
     /** Closes connections that were idle at the previous check and have received nothing since. */
     closeIdle(): void {
         for (const [socket, connection] of this.#open) {
@@ -92,13 +134,17 @@
  * Closes a response that waits for its turn on a connection that has closed. Node closes only the one whose turn it is, so
  * the others' requests would continue without a caller.
  */
-const closeQueued = (response: ServerResponse): void => {
+const closeQueued = (response: OrderedResponse): void => {
     if (!response.socket && !response.writableFinished) {
         response.destroy();
         response.emit("close");
     }
 };
 
+/** Maximum number of pending requests on one connection. */
+const maxPipelinedRequests = 32;
+/** Bytes of responses waiting for their turn, on all connections, above which pipelined requests are refused. */
+const maxHeldBytes = 32 * 1024 * 1024;
 /** Enough for several hundred waiting connections, while callers that still connect don't put off the stop. */
 const maxAcceptRounds = 100;
 /** An idle connection is closed at the second check, so within twice this interval. */
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -1,6 +1,6 @@
 /** The HTTP server for callers. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { addressesPathPrefix, callPathPrefix } from "@bramleymoor/protocol/headers";
@@ -9,16 +9,19 @@
 import { AcceptQueue } from "./acceptqueue.js";
 import { BackendClient } from "./backend.js";
 import { ConnectionTracker } from "./connections.js";
+import { OrderedResponse } from "./orderedresponse.js";
 import { RetryBudgets } from "./retries.js";
 import { defaultLimits, type CallLimits, type CallServerOptions } from "./services.js";
 import { TimerSet } from "./timers.js";
 import { CallTask, type CallTaskOptions } from "./task.js";
 
+type OrderedServer = Server<typeof IncomingMessage, typeof OrderedResponse>;
+
 /** Serves address queries and calls. */
 export class CallServer {
     readonly #options: CallTaskOptions;
     readonly #limits: CallLimits;
-    readonly #server: Server;
+    readonly #server: OrderedServer;
     readonly #running = new Set<Promise<void>>();
     readonly #connections = new ConnectionTracker();
     readonly #acceptQueue = new AcceptQueue();
@@ -68,9 +71,11 @@
         this.#options.client.close();
     }
 
-    #createServer(): Server {
+    #createServer(): OrderedServer {
         const limits = this.#limits;
         const server = createServer({
+            IncomingMessage,
+            ServerResponse: OrderedResponse,
             maxHeaderSize: limits.maxHeadBytes,
             headersTimeout: limits.headTimeoutMs,
             connectionsCheckingInterval: Math.min(limits.headTimeoutMs, maxCheckIntervalMs),
@@ -84,10 +89,8 @@
         });
         server.maxConnections = limits.callerConnections;
         server.maxHeadersCount = 0;
-        server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#handleRequest(req, res));
-        server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) =>
-            this.#handleRequest(req, res),
-        );
+        server.on("request", (req, res) => this.#handleRequest(req, res));
+        server.on("checkContinue", (req, res) => this.#handleRequest(req, res));
         server.on("upgrade", (_req: IncomingMessage, socket: Duplex) => refuseUpgrade(socket));
         server.on("connect", (_req: IncomingMessage, socket: Duplex) => refuseUpgrade(socket));
         server.on("clientError", (err: NodeJS.ErrnoException, socket: Duplex) =>
@@ -96,8 +99,17 @@
         return server;
     }
 
-    #handleRequest(req: IncomingMessage, res: ServerResponse): void {
-        this.#connections.addResponse(req.socket, res);
+    #handleRequest(req: IncomingMessage, res: OrderedResponse): void {
+        const admission = this.#connections.admit(req.socket, res);
+        if (admission !== "serve") {
+            req.resume();
+        }
+        if (admission === "refuse") {
+            sendError(res, new CallError("not-decided", tooManyPending, pipelinedRetryMs), connectionClose);
+        }
+        if (admission !== "serve") {
+            return;
+        }
         const problem = findHeadProblem(req);
         if (problem !== undefined) {
             sendError(res, new CallError("bad-request", problem), connectionClose);
@@ -132,7 +144,7 @@
         this.#options.observer.badRequest(code, (socket as Socket).remoteAddress ?? "");
         const response = this.#connections.unfinishedResponse(socket);
         // In the middle of a request, "not run" could be wrong: close the connection without a response.
-        if (!socket.writable || code === "ECONNRESET" || (response && !response.writableEnded)) {
+        if (!socket.writable || code === "ECONNRESET" || (response && !response.isEnded)) {
             socket.destroy();
             return;
         }
@@ -149,6 +161,8 @@
 const maxHeaderCount = 200;
 const maxCheckIntervalMs = 5000;
 const noHeaders: readonly string[] = [];
+const tooManyPending = "Too many requests are pending on the connection.";
+const pipelinedRetryMs = 150;
 const connectionClose: readonly string[] = ["Connection", "close"];
 
 const badRequestTexts: Readonly<Record<string, string>> = {
--- a/packages/proxy/test/callerdisconnect.test.ts
+++ b/packages/proxy/test/callerdisconnect.test.ts
@@ -85,3 +85,42 @@
     await delay(200);
     assert.deepEqual(backends[0]?.counts.runs, {});
 });
+
+test("the sends of pipelined calls are aborted when their caller disconnects behind a large response", async t => {
+    const { proxy, backends } = await setUp(t, [{ serviceMs: 5_000, answerBytes: 20_000 }]);
+    const [backend] = backends;
+    assert.ok(backend);
+    const socket = connect(proxy.port, "127.0.0.1", () => socket.write(callHead("a")));
+    await waitUntil(() => backend.counts.inFlight === 1);
+    backend.behavior.serviceMs = 0;
+    socket.write(callHead("b"));
+    await waitUntil(() => proxy.records.length === 1);
+    backend.behavior.serviceMs = 5_000;
+    socket.write(callHead("c"));
+    await waitUntil(() => backend.counts.inFlight === 2);
+    socket.destroy();
+    await delay(500);
+    assert.equal(backend.counts.cancelled, 2);
+});
+
+/** More than the sockets between caller and proxy can buffer. */
+const unreadableBytes = 30_000_000;
+
+test("the sends of pipelined calls are aborted when their caller leaves a response unread and disconnects", async t => {
+    const { proxy, backends } = await setUp(t, [{ answerBytes: unreadableBytes }]);
+    const [backend] = backends;
+    assert.ok(backend);
+    const socket = connect(proxy.port, "127.0.0.1", () => socket.write(callHead("a")));
+    socket.pause();
+    await waitUntil(() => backend.counts.inFlight === 1);
+    await delay(300);
+    backend.behavior.serviceMs = 5_000;
+    socket.write(callHead("b"));
+    await waitUntil(() => backend.counts.inFlight === 2);
+    socket.write(callHead("c"));
+    await delay(100);
+    socket.destroy();
+    await delay(500);
+    assert.equal(backend.counts.cancelled, 2);
+    assert.deepEqual(backend.counts.runs, { a: 1, b: 1 });
+});
