--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -53,7 +53,7 @@
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
     /** Returns how long input that is read now may have waited since it reached an accepted connection. */
     readonly lagMs: () => number;
-    /** Returns how long a request may have waited for its connection to be accepted; called when it is read. */
+    /** Returns how long a request may have waited for its connection to be accepted or read; called when it is read. */
     readonly acceptWaitMs: (req: IncomingMessage) => number;
     /** Returns the number of pending earlier requests on a request's connection; called when the request is read. */
     readonly countAhead: (req: IncomingMessage) => number;
@@ -191,7 +191,7 @@
     /**
      * Reads the caller's disconnect, if it may lie unread in this process's sockets.
      *
-     * @param acceptMs how long the connection waited to be accepted
+     * @param acceptMs how long the connection waited to be accepted or read
      * @throws CallError if the caller has disconnected
      */
     async #readDisconnect(acceptMs: number): Promise<void> {
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -7,6 +7,7 @@
 import { AcceptQueue } from "@bramleymoor/proxy/acceptqueue";
 import { ConnectionTracker } from "@bramleymoor/proxy/connections";
 import { OrderedResponse } from "@bramleymoor/proxy/orderedresponse";
+import { ReadPauses } from "@bramleymoor/proxy/readpauses";
 import { rawErrorResponse } from "@bramleymoor/proxy/responses";
 import { sendError } from "./errorresponse.js";
 
@@ -27,6 +28,7 @@
     readonly #server: Server<typeof IncomingMessage, typeof OrderedResponse>;
     readonly #connections = new ConnectionTracker();
     readonly #acceptQueue = new AcceptQueue();
+    readonly #readPauses: ReadPauses;
     /** Number of requests per connection whose response isn't complete yet. */
     readonly #pendingResponses = new Map<Socket, number>();
     readonly #running = new Set<Promise<void>>();
@@ -39,6 +41,7 @@
     constructor({ serve, onMalformed, onAccepted, clock }: FrontendOptions) {
         this.#serve = serve;
         this.#onMalformed = onMalformed;
+        this.#readPauses = new ReadPauses(clock);
         this.#server = createServer({
             IncomingMessage,
             ServerResponse: OrderedResponse,
@@ -50,6 +53,7 @@
         this.#server.maxHeadersCount = 0;
         this.#server.on("connection", (socket: Socket) => {
             this.#connections.track(socket);
+            this.#readPauses.track(socket);
             onAccepted(this.#acceptQueue.recordAccepted(socket, clock()));
         });
         this.#server.on("request", (req, res) => this.#handle(req, res));
@@ -67,9 +71,12 @@
         return this.#running.size;
     }
 
-    /** Returns how long a request that is read now may have waited for its connection to be accepted, in milliseconds. */
+    /**
+     * Returns how long a request that is read now may have waited for its connection to be accepted, or to be read after a
+     * pause, in milliseconds.
+     */
     acceptWaitMs({ socket }: IncomingMessage): number {
-        return this.#acceptQueue.waitMs(socket);
+        return this.#acceptQueue.waitMs(socket) + this.#readPauses.waitMs(socket);
     }
 
     /** Returns the number of pending requests on a request's connection that are to be answered before it. */
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -10,6 +10,7 @@
 import { BackendClient } from "./backend.js";
 import { ConnectionTracker } from "./connections.js";
 import { OrderedResponse } from "./orderedresponse.js";
+import { ReadPauses } from "./readpauses.js";
 import { RetryBudgets } from "./retries.js";
 import { defaultLimits, type CallLimits, type CallServerOptions } from "./services.js";
 import { TimerSet } from "./timers.js";
@@ -25,12 +26,14 @@
     readonly #running = new Set<Promise<void>>();
     readonly #connections = new ConnectionTracker();
     readonly #acceptQueue = new AcceptQueue();
+    readonly #readPauses: ReadPauses;
     #lastId = 0;
     #stopping = false;
 
     constructor(options: CallServerOptions, limits: Partial<CallLimits> = {}) {
         this.#limits = { ...defaultLimits, ...limits };
         const timers = new TimerSet(options.clock, timerPeriodMs);
+        this.#readPauses = new ReadPauses(options.clock);
         this.#options = {
             ...options,
             timers,
@@ -38,7 +41,7 @@
             retryBudgets: new RetryBudgets(),
             extraHeaders: () => (this.#stopping ? connectionClose : noHeaders),
             nextId: () => ++this.#lastId,
-            acceptWaitMs: ({ socket }) => this.#acceptQueue.waitMs(socket),
+            acceptWaitMs: ({ socket }) => this.#acceptQueue.waitMs(socket) + this.#readPauses.waitMs(socket),
         };
         this.#server = this.#createServer();
     }
@@ -86,6 +89,7 @@
         server.on("connection", (socket: Socket) => {
             this.#connections.track(socket);
             this.#acceptQueue.recordAccepted(socket, this.#options.clock());
+            this.#readPauses.track(socket);
         });
         server.maxConnections = limits.callerConnections;
         server.maxHeadersCount = 0;
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -20,7 +20,7 @@
 
 /** Dependencies of a CallTask, shared by all calls of a CallServer. */
 export interface CallTaskOptions extends CallServerOptions, CallExecutionOptions {
-    /** Returns how long a request may have waited for its connection to be accepted; called when it is read. */
+    /** Returns how long a request may have waited for its connection to be accepted or read; called when it is read. */
     readonly acceptWaitMs: (req: IncomingMessage) => number;
 }
 
--- a/packages/proxy/src/unreadinput.ts
+++ b/packages/proxy/src/unreadinput.ts
@@ -4,7 +4,7 @@
 export interface InputDelay {
     /** Event loop lag when the request was read. */
     readonly lagMs: number;
-    /** Wait of its connection to be accepted; 0 for a request that arrived later. */
+    /** Wait of its connection to be accepted or read; 0 for a request that arrived later. */
     readonly acceptMs: number;
 }
 
--- a/packages/proxy/test/callerdisconnect.test.ts
+++ b/packages/proxy/test/callerdisconnect.test.ts
@@ -106,6 +106,26 @@
 /** More than the sockets between caller and proxy can buffer. */
 const unreadableBytes = 30_000_000;
 
+test("a call that is read after a pause in which its caller disconnected reaches no server", async t => {
+    const { proxy, backends } = await setUp(t, [{ answerBytes: unreadableBytes }], {
+        lagMs: startLagMeter(t),
+    });
+    const [backend] = backends;
+    assert.ok(backend);
+    const socket = connect(proxy.port, "127.0.0.1", () => socket.write(callHead("a")));
+    socket.pause();
+    await waitUntil(() => backend.counts.inFlight === 1);
+    await delay(300);
+    socket.write(callHead("b"));
+    await waitUntil(() => backend.counts.inFlight === 2);
+    socket.end(callHead("c"));
+    await delay(600);
+    socket.resume();
+    await once(socket, "close");
+    await delay(200);
+    assert.deepEqual(backend.counts.runs, { a: 1, b: 1 });
+});
+
 test("the sends of pipelined calls are aborted when their caller leaves a response unread and disconnects", async t => {
     const { proxy, backends } = await setUp(t, [{ answerBytes: unreadableBytes }]);
     const [backend] = backends;
