--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -67,11 +67,10 @@
         to.writeHead(from.statusCode ?? 0, this.#headers(extraHeaders));
         return new Promise(resolve => {
             const onBroken = (): void => {
-                if (isFramed(from)) {
-                    to.destroy();
-                } else {
+                if (!isFramed(from)) {
                     to.socket?.resetAndDestroy();
                 }
+                to.destroy();
                 resolve("broken");
             };
             from.on("data", (chunk: Buffer) => {
--- a/packages/gateway/test/pipelining.test.ts
+++ b/packages/gateway/test/pipelining.test.ts
@@ -82,3 +82,18 @@
     responses.slice(0, maxPending).forEach((it, i) => assert.ok(it.endsWith(bodyOf(`r${i}`, 20_000))));
     assert.equal(server.requests.length, maxPending);
 });
+
+test("a response without a length that is reset before its turn closes the caller's connection", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        if (id === "a") {
+            setTimeout(() => socket.write(responseText(id, "hello")), 300);
+        } else {
+            socket.write(`HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n\r\ntruncated`);
+            setTimeout(() => socket.resetAndDestroy(), 50);
+        }
+    });
+    const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+    const result = await sendRaw(port, requestText("a") + requestText("b"), 2_000);
+    assert.ok(result.text.endsWith("hello"));
+    assert.notEqual(result.end, "open");
+});
