--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -1,6 +1,6 @@
 /** The HTTP server for callers. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { addressesPathPrefix, callPathPrefix } from "@bramleymoor/protocol/headers";
@@ -9,25 +9,31 @@
 import { AcceptQueue } from "./acceptqueue.js";
 import { BackendClient } from "./backend.js";
 import { ConnectionTracker } from "./connections.js";
+import { OrderedResponse } from "./orderedresponse.js";
+import { ReadPauses } from "./readpauses.js";
 import { RetryBudgets } from "./retries.js";
 import { defaultLimits, type CallLimits, type CallServerOptions } from "./services.js";
 import { TimerSet } from "./timers.js";
 import { CallTask, type CallTaskOptions } from "./task.js";
 
+type OrderedServer = Server<typeof IncomingMessage, typeof OrderedResponse>;
+
 /** Serves address queries and calls. */
 export class CallServer {
     readonly #options: CallTaskOptions;
     readonly #limits: CallLimits;
-    readonly #server: Server;
+    readonly #server: OrderedServer;
     readonly #running = new Set<Promise<void>>();
     readonly #connections = new ConnectionTracker();
     readonly #acceptQueue = new AcceptQueue();
+    readonly #readPauses: ReadPauses;
     #lastId = 0;
     #stopping = false;
 
     constructor(options: CallServerOptions, limits: Partial<CallLimits> = {}) {
         this.#limits = { ...defaultLimits, ...limits };
         const timers = new TimerSet(options.clock, timerPeriodMs);
+        this.#readPauses = new ReadPauses(options.clock);
         this.#options = {
             ...options,
             timers,
@@ -35,7 +41,7 @@
             retryBudgets: new RetryBudgets(),
             extraHeaders: () => (this.#stopping ? connectionClose : noHeaders),
             nextId: () => ++this.#lastId,
-            acceptWaitMs: ({ socket }) => this.#acceptQueue.waitMs(socket),
+            acceptWaitMs: ({ socket }) => this.#acceptQueue.waitMs(socket) + this.#readPauses.waitMs(socket),
         };
         this.#server = this.#createServer();
     }
@@ -73,9 +79,11 @@
         this.#options.client.close();
     }
 
-    #createServer(): Server {
+    #createServer(): OrderedServer {
         const limits = this.#limits;
         const server = createServer({
+            IncomingMessage,
+            ServerResponse: OrderedResponse,
             maxHeaderSize: limits.maxHeadBytes,
             headersTimeout: limits.headTimeoutMs,
             connectionsCheckingInterval: Math.min(limits.headTimeoutMs, maxCheckIntervalMs),
@@ -86,13 +94,12 @@
         server.on("connection", (socket: Socket) => {
             this.#connections.track(socket);
             this.#acceptQueue.recordAccepted(socket, this.#options.clock());
+            this.#readPauses.track(socket);
         });
         server.maxConnections = limits.callerConnections;
         server.maxHeadersCount = 0;
-        server.on("request", (req: IncomingMessage, res: ServerResponse) => this.#handleRequest(req, res));
-        server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) =>
-            this.#handleRequest(req, res),
-        );
+        server.on("request", (req, res) => this.#handleRequest(req, res));
+        server.on("checkContinue", (req, res) => this.#handleRequest(req, res));
         server.on("upgrade", (_req: IncomingMessage, socket: Duplex) => refuseUpgrade(socket));
         server.on("connect", (_req: IncomingMessage, socket: Duplex) => refuseUpgrade(socket));
         server.on("clientError", (err: NodeJS.ErrnoException, socket: Duplex) =>
@@ -101,8 +108,17 @@
         return server;
     }
 
-    #handleRequest(req: IncomingMessage, res: ServerResponse): void {
-        this.#connections.addResponse(req.socket, res);
+    #handleRequest(req: IncomingMessage, res: OrderedResponse): void {
+        const admission = this.#connections.admit(req.socket, res);
+        if (admission !== "serve") {
+            req.resume();
+        }
+        if (admission === "refuse") {
+            sendError(res, new CallError("not-decided", tooManyPending, pipelinedRetryMs), connectionClose);
+        }
+        if (admission !== "serve") {
+            return;
+        }
         const problem = findHeadProblem(req);
         if (problem !== undefined) {
             sendError(res, new CallError("bad-request", problem), connectionClose);
@@ -137,7 +153,7 @@
         this.#options.observer.badRequest(code, (socket as Socket).remoteAddress ?? "");
         const response = this.#connections.unfinishedResponse(socket);
         // In the middle of a request, "not run" could be wrong: close the connection without a response.
-        if (!socket.writable || code === "ECONNRESET" || (response && !response.writableEnded)) {
+        if (!socket.writable || code === "ECONNRESET" || (response && !response.isEnded)) {
             socket.destroy();
             return;
         }
@@ -154,6 +170,8 @@
 const maxHeaderCount = 200;
 const maxCheckIntervalMs = 5000;
 const noHeaders: readonly string[] = [];
+const tooManyPending = "Too many requests are pending on the connection.";
+const pipelinedRetryMs = 150;
 const connectionClose: readonly string[] = ["Connection", "close"];
 
 const badRequestTexts: Readonly<Record<string, string>> = {
