--- a/packages/bench/src/policy.ts
+++ b/packages/bench/src/policy.ts
@@ -23,7 +23,6 @@
     readonly refused: number;
     readonly hedges: number;
     readonly retries: number;
-    readonly probeShare: number;
     /** Control bytes per second that the busiest entry VM sent. */
     readonly controlBytes: number;
 }
@@ -108,12 +107,10 @@
 
 const summarize = (deployment: string, rows: readonly PolicyRow[]): Readonly<Record<string, unknown>> => {
     const shipped = rows.find(it => it.chooser === chooserNames[0])!;
-    const { chooser, load, faults, p99Ratio, p999Ratio, probeShare } = shipped;
+    const { chooser, load, faults, p99Ratio, p999Ratio } = shipped;
     const baselines = rows.filter(it => it !== shipped && it.chooser !== "omniscient");
     const bestBaselineP99Ratio = Math.min(...baselines.map(it => it.p99Ratio));
-    const budgetShare = probeShare / deploymentOf(deployment).service.probeBudget;
-    const ratios = { p99Ratio, p999Ratio, probeShare, budgetShare, bestBaselineP99Ratio };
-    return { chooser, deployment, load, faults, ...ratios };
+    return { chooser, deployment, load, faults, p99Ratio, p999Ratio, bestBaselineP99Ratio };
 };
 
 const measureSeed = (
@@ -169,7 +166,6 @@
         refused: result.outcomes.filter(it => it.result !== "answered").length / calls,
         hedges: result.hedges / calls,
         retries: result.retries / calls,
-        probeShare: 0,
         controlBytes: result.controlBytes,
     };
 };
