--- a/packages/bench/src/policy.ts
+++ b/packages/bench/src/policy.ts
@@ -2,7 +2,7 @@
 
 import type { ChooserName } from "@bramleymoor/model/spec";
 import { chooserNames } from "@bramleymoor/model/spec";
-import { Command } from "commander";
+import { Command, Option } from "commander";
 import { runScenario } from "./simulation.js";
 import { quantile, type SimulationResult, type Scenario } from "./simulationscenario.js";
 import { deploymentOf } from "./simulationdeployment.js";
@@ -65,7 +65,11 @@
         .option("--seeds <count>", "number of seeds; the median is shown", Number, 1)
         .option("--dispatchers <count>", "entry VMs that dispatch the service with late binding", Number)
         .option("--skew <share>", "share of the calls that arrives at the first entry VM", Number)
-        .option("--faults <which>", "on, off or both", "both")
+        .addOption(
+            new Option("--faults <which>", "runs with faults, without, or both")
+                .choices(Object.keys(faultChoices))
+                .default("both"),
+        )
         .option("--only <choosers>", "choosers to run, comma-separated")
         .action((options: Options) => report(options));
 
@@ -76,7 +80,7 @@
     readonly seeds: number;
     readonly dispatchers?: number;
     readonly skew?: number;
-    readonly faults: string;
+    readonly faults: keyof typeof faultChoices;
     readonly only?: string;
 }
 
@@ -91,7 +95,7 @@
         dispatchers === defaults.dispatchers ? defaults.firstDispatcherShare : 1 / dispatchers;
     const firstDispatcherShare = options.skew ?? defaultShare;
     const settings = { deployment, load, seeds, dispatchers, firstDispatcherShare };
-    const rows = (faultChoices[options.faults] ?? [false, true]).flatMap(faults =>
+    const rows = faultChoices[options.faults].flatMap(faults =>
         measureChoosers({ ...settings, faults }, choosers),
     );
     console.table(rows.map(formatRow));
@@ -187,7 +191,7 @@
 const formatValue = (value: string | number | boolean): string =>
     typeof value === "number" ? String(Number(value.toPrecision(3))) : String(value);
 
-const faultChoices: Readonly<Record<string, readonly boolean[]>> = { on: [true], off: [false] };
+const faultChoices = { on: [true], off: [false], both: [false, true] } as const;
 
 /** Entry VMs that dispatch the service with any other chooser. */
 const baselineEntryVms = 15;
