--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -57,6 +57,8 @@
     readonly #random: Random;
     readonly #service: Service;
     readonly #servers: ReadonlyMap<string, SimulatedServer>;
+    /** The failure domains of the servers, over which the entry VMs are spread. */
+    readonly #domains: readonly string[];
     readonly #entries: readonly SimulatedEntryVm[];
     /** Entry VMs that share the service, by their index in the share. */
     #dispatchers: readonly SimulatedEntryVm[];
@@ -72,6 +74,7 @@
         this.#service = { ...scenario.service, chooser: scenario.chooser as ChooserName };
         const servers = createServers(scenario, this.#time);
         this.#servers = new Map(servers.map(it => [it.server.address, it]));
+        this.#domains = [...new Set(this.#service.servers.map(it => it.domain))];
         this.#entries = Array.from({ length: scenario.dispatchers }, (_, index) =>
             this.#createEntryVm(index),
         );
@@ -99,7 +102,7 @@
                 send: (to, message) => this.#deliver(index, to, message),
             }),
             retries: new RetryBudget(this.#service.retryBudget),
-            domain: domainOf(index),
+            domain: this.#domains[index % this.#domains.length] ?? "",
             callers: new Set(),
             alive: true,
             nextTick: Infinity,
@@ -303,8 +306,6 @@
     }
 }
 
-const domainOf = (index: number): string => "abc".charAt(index % 3);
-
 const oneWayMs = (from: string, to: string): number => (from === to ? sameDomainDelayMs : crossDomainDelayMs);
 
 /** Extra age of load reports in runs with faults. */
