--- a/packages/cli/src/histograms.ts
+++ b/packages/cli/src/histograms.ts
@@ -89,13 +89,20 @@
 const formatHistogram = (histogram: EntryHistogram): string => {
     const { service, by, label, part, count, sumMs } = histogram;
     const mean = count === 0 ? 0 : sumMs / count;
-    const quantiles = [0.5, 0.99].map(
-        share => `p${share * 100} <= ${formatUpperBound(quantile(histogram, share))}`,
-    );
+    const quantiles = [0.5, 0.99].map(share => `p${share * 100} ${formatQuantile(histogram, share)}`);
     const title = `${service}, ${by} ${label}, ${part}: ${count} calls, mean ${mean.toFixed(2)} ms, ${quantiles.join(", ")}`;
     return [title, ...formatBuckets(histogram)].join("\n");
 };
 
+const formatQuantile = (histogram: EntryHistogram, share: number): string => {
+    const upToMs = quantile(histogram, share);
+    if (upToMs !== undefined) {
+        return `<= ${upToMs} ms`;
+    }
+    const lastMs = histogram.buckets.findLast(bucket => bucket.upToMs !== undefined)?.upToMs;
+    return histogram.count === 0 || lastMs === undefined ? "unknown" : `more than ${lastMs} ms`;
+};
+
 const formatBuckets = ({ buckets }: EntryHistogram): readonly string[] => {
     const first = buckets.findIndex(bucket => bucket.count > 0);
     const last = buckets.findLastIndex(bucket => bucket.count > 0);
--- a/packages/cli/test/entryvms.test.ts
+++ b/packages/cli/test/entryvms.test.ts
@@ -94,7 +94,7 @@
     assert.equal(
         drawn.out,
         [
-            "stops-lookup, class default, server: 8 calls, mean 5.00 ms, p50 <= 4 ms, p99 <= above",
+            "stops-lookup, class default, server: 8 calls, mean 5.00 ms, p50 <= 4 ms, p99 more than 6 ms",
             `       4 ms         6 ${"#".repeat(50)}`,
             "       6 ms         0",
             `      above         2 ${"#".repeat(17)}`,
