--- a/packages/dispatch/src/server.ts
+++ b/packages/dispatch/src/server.ts
@@ -14,7 +14,6 @@
     #connectionShare: ConnectionShare = { spare: 0, total: 0 };
     #leaving = false;
     #drainingUntil = 0;
-    #averageLatencyMs = 0;
     #peakLatencyMs = 0;
     #peakLatencyAt = 0;
     readonly #health: ServerHealth;
@@ -55,11 +54,6 @@
         return this.#latestReport?.report;
     }
 
-    /** Moving average of the latency in milliseconds; 0 before the first response. */
-    get averageLatencyMs(): number {
-        return this.#averageLatencyMs;
-    }
-
     /** Whether the server isn't known to be leaving. */
     isAvailable(now: number): boolean {
         return !this.#leaving && !this.#server.leaving && now >= this.#drainingUntil;
@@ -190,8 +184,6 @@
         const average = this.#peakLatencyMs * weight + latencyMs * (1 - weight);
         this.#peakLatencyMs = Math.max(latencyMs, average);
         this.#peakLatencyAt = now;
-        this.#averageLatencyMs +=
-            (latencyMs - this.#averageLatencyMs) * (this.#averageLatencyMs === 0 ? 1 : averageLatencyWeight);
     }
 }
 
@@ -217,4 +209,3 @@
 const drainingHoldMs = 5_000;
 /** Time constant of the peak-sensitive latency average. */
 const peakDecayMs = 1_000;
-const averageLatencyWeight = 0.2;
