--- a/packages/bench/src/configcost.ts
+++ b/packages/bench/src/configcost.ts
@@ -199,7 +199,7 @@
     const before = relay.bytes;
     await followerPlatform.read(configStream, changes + 1, 32, 0);
     const bytesPerPoll = relay.bytes - before;
-    const request = { offset: follower.current?.offset ?? 0, fresh: false };
+    const request = { era: 0, offset: follower.current?.offset ?? 0, fresh: false };
     const response = JSON.stringify(follower.respond(request));
     const peerBodyBytes = JSON.stringify(request).length + response.length;
     stop.abort();
--- a/packages/cli/src/history.ts
+++ b/packages/cli/src/history.ts
@@ -4,6 +4,7 @@
 import { readCheckpoints } from "@bramleymoor/config/checkpoint";
 import type { RecordOutcome } from "@bramleymoor/config/evaluate";
 import { configStream } from "@bramleymoor/config/record";
+import { readEra } from "@bramleymoor/config/restorations";
 import { Replay, type Progress } from "@bramleymoor/config/replay";
 import type { Snapshot } from "@bramleymoor/config/snapshot";
 import type { AcceptedVersion, Grammars } from "@bramleymoor/config/version";
@@ -104,13 +105,14 @@
 /** Starts the replay at the beginning of the log, or at the oldest checkpoint after which no record has expired. */
 const findOldestBase = async (log: LogService, replay: Replay): Promise<void> => {
     const { first, next } = await log.read(configStream, Number.MAX_SAFE_INTEGER, 1, 0);
-    if (first === 0) {
+    const era = await readEra(log);
+    if (first === 0 && era === 0) {
         replay.startEmpty();
         return;
     }
     let oldest: Snapshot | undefined;
     await readCheckpoints(log, snapshot => {
-        const usable = snapshot.upTo >= first && snapshot.upTo <= next;
+        const usable = snapshot.era >= era && snapshot.upTo >= first && snapshot.upTo <= next;
         oldest = usable && snapshot.upTo <= (oldest?.upTo ?? next) ? snapshot : oldest;
         return false;
     });
@@ -121,6 +123,6 @@
 
 const progressErrors: Readonly<Record<Exclude<Progress, "applied">, string>> = {
     missing: "Records of the log have expired, and no checkpoint fills the gap. Check `bramleymoor status`.",
-    shrunk: "The log ends before records that were already read; try again.",
+    shrunk: "The log has lost records that entry VMs have read. `bramleymoor restore` restores the accepted version.",
     outdated: "The grammar in force is newer than this program; upgrade it.",
 };
--- a/packages/cli/src/publishing.ts
+++ b/packages/cli/src/publishing.ts
@@ -1,5 +1,6 @@
 /** The commands that check and publish a configuration. */
 
+import type { KnownVersion } from "@bramleymoor/config/accepted";
 import { publish, type PublishResult } from "@bramleymoor/config/publisher";
 import type { AcceptedVersion } from "@bramleymoor/config/version";
 import type { ConfigDocument } from "@bramleymoor/model/document";
@@ -41,6 +42,7 @@
 ): Promise<void> => {
     const { document } = readValidDocument(file);
     const entryVms = flags.wait === undefined ? undefined : new EntryVmClient(context.settings);
+    const known = await readServedVersions(context);
     const number = await context.withLog(async log => {
         context.terminal.progress("Reading the accepted version...");
         const current = await readAcceptedVersion(log, context.dependencies.grammars);
@@ -51,7 +53,7 @@
             return current.number;
         }
         const base = resolveBase(current, flags, file);
-        return publishDocument(context, log, { document, base, id: flags.id, file });
+        return publishDocument(context, log, { document, base, id: flags.id, file, known });
     });
     if (entryVms && flags.wait !== undefined) {
         await waitUntilInForce(context, entryVms, number, flags.wait);
@@ -88,6 +90,8 @@
     readonly base: number;
     readonly id: string | undefined;
     readonly file: string;
+    /** Versions that entry VMs served before. */
+    readonly known: readonly KnownVersion[];
 }
 
 interface DocumentAttempt extends PublicationAttempt {
@@ -114,7 +118,8 @@
 ): Promise<number> => {
     const { random, sleep, newId, grammars } = context.dependencies;
     const id = attempt.id ?? newId();
-    const options = { id, fresh: attempt.id === undefined, random, sleep, grammars };
+    const { known } = attempt;
+    const options = { id, fresh: attempt.id === undefined, random, sleep, grammars, known };
     context.terminal.progress(`Publishing over version ${attempt.base} as ${id}...`);
     const result = await publish(log, attempt.document.toString(), attempt.base, options);
     if (result.kind !== "accepted") {
@@ -131,6 +136,29 @@
     return result.number;
 };
 
+const lostVersionMessage = ({ number, digest }: KnownVersion): string =>
+    [
+        `The log has lost version ${number} (digest ${shortDigest(digest)}), which was accepted and is in force; nothing was published.`,
+        "Entry VMs keep it. Restore your configuration under a higher number, then publish over that:",
+        `  bramleymoor restore FILE --number ${number + 1}`,
+    ].join("\n");
+
+/**
+ * Returns the versions that the entry VMs of the settings serve, as far as they respond; none if the settings list none or
+ * no key.
+ */
+export const readServedVersions = async (context: CommandContext): Promise<readonly KnownVersion[]> => {
+    const { settings, terminal } = context;
+    if (settings.entryAddresses.length === 0 || settings.key === undefined) {
+        return [];
+    }
+    const responses = await new EntryVmClient(settings).status();
+    for (const { address, failure } of responses.filter(it => !it.value)) {
+        terminal.warn(`The log isn't compared with this entry VM's version: ${address}: ${failure}`);
+    }
+    return responses.flatMap(({ value }) => value?.version ?? []);
+};
+
 /** Returns the error for a publication that was not accepted or whose outcome is unknown. */
 export const publicationError = (
     context: CommandContext,
@@ -148,6 +176,9 @@
             `It is unknown whether the publication was accepted: ${result.reason}.\n${hint}`,
         );
     }
+    if (result.kind === "version lost") {
+        return new CliError("other-version", lostVersionMessage(result.lost));
+    }
     const { winner } = result;
     const summary = `Version ${winner.number} is accepted, not version ${attempt.base}`;
     if (!attempt.document) {
--- a/packages/cli/src/raisegrammar.ts
+++ b/packages/cli/src/raisegrammar.ts
@@ -4,7 +4,7 @@
 import type { CommandContext } from "./context.js";
 import { EntryVmClient } from "./entryvms.js";
 import { CliError } from "./exit.js";
-import { publicationError, waitUntilInForce } from "./publishing.js";
+import { publicationError, readServedVersions, waitUntilInForce } from "./publishing.js";
 import { readAcceptedVersion } from "./history.js";
 
 /** Flags of `raise-grammar`. */
@@ -29,8 +29,9 @@
     }
 };
 
-const publishNextGrammar = (context: CommandContext, flags: RaiseGrammarFlags): Promise<number> =>
-    context.withLog(async log => {
+const publishNextGrammar = async (context: CommandContext, flags: RaiseGrammarFlags): Promise<number> => {
+    const known = await readServedVersions(context);
+    return context.withLog(async log => {
         const { terminal, dependencies } = context;
         const { random, sleep, grammars } = dependencies;
         terminal.progress("Reading the accepted version...");
@@ -47,11 +48,12 @@
         const id = flags.id ?? dependencies.newId();
         terminal.progress(`Raising the grammar over version ${base} as ${id}...`);
         const fresh = flags.id === undefined;
-        const result = await raiseGrammar(log, base, { id, fresh, random, sleep, grammars });
+        const result = await raiseGrammar(log, base, { id, fresh, random, sleep, grammars, known });
         if (result.kind !== "accepted") {
-            throw publicationError(context, result, { base, id, file: "the configuration in force" });
+            throw publicationError(context, result, { base, id, file: "the configuration in force", known });
         }
         const done = `Version ${result.number} is accepted: the same configuration, with the next grammar in force.`;
         terminal.print(terminal.style("good", done));
         return result.number;
     });
+};
--- a/packages/cli/src/restore.ts
+++ b/packages/cli/src/restore.ts
@@ -1,5 +1,6 @@
 /** The command that restores the accepted version when it can no longer be read from the log. */
 
+import type { KnownVersion } from "@bramleymoor/config/accepted";
 import { configStream } from "@bramleymoor/config/record";
 import { restore, type RestoreResult } from "@bramleymoor/config/restore";
 import { formatDiagnostic } from "@bramleymoor/model/diagnostic";
@@ -33,16 +34,17 @@
             `This program doesn't support grammar ${flags.grammar}, only ${supported}.`,
         );
     }
-    await checkNumber(context, flags.number);
+    const known = await checkNumber(context, flags.number);
     const result = await context.withLog(async log => {
         context.terminal.progress("Restoring...");
         await checkLogReadable(log);
-        return appendRestoration(log, document.toString(), { id: newId(), ...flags });
+        return appendRestoration(log, document.toString(), { id: newId(), known, ...flags });
     });
     reportResult(context, file, result);
 };
 
-const checkNumber = async (context: CommandContext, number: number): Promise<void> => {
+/** Returns the versions that the entry VMs serve; throws a CliError if one of them isn't lower than `number`. */
+const checkNumber = async (context: CommandContext, number: number): Promise<readonly KnownVersion[]> => {
     if (number === 0) {
         throw new CliError("usage", "--number must be higher than every version that was ever accepted.");
     }
@@ -50,11 +52,12 @@
         context.terminal.warn(
             "The settings list no entry VM; --number isn't compared with the entry VMs' versions.",
         );
-        return;
+        return [];
     }
     const entryVms = new EntryVmClient(context.settings);
     context.terminal.progress(`Asking ${formatCount(entryVms.count, "entry VM")}...`);
-    for (const { address, value, failure } of await entryVms.status()) {
+    const responses = await entryVms.status();
+    for (const { address, value, failure } of responses) {
         const current = value?.version?.number ?? 0;
         if (current >= number) {
             const text = `${value?.id} has version ${current}; it would ignore version ${number}.`;
@@ -66,6 +69,7 @@
             );
         }
     }
+    return responses.flatMap(({ value }) => value?.version ?? []);
 };
 
 const checkLogReadable = async (log: LogService): Promise<void> => {
--- a/packages/cli/test/publishing.test.ts
+++ b/packages/cli/test/publishing.test.ts
@@ -121,6 +121,7 @@
 test("--wait ends when every entry VM reports the version, and progress lists those that don't yet", async t => {
     const platform = await startTestPlatform(t);
     let requests = 0;
+    let fastRequests = 0;
     const status = (id: string, version: number) => ({
         id,
         incarnation: id,
@@ -129,8 +130,8 @@
         members: [{ id, state: "alive", callerAddress: "192.0.2.1:1" }],
         services: [],
     });
-    const slow = await startFakeEntryVm(t, () => status("entry-2", requests++ < 2 ? 0 : 1));
-    const fast = await startFakeEntryVm(t, () => status("entry-1", 1));
+    const slow = await startFakeEntryVm(t, () => status("entry-2", requests++ < 3 ? 0 : 1));
+    const fast = await startFakeEntryVm(t, () => status("entry-1", fastRequests++ < 1 ? 0 : 1));
     const keyFile = writeTempFile(`${key}\n`);
     const flags = ["--platform", platform.url, "--entry", fast, "--entry", slow, "--key-file", keyFile];
     const waited = await run(["publish", writeTempFile(configText()), "--wait", "5", ...flags]);
@@ -143,11 +144,12 @@
 test("--wait fails if a live member isn't listed in the settings", async t => {
     const platform = await startTestPlatform(t);
     const member = { state: "alive", callerAddress: "192.0.2.1:1" };
+    let requests = 0;
     const entry = await startFakeEntryVm(t, () => ({
         id: "entry-1",
         incarnation: "i",
         state: "serving",
-        version: { number: 1, digest: "d" },
+        version: requests++ < 1 ? undefined : { number: 1, digest: "d" },
         members: [
             { id: "entry-1", ...member },
             { id: "entry-9", ...member },
@@ -159,3 +161,29 @@
     assert.equal(waited.code, exitCodes["not-everywhere"]);
     assert.match(waited.err, /not seen in force after 1 s on:\nentry-9 \(not listed in the settings\)/);
 });
+
+test("a publication is refused with what to do if the log has lost a version that entry VMs serve, until it is restored", async t => {
+    const platform = await startTestPlatform(t);
+    const flags = ["--platform", platform.url];
+    await run(["publish", writeTempFile(configText()), ...flags]);
+    const entry = await startFakeEntryVm(t, () => ({
+        id: "entry-1",
+        incarnation: "i",
+        state: "serving",
+        version: { number: 2, digest: "d" },
+        members: [],
+        services: [],
+    }));
+    const more = [...flags, "--entry", entry, "--key-file", writeTempFile(key)];
+    const file = writeTempFile(configText("192.0.2.12"));
+    const refused = await run(["publish", file, "--base", "1", ...more]);
+    assert.equal(refused.code, exitCodes["other-version"]);
+    assert.match(
+        refused.err,
+        /lost version 2 .*nothing was published.*\n.*\n {2}bramleymoor restore FILE --number 3/,
+    );
+    assert.equal((await run(["restore", file, "--number", "3", ...more])).code, 0);
+    assert.match((await run(["show", ...flags])).out, /^# version 3,/);
+    const next = await run(["publish", writeTempFile(configText("192.0.2.13")), "--base", "3", ...flags]);
+    assert.match(next.out, /^Version 4 is accepted/);
+});
--- a/packages/config/src/checkpointer.ts
+++ b/packages/config/src/checkpointer.ts
@@ -6,6 +6,7 @@
 import { configEvent, type ConfigEventHandler } from "./events.js";
 import type { Follower } from "./follower.js";
 import { configStream } from "./record.js";
+import { appendRestoration } from "./restorations.js";
 import type { Snapshot, SnapshotHead } from "./snapshot.js";
 
 /** Records of the log after which the next checkpoint is due. */
@@ -67,6 +68,9 @@
         try {
             if (await this.#isDue(snapshot)) {
                 await appendCheckpoint(this.#log, snapshot, `${snapshot.number}-${this.#random()}`);
+                if (snapshot.era > 0) {
+                    await appendRestoration(this.#log, snapshot.era);
+                }
                 this.#events(
                     configEvent(
                         "checkpoint-appended",
@@ -92,6 +96,9 @@
         if (!head) {
             return newest.ageMs > abandonedAfterMs;
         }
+        if (head.era !== own.era) {
+            return head.era < own.era;
+        }
         if (head.offset === own.offset && head.digest !== own.digest) {
             const text = `A checkpoint of version ${head.number} contradicts the log as read so far.`;
             this.#events(configEvent("version-conflict", text));
@@ -103,8 +110,9 @@
     /** Returns whether a checkpoint is old, or is followed by many, old or expired publications. */
     async #isOutdated(own: Snapshot, head: SnapshotHead, ageMs: number): Promise<boolean> {
         const { records, first, next } = await this.#log.read(configStream, head.upTo, 1, 0);
-        if (head.upTo > next) {
-            return true;
+        if (own.upTo > next || head.upTo > next) {
+            // The log has lost records. The newest version stays the newest checkpoint, so that publishers notice.
+            return own.upTo > head.upTo || ageMs > this.#periodMs;
         }
         if (head.upTo > own.upTo) {
             return false;
--- a/packages/config/src/evaluate.ts
+++ b/packages/config/src/evaluate.ts
@@ -23,6 +23,8 @@
           readonly reason: SkipReason;
           /** Identity of the publication, if the record could be parsed. */
           readonly publicationId: string | undefined;
+          /** Number of the version that the publication is based on, if its base is superseded or not known yet. */
+          readonly baseNumber?: number;
           readonly errors: readonly Diagnostic[];
       }
     /** This release doesn't know the grammar in force, so it must not decide. */
@@ -60,7 +62,7 @@
     reason: SkipReason,
     publicationId?: string,
     errors: readonly Diagnostic[] = [],
-): RecordOutcome => ({
+): Extract<RecordOutcome, { readonly kind: "skipped" }> => ({
     kind: "skipped",
     reason,
     publicationId,
@@ -75,7 +77,7 @@
 ): RecordOutcome => {
     const { base, id } = publication;
     if (base.number !== accepted.number || base.digest !== accepted.digest) {
-        return skipped("superseded base", id);
+        return { ...skipped("superseded base", id), baseNumber: base.number };
     }
     if (publication.nextGrammar !== undefined) {
         return evaluateGrammarChange(accepted, offset, publication, publication.nextGrammar, grammars);
@@ -93,10 +95,11 @@
     }
     const number = accepted.number + 1;
     const { spec } = parsed;
-    const { digest, grammar } = { digest: document.digest, grammar: accepted.grammar };
+    const { digest } = document;
+    const { era, grammar } = accepted;
     return {
         kind: "accepted",
-        version: { number, digest, document, spec, offset, publicationId: id, grammar },
+        version: { number, digest, document, spec, era, offset, publicationId: id, grammar },
     };
 };
 
--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -4,12 +4,14 @@
 import { backoffMs, sleep as realSleep, type Random, type Sleep } from "@bramleymoor/platform/timers";
 import { Subject, type Observable } from "rxjs";
 import { initializeReplay } from "./initialize.js";
+import type { RecordOutcome } from "./evaluate.js";
 import { configEvent, type ConfigEventName, type ConfigEventHandler } from "./events.js";
 import type { ConfigRequest, ConfigResponse, Peers } from "./peers.js";
 import { configStream } from "./record.js";
 import { Replay, type Progress } from "./replay.js";
+import { readEra } from "./restorations.js";
 import { snapshotOf, type Snapshot } from "./snapshot.js";
-import { grammars as ownGrammars, type AcceptedVersion, type Grammars } from "./version.js";
+import { emptyVersion, grammars as ownGrammars, type AcceptedVersion, type Grammars } from "./version.js";
 
 /** Longest time that a read of the log waits for new records. */
 const longPollMs = 5000;
@@ -17,6 +19,8 @@
 const firstRetryMs = 200;
 const maxRetryMs = 2000;
 const maxMissingRetryMs = 10_000;
+/** Number of reads of the log between two checks whether a version has been restored. */
+const readsPerRestorationCheck = 6;
 const queryIntervalMs = 2000;
 const queriedPeers = 1;
 const queriedPeersAtStart = 5;
@@ -59,6 +63,7 @@
     #ready = false;
     #logReachable = true;
     #queriesSinceLogReply = 0;
+    #readsUntilRestorationCheck = 0;
     #progress: Progress | "starting" = "starting";
     #current: AcceptedVersion | undefined;
 
@@ -68,7 +73,9 @@
         this.#events = options.events;
         this.#random = options.random;
         this.#sleep = options.sleep ?? realSleep;
-        this.#replay = new Replay(options.grammars ?? ownGrammars, options.events);
+        this.#replay = new Replay(options.grammars ?? ownGrammars, options.events, (_record, outcome) =>
+            this.#noticeLaterBase(outcome),
+        );
     }
 
     /** The version to serve; undefined until one may be served. */
@@ -164,7 +171,7 @@
 
     async #readBatch(signal: AbortSignal): Promise<void> {
         let progress = await this.#applyNextBatch(signal);
-        if (progress === "missing") {
+        if (progress === "missing" || (await this.#hasRestoration(progress))) {
             await initializeReplay(this.#log, this.#replay);
             progress = await this.#applyNextBatch(signal);
         }
@@ -172,14 +179,36 @@
         this.#emitCurrent();
     }
 
+    /** A publication over a version that isn't known yet shows that a version was restored. */
+    #noticeLaterBase(outcome: RecordOutcome): void {
+        const known = this.#replay.version?.number ?? 0;
+        if (outcome.kind === "skipped" && (outcome.baseNumber ?? 0) > known) {
+            this.#readsUntilRestorationCheck = 0;
+        }
+    }
+
+    /**
+     * Returns whether an operator has restored a version that isn't known yet. That is checked after each read if the log
+     * has lost records, and now and then otherwise: the log may have grown beyond the known position since it lost them.
+     */
+    async #hasRestoration(progress: Progress): Promise<boolean> {
+        this.#readsUntilRestorationCheck--;
+        if (progress !== "shrunk" && this.#readsUntilRestorationCheck > 0) {
+            return false;
+        }
+        this.#readsUntilRestorationCheck = readsPerRestorationCheck;
+        return (await readEra(this.#log)) > (this.#replay.version?.era ?? 0);
+    }
+
     async #applyNextBatch(signal: AbortSignal): Promise<Progress> {
         if (!this.#replay.version) {
             return "missing";
         }
         const waitMs = this.#ready ? longPollMs : 0;
-        const batch = await this.#log.read(configStream, this.#replay.upTo, batchRecords, waitMs, signal);
+        const { upTo } = this.#replay;
+        const batch = await this.#log.read(configStream, upTo, batchRecords, waitMs, signal);
         const progress = this.#replay.applyBatch(batch);
-        if (progress === "applied" && this.#replay.upTo >= batch.next) {
+        if (progress === "shrunk" || (progress === "applied" && this.#replay.upTo >= batch.next)) {
             this.#ready = true;
         }
         return progress;
@@ -197,7 +226,8 @@
     /** Queries peers and applies their responses; returns how many responded. */
     async #queryPeers(count: number): Promise<number> {
         const version = this.#replay.version;
-        const request = { offset: version?.offset ?? -1, fresh: version === undefined };
+        const { era, offset } = version ?? emptyVersion;
+        const request = { era, offset, fresh: version === undefined };
         const responses = await this.#peers.query(request, count);
         for (const response of responses) {
             this.applyResponse(response);
@@ -249,7 +279,7 @@
     applied: "Following the log.",
     missing:
         "Records that this entry VM never read have expired, and neither a checkpoint nor a peer fills the gap.",
-    shrunk: "The log ends before records that were already read; continuing with the newest known version.",
+    shrunk: "The log has lost records that were already read; continuing with the newest known version until one is restored.",
     outdated: "The grammar in force is newer than this release; later versions can't be followed.",
 };
 
--- a/packages/config/src/initialize.ts
+++ b/packages/config/src/initialize.ts
@@ -3,11 +3,16 @@
 import type { LogService } from "@bramleymoor/platform/log";
 import { readCheckpoints } from "./checkpoint.js";
 import { configStream } from "./record.js";
+import { readEra } from "./restorations.js";
 import type { Replay } from "./replay.js";
+import type { Snapshot } from "./snapshot.js";
 
 /**
- * Starts a replay from the newest usable checkpoint, or from the start of the log. A checkpoint is usable if the log
- * still holds every record after it. Without either, the replay is left unchanged.
+ * Starts a replay from the newest usable checkpoint, or from the start of the log. A checkpoint is usable if it is of the
+ * log's era, and the log still holds every record after it. Without either, the replay is left unchanged.
+ *
+ * If the log has lost records, a checkpoint may lie beyond its end. Then it is the newest version that is known, and the
+ * replay makes no progress from there.
  *
  * @param maxNumber greatest version number to start from; checkpoints of later versions are ignored
  * @throws PlatformError if the log can't be read
@@ -18,11 +23,27 @@
     maxNumber = Infinity,
 ): Promise<void> => {
     const { first, next } = await log.read(configStream, Number.MAX_SAFE_INTEGER, 1, 0);
-    if (first === 0 && !replay.version) {
+    const era = await readEra(log);
+    if (first === 0 && era === 0 && !replay.version) {
         replay.startEmpty();
     }
+    let beyond: Snapshot | undefined;
     await readCheckpoints(log, snapshot => {
-        const usable = snapshot.upTo >= first && snapshot.upTo <= next && snapshot.number <= maxNumber;
+        if (snapshot.era < era) {
+            return false;
+        }
+        if (snapshot.upTo > next) {
+            beyond ??= snapshot;
+            return false;
+        }
+        const usable = snapshot.upTo >= first && snapshot.number <= maxNumber;
         return usable && replay.installSnapshot(snapshot, "checkpoint");
     });
+    if (beyond && beyond.upTo > (await readEnd(log))) {
+        replay.installSnapshot(beyond, "checkpoint");
+    }
 };
+
+/** Returns the end of the log; a checkpoint that was read before is beyond it only if the log has lost records. */
+const readEnd = async (log: LogService): Promise<number> =>
+    (await log.read(configStream, Number.MAX_SAFE_INTEGER, 1, 0)).next;
--- a/packages/config/src/peers.ts
+++ b/packages/config/src/peers.ts
@@ -14,6 +14,8 @@
 
 /** Schema of a request to a peer. */
 export const configRequestSchema = z.object({
+    /** Era of the requester's version; absent in requests of older builds. */
+    era: z.number().int().nonnegative().default(0),
     /** Offset of the requester's version; -1 if it has none. */
     offset: z.number().int().min(-1),
     /** The requester has no version yet and needs a snapshot. */
--- a/packages/config/src/publisher.ts
+++ b/packages/config/src/publisher.ts
@@ -5,14 +5,14 @@
 import type { ConfigChange, ConfigDocument } from "@bramleymoor/model/document";
 import { parseConfig } from "@bramleymoor/model/parser";
 import { createDiagnostic, type Diagnostic } from "@bramleymoor/model/diagnostic";
+import { AcceptedReader, type KnownVersion } from "./accepted.js";
 import { initializeReplay } from "./initialize.js";
 import type { RecordOutcome } from "./evaluate.js";
 import { configStream, formatPublication, maxRecordBytes, type Publication } from "./record.js";
-import { Replay } from "./replay.js";
+import type { Replay } from "./replay.js";
 import type { Snapshot } from "./snapshot.js";
 import { grammars as ownGrammars, type AcceptedVersion, type Grammars } from "./version.js";
 
-const batchRecords = 32;
 const firstRetryMs = 200;
 const maxRetryMs = 2000;
 const maxAttempts = 8;
@@ -29,6 +29,8 @@
           readonly difference: ConfigChange;
       }
     | { readonly kind: "rejected"; readonly errors: readonly Diagnostic[] }
+    /** The log has lost an accepted version; nothing is published until an operator has restored it. */
+    | { readonly kind: "version lost"; readonly lost: KnownVersion }
     /** The log can't be read to its end; the publication may have been accepted, or may still be. */
     | { readonly kind: "unknown"; readonly reason: string };
 
@@ -43,6 +45,8 @@
     readonly grammars?: Grammars;
     /** A snapshot from an entry VM, used if the log alone doesn't reach back far enough. */
     readonly start?: Snapshot | undefined;
+    /** Versions that entry VMs served before the publication; the log must yield them. */
+    readonly known?: readonly KnownVersion[];
 }
 
 /** How a publication changes the version that it replaces. */
@@ -51,11 +55,19 @@
     readonly nextGrammar: (version: AcceptedVersion) => number | undefined;
 }
 
+/** The log has lost an accepted version. */
+class VersionLostError extends Error {
+    constructor(readonly lost: KnownVersion) {
+        super(`the log has lost version ${lost.number}`);
+        this.name = "VersionLostError";
+    }
+}
+
 /** A publication in progress. */
 class Publisher {
     readonly #log: LogService;
     readonly #options: PublishOptions;
-    readonly #replay: Replay;
+    readonly #reader: AcceptedReader;
     readonly #edit: VersionEdit;
     readonly #baseNumber: number;
     #startNumber = 0;
@@ -66,10 +78,8 @@
         this.#edit = edit;
         this.#baseNumber = baseNumber;
         this.#options = options;
-        this.#replay = new Replay(
-            options.grammars ?? ownGrammars,
-            () => {},
-            (_record, outcome) => this.#recordOutcome(outcome),
+        this.#reader = new AcceptedReader(log, options.grammars ?? ownGrammars, it =>
+            this.#recordOutcome(it),
         );
     }
 
@@ -79,6 +89,9 @@
             try {
                 return await this.#attempt();
             } catch (err) {
+                if (err instanceof VersionLostError) {
+                    return { kind: "version lost", lost: err.lost };
+                }
                 if (!(err instanceof PlatformError)) {
                     throw err;
                 }
@@ -93,6 +106,7 @@
      * Appends the publication unless the log already shows its outcome.
      *
      * @throws PlatformError if the log fails
+     * @throws VersionLostError if the log has lost an accepted version
      */
     async #attempt(): Promise<PublishResult> {
         const version = await this.#readToEnd();
@@ -146,32 +160,32 @@
     }
 
     async #readToEnd(): Promise<AcceptedVersion> {
-        if (!this.#replay.version) {
-            await this.#initializeReplay();
+        const { replay } = this.#reader;
+        if (!replay.version) {
+            await this.#initializeReplay(replay);
         }
-        for (;;) {
-            const batch = await this.#log.read(configStream, this.#replay.upTo, batchRecords, 0);
-            const progress = this.#replay.version ? this.#replay.applyBatch(batch) : "missing";
-            const version = this.#replay.version;
-            if (progress !== "applied" || !version) {
-                throw new PlatformError("unavailable", progressTexts[progress]);
-            }
-            if (this.#replay.upTo >= batch.next) {
-                return version;
-            }
+        const progress = await this.#reader.readToEnd();
+        const { version } = replay;
+        const lost = progress === "shrunk" ? version : this.#reader.findLost(this.#options.known ?? []);
+        if (lost) {
+            throw new VersionLostError(lost);
+        }
+        if (progress !== "applied" || !version) {
+            throw new PlatformError("unavailable", progressTexts[progress]);
         }
+        return version;
     }
 
     /** Starts the replay at or before the base version if possible, to see the outcome of each copy. */
-    async #initializeReplay(): Promise<void> {
-        await initializeReplay(this.#log, this.#replay, this.#baseNumber);
-        if (!this.#replay.version) {
-            await initializeReplay(this.#log, this.#replay);
+    async #initializeReplay(replay: Replay): Promise<void> {
+        await initializeReplay(this.#log, replay, this.#baseNumber);
+        if (!replay.version) {
+            await initializeReplay(this.#log, replay);
         }
-        if (!this.#replay.version && this.#options.start) {
-            this.#replay.installSnapshot(this.#options.start, "peer");
+        if (!replay.version && this.#options.start) {
+            replay.installSnapshot(this.#options.start, "peer");
         }
-        this.#startNumber = this.#replay.version?.number ?? 0;
+        this.#startNumber = replay.version?.number ?? 0;
     }
 
     /** Keeps the outcome of this publication's accepted copy, or else of its last one. */
--- a/packages/config/src/replay.ts
+++ b/packages/config/src/replay.ts
@@ -4,7 +4,7 @@
 import { configEvent, type ConfigEventName, type ConfigEventHandler } from "./events.js";
 import { evaluateRecord, type RecordOutcome } from "./evaluate.js";
 import type { ConfigRequest, ConfigResponse } from "./peers.js";
-import { headOf, snapshotOf, versionFromSnapshot, type Snapshot } from "./snapshot.js";
+import { headOf, snapshotOf, versionFromSnapshot, type Snapshot, type SnapshotHead } from "./snapshot.js";
 import { emptyVersion, type AcceptedVersion, type Grammars } from "./version.js";
 
 /** Limit on the accepted records that are kept for peers, in characters. */
@@ -54,7 +54,7 @@
         return this.#version;
     }
 
-    /** Every record below this offset has been evaluated. */
+    /** Every record below this offset of the version's era has been evaluated. */
     get upTo(): number {
         return this.#upTo;
     }
@@ -88,7 +88,7 @@
         if (this.#conflicts(snapshot) || !this.#isNewer(snapshot)) {
             return false;
         }
-        if (snapshot.offset === this.#version?.offset) {
+        if (snapshot.era === this.#version?.era && snapshot.offset === this.#version.offset) {
             this.#upTo = snapshot.upTo;
             return true;
         }
@@ -127,12 +127,13 @@
             return undefined;
         }
         const head = headOf(version, this.#upTo);
-        if (!request.fresh && request.offset >= version.offset) {
+        if (!request.fresh && !isBefore(request, version)) {
             return { head, records: [] };
         }
-        const from = request.fresh
-            ? -1
-            : this.#retained.findIndex(record => record.replacedOffset === request.offset);
+        const from =
+            request.fresh || request.era !== version.era
+                ? -1
+                : this.#retained.findIndex(record => record.replacedOffset === request.offset);
         if (from < 0) {
             return { head, records: [], snapshot: snapshotOf(version, this.#upTo) };
         }
@@ -174,7 +175,7 @@
             version = outcome.version;
         }
         const { head } = response;
-        if (version.offset !== head.offset || version.digest !== head.digest) {
+        if (version.era !== head.era || version.offset !== head.offset || version.digest !== head.digest) {
             this.#emitEvent(
                 "offer-skipped",
                 `Skipped a peer's records: they don't result in its version ${head.number}.`,
@@ -190,23 +191,22 @@
         this.#upTo = Math.max(this.#upTo, head.upTo);
     }
 
-    #isNewer(head: { readonly offset: number; readonly upTo: number }): boolean {
-        if (!this.#version || head.offset > this.#version.offset) {
+    #isNewer(head: SnapshotHead): boolean {
+        if (!this.#version || isBefore(this.#version, head)) {
             return true;
         }
-        return head.offset === this.#version.offset && head.upTo > this.#upTo;
+        return !isBefore(head, this.#version) && head.upTo > this.#upTo;
     }
 
     /** Returns whether a snapshot's head contradicts the log as evaluated so far, and reports that. */
-    #conflicts(head: { readonly number: number; readonly digest: string; readonly offset: number }): boolean {
+    #conflicts(head: SnapshotHead): boolean {
         const own = this.#version;
-        if (!own || head.offset < own.offset) {
+        if (!own || isBefore(head, own)) {
             return false;
         }
-        const sameOffset = head.offset === own.offset;
-        const conflict = sameOffset
-            ? head.digest !== own.digest || head.number !== own.number
-            : head.number <= own.number || head.offset < this.#upTo;
+        const conflict = isBefore(own, head)
+            ? head.number <= own.number || (head.era === own.era && head.offset < this.#upTo)
+            : head.digest !== own.digest || head.number !== own.number;
         if (conflict) {
             const text = `Version ${head.number} at offset ${head.offset} contradicts the log as read so far.`;
             this.#emitEvent("version-conflict", text);
@@ -235,3 +235,11 @@
         this.#events(configEvent(name, text));
     }
 }
+
+interface EraOffset {
+    readonly era: number;
+    readonly offset: number;
+}
+
+const isBefore = (a: EraOffset, b: EraOffset): boolean =>
+    a.era < b.era || (a.era === b.era && a.offset < b.offset);
--- a/packages/config/src/restore.ts
+++ b/packages/config/src/restore.ts
@@ -1,12 +1,13 @@
-/** Restores the accepted version after its records have expired, if no entry VM or checkpoint holds them. */
+/** Restores the accepted version after the log has lost it: its records have expired, or came back without them. */
 
 import type { LogService } from "@bramleymoor/platform/log";
 import { parseConfig } from "@bramleymoor/model/parser";
 import type { Diagnostic } from "@bramleymoor/model/diagnostic";
 import { initializeReplay } from "./initialize.js";
+import { AcceptedReader, type KnownVersion } from "./accepted.js";
 import { appendCheckpoint } from "./checkpoint.js";
 import { configStream } from "./record.js";
-import { Replay } from "./replay.js";
+import { appendRestoration } from "./restorations.js";
 import { grammars } from "./version.js";
 
 /** Result of a restoration. */
@@ -24,11 +25,13 @@
     readonly number: number;
     /** Number of the grammar that was in force. */
     readonly grammar: number;
+    /** Versions that entry VMs serve; the restoration is refused if the log yields them all. */
+    readonly known?: readonly KnownVersion[];
 }
 
 /**
- * Makes a config text the accepted version at the current end of the log, by appending a checkpoint. Refuses while the
- * log can still be replayed.
+ * Makes a config text the accepted version at the current end of the log, by appending a checkpoint, and begins a new era.
+ * Refuses while the log still yields the accepted version.
  *
  * @throws PlatformError if the log fails; the call may then be repeated with a higher number
  */
@@ -42,22 +45,36 @@
         return { kind: "rejected", errors: parsed.errors };
     }
     const { first, next } = await log.read(configStream, Number.MAX_SAFE_INTEGER, 1, 0);
-    const replay = new Replay(grammars, () => {});
-    await initializeReplay(log, replay);
-    if (replay.version && replay.upTo >= first) {
+    const { id, number, grammar, known = [] } = options;
+    if (await isComplete(log, first, known)) {
         return { kind: "not needed" };
     }
-    const { id, number, grammar } = options;
     const { digest } = parsed.document;
     const position = { offset: next - 1, upTo: next };
     const snapshot = {
         number,
         digest,
+        era: number,
         ...position,
         publicationId: id,
         grammar,
         text: parsed.document.toString(),
     };
     await appendCheckpoint(log, snapshot, id);
+    await appendRestoration(log, number);
     return { kind: "restored", number, digest };
 };
+
+/** Returns whether the log yields the accepted version, as far as checkpoints and entry VMs show. */
+const isComplete = async (
+    log: LogService,
+    first: number,
+    known: readonly KnownVersion[],
+): Promise<boolean> => {
+    const reader = new AcceptedReader(log, grammars);
+    await initializeReplay(log, reader.replay);
+    if (!reader.replay.version || reader.replay.upTo < first) {
+        return false;
+    }
+    return (await reader.readToEnd()) !== "shrunk" && reader.findLost(known) === undefined;
+};
--- a/packages/config/src/snapshot.ts
+++ b/packages/config/src/snapshot.ts
@@ -10,6 +10,8 @@
 export const snapshotHeadSchema = z.object({
     number: countSchema,
     digest: z.string(),
+    /** See AcceptedVersion; absent in snapshots of older builds. */
+    era: countSchema.default(0),
     offset: z.number().int().min(-1),
     publicationId: z.string(),
     grammar: z.number().int().positive(),
@@ -33,6 +35,7 @@
 export const headOf = (version: AcceptedVersion, upTo: number): SnapshotHead => ({
     number: version.number,
     digest: version.digest,
+    era: version.era,
     offset: version.offset,
     publicationId: version.publicationId,
     grammar: version.grammar,
@@ -59,7 +62,7 @@
     if (!grammar) {
         return "unknown grammar";
     }
-    const { number, digest, offset, publicationId, upTo } = snapshot;
+    const { number, digest, era, offset, publicationId, upTo } = snapshot;
     if (offset >= upTo) {
         return "inconsistent offsets";
     }
@@ -78,7 +81,9 @@
     if (!parsed.ok) {
         return "invalid text";
     }
-    return { number, digest, document, spec: parsed.spec, offset, publicationId, grammar: snapshot.grammar };
+    const { grammar: grammarNumber } = snapshot;
+    const { spec } = parsed;
+    return { number, digest, document, spec, era, offset, publicationId, grammar: grammarNumber };
 };
 
 const parseDocument = (text: string): ConfigDocument | undefined => {
--- a/packages/config/src/version.ts
+++ b/packages/config/src/version.ts
@@ -5,8 +5,8 @@
 import { parseDocument, type ParseResult, type ParsedDocument } from "@bramleymoor/model/parser";
 
 /**
- * An accepted version. Versions are ordered by `offset`, their order in the log; `number` increases by 1 with each
- * accepted publication.
+ * An accepted version. Versions are ordered by `era`, then by `offset`, their order in the log; `number` increases by 1
+ * with each accepted publication, and further with a restoration.
  */
 export interface AcceptedVersion {
     /** 0 for the empty text before the first publication. */
@@ -15,6 +15,8 @@
     readonly digest: string;
     readonly document: ConfigDocument;
     readonly spec: ConfigSpec;
+    /** Number of the version that was restored last before this one, or 0; offsets are comparable within one era. */
+    readonly era: number;
     /** Offset of the accepted record; -1 before the first publication. */
     readonly offset: number;
     readonly publicationId: string;
@@ -41,6 +43,7 @@
     digest: ConfigDocument.empty.digest,
     document: ConfigDocument.empty,
     spec: { services: new Map() },
+    era: 0,
     offset: -1,
     publicationId: "",
     grammar: 1,
--- a/packages/platform/src/memory.ts
+++ b/packages/platform/src/memory.ts
@@ -105,6 +105,15 @@
         records.splice(0, firstKept < 0 ? records.length : firstKept);
     }
 
+    /** Comes back from an older copy, in which a stream ends at an offset; that offset is given out again. */
+    restore(stream: string, end: number): void {
+        const target = this.#stream(stream);
+        const kept = target.records.filter(stored => stored.offset < end);
+        target.records.splice(0, target.records.length, ...kept);
+        target.next = Math.min(target.next, end);
+        this.#appended.next(stream);
+    }
+
     /** Starts or ends an outage and wakes waiting reads. */
     setDown(down: boolean): void {
         this.down = down;
--- a/packages/platform/test/memory.test.ts
+++ b/packages/platform/test/memory.test.ts
@@ -58,3 +58,19 @@
         500,
     );
 });
+
+test("a log that comes back from an older copy gives offsets out again, and a read from beyond its end finds nothing", async () => {
+    const time = new VirtualTime();
+    const log = new MemoryPlatform({ now: () => time.now(), sleep: time.sleep });
+    for (const data of ["a", "b", "c"]) {
+        await log.append("s", data);
+    }
+    log.restore("s", 1);
+    assert.deepEqual(await log.read("s", 3, 10, 0), { records: [], first: 0, next: 1 });
+    assert.equal(await log.append("s", "d"), 1);
+    const { records } = await log.read("s", 0, 10, 0);
+    assert.deepEqual(
+        records.map(it => it.data),
+        ["a", "d"],
+    );
+});
