--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -207,7 +207,7 @@
         const waitMs = this.#ready ? longPollMs : 0;
         const { upTo } = this.#replay;
         const batch = await this.#log.read(configStream, upTo, batchRecords, waitMs, signal);
-        const progress = this.#replay.applyBatch(batch);
+        const progress = this.#replay.applyBatch(batch, upTo);
         if (progress === "shrunk" || (progress === "applied" && this.#replay.upTo >= batch.next)) {
             this.#ready = true;
         }
--- a/packages/config/src/replay.ts
+++ b/packages/config/src/replay.ts
@@ -64,9 +64,9 @@
         this.#version ??= emptyVersion;
     }
 
-    /** Evaluates the records of a batch that was read from `upTo` on. */
-    applyBatch(batch: LogBatch): Progress {
-        if (batch.next < this.#upTo) {
+    /** Evaluates the records of a batch that was read from offset `from` on; a peer's version may have arrived since. */
+    applyBatch(batch: LogBatch, from = this.#upTo): Progress {
+        if (batch.next < from) {
             return "shrunk";
         }
         for (const record of batch.records) {
--- a/packages/config/test/builders.ts
+++ b/packages/config/test/builders.ts
@@ -25,9 +25,10 @@
     reachable: boolean;
 }
 
-/** A connection to the log whose calls can be made to hang forever. */
+/** A connection to the log whose calls can be made to hang forever, or whose responses can be held back. */
 export class LogLink implements LogService {
     hangs = false;
+    #held: Promise<void> | undefined;
     readonly #fleet: Fleet;
 
     constructor(fleet: Fleet) {
@@ -39,7 +40,22 @@
     }
 
     read(...args: Parameters<LogService["read"]>): Promise<LogBatch> {
-        return this.hangs ? new Promise(() => {}) : this.#fleet.log.read(...args);
+        if (this.hangs) {
+            return new Promise(() => {});
+        }
+        const held = this.#held;
+        const batch = this.#fleet.log.read(...args);
+        return held ? batch.then(it => held.then(() => it)) : batch;
+    }
+
+    /** Holds back the responses of the next reads until the returned function is called. */
+    holdResponses(): () => void {
+        let release = (): void => {};
+        this.#held = new Promise(resolve => (release = resolve));
+        return () => {
+            this.#held = undefined;
+            release();
+        };
     }
 }
 
--- a/packages/config/test/lostrecords.test.ts
+++ b/packages/config/test/lostrecords.test.ts
@@ -170,3 +170,21 @@
     const head = { number: 1, digest: "d", offset: 0, publicationId: "p", grammar: 1, upTo: 1 };
     assert.equal(configResponseSchema.parse({ head, records: [] }).head.era, 0);
 });
+
+test("a read that a peer's newer version overtakes isn't taken for a loss of records", async () => {
+    const fleet = new Fleet();
+    const [ahead, slow] = [fleet.start(), fleet.start()];
+    await fleet.publish(textOf(1), 0, "p1");
+    const release = slow.link.holdResponses();
+    for (const number of [2, 3, 4]) {
+        await fleet.publish(textOf(number), number - 1, `p${number}`);
+    }
+    slow.follower.applyResponse(ahead.follower.respond({ era: 0, offset: -1, fresh: true })!);
+    release();
+    await fleet.time.advance(followMs);
+    assert.equal(numberOf(slow), 4);
+    assert.deepEqual(
+        slow.events.filter(it => it.name === "log-shrunk"),
+        [],
+    );
+});
