--- a/packages/bench/src/gossipnet.ts
+++ b/packages/bench/src/gossipnet.ts
@@ -152,7 +152,7 @@
         const domain = index % failureDomainCount;
         const region = `r${Math.floor(domain / domainsPerRegion)}`;
         return {
-            id: `vm-${String(index).padStart(4, "0")}`,
+            id: entryVmIdOf(index),
             incarnation: `run${String(this.#incarnations).padStart(6, "0")}`,
             place: { region, domain: `d${domain}` },
             callerAddress: `10.${index >> 8}.${index & 255}.1:8080`,
@@ -221,6 +221,9 @@
     }
 }
 
+/** Returns the id of the entry VM with this index. */
+export const entryVmIdOf = (index: number): string => `vm-${String(index).padStart(4, "0")}`;
+
 /** Returns the peer address of the entry VM with this index. */
 export const peerAddressOf = (index: number): string => `10.${index >> 8}.${index & 255}.1:8081`;
 
