--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -14,6 +14,7 @@
 import { replayCommand } from "./replaycommand.js";
 import { plotCommand } from "./policyplot.js";
 import { slopesCommand } from "./slopes.js";
+import { storeReturnCommand } from "./storereturn.js";
 import { recordCommand } from "./tracecommand.js";
 
 const program = new Command("measure");
@@ -28,6 +29,7 @@
 program.addCommand(policyCommand());
 program.addCommand(overloadCommand());
 program.addCommand(replayCommand());
+program.addCommand(storeReturnCommand());
 program.addCommand(plotCommand());
 program.addCommand(recordCommand());
 program.addCommand(slopesCommand());
