--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -104,7 +104,8 @@
     #applyConfig(message: TopicMessage<"configuration">, from: string, now: number): void {
         const { era, to, text, version, ageMs } = message;
         const { config, events } = this.#options;
-        if (text === undefined && config.isBeyond(era, to)) {
+        const isKnownVersion = version !== undefined && version <= (config.config?.version ?? -1);
+        if (text === undefined && !isKnownVersion && config.isBeyond(era, to)) {
             this.#followAnnouncement(era, to, from, now);
             return;
         }
--- a/packages/discovery/test/era.test.ts
+++ b/packages/discovery/test/era.test.ts
@@ -10,6 +10,8 @@
 const servers = 10;
 /** Retries of two topics within 2 s, with growing delays. */
 const maxCallsPerFailingReader = 12;
+/** Calls of both topics in 2 s at rest, and two more of each of the first three readers. */
+const maxCallsAtReturn = 22;
 
 /** Starts a fleet whose entry VMs have read a store of era 1. */
 const startFleet = async (t: TestContext, count = 14): Promise<Fleet> => {
@@ -128,6 +130,19 @@
     assert.deepEqual(states(fleet, "s1"), new Set(["ready"]));
 });
 
+test("a return of the store costs a few readers' calls, not one of each entry VM", async t => {
+    const fleet = await startFleet(t, 60);
+    heartbeat(fleet, "s1", "s1", "s1");
+    await fleet.time.run(5_000);
+    const before = fleet.store.calls;
+    fleet.store.restore({ servers: 2, configuration: 0 });
+    await fleet.time.run(5_000 + limitMs);
+    const calls = fleet.store.calls - before;
+    assert.deepEqual(new Set(fleet.vms.map(it => it.config.era)), new Set([2]));
+    assert.deepEqual(new Set(fleet.vms.map(it => it.servers.era)), new Set([2]));
+    assert.ok(calls <= maxCallsAtReturn, `${calls} calls`);
+});
+
 test("two returns in a row are followed, also by an entry VM that got no messages meanwhile", async t => {
     const fleet = await startFleet(t);
     heartbeat(fleet, "s1", "s1", "s1");
