--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -7,10 +7,10 @@
 import type { RecordOutcome } from "./evaluate.js";
 import { configEvent, type ConfigEventName, type ConfigEventHandler } from "./events.js";
 import type { ConfigRequest, ConfigResponse, Peers } from "./peers.js";
-import { configStream } from "./record.js";
+import { configStream, parseEnvelope, parsePublication } from "./record.js";
 import { Replay, type Progress } from "./replay.js";
 import { readEra } from "./restorations.js";
-import { snapshotOf, type Snapshot } from "./snapshot.js";
+import { snapshotOf, type Snapshot, type SnapshotHead } from "./snapshot.js";
 import { emptyVersion, grammars as ownGrammars, type AcceptedVersion, type Grammars } from "./version.js";
 
 /** Longest time that a read of the log waits for new records. */
@@ -20,7 +20,7 @@
 const maxRetryMs = 2000;
 const maxMissingRetryMs = 10_000;
 /** Number of reads of the log between two checks whether a version has been restored. */
-const readsPerRestorationCheck = 6;
+const readsPerPositionCheck = 6;
 const queryIntervalMs = 2000;
 const queriedPeers = 1;
 const queriedPeersAtStart = 5;
@@ -63,7 +63,10 @@
     #ready = false;
     #logReachable = true;
     #queriesSinceLogReply = 0;
-    #readsUntilRestorationCheck = 0;
+    #readsUntilPositionCheck = readsPerPositionCheck;
+    /** Whether a peer or a record named a later version that couldn't be reached from here. */
+    #isSuspicious = false;
+    #rewoundTo: AcceptedVersion | undefined;
     #progress: Progress | "starting" = "starting";
     #current: AcceptedVersion | undefined;
 
@@ -74,7 +77,7 @@
         this.#random = options.random;
         this.#sleep = options.sleep ?? realSleep;
         this.#replay = new Replay(options.grammars ?? ownGrammars, options.events, (_record, outcome) =>
-            this.#noticeLaterBase(outcome),
+            this.#checkBase(outcome),
         );
     }
 
@@ -171,7 +174,8 @@
 
     async #readBatch(signal: AbortSignal): Promise<void> {
         let progress = await this.#applyNextBatch(signal);
-        if (progress === "missing" || (await this.#hasRestoration(progress))) {
+        this.#emitCurrent();
+        if (progress === "missing" || (await this.#mustStartAnew(progress))) {
             await initializeReplay(this.#log, this.#replay);
             progress = await this.#applyNextBatch(signal);
         }
@@ -179,25 +183,69 @@
         this.#emitCurrent();
     }
 
-    /** A publication over a version that isn't known yet shows that a version was restored. */
-    #noticeLaterBase(outcome: RecordOutcome): void {
+    #noticeLaterVersion(head: SnapshotHead): void {
+        const version = this.#replay.version;
+        if (version && head.era === version.era && head.number > version.number) {
+            this.#suspectPosition();
+        }
+    }
+
+    /** A publication over a version that isn't known yet suggests that one was restored, or replaced a lost one. */
+    #checkBase(outcome: RecordOutcome): void {
         const known = this.#replay.version?.number ?? 0;
-        if (outcome.kind === "skipped" && (outcome.baseNumber ?? 0) > known) {
-            this.#readsUntilRestorationCheck = 0;
+        if (outcome.kind === "accepted") {
+            this.#isSuspicious = false;
+        } else if (outcome.kind === "skipped" && (outcome.baseNumber ?? 0) > known) {
+            this.#suspectPosition();
         }
     }
 
+    #suspectPosition(): void {
+        this.#isSuspicious = true;
+        this.#readsUntilPositionCheck = 0;
+    }
+
     /**
-     * Returns whether an operator has restored a version that isn't known yet. That is checked after each read if the log
-     * has lost records, and now and then otherwise: the log may have grown beyond the known position since it lost them.
+     * Checks the position after a loss of records, and otherwise now and then: the log may have grown beyond the position
+     * since. Returns whether an operator has restored a version that isn't known yet.
      */
-    async #hasRestoration(progress: Progress): Promise<boolean> {
-        this.#readsUntilRestorationCheck--;
-        if (progress !== "shrunk" && this.#readsUntilRestorationCheck > 0) {
+    async #mustStartAnew(progress: Progress): Promise<boolean> {
+        this.#readsUntilPositionCheck--;
+        if (progress !== "shrunk" && this.#readsUntilPositionCheck > 0) {
             return false;
         }
-        this.#readsUntilRestorationCheck = readsPerRestorationCheck;
-        return (await readEra(this.#log)) > (this.#replay.version?.era ?? 0);
+        const isSuspicious = progress === "shrunk" || this.#isSuspicious;
+        this.#isSuspicious = false;
+        this.#readsUntilPositionCheck = readsPerPositionCheck;
+        if ((await readEra(this.#log)) > (this.#replay.version?.era ?? 0)) {
+            return true;
+        }
+        return isSuspicious && (await this.#rewind(progress));
+    }
+
+    /** Goes back to just after the accepted version if the log still has it; once for each version while it isn't shrunk. */
+    async #rewind(progress: Progress): Promise<boolean> {
+        const version = this.#replay.version;
+        if (
+            !version ||
+            (progress !== "shrunk" && version === this.#rewoundTo) ||
+            !(await this.#isInLog(version))
+        ) {
+            return false;
+        }
+        this.#rewoundTo = version;
+        this.#replay.rewind();
+        return true;
+    }
+
+    async #isInLog({ number, era, offset, publicationId }: AcceptedVersion): Promise<boolean> {
+        const { records, next } = await this.#log.read(configStream, Math.max(0, offset), 1, 0);
+        const record = records[0];
+        if (offset >= next) {
+            return false;
+        }
+        const isWithoutRecord = number === era || record?.offset !== offset;
+        return isWithoutRecord || publicationIdOf(record.data) === publicationId;
     }
 
     async #applyNextBatch(signal: AbortSignal): Promise<Progress> {
@@ -231,6 +279,7 @@
         const responses = await this.#peers.query(request, count);
         for (const response of responses) {
             this.applyResponse(response);
+            this.#noticeLaterVersion(response.head);
         }
         return responses.length;
     }
@@ -274,6 +323,11 @@
     }
 }
 
+const publicationIdOf = (data: string): string | undefined => {
+    const envelope = parseEnvelope(data);
+    return envelope && parsePublication(envelope.body)?.id;
+};
+
 const progressTexts: Readonly<Record<Progress | "starting", string>> = {
     starting: "The end of the log hasn't been reached yet.",
     applied: "Following the log.",
--- a/packages/config/src/initialize.ts
+++ b/packages/config/src/initialize.ts
@@ -33,13 +33,13 @@
             return false;
         }
         if (snapshot.upTo > next) {
-            beyond ??= snapshot;
+            beyond ??= snapshot.offset >= next ? snapshot : undefined;
             return false;
         }
         const usable = snapshot.upTo >= first && snapshot.number <= maxNumber;
         return usable && replay.installSnapshot(snapshot, "checkpoint");
     });
-    if (beyond && beyond.upTo > (await readEnd(log))) {
+    if (beyond && beyond.offset >= (await readEnd(log))) {
         replay.installSnapshot(beyond, "checkpoint");
     }
 };
--- a/packages/config/src/replay.ts
+++ b/packages/config/src/replay.ts
@@ -27,13 +27,15 @@
     /** This release doesn't know the grammar in force. */
     | "outdated";
 
-/** The accepted version and the offset up to which the log has been evaluated; neither ever goes back. */
+/** The accepted version, which never goes back, and the offset up to which the log has been evaluated. */
 export class Replay {
     readonly #grammars: Grammars;
     readonly #events: ConfigEventHandler;
     readonly #onOutcome: (record: LogRecord, outcome: RecordOutcome) => void;
     #version: AcceptedVersion | undefined;
     #upTo = 0;
+    /** Records below this offset were reported before the last rewind. */
+    #rewoundFrom = 0;
     #retained: readonly RetainedRecord[] = [];
 
     /**
@@ -83,6 +85,12 @@
         return batch.first > this.#upTo ? "missing" : "applied";
     }
 
+    /** Goes back to just after the accepted version, to evaluate anew what follows in a log that has lost records. */
+    rewind(): void {
+        this.#rewoundFrom = this.#upTo;
+        this.#upTo = (this.#version?.offset ?? -1) + 1;
+    }
+
     /** Installs a snapshot if it is valid and newer; returns whether it did. */
     installSnapshot(snapshot: Snapshot, source: "checkpoint" | "peer"): boolean {
         if (this.#conflicts(snapshot) || !this.#isNewer(snapshot)) {
@@ -152,7 +160,7 @@
         if (outcome.kind === "accepted") {
             this.#retain(before.offset, record.offset, record.data);
             this.#setVersion(outcome.version);
-        } else {
+        } else if (record.offset >= this.#rewoundFrom) {
             this.#emitEvent(
                 "record-skipped",
                 `Skipped the record at offset ${record.offset}: ${outcome.reason}.`,
--- a/packages/config/test/lostrecords.test.ts
+++ b/packages/config/test/lostrecords.test.ts
@@ -188,3 +188,31 @@
         [],
     );
 });
+
+test("if the log lost only records after the version in force, entry VMs follow what is published next, without a restoration", async () => {
+    const fleet = new Fleet();
+    const [awake, asleep] = [fleet.start(), fleet.start()];
+    await fleet.publish(textOf(1), 0, "p1");
+    for (let i = 0; i < 4; i++) {
+        fleet.log.forceAppend("config", "not a publication");
+    }
+    await fleet.time.advance(1_000);
+    asleep.link.hangs = true;
+    await fleet.time.advance(20_000);
+    fleet.log.restore("config", 2);
+    await fleet.time.advance(followMs);
+    const known = knownBy(awake);
+    assert.equal((await fleet.publish(textOf(2), 1, "p2", { known })).kind, "accepted");
+    await fleet.time.advance(followMs);
+    assert.equal(numberOf(awake), 2);
+    for (const number of [3, 4]) {
+        await fleet.publish(textOf(number), number - 1, `p${number}`, { known });
+    }
+    fleet.halt(awake);
+    asleep.link.hangs = false;
+    const fresh = fleet.start();
+    await fleet.time.advance(followMs);
+    await fleet.publish(textOf(5), 4, "p5");
+    await fleet.time.advance(followMs);
+    assert.deepEqual([numberOf(asleep), numberOf(fresh)], [5, 5]);
+});
