--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -63,7 +63,9 @@
     #ready = false;
     #logReachable = true;
     #queriesSinceLogReply = 0;
-    #readsUntilPositionCheck = readsPerPositionCheck;
+    #hasReachedEnd = false;
+    /** The first read is followed by a check, as a peer's version may be one that the log has lost. */
+    #readsUntilPositionCheck = 1;
     /** Whether a peer or a record named a later version that couldn't be reached from here. */
     #isSuspicious = false;
     #rewoundTo: AcceptedVersion | undefined;
@@ -179,6 +181,9 @@
             await initializeReplay(this.#log, this.#replay);
             progress = await this.#applyNextBatch(signal);
         }
+        if (progress === "shrunk" || this.#hasReachedEnd) {
+            this.#ready = true;
+        }
         this.#setProgress(progress);
         this.#emitCurrent();
     }
@@ -256,9 +261,7 @@
         const { upTo } = this.#replay;
         const batch = await this.#log.read(configStream, upTo, batchRecords, waitMs, signal);
         const progress = this.#replay.applyBatch(batch, upTo);
-        if (progress === "shrunk" || (progress === "applied" && this.#replay.upTo >= batch.next)) {
-            this.#ready = true;
-        }
+        this.#hasReachedEnd = progress === "applied" && this.#replay.upTo >= batch.next;
         return progress;
     }
 
