--- a/packages/config/src/initialize.ts
+++ b/packages/config/src/initialize.ts
@@ -42,6 +42,10 @@
     if (beyond && beyond.offset >= (await readEnd(log))) {
         replay.installSnapshot(beyond, "checkpoint");
     }
+    if (replay.version && replay.version.offset + 1 >= first) {
+        // The log may have lost skipped records that the checkpoint covers, and hold others at their offsets.
+        replay.rewind();
+    }
 };
 
 /** Returns the end of the log; a checkpoint that was read before is beyond it only if the log has lost records. */
