--- a/packages/bench/src/fuzz-config-oracle.ts
+++ b/packages/bench/src/fuzz-config-oracle.ts
@@ -33,6 +33,16 @@
         }
     }
 
+    /** Number of the newest accepted version; 0 before the first. */
+    get newest(): number {
+        return this.accepted.length;
+    }
+
+    /** Accepts a version that an operator restores at an offset. */
+    restore(version: Omit<ExpectedVersion, "number">): void {
+        this.accepted.push({ ...version, number: this.accepted.length + 1 });
+    }
+
     /** Returns how a served version differs from the accepted one; undefined if they are the same. */
     mismatch(served: Omit<ExpectedVersion, "id"> & { readonly publicationId: string }): string | undefined {
         const expected = this.accepted[served.number - 1];
--- a/packages/bench/src/fuzz-config-steps.ts
+++ b/packages/bench/src/fuzz-config-steps.ts
@@ -219,6 +219,15 @@
     }
 });
 
+/** The log comes back from an older copy. */
+const loseRecords = stepKind(
+    "loseRecords",
+    fc.tuple(fc.integer({ min: 1, max: 4 }), smallInt),
+    ([count, value]) =>
+        sim =>
+            sim.loseRecords(count, configText(value)),
+);
+
 const pass = stepKind("pass", fc.integer({ min: 100, max: 20_000 }), ms => sim => sim.advance(ms));
 
 const expire = stepKind("expire", fc.constant(retentionMs), ms => sim => sim.advance(ms));
@@ -245,6 +254,7 @@
     forge,
     staleCheckpoint,
     badCheckpoint,
+    loseRecords,
     pass,
     pass,
     expire,
--- a/packages/bench/test/mutations.ts
+++ b/packages/bench/test/mutations.ts
@@ -80,6 +80,13 @@
         "version.number !== this.#baseNumber",
         "false",
     ),
+    config(
+        "a publication over a log that has lost the newest version is accepted",
+        "publisher.js",
+        "this.#reader.findLost(this.#options.known ?? [])",
+        "undefined",
+    ),
+    config("a restored version doesn't replace the lost one", "replay.js", "a.era < b.era ||", "false ||"),
     config("no checkpoint is appended", "checkpointer.js", "await this.#isDue(snapshot)", "false"),
     once(
         "any entry VM runs a request, whoever issued its ticket",
