--- a/packages/discovery/test/era.test.ts
+++ b/packages/discovery/test/era.test.ts
@@ -130,6 +130,19 @@
     assert.deepEqual(states(fleet, "s1"), new Set(["ready"]));
 });
 
+test("after a return, a configuration too large for messages is in force everywhere within the limit", async t => {
+    const fleet = await startFleet(t, 60);
+    fleet.store.put("configuration", "config", config(2));
+    fleet.store.put("configuration", "config", config(3));
+    await fleet.time.run(6_000);
+    fleet.maxMessageBytes = 10_000;
+    fleet.store.restore({ servers: 0, configuration: 2 });
+    const routes = Array.from({ length: 1_600 }, (_, i) => ({ name: `r${i}` }));
+    fleet.store.put("configuration", "config", { ...config(4), routes });
+    await fleet.time.run(6_000 + limitMs);
+    assert.deepEqual(versions(fleet), new Set([4]));
+});
+
 test("a return of the store costs a few readers' calls, not one of each entry VM", async t => {
     const fleet = await startFleet(t, 60);
     heartbeat(fleet, "s1", "s1", "s1");
