--- a/packages/bench/src/fuzz-config-simulation.ts
+++ b/packages/bench/src/fuzz-config-simulation.ts
@@ -109,6 +109,7 @@
     readonly operatorLogs: readonly FaultyLog[];
     readonly #outcomes: PublishOutcome[] = [];
     readonly #requests: PublishRequest[] = [];
+    #runningPublications = 0;
     readonly #violations: string[] = [];
     readonly #random: () => number;
 
@@ -165,7 +166,7 @@
         const { newest } = this.oracle;
         const known = this.#availablePeers().flatMap(({ follower }) => follower.current ?? []);
         const isKnown = newest === 0 || known.some(it => it.number === newest);
-        if (this.platform.down || !isKnown || this.#outcomes.length < this.#requests.length) {
+        if (this.platform.down || !isKnown || this.#runningPublications > 0) {
             return;
         }
         const { next } = await this.platform.read(configStream, Number.MAX_SAFE_INTEGER, 1, 0);
@@ -214,7 +215,11 @@
     #send(operator: number, { id, text, base }: PublishRequest, fresh: boolean): void {
         const log = this.operatorLogs[operator % this.operatorLogs.length]!;
         const options = { id, fresh, random: this.#random, sleep: this.time.sleep };
-        void publish(log, text, base, options).then(result => this.#outcomes.push({ id, base, result }));
+        this.#runningPublications++;
+        void publish(log, text, base, options).then(result => {
+            this.#runningPublications--;
+            this.#outcomes.push({ id, base, result });
+        });
     }
 
     /** Returns the number of publications by the kind of their result. */
