--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -4,12 +4,14 @@
 import { backoffMs, sleep as realSleep, type Random, type Sleep } from "@bramleymoor/platform/timers";
 import { Subject, type Observable } from "rxjs";
 import { initializeReplay } from "./initialize.js";
+import type { RecordOutcome } from "./evaluate.js";
 import { configEvent, type ConfigEventName, type ConfigEventHandler } from "./events.js";
 import type { ConfigRequest, ConfigResponse, Peers } from "./peers.js";
-import { configStream } from "./record.js";
+import { configStream, parseEnvelope, parsePublication } from "./record.js";
 import { Replay, type Progress } from "./replay.js";
-import { snapshotOf, type Snapshot } from "./snapshot.js";
-import { grammars as ownGrammars, type AcceptedVersion, type Grammars } from "./version.js";
+import { readEra } from "./restorations.js";
+import { snapshotOf, type Snapshot, type SnapshotHead } from "./snapshot.js";
+import { emptyVersion, grammars as ownGrammars, type AcceptedVersion, type Grammars } from "./version.js";
 
 /** Longest time that a read of the log waits for new records. */
 const longPollMs = 5000;
@@ -17,6 +19,8 @@
 const firstRetryMs = 200;
 const maxRetryMs = 2000;
 const maxMissingRetryMs = 10_000;
+/** Number of reads of the log between two checks whether a version has been restored. */
+const readsPerPositionCheck = 6;
 const queryIntervalMs = 2000;
 const queriedPeers = 1;
 const queriedPeersAtStart = 5;
@@ -59,6 +63,12 @@
     #ready = false;
     #logReachable = true;
     #queriesSinceLogReply = 0;
+    #hasReachedEnd = false;
+    /** The first read is followed by a check, as a peer's version may be one that the log has lost. */
+    #readsUntilPositionCheck = 1;
+    /** Whether a peer or a record named a later version that couldn't be reached from here. */
+    #isSuspicious = false;
+    #rewoundTo: AcceptedVersion | undefined;
     #progress: Progress | "starting" = "starting";
     #current: AcceptedVersion | undefined;
 
@@ -68,7 +78,9 @@
         this.#events = options.events;
         this.#random = options.random;
         this.#sleep = options.sleep ?? realSleep;
-        this.#replay = new Replay(options.grammars ?? ownGrammars, options.events);
+        this.#replay = new Replay(options.grammars ?? ownGrammars, options.events, (_record, outcome) =>
+            this.#checkBase(outcome),
+        );
     }
 
     /** The version to serve; undefined until one may be served. */
@@ -164,24 +176,92 @@
 
     async #readBatch(signal: AbortSignal): Promise<void> {
         let progress = await this.#applyNextBatch(signal);
-        if (progress === "missing") {
+        this.#emitCurrent();
+        if (progress === "missing" || (await this.#mustStartAnew(progress))) {
             await initializeReplay(this.#log, this.#replay);
             progress = await this.#applyNextBatch(signal);
         }
+        if (progress === "shrunk" || this.#hasReachedEnd) {
+            this.#ready = true;
+        }
         this.#setProgress(progress);
         this.#emitCurrent();
     }
 
+    #noticeLaterVersion(head: SnapshotHead): void {
+        const version = this.#replay.version;
+        if (version && head.era === version.era && head.number > version.number) {
+            this.#suspectPosition();
+        }
+    }
+
+    /** A publication over a version that isn't known yet suggests that one was restored, or replaced a lost one. */
+    #checkBase(outcome: RecordOutcome): void {
+        const known = this.#replay.version?.number ?? 0;
+        if (outcome.kind === "accepted") {
+            this.#isSuspicious = false;
+        } else if (outcome.kind === "skipped" && (outcome.baseNumber ?? 0) > known) {
+            this.#suspectPosition();
+        }
+    }
+
+    #suspectPosition(): void {
+        this.#isSuspicious = true;
+        this.#readsUntilPositionCheck = 0;
+    }
+
+    /**
+     * Checks the position after a loss of records, and otherwise now and then: the log may have grown beyond the position
+     * since. Returns whether an operator has restored a version that isn't known yet.
+     */
+    async #mustStartAnew(progress: Progress): Promise<boolean> {
+        this.#readsUntilPositionCheck--;
+        if (progress !== "shrunk" && this.#readsUntilPositionCheck > 0) {
+            return false;
+        }
+        const isSuspicious = progress === "shrunk" || this.#isSuspicious;
+        this.#isSuspicious = false;
+        this.#readsUntilPositionCheck = readsPerPositionCheck;
+        if ((await readEra(this.#log)) > (this.#replay.version?.era ?? 0)) {
+            return true;
+        }
+        return isSuspicious && (await this.#rewind(progress));
+    }
+
+    /** Goes back to just after the accepted version if the log still has it; once for each version while it isn't shrunk. */
+    async #rewind(progress: Progress): Promise<boolean> {
+        const version = this.#replay.version;
+        if (
+            !version ||
+            (progress !== "shrunk" && version === this.#rewoundTo) ||
+            !(await this.#isInLog(version))
+        ) {
+            return false;
+        }
+        this.#rewoundTo = version;
+        this.#replay.rewind();
+        return true;
+    }
+
+    async #isInLog({ number, era, offset, publicationId }: AcceptedVersion): Promise<boolean> {
+        const { records, next } = await this.#log.read(configStream, Math.max(0, offset), 1, 0);
+        const record = records[0];
+        if (offset >= next) {
+            return false;
+        }
+        const isWithoutRecord = number === era || record?.offset !== offset;
+        return isWithoutRecord || publicationIdOf(record.data) === publicationId;
+    }
+
     async #applyNextBatch(signal: AbortSignal): Promise<Progress> {
         if (!this.#replay.version) {
             return "missing";
         }
         const waitMs = this.#ready ? longPollMs : 0;
-        const batch = await this.#log.read(configStream, this.#replay.upTo, batchRecords, waitMs, signal);
-        const progress = this.#replay.applyBatch(batch);
-        if (progress === "applied" && this.#replay.upTo >= batch.next) {
-            this.#ready = true;
-        }
+        const { upTo } = this.#replay;
+        const batch = await this.#log.read(configStream, upTo, batchRecords, waitMs, signal);
+        const progress = this.#replay.applyBatch(batch, upTo);
+        this.#hasReachedEnd = progress === "applied" && this.#replay.upTo >= batch.next;
         return progress;
     }
 
@@ -197,10 +277,12 @@
     /** Queries peers and applies their responses; returns how many responded. */
     async #queryPeers(count: number): Promise<number> {
         const version = this.#replay.version;
-        const request = { offset: version?.offset ?? -1, fresh: version === undefined };
+        const { era, offset } = version ?? emptyVersion;
+        const request = { era, offset, fresh: version === undefined };
         const responses = await this.#peers.query(request, count);
         for (const response of responses) {
             this.applyResponse(response);
+            this.#noticeLaterVersion(response.head);
         }
         return responses.length;
     }
@@ -244,12 +326,17 @@
     }
 }
 
+const publicationIdOf = (data: string): string | undefined => {
+    const envelope = parseEnvelope(data);
+    return envelope && parsePublication(envelope.body)?.id;
+};
+
 const progressTexts: Readonly<Record<Progress | "starting", string>> = {
     starting: "The end of the log hasn't been reached yet.",
     applied: "Following the log.",
     missing:
         "Records that this entry VM never read have expired, and neither a checkpoint nor a peer fills the gap.",
-    shrunk: "The log ends before records that were already read; continuing with the newest known version.",
+    shrunk: "The log has lost records that were already read; continuing with the newest known version until one is restored.",
     outdated: "The grammar in force is newer than this release; later versions can't be followed.",
 };
 
