--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -146,6 +146,11 @@
         };
     }
 
+    /** Number of servers that would be open but for a pending probe. */
+    heldServers(now: number): number {
+        return this.#openServers(now).filter(it => it.probePending).length;
+    }
+
     /** Grants a slot of the best candidate; queues the request again if no candidate has a free slot any more. */
     grant(reservation: Reservation, now: number): Slot | undefined {
         this.#openReservations--;
@@ -198,9 +203,9 @@
         return !server.isFresh(now) && !this.#isLimited(server, now);
     }
 
-    /** Records a server's load report, made at `at`. */
-    recordLoad(server: ServerEntry, report: LoadReport, at: number): void {
-        this.#servers.get(incarnationKey(server))?.recordLoad(report, at);
+    /** Records a server's load report, made at `takenAt` at the earliest. */
+    recordLoad(server: ServerEntry, report: LoadReport, takenAt: number, receivedAt = takenAt): void {
+        this.#servers.get(incarnationKey(server))?.recordLoad(report, takenAt, receivedAt);
     }
 
     /** Records that a probe was sent; the server gets no requests before it responds. */
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,11 +1,13 @@
 /** Runs one service's balancer: compares servers by up-to-date load, and assigns slots to waiting requests. */
 
 import type { Balancer, Reservation } from "@bramleymoor/balance/balancer";
-import type { ServerState } from "@bramleymoor/balance/server";
+import type { ProbeBudget } from "@bramleymoor/balance/probebudget";
 import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import type { ServerEntry, ServiceSettings } from "@bramleymoor/model/route";
 import type { ProbeClient } from "./probeclient.js";
+import { ProbeRound } from "./proberound.js";
+import { ProbeUsage, type ProbeUsageReport } from "./probeusage.js";
 
 /** Result of a wait for a slot. */
 export type AcquireResult =
@@ -24,6 +26,7 @@
 export interface DispatcherOptions {
     readonly balancer: Balancer;
     readonly probeClient: ProbeClient;
+    readonly probeBudget: ProbeBudget;
     /** Records what a server says of itself in its response to a probe. */
     readonly recordStatement: RecordStatement;
     /** Returns monotonic milliseconds. */
@@ -34,20 +37,26 @@
 export class Dispatcher {
     readonly #balancer: Balancer;
     readonly #probeClient: ProbeClient;
+    readonly #probeBudget: ProbeBudget;
     readonly #recordStatement: RecordStatement;
     readonly #clock: () => number;
+    readonly #usage: ProbeUsage;
+    /** Number of probes in flight by server id. */
+    readonly #probesInFlight = new Map<string, number>();
     readonly #waiting = new Map<Request, (result: AcquireResult) => void>();
     #settings: ServiceSettings;
 
     constructor(
         settings: ServiceSettings,
-        { balancer, probeClient, recordStatement, clock }: DispatcherOptions,
+        { balancer, probeClient, probeBudget, recordStatement, clock }: DispatcherOptions,
     ) {
         this.#settings = settings;
         this.#balancer = balancer;
         this.#probeClient = probeClient;
+        this.#probeBudget = probeBudget;
         this.#recordStatement = recordStatement;
         this.#clock = clock;
+        this.#usage = new ProbeUsage(clock());
     }
 
     /** Number of requests that wait for a slot. */
@@ -71,6 +80,7 @@
 
     /** Waits for a slot; resolves immediately if the request is refused. */
     acquireSlot(request: Request): Promise<AcquireResult> {
+        this.#probeBudget.recordRequest(this.#clock());
         const refusal = this.#balancer.submit(request, this.#clock());
         if (refusal) {
             return Promise.resolve({ kind: "refused", refusal });
@@ -109,77 +119,115 @@
         this.#dispatchWaiting();
     }
 
+    /** Returns what probes were used for in a period that has ended since the last call. */
+    takeProbeUsage(now: number): ProbeUsageReport | undefined {
+        const period = this.#usage.takePeriod(now);
+        const { name } = this.#settings;
+        return period && { service: name, servers: this.#balancer.servers.length, ...period };
+    }
+
     #dispatchWaiting(): void {
         for (;;) {
             const reservation = this.#balancer.reserveNext(this.#clock());
             if (!reservation) {
+                if (this.#balancer.queued > 0) {
+                    this.#usage.recordBlocked(this.#balancer.heldServers(this.#clock()));
+                }
                 return;
             }
-            const now = this.#clock();
-            const stale = reservation.candidates.filter(it => this.#balancer.needsProbe(it, now));
-            if (stale.length > 0) {
-                this.#probeThenGrant(reservation, stale);
-            } else if (!this.#grant(reservation)) {
+            this.#usage.recordReservation(reservation.candidates.length);
+            if (!this.#startProbing(reservation) && !this.#grant(reservation, 0)) {
                 return;
             }
         }
     }
 
     /**
-     * Probes servers for their load, and grants a slot as soon as one is known to be idle and not slow, or all have
-     * responded, or `probeWaitMs` has passed.
+     * Probes the candidates whose load isn't known, and then grants a slot. Returns false if no probe is needed, or none
+     * is left in the budget.
      */
-    #probeThenGrant(reservation: Reservation, stale: readonly ServerState[]): void {
-        const startedAt = this.#clock();
-        let outstanding = stale.length;
-        let finished = false;
-        const finish = (): void => {
-            if (!finished) {
-                finished = true;
-                clearTimeout(timer);
-                this.#grant(reservation);
-            }
-            this.#dispatchWaiting();
-        };
-        const timer = setTimeout(finish, probeWaitMs);
-        for (const { entry } of stale) {
-            void this.#probe(entry, startedAt).then(() => {
-                outstanding--;
-                if (
-                    finished ||
-                    outstanding === 0 ||
-                    this.#balancer.hasIdealCandidate(reservation, this.#clock())
-                ) {
-                    finish();
-                }
-            });
+    #startProbing(reservation: Reservation): boolean {
+        if (this.#balancer.hasIdealCandidate(reservation, this.#clock())) {
+            return false;
         }
+        let probes = 0;
+        const round = new ProbeRound({
+            servers: reservation.candidates,
+            needsProbe: it => this.#balancer.needsProbe(it, this.#clock()),
+            tryTake: () => this.#probeBudget.tryTake(this.#clock()),
+            probe: ({ entry }) => {
+                probes++;
+                return this.#probe(entry);
+            },
+            isDecided: () => this.#balancer.hasIdealCandidate(reservation, this.#clock()),
+            onEnd: end => {
+                if (end === "timeout") {
+                    this.#usage.record("timedOut");
+                }
+                this.#grant(reservation, probes);
+                this.#dispatchWaiting();
+            },
+            onLateResult: () => this.#dispatchWaiting(),
+        });
+        return round.start();
     }
 
-    async #probe(server: ServerEntry, startedAt: number): Promise<void> {
+    async #probe(server: ServerEntry): Promise<void> {
+        const startedAt = this.#clock();
         this.#balancer.recordProbeSent(server);
-        const response = await this.#probeClient.probe(server, this.#settings.healthPath);
+        this.#recordProbeBegin(server);
+        const response = await this.#probeClient.probe(server, this.#settings.healthPath, () =>
+            this.#probeBudget.recordUnplanned(),
+        );
+        this.#recordProbeEnd(server, response !== undefined);
         if (!response || response.misdirected) {
             this.#balancer.recordUnansweredProbe(server, this.#clock());
             return;
         }
         this.#recordStatement(server, response.statement, "probe");
         if (response.report) {
-            this.#balancer.recordLoad(server, response.report, startedAt);
+            this.#balancer.recordLoad(server, response.report, startedAt, this.#clock());
         } else {
             this.#balancer.recordResponseWithoutLoad(server);
         }
     }
 
-    /** Returns false if none of the candidates has a free slot any more; the request then keeps waiting. */
-    #grant(reservation: Reservation): boolean {
+    #recordProbeBegin({ id }: ServerEntry): void {
+        const inFlight = this.#probesInFlight.get(id) ?? 0;
+        this.#probesInFlight.set(id, inFlight + 1);
+        if (inFlight > 0) {
+            this.#usage.record("shared");
+        } else {
+            this.#usage.recordSent(id, this.#probesInFlight.size);
+        }
+    }
+
+    #recordProbeEnd({ id }: ServerEntry, isAnswered: boolean): void {
+        const inFlight = this.#probesInFlight.get(id) ?? 0;
+        if (inFlight > 1) {
+            this.#probesInFlight.set(id, inFlight - 1);
+            return;
+        }
+        this.#probesInFlight.delete(id);
+        this.#usage.record(isAnswered ? "answered" : "unanswered");
+    }
+
+    /**
+     * Returns false if none of the candidates has a free slot any more; the request then keeps waiting.
+     *
+     * @param probes number of probes that were sent for the request
+     */
+    #grant(reservation: Reservation, probes: number): boolean {
         if (!this.#waiting.has(reservation.request)) {
             this.#balancer.cancelReservation();
             return true;
         }
         const slot = this.#balancer.grant(reservation, this.#clock());
         if (slot) {
+            this.#usage.record("granted");
             this.#resolveWait(reservation.request, { kind: "slot", slot });
+        } else {
+            this.#usage.recordRequeued(probes);
         }
         return slot !== undefined;
     }
@@ -190,6 +238,3 @@
         resolve?.(result);
     }
 }
-
-/** Maximum wait for responses to probes: several round trips between failure domains. */
-const probeWaitMs = 12;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -64,9 +64,14 @@
         return this.#running.size;
     }
 
-    /** Returns how long a request's connection waited to be accepted, in milliseconds; 0 if it isn't the first one. */
-    takeAcceptWaitMs({ socket }: IncomingMessage): number {
-        return this.#acceptQueue.takeWaitMs(socket);
+    /** Returns how long a request that is read now may have waited for its connection to be accepted, in milliseconds. */
+    acceptWaitMs({ socket }: IncomingMessage): number {
+        return this.#acceptQueue.waitMs(socket);
+    }
+
+    /** Returns the number of pending requests on a request's connection that are to be answered before it. */
+    countAhead({ socket }: IncomingMessage): number {
+        return Math.max(0, (this.#pendingResponses.get(socket) ?? 0) - 1);
     }
 
     /** Applies the limits of a newer configuration. */
@@ -109,7 +114,7 @@
         if (this.#closing.has(socket)) {
             return;
         }
-        this.#connections.setResponse(socket, res);
+        this.#connections.addResponse(socket, res);
         this.#pendingResponses.set(socket, (this.#pendingResponses.get(socket) ?? 0) + 1);
         res.once("close", () => this.#responseClosed(socket));
         const error = this.#validateHead(req);
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -15,6 +15,7 @@
 import { AuxiliaryServers } from "./auxiliaryservers.js";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { createMembership, formatAddress } from "./createmembership.js";
+import { DemandExchange } from "./demand.js";
 import type { RecordStatement } from "./dispatcher.js";
 import { ElapsedTimeEstimator } from "./elapsed.js";
 import { ForwardTask, type ForwardOptions } from "./forward.js";
@@ -64,6 +65,7 @@
     readonly #splits = new TrafficSplits();
     readonly #elapsedTimes = new ElapsedTimeEstimator();
     readonly #lag = new EventLoopLag(monotonicMs() + tickMs);
+    readonly #demand: DemandExchange;
     readonly #partitioner: TrafficPartitioner;
     readonly #reporter: RequestReporter;
     readonly #frontend: FrontendServer;
@@ -99,6 +101,7 @@
             random: Math.random,
             balance: { candidateCount: comparedServers, domain: settings.place.domain },
             retryLimits: settings.retryLimits,
+            probesPerServerPerSecond: settings.probesPerServerPerSecond,
             limiter: this.#statements.rules,
             recordStatement: this.#recordStatement,
         });
@@ -114,6 +117,12 @@
         });
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
         this.#membership = this.#createMembership();
+        this.#demand = new DemandExchange({
+            self: settings.id,
+            membership: this.#membership,
+            members: () => this.#members.members,
+            now: monotonicMs(),
+        });
         this.#partitioner = new TrafficPartitioner({
             self: settings.id,
             processorShare: settings.processorShare,
@@ -122,7 +131,7 @@
             members: () => this.#members.members,
             setPreferredServers: (service, serverIds) =>
                 this.#dispatchers.dispatcher(service)?.balancer.setPreferredServers(serverIds),
-            now: monotonicMs(),
+            demand: this.#demand,
         });
         this.#reporter = new RequestReporter({
             events,
@@ -174,6 +183,11 @@
             "Bytes to and from other entry VMs.",
             () => this.#peerSocket.bytes,
         );
+        this.#metrics.registerCounter(
+            "bm_sends_cancelled_at_once_total",
+            "Requests whose caller's disconnect was read directly after their send.",
+            () => this.#reporter.cancelledAtOnce,
+        );
         this.#metrics.registerGauge(
             "bm_store_era",
             "How often the store has come back from an older copy; 0 if it doesn't say.",
@@ -216,12 +230,19 @@
      * take effect at the next start, as callers and peers know them; returns the names of such settings that differ.
      */
     reload(changed: GatewaySettings): readonly string[] {
-        const { retryLimits, addressTtlMs, shutdownGraceMs } = changed;
+        const { retryLimits, probesPerServerPerSecond, addressTtlMs, shutdownGraceMs } = changed;
         const pendingRestart = restartOnlySettings.filter(
             name => JSON.stringify(changed[name]) !== JSON.stringify(this.#settings[name]),
         );
-        this.#settings = { ...this.#settings, retryLimits, addressTtlMs, shutdownGraceMs };
+        this.#settings = {
+            ...this.#settings,
+            retryLimits,
+            probesPerServerPerSecond,
+            addressTtlMs,
+            shutdownGraceMs,
+        };
         this.#dispatchers.setRetryLimits(retryLimits);
+        this.#dispatchers.setProbeLimit(probesPerServerPerSecond);
         return pendingRestart;
     }
 
@@ -296,7 +317,11 @@
             nextId: () => ++this.#lastId,
             findRoute: (host, target) => this.#findRoute(host, target),
             maxBodyBytes: () => this.#storeView.config?.limits.maxBodyBytes ?? 0,
-            chooseService: route => this.#splits.chooseService(route, Math.random),
+            chooseService: route => {
+                const service = this.#splits.chooseService(route, Math.random);
+                this.#demand.countService(service);
+                return service;
+            },
             dispatcher: service => this.#dispatchers.dispatcher(service),
             elapsedMs: (route, deadlineMs) =>
                 this.#elapsedTimes.elapsedMs(`${route.host}${route.pathPrefix}`, deadlineMs),
@@ -307,7 +332,8 @@
             recordStatement: this.#recordStatement,
             agents: this.#agents,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
-            takeAcceptWaitMs: req => this.#frontend.takeAcceptWaitMs(req),
+            acceptWaitMs: req => this.#frontend.acceptWaitMs(req),
+            countAhead: req => this.#frontend.countAhead(req),
             extraHeaders: req => this.#frontend.extraHeaders(req),
             onDone: record => this.#reporter.report(record),
         };
@@ -322,7 +348,7 @@
         if (!route) {
             throw new CallError("no-route");
         }
-        this.#partitioner.countRequest(route.host);
+        this.#demand.countHost(route.host);
         return route;
     }
 
@@ -349,8 +375,12 @@
             this.#appliedRevision = this.#storeView.serversRevision;
             this.#applyStoreView();
         }
-        this.#partitioner.tick(now);
+        if (this.#demand.tick(now)) {
+            this.#partitioner.updateDemand(now);
+            this.#dispatchers.updateDemand(this.#demand, this.#members.budgetDivisor, now);
+        }
         this.#statements.tick(now);
+        this.#dispatchers.takeProbeUsage(now).forEach(it => this.#reporter.reportProbes(it));
     }
 
     /** Watches a background task: if one fails, the error is rethrown, so that the process ends and is restarted. */
--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import type { CallMetrics } from "@bramleymoor/observe/metrics";
 import { formatLoad, type ForwardRecord } from "./outcomes.js";
+import type { ProbeUsageReport } from "./probeusage.js";
 
 /** Dependencies of a `RequestReporter`. */
 export interface RequestReporterOptions {
@@ -19,13 +20,22 @@
 /** Reports finished requests. */
 export class RequestReporter {
     readonly #options: RequestReporterOptions;
+    #cancelledAtOnce = 0;
 
     constructor(options: RequestReporterOptions) {
         this.#options = options;
     }
 
+    /** Number of requests whose caller's disconnect was read directly after their send. */
+    get cancelledAtOnce(): number {
+        return this.#cancelledAtOnce;
+    }
+
     /** Logs a finished request and updates the metrics. */
     report(record: ForwardRecord): void {
+        if (record.outcome === "caller-gone" && record.sinceSendMs >= 0 && record.sinceSendMs <= atOnceMs) {
+            this.#cancelledAtOnce++;
+        }
         this.#recordMetrics(record);
         const { events, version, waiting, serversAgeMs } = this.#options;
         const { requestId, route, service, outcome, status, servers, queueMs, totalMs, detail } = record;
@@ -50,11 +60,33 @@
                 serversAgeMs: Math.round(serversAgeMs()),
                 lagMs: Math.round(record.inputDelay.lagMs),
                 acceptMs: Math.round(record.inputDelay.acceptMs),
+                ahead: record.ahead,
+                sinceSendMs: Math.round(record.sinceSendMs),
                 detail,
             });
         }
     }
 
+    /** Logs what a service's probes were used for and updates the metrics. */
+    reportProbes(usage: ProbeUsageReport): void {
+        const { reservations, candidates, granted, sent, shared, answered, unanswered } = usage;
+        const { requeued, requeuedProbes, timedOut, blocked } = usage;
+        this.#options.metrics.recordDispatches(usage.service, {
+            reservations,
+            candidates,
+            granted,
+            sent,
+            shared,
+            answered,
+            unanswered,
+            requeued,
+            requeuedProbes,
+            timedOut,
+            blocked,
+        });
+        this.#options.events.emit("probe-usage", { ...usage, periodMs: Math.round(usage.periodMs) });
+    }
+
     #recordMetrics({
         service,
         route,
@@ -79,3 +111,6 @@
         });
     }
 }
+
+/** A few turns of a busy event loop. */
+const atOnceMs = 50;
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -215,6 +215,7 @@
         signal: "string",
     }),
     stopped: defineEvent(5007, "info", "Stopped; {cut} calls were aborted.", { cut: "number" }),
+    "start-failed": defineEvent(5008, "error", "The start failed: {reason}.", { reason: "string" }),
     "settings-read": defineEvent(
         6001,
         "info",
@@ -229,8 +230,27 @@
             reason: "string",
         },
     ),
-    "port-unavailable": defineEvent(6003, "error", "Can't listen on {address}: {reason}.", {
+    "port-unavailable": defineEvent(
+        6003,
+        "error",
+        "Can't listen on {address}, set by {setting}: {reason}. Another socket uses the port.",
+        { address: "string", setting: "string", reason: "string" },
+    ),
+    "address-not-local": defineEvent(
+        6004,
+        "error",
+        "Can't listen on {address}, set by {setting}: {reason}. No interface of this VM has the address.",
+        { address: "string", setting: "string", reason: "string" },
+    ),
+    "port-forbidden": defineEvent(
+        6005,
+        "error",
+        "Can't listen on {address}, set by {setting}: {reason}. The process lacks the permission.",
+        { address: "string", setting: "string", reason: "string" },
+    ),
+    "listen-failed": defineEvent(6006, "error", "Can't listen on {address}, set by {setting}: {reason}.", {
         address: "string",
+        setting: "string",
         reason: "string",
     }),
     "peer-refused": defineEvent(7001, "warn", "Peer request from {address} refused: {reason}.", {
@@ -260,7 +280,7 @@
     "request-failed": defineEvent(
         8011,
         "info",
-        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late; configuration {version}. {detail}",
+        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late, {ahead} ahead of it on the connection; last sent {sinceSendMs} ms before its end; configuration {version}. {detail}",
         {
             load: "string",
             loadAgeMs: "number",
@@ -277,9 +297,34 @@
             serversAgeMs: "number",
             lagMs: "number",
             acceptMs: "number",
+            ahead: "number",
+            sinceSendMs: "number",
             detail: "string",
         },
     ),
+    "probe-usage": defineEvent(
+        8012,
+        "info",
+        "Service {service}: granted {granted} of {reservations} requests that compared {candidates} servers, and queued {requeued} again after {requeuedProbes} probes; sent {sent} probes ({answered} answered, {unanswered} not, {shared} shared) to {probedServers} of {servers} servers in {periodMs} ms; {timedOut} waits timed out, {blocked} attempts found none but servers held by a probe, of which there were up to {maxHeld}.",
+        {
+            service: "string",
+            servers: "number",
+            periodMs: "number",
+            reservations: "number",
+            candidates: "number",
+            granted: "number",
+            sent: "number",
+            shared: "number",
+            answered: "number",
+            unanswered: "number",
+            requeued: "number",
+            requeuedProbes: "number",
+            timedOut: "number",
+            blocked: "number",
+            maxHeld: "number",
+            probedServers: "number",
+        },
+    ),
     "internal-error": defineEvent(9001, "error", "Internal error while {doing}: {reason}.", {
         doing: "string",
         reason: "string",
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -35,7 +35,7 @@
             retryBudgets: new RetryBudgets(),
             extraHeaders: () => (this.#stopping ? connectionClose : noHeaders),
             nextId: () => ++this.#lastId,
-            takeAcceptWaitMs: ({ socket }) => this.#acceptQueue.takeWaitMs(socket),
+            acceptWaitMs: ({ socket }) => this.#acceptQueue.waitMs(socket),
         };
         this.#server = this.#createServer();
     }
@@ -45,6 +45,11 @@
         return this.#running.size;
     }
 
+    /** Removes the retry budgets of services that the accepted configuration no longer has. */
+    retainServices(services: ReadonlyMap<string, unknown>): void {
+        this.#options.retryBudgets.retainServices(services);
+    }
+
     /** Starts listening and resolves with the port; port 0 lets the system choose one. */
     listen(port: number, host: string): Promise<number> {
         return new Promise((resolve, reject) => {
@@ -97,7 +102,7 @@
     }
 
     #handleRequest(req: IncomingMessage, res: ServerResponse): void {
-        this.#connections.setResponse(req.socket, res);
+        this.#connections.addResponse(req.socket, res);
         const problem = findHeadProblem(req);
         if (problem !== undefined) {
             sendError(res, new CallError("bad-request", problem), connectionClose);
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -20,8 +20,8 @@
 
 /** Dependencies of a CallTask, shared by all calls of a CallServer. */
 export interface CallTaskOptions extends CallServerOptions, CallExecutionOptions {
-    /** Returns how long a request's connection waited to be accepted; called once for each request. */
-    readonly takeAcceptWaitMs: (req: IncomingMessage) => number;
+    /** Returns how long a request may have waited for its connection to be accepted; called when it is read. */
+    readonly acceptWaitMs: (req: IncomingMessage) => number;
 }
 
 /** Work that a task is waiting for, notified when its deadline passes or its caller disconnects. */
@@ -79,8 +79,9 @@
         const headers = parseCallHeaders(this.#req.headers);
         this.#timing.service = target.service;
         this.#timing.tenant = headers.tenant;
-        const route = this.#findRoute(target.service, headers.forwarded);
-        const cls = this.#findClass(route, target, headers);
+        const service = this.#findRoute(target.service, headers.forwarded);
+        const found = this.#findClass(service, target, headers);
+        const [route, cls] = found instanceof CallError ? [found, undefined] : [service, found];
         this.#setDeadline(headers, cls);
         const guard = new OnceGuard(this.#options, headers, cls);
         return guard.isNeeded
@@ -94,8 +95,8 @@
      * @throws CallError if the caller has disconnected
      */
     async #readDisconnect(): Promise<void> {
-        const { lagMs, takeAcceptWaitMs } = this.#options;
-        if (mayHideDisconnect({ lagMs: lagMs(), acceptMs: takeAcceptWaitMs(this.#req) })) {
+        const { lagMs, acceptWaitMs } = this.#options;
+        if (mayHideDisconnect({ lagMs: lagMs(), acceptMs: acceptWaitMs(this.#req) })) {
             await drainPendingInput();
         }
         if (this.#res.destroyed) {
@@ -181,14 +182,18 @@
         route: ServiceRoute | CallError,
         target: CallTarget,
         headers: CallHeaders,
-    ): RequestClass | undefined {
+    ): RequestClass | CallError {
         if (route instanceof CallError) {
-            return undefined;
+            return route;
+        }
+        try {
+            const method = this.#req.method ?? "GET";
+            const cls = findClass(route.service, method, target.decodedPath, headers.class);
+            this.#timing.class = cls.name;
+            return cls;
+        } catch (err) {
+            return toCallError(err);
         }
-        const method = this.#req.method ?? "GET";
-        const cls = findClass(route.service, method, target.decodedPath, headers.class);
-        this.#timing.class = cls.name;
-        return cls;
     }
 
     #setDeadline(headers: CallHeaders, cls: RequestClass | undefined): void {
--- a/packages/proxy/src/unreadinput.ts
+++ b/packages/proxy/src/unreadinput.ts
@@ -4,17 +4,20 @@
 export interface InputDelay {
     /** Event loop lag when the request was read. */
     readonly lagMs: number;
-    /** Wait of its connection to be accepted; 0 for a request that isn't the first of its connection. */
+    /** Wait of its connection to be accepted; 0 for a request that arrived later. */
     readonly acceptMs: number;
 }
 
 /** Returns whether the caller's disconnect may have waited as long as the request, so that it is yet to be read. */
 export const mayHideDisconnect = ({ lagMs, acceptMs }: InputDelay): boolean => lagMs + acceptMs > maxUnreadMs;
 
+/** Resolves when the input is read that has already reached connections that this process has accepted or opened. */
+export const readPendingInput = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
 /** Resolves when all input that has already reached this process's sockets is read, connection ends included. */
 export const drainPendingInput = async (): Promise<void> => {
     for (let i = 0; i < loopTurns; i++) {
-        await new Promise(resolve => setImmediate(resolve));
+        await readPendingInput();
     }
 };
 
