--- a/packages/balance/src/probebudget.ts
+++ b/packages/balance/src/probebudget.ts
@@ -103,8 +103,8 @@
 const equalShare = 0.25;
 /** Time from the start within which an entry VM usually meets the others. */
 const startupMs = 5_000;
-/** As many as the servers that are compared for one request. */
-const maxPerRequest = 3;
+/** Several rounds of comparing servers, as a request may need to find a free one while most are busy. */
+const maxPerRequest = 10;
 /** Time for which probes that aren't used may be used later. */
 const bucketMs = 1_000;
 const msPerSecond = 1_000;
