--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -155,11 +155,19 @@
         return this.#openServers(now).filter(it => it.probePending).length;
     }
 
-    /** Grants a slot of the best candidate; queues the request again if no candidate has a free slot any more. */
-    grant(reservation: Reservation, now: number): Slot | undefined {
+    /**
+     * Grants a slot of the best candidate; queues the request again if no candidate has a free slot any more.
+     *
+     * @param allowsUnknownLoad whether a candidate may be chosen of which it isn't known how busy it is
+     */
+    grant(reservation: Reservation, now: number, allowsUnknownLoad = true): Slot | undefined {
         this.#openReservations--;
         const free = reservation.candidates.filter(
-            it => it.isUsable(now) && !it.probePending && this.#isOpen(it, now),
+            it =>
+                it.isUsable(now) &&
+                !it.probePending &&
+                (allowsUnknownLoad || it.isLoadKnown(now) || this.#isLimited(it, now)) &&
+                this.#isOpen(it, now),
         );
         const [best] = this.#cheapest(free, 1, now, reservation.request.kind);
         if (!best) {
--- a/packages/balance/src/load.ts
+++ b/packages/balance/src/load.ts
@@ -46,6 +46,15 @@
         );
     }
 
+    /** Whether there is a report that still tells how busy the server is, or none is to be had. */
+    isKnown(now: number): boolean {
+        return (
+            this.#reportsNoLoad ||
+            this.#lastProbeFailed ||
+            (this.#latest !== undefined && now - this.#latest.takenAt <= otherRequestsTtlMs)
+        );
+    }
+
     /**
      * Whether a recent report shows a slow period in which a request would be delayed for longer than the rest of
      * the period is likely to last.
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -84,6 +84,11 @@
         return this.#load.isFresh(now);
     }
 
+    /** Whether it is known how busy the server is, or that can't be known. */
+    isLoadKnown(now: number): boolean {
+        return this.#load.isKnown(now);
+    }
+
     /** Whether the server is known to be fast and to have slots to spare, so that no other can be much better. */
     isIdeal(now: number): boolean {
         return (
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -216,7 +216,8 @@
     }
 
     /**
-     * Returns false if none of the candidates has a free slot any more; the request then keeps waiting.
+     * Returns false if none of the candidates has a free slot any more, or it isn't known whether one has and a probe will be
+     * possible soon; the request then keeps waiting.
      *
      * @param probes number of probes that were sent for the request
      */
@@ -225,7 +226,8 @@
             this.#balancer.cancelReservation();
             return true;
         }
-        const slot = this.#balancer.grant(reservation, this.#clock());
+        const allowsUnknownLoad = this.#probeBudget.perRequest < 1;
+        const slot = this.#balancer.grant(reservation, this.#clock(), allowsUnknownLoad);
         if (slot) {
             this.#usage.record("granted");
             this.#resolveWait(reservation.request, { kind: "slot", slot });
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -146,6 +146,24 @@
     assert.equal(fixture.pendingProbes.size, 0);
 });
 
+test("a request waits for a probe rather than going to a server of unknown load, if the budget has room soon", async t => {
+    const fixture = new DispatcherFixture(t, "s1");
+    fixture.probeBudget.setLimit(8);
+    const fleet = { servers: 1, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
+    fixture.probeBudget.update(fleet, 0);
+    for (let i = 0; i < 4; i++) {
+        fixture.probeBudget.recordUnplanned();
+    }
+    const acquired = fixture.acquire(1);
+    await readInput();
+    assert.equal(acquired.server, undefined);
+    assert.equal(fixture.pendingProbes.size, 0);
+    fixture.now = 500;
+    fixture.dispatcher.tick();
+    await fixture.respond("s1", probeResponse(0, 1));
+    assert.equal(acquired.server, "s1");
+});
+
 test("what a server says in a response to a probe is recorded as such", async t => {
     const fixture = new DispatcherFixture(t, "s1", "s2");
     fixture.acquire(1);
