--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -4,6 +4,7 @@
 import { RequestQueue } from "./queue.js";
 import { ServerState } from "./server.js";
 import { LatencyModel } from "./latency.js";
+import { cheapest } from "./cheapest.js";
 import { PauseDetector } from "./pauses.js";
 import { noLimits, type SendLimiter } from "./limiter.js";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "./types.js";
@@ -322,16 +323,7 @@
                     (1 + this.#random() * tieBreakSpread),
             };
         });
-        const best: { readonly it: ServerState; readonly cost: number }[] = [];
-        for (const candidate of costs) {
-            const last = best[count - 1];
-            if (!last || candidate.cost < last.cost) {
-                const at = best.findIndex(it => candidate.cost < it.cost);
-                best.splice(at === -1 ? best.length : at, 0, candidate);
-                best.length = Math.min(best.length, count);
-            }
-        }
-        return best.map(({ it }) => it);
+        return cheapest(costs, count).map(({ it }) => it);
     }
 
     /** Number of requests that have to start until a new one gets a slot, including itself. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -24,6 +24,7 @@
 import { HttpProbeClient } from "./probeclient.js";
 import { StatementExchange } from "./statementexchange.js";
 import { MemberTracker } from "./membertracker.js";
+import { registerNodeMetrics } from "./nodemetrics.js";
 import { PeerSocket } from "./peersocket.js";
 import { RequestReporter } from "./reporter.js";
 import { ServiceDispatchers } from "./servicedispatchers.js";
@@ -154,7 +155,16 @@
             },
         });
         this.#forwardOptions = this.#makeForwardOptions();
-        this.#registerTotals();
+        registerNodeMetrics(this.#metrics, {
+            storeCalls: platform.storeCalls,
+            droppedLines: platform.droppedLines,
+            probesSent: () => this.#probeClient.probesSent,
+            peerBytes: () => this.#peerSocket.bytes,
+            sendsCancelledAtOnce: () => this.#reporter.cancelledAtOnce,
+            storeEra: () => this.#storeView.era,
+            limitedServers: () => this.#statements.limits.limitedServers,
+            lagMs: () => this.#lag.lagMs(monotonicMs()),
+        });
         this.#frontend = new FrontendServer({
             serve: (req, res) => new ForwardTask(this.#forwardOptions, req, res).run(),
             onMalformed: (reason, address) => events.emit("request-malformed", { address, reason }),
@@ -170,42 +180,6 @@
         });
     }
 
-    #registerTotals(): void {
-        const { storeCalls, droppedLines } = this.#platform;
-        this.#metrics.registerCounter("bm_store_calls_total", "Calls of the store.", storeCalls);
-        this.#metrics.registerCounter("bm_dropped_lines_total", "Log lines dropped.", droppedLines);
-        this.#metrics.registerCounter(
-            "bm_load_questions_total",
-            "Load questions to backend servers.",
-            () => this.#probeClient.probesSent,
-        );
-        this.#metrics.registerCounter(
-            "bm_peer_bytes_total",
-            "Bytes to and from other entry VMs.",
-            () => this.#peerSocket.bytes,
-        );
-        this.#metrics.registerCounter(
-            "bm_sends_cancelled_at_once_total",
-            "Requests whose caller's disconnect was read directly after their send.",
-            () => this.#reporter.cancelledAtOnce,
-        );
-        this.#metrics.registerGauge(
-            "bm_store_era",
-            "How often the store has come back from an older copy; 0 if it doesn't say.",
-            () => this.#storeView.era,
-        );
-        this.#metrics.registerGauge(
-            "bm_limited_servers",
-            "Backend servers that name a request limit.",
-            () => this.#statements.limits.limitedServers,
-        );
-        this.#metrics.registerGauge(
-            "bm_event_loop_lag_seconds",
-            "Lag of the event loop.",
-            () => this.#lag.lagMs(monotonicMs()) / msPerSecond,
-        );
-    }
-
     /** Listens on all ports, joins the other entry VMs and follows the store. */
     async start(): Promise<void> {
         const { front, peers, metrics, id } = this.#settings;
@@ -418,4 +392,3 @@
 const exitReserveMs = 400;
 /** Interval of the periodic work, which also checks queued requests while nothing else triggers it. */
 const tickMs = 50;
-const msPerSecond = 1_000;
--- /dev/null
+++ b/packages/gateway/src/nodemetrics.ts
@@ -0,0 +1,52 @@
+/** Totals and present values of an entry process that its components keep, read when the metrics are. */
+
+import type { CallMetrics } from "@bramleymoor/observe/metrics";
+
+/** Reads the values. */
+export interface NodeValues {
+    readonly storeCalls: () => number;
+    readonly droppedLines: () => number;
+    readonly probesSent: () => number;
+    /** Bytes to and from other entry VMs. */
+    readonly peerBytes: () => number;
+    /** Requests whose caller's disconnect was read directly after their send. */
+    readonly sendsCancelledAtOnce: () => number;
+    readonly storeEra: () => number;
+    readonly limitedServers: () => number;
+    /** Event loop lag in milliseconds. */
+    readonly lagMs: () => number;
+}
+
+/** Registers the metrics of the values. */
+export const registerNodeMetrics = (metrics: CallMetrics, values: NodeValues): void => {
+    metrics.registerCounter("bm_store_calls_total", "Calls of the store.", values.storeCalls);
+    metrics.registerCounter("bm_dropped_lines_total", "Log lines dropped.", values.droppedLines);
+    metrics.registerCounter(
+        "bm_load_questions_total",
+        "Load questions to backend servers.",
+        values.probesSent,
+    );
+    metrics.registerCounter("bm_peer_bytes_total", "Bytes to and from other entry VMs.", values.peerBytes);
+    metrics.registerCounter(
+        "bm_sends_cancelled_at_once_total",
+        "Requests whose caller's disconnect was read directly after their send.",
+        values.sendsCancelledAtOnce,
+    );
+    metrics.registerGauge(
+        "bm_store_era",
+        "How often the store has come back from an older copy; 0 if it doesn't say.",
+        values.storeEra,
+    );
+    metrics.registerGauge(
+        "bm_limited_servers",
+        "Backend servers that name a request limit.",
+        values.limitedServers,
+    );
+    metrics.registerGauge(
+        "bm_event_loop_lag_seconds",
+        "Lag of the event loop.",
+        () => values.lagMs() / msPerSecond,
+    );
+};
+
+const msPerSecond = 1_000;
