dispatch: a pause of the process isn't the silence of the other dispatchers

Change: PauseDetector moves from balance to dispatch, below it, and takes the longest gap as an argument; SlotSharing ticks it, and counts silence and missing loan replies from the end of the latest pause. Test: 'a pause of the process isn't taken for the silence' failed (28 slots, 14 due) and passes.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -1,11 +1,11 @@
 /** Queues the requests of one service, refuses those that can't be served in time, and chooses their servers. */
 
+import { PauseDetector } from "@bramleymoor/dispatch/pauses";
 import { incarnationKey, type RouteKind, type ServerEntry } from "@bramleymoor/model/route";
 import { RequestQueue } from "./queue.js";
 import { ServerState } from "./server.js";
 import { LatencyModel } from "./latency.js";
 import { cheapest } from "./cheapest.js";
-import { PauseDetector } from "./pauses.js";
 import { noLimits, type SendLimiter } from "./limiter.js";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "./types.js";
 
@@ -40,7 +40,7 @@
     readonly #servers = new Map<string, ServerState>();
     readonly #queue = new RequestQueue();
     readonly #latency = new LatencyModel();
-    readonly #pauses = new PauseDetector();
+    readonly #pauses = new PauseDetector(maxTickGapMs);
     /** Predictions made when the slots in flight were granted, to be compared with their results. */
     readonly #predictions = new Map<Slot, Prediction>();
     /** Ids of the servers that this entry VM prefers; undefined if it has no preference. */
@@ -407,3 +407,5 @@
     download: 3,
 };
 const firstServerErrorStatus = 500;
+/** A longer gap between two ticks is a pause: a quarter of the silence from which a server counts as unresponsive. */
+const maxTickGapMs = 500;
--- a/packages/balance/src/pauses.ts
+++ b/packages/dispatch/src/pauses.ts
@@ -1,11 +1,17 @@
-/** Detects pauses of this process, during which nothing that servers sent was read. */
+/** Detects pauses of this process, during which nothing that others sent was read. */
 
 /** Tracks since when the process has been running without a pause. */
 export class PauseDetector {
+    readonly #maxTickGapMs: number;
     #tickedAt: number | undefined = undefined;
     #resumedAt = -Infinity;
 
-    /** Records that the process runs; to be called at intervals far below `maxTickGapMs`. */
+    /** @param maxTickGapMs longest time between two ticks that isn't a pause, in milliseconds */
+    constructor(maxTickGapMs: number) {
+        this.#maxTickGapMs = maxTickGapMs;
+    }
+
+    /** Records that the process runs; to be called at intervals far below the longest gap. */
     tick(now: number): void {
         this.#resumedAt = this.runningSince(now);
         this.#tickedAt = now;
@@ -14,9 +20,6 @@
     /** Returns the end of the latest pause, which is now if no tick has followed it yet; -Infinity without a pause. */
     runningSince(now: number): number {
         const gapMs = this.#tickedAt === undefined ? 0 : now - this.#tickedAt;
-        return gapMs > maxTickGapMs ? now : this.#resumedAt;
+        return gapMs > this.#maxTickGapMs ? now : this.#resumedAt;
     }
 }
-
-/** A longer gap between two ticks is a pause: a quarter of the silence from which a server counts as unresponsive. */
-const maxTickGapMs = 500;
--- a/packages/dispatch/src/sharing.ts
+++ b/packages/dispatch/src/sharing.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Service } from "@bramleymoor/model/spec";
+import { PauseDetector } from "./pauses.js";
 import type { Share } from "./types.js";
 
 /** Message between two dispatchers, which are identified by their index in the share. */
@@ -62,6 +63,7 @@
     #order: readonly number[] = [];
     #allocation: Allocation | undefined;
     #otherPeers = new Map<number, PeerState>();
+    #pauses = new PauseDetector(Infinity);
     #borrowed: readonly ActiveLoan[] = [];
     #lent: readonly ActiveLoan[] = [];
     #demand = 0;
@@ -85,6 +87,7 @@
                     { demand: undefined, heardAt: now, loanRequestedAt: -Infinity },
                 ]),
             );
+            this.#pauses = new PauseDetector(this.#silentAfterMs / 2);
             this.#borrowed = [];
             this.#lent = [];
         }
@@ -115,6 +118,7 @@
         if (this.#otherPeers.size === 0) {
             return Infinity;
         }
+        this.#pauses.tick(now);
         this.#sampleDemand(usage, now);
         if (now >= this.#hintDueAt) {
             this.#hintDueAt = now + hintIntervalMs * this.#intervalFactor;
@@ -176,6 +180,11 @@
         return Math.max(1, Math.ceil(this.#otherPeers.size / peersAtFullRate));
     }
 
+    /** Time without a message after which a peer counts as gone, in milliseconds. */
+    get #silentAfterMs(): number {
+        return missedHintsUntilSilent * hintIntervalMs * this.#intervalFactor;
+    }
+
     /** Lends half of the idle slots to a peer; none while own calls are queued. */
     #lend(to: number, usage: SlotUsage, now: number): void {
         const idle = usage.queued > 0 ? [] : usage.idleSlots();
@@ -220,15 +229,12 @@
         if (!peer) {
             return Math.max(minDemand, this.#demand);
         }
-        const unanswered =
-            peer.loanRequestedAt > peer.heardAt && now >= peer.loanRequestedAt + loanReplyTimeoutMs;
-        if (
-            unanswered ||
-            now >= peer.heardAt + missedHintsUntilSilent * hintIntervalMs * this.#intervalFactor
-        ) {
-            return 0;
-        }
-        return Math.max(minDemand, peer.demand ?? this.#demand);
+        const runningSince = this.#pauses.runningSince(now);
+        const isUnanswered =
+            peer.loanRequestedAt > peer.heardAt &&
+            now >= Math.max(peer.loanRequestedAt, runningSince) + loanReplyTimeoutMs;
+        const isSilent = now >= Math.max(peer.heardAt, runningSince) + this.#silentAfterMs;
+        return isUnanswered || isSilent ? 0 : Math.max(minDemand, peer.demand ?? this.#demand);
     }
 
     #sampleDemand({ inFlight, queued }: SlotUsage, now: number): void {
