gateway: the test of a late refusal doesn't depend on the machine's speed

With 200 ms between the test's two requests the same message fails ('the connection was reused'), as a new connection is then opened, which is allowed. Ruled out: the refusal being taken for the second request's. Change: the idle time in this test is measured by a clock that stands still, so the connection is always reused and the late refusal always meets the second request.

--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -69,7 +69,13 @@
         }
         setTimeout(() => socket.write(responseText(id, "ran")), 30);
     });
-    const { port } = await startFrontend(t, [server], { kind: "non-idempotent", maxAttempts: 3 });
+    const idleClock = (): number => 0;
+    const { port } = await startFrontend(
+        t,
+        [server],
+        { kind: "non-idempotent", maxAttempts: 3 },
+        { idleClock },
+    );
     const post = (id: string): string =>
         requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" });
     const first = await sendRaw(port, post("first"));
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -156,13 +156,20 @@
 
 const lagPeriodMs = 10;
 
-/** Starts a frontend in front of backend servers. */
+const monotonicMs = (): number => performance.now();
+
+/**
+ * Starts a frontend in front of backend servers.
+ *
+ * @param idleClock returns the milliseconds by which the idle time of connections to servers is measured
+ */
 export const startFrontend = async (
     t: TestContext,
     servers: readonly RawServer[],
     changes: Partial<Route> = {},
+    { idleClock = monotonicMs } = {},
 ): Promise<TestFrontend> => {
-    const clock = (): number => performance.now();
+    const clock = monotonicMs;
     const config: RouteConfig = {
         version: 1,
         limits: {
@@ -175,8 +182,8 @@
         services: new Map([["svc", { name: "svc", healthPath: "/health", maxConnections: 100 }]]),
     };
     const agents = {
-        pooled: new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock }),
-        unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: 500, clock }),
+        pooled: new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock: idleClock }),
+        unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: 500, clock: idleClock }),
     };
     const probeClient = new HttpProbeClient(testWire, agents.pooled);
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
