balance: the retry slack follows demand, not the number of entry VMs

Cause: the slack was divided equally among all entry VMs. At 311 of them each gets one retry in 10 s, and the 30 or so that serve a service use 33 of 430. Change: 0.35 of the slack is divided equally, 0.35 by each entry VM's share of the service's requests, averaged over a window, so that the limit also holds when requests move between entry VMs. What probes and retries need of the fleet's demand is one type. Ruled out: larger shares, which a complete move within a window would double.

--- a/packages/balance/src/budget.ts
+++ b/packages/balance/src/budget.ts
@@ -1,5 +1,7 @@
 /** Limits retries, the sends beyond the first of each request, to a share of the requests in a sliding window. */
 
+import { totalDemand, type FleetDemand } from "./fleetdemand.js";
+
 /** Limits on the retries of all entry VMs together. */
 export interface RetryLimits {
     /** Retries as a share of the requests in a window. */
@@ -10,11 +12,18 @@
     readonly windowMs: number;
 }
 
-/** One entry VM's part of a service's retries. */
+/**
+ * One entry VM's part of a service's retries: a share of its own requests, an equal part of some of the slack, and of the
+ * rest as much as it has of the service's requests. In a large fleet few entry VMs serve a service, and equal parts alone
+ * would leave nearly all of the slack to those that have no use for it.
+ */
 export class RetryBudget {
     #limits: RetryLimits;
     readonly #requests = new WindowCounter();
     readonly #retries = new WindowCounter();
+    /** This entry VM's share of the service's requests, averaged over about a window. */
+    #demandShare = 0;
+    #demandKnownAt: number | undefined = undefined;
 
     constructor(limits: RetryLimits) {
         this.#limits = limits;
@@ -25,6 +34,18 @@
         this.#limits = limits;
     }
 
+    /**
+     * Records the present demand. The average makes one entry VM's share shrink as slowly as another's grows when requests
+     * move between them, so that within a window they don't both use the whole.
+     */
+    updateDemand(fleet: FleetDemand, now: number): void {
+        const elapsedMs = now - (this.#demandKnownAt ?? now);
+        this.#demandKnownAt = now;
+        const present = fleet.ownRequestsPerSecond / totalDemand(fleet);
+        const weight = 1 - Math.exp(-elapsedMs / this.#limits.windowMs);
+        this.#demandShare += (Math.min(1, present) - this.#demandShare) * weight;
+    }
+
     /** Counts the first send of a request. */
     recordRequest(now: number): void {
         this.#requests.add(now, this.#limits.windowMs);
@@ -33,12 +54,14 @@
     /**
      * Debits one retry and returns true, or returns false if the budget is used up.
      *
-     * @param sharers number of entry VMs that share the slack, at least as many as may be sending
+     * @param sharers number of entry VMs that share the slack, at least as many as may be sending; Infinity if there is no
+     *     telling
      */
     tryTake(now: number, sharers: number): boolean {
         const { ratio, slack, windowMs } = this.#limits;
-        const share = Math.floor((slack * slackSafetyFactor) / Math.max(1, sharers));
-        const allowed = ratio * ratioSafetyFactor * this.#requests.count(now, windowMs) + share;
+        const slackShare = equalSlackShare / Math.max(1, sharers) + demandSlackShare * this.#demandShare;
+        const allowed =
+            ratio * ratioSafetyFactor * this.#requests.count(now, windowMs) + Math.floor(slack * slackShare);
         if (this.#retries.count(now, windowMs) + 1 > allowed) {
             return false;
         }
@@ -65,9 +88,9 @@
     }
 }
 
-/**
- * Share of each limit that is used. The margin is needed as a send counts towards the limit when it arrives at the
- * server, which is later than it is counted here.
- */
+/** Used share of the ratio: a send counts towards the limit when it arrives, which is later than it is counted here. */
 const ratioSafetyFactor = 0.75;
-const slackSafetyFactor = 0.75;
+/** Share of the slack that is divided equally, for entry VMs whose requests the others don't know of yet. */
+const equalSlackShare = 0.35;
+/** Share of the slack that is divided by demand; the rest covers requests that move between entry VMs within a window. */
+const demandSlackShare = 0.35;
--- a/packages/balance/src/probebudget.ts
+++ b/packages/balance/src/probebudget.ts
@@ -1,16 +1,6 @@
 /** Limits the probes that all entry VMs together send to the backend servers of a service. */
 
-/** What an entry VM knows of the whole fleet when it computes its part of a service's probes. */
-export interface FleetDemand {
-    /** Number of the service's backend servers. */
-    readonly servers: number;
-    /** Requests per second for the service at the known entry VMs; undefined while that isn't known. */
-    readonly requestsPerSecond: number | undefined;
-    /** Number of entry VMs whose requests are included. */
-    readonly knownEntryVms: number;
-    /** Number of entry VMs that may be sending, whether known or not; Infinity if there is no telling. */
-    readonly entryVms: number;
-}
+import { totalDemand, type FleetDemand } from "./fleetdemand.js";
 
 /**
  * One entry VM's part of a service's probes: for each of its requests a number that every entry VM derives from the
@@ -44,20 +34,19 @@
     }
 
     /**
-     * Computes this entry VM's part anew. Entry VMs that it doesn't know, as after a network partition, are assumed to
-     * have as many requests as the known ones. While an entry VM that has just started knows none, all of its requests
+     * Computes this entry VM's part anew. While an entry VM that has just started knows no others, all of its requests
      * may be preceded by probes: without any load report it would send them to servers that are full.
+     *
+     * @param servers number of the service's backend servers
      */
-    update(fleet: FleetDemand, now: number): void {
+    update(fleet: FleetDemand, servers: number, now: number): void {
         this.#refill(now);
         if (fleet.entryVms === Infinity && now - this.#createdAt < startupMs) {
             return;
         }
-        const total = this.#perServerPerSecond * fleet.servers * safetyFactor;
-        const unknownFactor = Math.max(1, fleet.entryVms / Math.max(1, fleet.knownEntryVms));
-        const demand = Math.max(1, fleet.requestsPerSecond ?? Infinity) * unknownFactor;
+        const total = this.#perServerPerSecond * servers * safetyFactor;
         this.#perSecond = (total * equalShare) / Math.max(1, fleet.entryVms);
-        this.#perRequest = Math.min(maxPerRequest, (total * (1 - equalShare)) / demand);
+        this.#perRequest = Math.min(maxPerRequest, (total * (1 - equalShare)) / totalDemand(fleet));
     }
 
     /** Adds what a request contributes; to be called once per request, as retries aren't part of the demand. */
--- a/packages/balance/test/probebudget.test.ts
+++ b/packages/balance/test/probebudget.test.ts
@@ -40,7 +40,8 @@
                 const seen = vms.filter(it => now < cutAt || it.side === vm.side);
                 const requestsPerSecond = seen.reduce((sum, it) => sum + it.rate, 0);
                 const known = { requestsPerSecond, knownEntryVms: seen.length };
-                vm.budget.update({ servers, ...known, entryVms: vms.length }, now);
+                const fleet = { ownRequestsPerSecond: vm.rate, ...known, entryVms: vms.length };
+                vm.budget.update(fleet, servers, now);
             }
             for (vm.due += (vm.rate * stepMs) / 1_000; vm.due >= 1; vm.due--) {
                 vm.budget.recordRequest(now);
@@ -75,13 +76,13 @@
 
 test("a request gets as many probes as the servers' limit leaves room for", () => {
     const budget = new ProbeBudget(perServerPerSecond, 0);
-    budget.update({ servers: 20, requestsPerSecond: 100, knownEntryVms: 5, entryVms: 5 }, 0);
+    budget.update({ ownRequestsPerSecond: 0, requestsPerSecond: 100, knownEntryVms: 5, entryVms: 5 }, 20, 0);
     assert.ok(Math.abs(budget.perRequest - 4.725) < 1e-9);
 });
 
 test("requests that arrive all at once after a quiet time get their probes", () => {
     const budget = new ProbeBudget(perServerPerSecond, 0);
-    budget.update({ servers: 20, requestsPerSecond: 0, knownEntryVms: 5, entryVms: 5 }, 0);
+    budget.update({ ownRequestsPerSecond: 0, requestsPerSecond: 0, knownEntryVms: 5, entryVms: 5 }, 20, 0);
     for (let i = 0; i < 100; i++) {
         budget.recordRequest(60_000);
     }
@@ -92,12 +93,17 @@
 
 test("an entry VM that has met no other one sends probes for its requests only while it starts", () => {
     const budget = new ProbeBudget(40, 0);
-    const fleet = { servers: 10, requestsPerSecond: 5, knownEntryVms: 1, entryVms: Infinity };
-    budget.update(fleet, 500);
+    const fleet = {
+        ownRequestsPerSecond: 0,
+        requestsPerSecond: 5,
+        knownEntryVms: 1,
+        entryVms: Infinity,
+    };
+    budget.update(fleet, 10, 500);
     assert.equal(budget.tryTake(500), false);
     budget.recordRequest(500);
     assert.equal(budget.tryTake(500), true);
-    budget.update(fleet, 60_000);
+    budget.update(fleet, 10, 60_000);
     while (budget.tryTake(60_000)) {
         // Uses what is left.
     }
@@ -107,7 +113,11 @@
 
 test("an entry VM whose demand the others don't know gets an equal share only", () => {
     const budget = new ProbeBudget(40, 0);
-    budget.update({ servers: 10, requestsPerSecond: undefined, knownEntryVms: 4, entryVms: 4 }, 0);
+    budget.update(
+        { ownRequestsPerSecond: 0, requestsPerSecond: undefined, knownEntryVms: 4, entryVms: 4 },
+        10,
+        0,
+    );
     budget.recordRequest(0);
     assert.equal(budget.tryTake(0), false);
     let taken = 0;
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -34,7 +34,7 @@
     readonly recordStatement: RecordStatement;
 }
 
-type ServiceDemand = Pick<DemandExchange, "serviceRate" | "knownEntryVms">;
+type ServiceDemand = Pick<DemandExchange, "serviceRate" | "ownServiceRate" | "knownEntryVms">;
 
 /** Holds a dispatcher, a retry budget and a probe budget for each service of the configuration. */
 export class ServiceDispatchers {
@@ -62,19 +62,20 @@
     }
 
     /**
-     * Computes the probe budgets from the demand of all entry VMs.
+     * Computes the probe and retry budgets from the demand of all entry VMs.
      *
      * @param entryVms number of entry VMs that may be sending, whether known or not; Infinity if there is no telling
      */
     updateDemand(demand: ServiceDemand, entryVms: number, now: number): void {
-        for (const [name, { dispatcher, probeBudget }] of this.#services) {
+        for (const [name, { dispatcher, probeBudget, retryBudget }] of this.#services) {
             const fleet = {
-                servers: dispatcher.balancer.servers.length,
+                ownRequestsPerSecond: demand.ownServiceRate(name),
                 requestsPerSecond: demand.serviceRate(name),
                 knownEntryVms: demand.knownEntryVms,
                 entryVms,
             };
-            probeBudget.update(fleet, now);
+            probeBudget.update(fleet, dispatcher.balancer.servers.length, now);
+            retryBudget.updateDemand(fleet, now);
         }
     }
 
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -44,8 +44,8 @@
     constructor(t: TestContext, ...ids: readonly string[]) {
         t.mock.timers.enable({ apis: ["setTimeout"] });
         this.#t = t;
-        const fleet = { servers: 100, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
-        this.probeBudget.update(fleet, 0);
+        const fleet = { ownRequestsPerSecond: 1, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
+        this.probeBudget.update(fleet, 100, 0);
         const settings: ServiceSettings = { name: "svc", healthPath: "/healthz", maxConnections: 100 };
         const balancer = new Balancer({ candidateCount: 5, domain: "a" }, () => 0);
         const probeClient = {
@@ -138,8 +138,8 @@
 
 test("a request isn't delayed when the probe budget is used up", async t => {
     const fixture = new DispatcherFixture(t, "s1", "s2");
-    const fleet = { servers: 0, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
-    fixture.probeBudget.update(fleet, 0);
+    const fleet = { ownRequestsPerSecond: 1, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
+    fixture.probeBudget.update(fleet, 0, 0);
     const acquired = fixture.acquire(1);
     await readInput();
     assert.equal(acquired.server, "s1");
@@ -149,8 +149,8 @@
 test("a request waits for a probe rather than going to a server of unknown load, if the budget has room soon", async t => {
     const fixture = new DispatcherFixture(t, "s1");
     fixture.probeBudget.setLimit(8);
-    const fleet = { servers: 1, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
-    fixture.probeBudget.update(fleet, 0);
+    const fleet = { ownRequestsPerSecond: 1, requestsPerSecond: 1, knownEntryVms: 1, entryVms: 1 };
+    fixture.probeBudget.update(fleet, 1, 0);
     for (let i = 0; i < 4; i++) {
         fixture.probeBudget.recordUnplanned();
     }
--- a/packages/gateway/test/probeamplification.test.ts
+++ b/packages/gateway/test/probeamplification.test.ts
@@ -128,8 +128,9 @@
     }
 
     updateDemand(requestsPerSecond: number): void {
-        const fleet = { servers: serverCount, requestsPerSecond, knownEntryVms: entryVms, entryVms };
-        this.#budgets.forEach(it => it.update(fleet, this.now));
+        const ownRequestsPerSecond = requestsPerSecond / entryVms;
+        const fleet = { ownRequestsPerSecond, requestsPerSecond, knownEntryVms: entryVms, entryVms };
+        this.#budgets.forEach(it => it.update(fleet, serverCount, this.now));
     }
 
     async send(): Promise<void> {
