balance: refused callers return when there is room again

Cause: a refused caller was told to return when the present queue has drained, some 100 ms; in a burst of seconds it was refused three times within half a second, gave up, and took no part in the capacity after the burst. The delay was limited to a third of the route's timeout rather than of the time that the caller has left. Change: Overload tracks how long the service has been refusing; callers return after as long again, those that can't be in time any more after 1 s at least, at most after a third of their own time. A known time at which a server opens still goes first. The test (a third of those without room are served later) fails on the code before: 20 of 532. Test changed: a refusal's bound is the caller's own deadline now, so the test of servers that want no requests names that one too; it asks for the same 700 ms.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -2,6 +2,7 @@
 
 import { PauseDetector } from "@bramleymoor/dispatch/pauses";
 import { incarnationKey, type RouteKind, type ServerEntry } from "@bramleymoor/model/route";
+import { Overload } from "./overload.js";
 import { RequestQueue } from "./queue.js";
 import { ServerState } from "./server.js";
 import { LatencyModel } from "./latency.js";
@@ -40,6 +41,7 @@
     readonly #servers = new Map<string, ServerState>();
     readonly #queue = new RequestQueue();
     readonly #latency = new LatencyModel();
+    readonly #overload = new Overload();
     readonly #pauses = new PauseDetector(maxTickGapMs);
     /** Predictions made when the slots in flight were granted, to be compared with their results. */
     readonly #predictions = new Map<Slot, Prediction>();
@@ -339,18 +341,32 @@
     }
 
     /**
-     * Refuses a request until the present queue has probably drained. The time is randomized, so that refused
-     * callers don't all return at once.
+     * Refuses a request until there is probably room. The time is randomized, so that refused callers don't all return at
+     * once.
      */
     #overloaded(request: Request, now: number): Refusal {
-        const leftMs = Math.max(0, request.deadlineAt - now);
-        const usable = this.#usableServers(now);
-        const drainMs = Math.max(
-            this.#queue.size * this.#startIntervalMs(now),
-            this.#earliestStartAt(usable, now) - now,
-        );
-        const retryAfterMs = Math.min(leftMs / 3, Math.max(minRetryMs, drainMs)) * (1 + this.#random());
-        return { reason: "overloaded", retryAfterMs };
+        this.#overload.recordRefusal(now);
+        return {
+            reason: "overloaded",
+            retryAfterMs: this.#returnDelayMs(request, now) * (1 + this.#random()),
+        };
+    }
+
+    /**
+     * Returns when a refused caller should return at the earliest: when the first server is open, or else when the queue has
+     * drained, but not before the overload has lasted as long again. A caller that can't be in time any more loses little by
+     * returning later, and leaves the room to others until then.
+     */
+    #returnDelayMs(request: Request, now: number): number {
+        const longestMs = Math.max(0, request.callerDeadlineAt - now) * maxReturnShare;
+        const drainMs = Math.max(minReturnMs, this.#queue.size * this.#startIntervalMs(now));
+        const closedMs = this.#earliestStartAt(this.#usableServers(now), now) - now;
+        if (closedMs > 0) {
+            return Math.min(longestMs, Math.max(drainMs, closedMs));
+        }
+        const soonMs = Math.max(drainMs, this.#overload.durationMs(now));
+        const canBeInTime = now + soonMs + this.expectedLatencyMs <= request.targetAt;
+        return Math.min(longestMs / 2, canBeInTime ? soonMs : Math.max(soonMs, lateReturnMs));
     }
 
     /** Expected time between two starts of requests while the service is fully loaded. */
@@ -384,7 +400,11 @@
 /** Shortest retry time without a server; new and returning ones become known within about a second. */
 const noServerRetryMs = 400;
 /** About the duration of a request; a caller that retries sooner finds the same queue. */
-const minRetryMs = 120;
+const minReturnMs = 120;
+/** About the length of a peak. */
+const lateReturnMs = 1_000;
+/** Longest delay as a share of the time that a caller has left, so that it can return more than once. */
+const maxReturnShare = 1 / 3;
 /** A request that can no longer meet its target may wait for the next idle slot, but not behind others. */
 const lateQueueLimit = 1;
 /** Share of the slack before the target that may be spent in the queue; the rest is for slower servers. */
--- a/packages/balance/src/types.ts
+++ b/packages/balance/src/types.ts
@@ -14,6 +14,8 @@
     readonly targetAt: number;
     /** The caller's deadline or the end of the route's timeout, whichever comes first. */
     readonly deadlineAt: number;
+    /** When the caller gives up, further attempts of its own included. */
+    readonly callerDeadlineAt: number;
     /** Ids of the servers that this request was already sent to. */
     readonly tried: readonly string[];
 }
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -17,6 +17,7 @@
     arrivedAt: now,
     targetAt: now + 300,
     deadlineAt: now + 2_000,
+    callerDeadlineAt: now + 2_000,
     tried: [],
     ...changes,
 });
--- a/packages/balance/test/leaving.test.ts
+++ b/packages/balance/test/leaving.test.ts
@@ -11,6 +11,7 @@
     arrivedAt: 0,
     targetAt: 300,
     deadlineAt: 2_000,
+    callerDeadlineAt: 2_000,
     tried: [],
 };
 
--- a/packages/balance/test/paused.test.ts
+++ b/packages/balance/test/paused.test.ts
@@ -16,6 +16,7 @@
     arrivedAt: now,
     targetAt: now + 300,
     deadlineAt: now + 2_000,
+    callerDeadlineAt: now + 2_000,
     tried: [],
     ...changes,
 });
@@ -87,7 +88,7 @@
 test("a caller that is refused because all servers want no requests is told the time of the first", () => {
     const balancer = makeBalancer({ [keyOf("s1")]: 700, [keyOf("s2")]: 900 }, "s1", "s2");
     const refusals = Array.from({ length: 30 }, () =>
-        balancer.submit(makeRequest(0, { deadlineAt: 6_000 }), 0),
+        balancer.submit(makeRequest(0, { deadlineAt: 6_000, callerDeadlineAt: 6_000 }), 0),
     );
     const first = refusals.find(it => it !== undefined);
     assert.equal(first?.retryAfterMs, 700);
--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -134,6 +134,7 @@
             arrivedAt: now,
             targetAt: caller.firstAt + targetMs - oneWayDelayMs,
             deadlineAt: Math.min(caller.firstAt + deadlineMs, now + timeoutMs),
+            callerDeadlineAt: caller.firstAt + deadlineMs,
             tried: [],
         };
         const refusal = this.#balancer.submit(request, now);
--- a/packages/bench/src/replayscenarios.ts
+++ b/packages/bench/src/replayscenarios.ts
@@ -3,6 +3,8 @@
 import type { ReplayScenario, ReplayCallers } from "./replay.js";
 import type { ServerBehavior, ServerPoolOptions } from "./replayservers.js";
 
+const isWithin = (fromMs: number, toMs: number, atMs: number): boolean => atMs >= fromMs && atMs < toMs;
+
 const noise = { share: 0.35, factor: 5, intervalMs: 150 };
 
 /** 14 servers of 2 slots that slow down when both are in use. */
@@ -29,6 +31,30 @@
     immediateRetryShare: 0.04,
 };
 
+/** A third of the look-up servers of the large site. */
+const largeSiteServers: ServerPoolOptions = {
+    count: 67,
+    slots: 2,
+    noise: { share: 0.25, factor: 5, intervalMs: 150 },
+    saturation: { threshold: 0.8, factor: 1.7 },
+};
+
+/** Callers that have time to return after a burst. */
+const patientCallers: ReplayCallers = {
+    workMs: 250,
+    targetMs: 624,
+    deadlineMs: 8_319,
+    timeoutMs: 4_000,
+    retries: 2,
+    immediateRetryShare: 0.04,
+};
+
+/** Two bursts that overlap, as on scale days of the large site. */
+const overlappingBursts =
+    (usual: number) =>
+    (atMs: number): number =>
+        usual * (isWithin(4_500, 9_500, atMs) ? 1.6 : 1) * (isWithin(8_000, 11_000, atMs) ? 1.7 : 1);
+
 const constantRate = (perSecond: number) => (): number => perSecond;
 
 const burstRate =
@@ -60,8 +86,6 @@
     behavior: (server: number, atMs: number) => ServerBehavior,
 ): ReplayScenario => ({ ...loadScenario(name, servers, constantRate(perSecond)), behavior });
 
-const isWithin = (fromMs: number, toMs: number, atMs: number): boolean => atMs >= fromMs && atMs < toMs;
-
 /** One server in seven shows a behavior from 5 s to 15 s. */
 const oneInSeven =
     (behavior: ServerBehavior) =>
@@ -106,6 +130,7 @@
     loadScenario("crowdable 150%", saturatingServers, constantRate(fullRate.saturating * 1.5)),
     loadScenario("crowdable 300%", saturatingServers, constantRate(fullRate.saturating * 3)),
     loadScenario("crowdable burst", saturatingServers, burstRate(fullRate.saturating * 0.7, 2)),
+    loadScenario("large bursts", largeSiteServers, overlappingBursts(203), patientCallers),
     loadScenario("crowdable impatient", saturatingServers, constantRate(fullRate.saturating * 1.5), {
         immediateRetryShare: 0.5,
     }),
--- a/packages/bench/test/replay.test.ts
+++ b/packages/bench/test/replay.test.ts
@@ -56,6 +56,11 @@
     assert.ok(mean(13, 20) >= 0.95 * mean(0, 5), `${mean(13, 20)} after, ${mean(0, 5)} before`);
 });
 
+test("of the callers that a burst leaves no room for, at least a third are served after it", () => {
+    const { late, refused } = replay("large bursts");
+    assert.ok(late >= (late + refused) / 3, `${late} late, ${refused} refused`);
+});
+
 test("a replay is deterministic", () => {
     const scenario = loadScenarios[0];
     assert.ok(scenario);
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -148,6 +148,7 @@
             arrivedAt: clock(),
             targetAt: this.#arrivedAt + Math.max(0, route.targetLatencyMs - elapsedMs - responseTransitMs),
             deadlineAt,
+            callerDeadlineAt: this.#arrivedAt + callerDeadlineMs,
             tried: [],
         };
         for (let unreachableServers = 0; ;) {
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -16,6 +16,7 @@
     arrivedAt: 0,
     targetAt: 300,
     deadlineAt: 2_000,
+    callerDeadlineAt: 2_000,
     tried: [],
 });
 
--- a/packages/gateway/test/probeamplification.test.ts
+++ b/packages/gateway/test/probeamplification.test.ts
@@ -143,6 +143,7 @@
             arrivedAt: this.now,
             targetAt: this.now + 600,
             deadlineAt: this.now + 2_000,
+            callerDeadlineAt: this.now + 2_000,
             tried: [],
         };
         const result = await dispatcher.acquireSlot(request);
