bench: a replay may run the balancers of several entry VMs

The scenario 'large bursts, 11 VMs' has the load of 'large bursts' spread over 11 entry VMs, of which each sees its own requests only, as on the large site, where some 30 serve one service. Other scenarios as before.

--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -1,6 +1,6 @@
-/** Discrete-event simulation of a balancer under load: replays a scenario and scores what its callers get. */
+/** Discrete-event simulation of balancers under load: replays a scenario and scores what its callers get. */
 
-import type { Balancer } from "@bramleymoor/balance/balancer";
+import { Balancer } from "@bramleymoor/balance/balancer";
 import type { Request } from "@bramleymoor/balance/types";
 import { SeededRandom, type Random } from "@bramleymoor/dispatch/random";
 import { SimulatedServerPool, type BehaviorAt, type Job, type ServerPoolOptions } from "./replayservers.js";
@@ -32,6 +32,8 @@
     readonly behavior?: BehaviorAt;
     readonly durationMs: number;
     readonly seed: number;
+    /** Number of entry VMs that serve the callers; one that sees all requests if absent. */
+    readonly entryVms?: number;
 }
 
 /** Outcomes of a scenario's requests. */
@@ -58,22 +60,38 @@
     outcome: "open" | "target" | "late" | "refused" | "failed";
 }
 
-/** Runs one scenario against one balancer. */
+/** Runs a scenario against as many balancers as it names, with random numbers from its seed. */
+export const replayScenario = (scenario: ReplayScenario): ReplayResult => {
+    const random = new SeededRandom(scenario.seed);
+    const balancers = Array.from(
+        { length: scenario.entryVms ?? 1 },
+        () => new Balancer({ candidateCount: 3, domain: "a" }, () => random.next()),
+    );
+    return new Replay(scenario, balancers).run();
+};
+
+/** An attempt of a caller at one entry VM. */
+interface Attempt {
+    readonly caller: Caller;
+    readonly balancer: Balancer;
+}
+
+/** Runs one scenario against the balancers of one or several entry VMs, of which each attempt uses a random one. */
 export class Replay {
     readonly #scenario: ReplayScenario;
-    readonly #balancer: Balancer;
+    readonly #balancers: readonly Balancer[];
     readonly #random: Random;
-    readonly #servers: SimulatedServerPool<Caller>;
+    readonly #servers: SimulatedServerPool<Attempt>;
     readonly #callers: Caller[] = [];
-    readonly #pending = new Map<Request, Caller>();
+    readonly #pending = new Map<Request, Attempt>();
     readonly #retries: { readonly at: number; readonly caller: Caller }[] = [];
     #arrivalsDue = 0;
     #maxRefusalDelayMs = 0;
     #lastId = 0;
 
-    constructor(scenario: ReplayScenario, balancer: Balancer) {
+    constructor(scenario: ReplayScenario, balancers: readonly Balancer[]) {
         this.#scenario = scenario;
-        this.#balancer = balancer;
+        this.#balancers = balancers;
         this.#random = new SeededRandom(scenario.seed);
         const alwaysHealthy: BehaviorAt = () => "healthy";
         this.#servers = new SimulatedServerPool(
@@ -95,18 +113,18 @@
             }
             this.#submitRetries(now);
             this.#advanceServers(now);
-            this.#expire(now);
-            this.#dispatchQueued(now);
+            for (const balancer of this.#balancers) {
+                this.#expire(balancer, now);
+                this.#dispatchQueued(balancer, now);
+            }
         }
         return this.#result();
     }
 
-    /** Updates the balancer's server list, which lags behind as it does in an entry VM. */
+    /** Updates the balancers' server lists, which lag behind as they do in an entry VM. */
     #updateServers(now: number): void {
-        this.#balancer.updateServers(
-            this.#servers.knownEntries(now).map(entry => ({ entry, lapsed: false })),
-            now,
-        );
+        const known = this.#servers.knownEntries(now).map(entry => ({ entry, lapsed: false }));
+        this.#balancers.forEach(it => it.updateServers(known, now));
     }
 
     #generateArrivals(now: number): void {
@@ -126,6 +144,7 @@
 
     #submit(caller: Caller, now: number): void {
         const { targetMs, deadlineMs, timeoutMs } = this.#scenario.callers;
+        const balancer = this.#randomBalancer();
         caller.attempts++;
         const request: Request = {
             id: ++this.#lastId,
@@ -137,14 +156,24 @@
             callerDeadlineAt: caller.firstAt + deadlineMs,
             tried: [],
         };
-        const refusal = this.#balancer.submit(request, now);
+        const refusal = balancer.submit(request, now);
         if (refusal) {
             this.#handleRefusal(caller, refusal.retryAfterMs, 0, now);
         } else {
-            this.#pending.set(request, caller);
+            this.#pending.set(request, { caller, balancer });
         }
     }
 
+    /** Doesn't draw a random number for a single balancer. */
+    #randomBalancer(): Balancer {
+        const count = this.#balancers.length;
+        const balancer = this.#balancers[count === 1 ? 0 : Math.floor(this.#random.next() * count)];
+        if (!balancer) {
+            throw new RangeError("a replay needs a balancer");
+        }
+        return balancer;
+    }
+
     /** Schedules a retry after `retryAfterMs`, but a third of the time left at most; at once for some callers. */
     #handleRefusal(caller: Caller, retryAfterMs: number, queuedMs: number, now: number): void {
         const { deadlineMs, retries, immediateRetryShare } = this.#scenario.callers;
@@ -172,12 +201,13 @@
         this.#servers.advance(stepMs, now).forEach(job => this.#handleEnd(job, now));
     }
 
-    #handleEnd(job: Job<Caller>, now: number): void {
+    #handleEnd(job: Job<Attempt>, now: number): void {
         const { server } = job.slot;
-        this.#balancer.recordLoad(server, this.#servers.loadReport(server), now);
+        const { caller, balancer } = job.owner;
+        balancer.recordLoad(server, this.#servers.loadReport(server), now);
         if (job.behavior === "down" || job.behavior === "failing") {
             const unreachable = job.behavior === "down";
-            this.#balancer.settle(
+            balancer.settle(
                 job.slot,
                 unreachable ? { kind: "unreachable" } : { kind: "answered", status: 500 },
                 now,
@@ -186,50 +216,50 @@
             return;
         }
         if (job.remainingMs > 0) {
-            job.owner.outcome = "failed";
-            this.#balancer.settle(job.slot, { kind: "timeout" }, now);
+            caller.outcome = "failed";
+            balancer.settle(job.slot, { kind: "timeout" }, now);
             return;
         }
-        const inTarget = now - job.owner.firstAt <= this.#scenario.callers.targetMs - oneWayDelayMs;
-        job.owner.outcome = inTarget ? "target" : "late";
-        this.#balancer.settle(job.slot, { kind: "answered", status: 200 }, now);
+        const inTarget = now - caller.firstAt <= this.#scenario.callers.targetMs - oneWayDelayMs;
+        caller.outcome = inTarget ? "target" : "late";
+        balancer.settle(job.slot, { kind: "answered", status: 200 }, now);
     }
 
     /** Submits a failed request again if its attempt limit allows it. */
-    #resubmit({ slot, owner: caller }: Job<Caller>, limit: number, now: number): void {
+    #resubmit({ slot, owner }: Job<Attempt>, limit: number, now: number): void {
         const tried = [...slot.request.tried, slot.server.id];
         const request = { ...slot.request, id: ++this.#lastId, arrivedAt: now, tried };
-        if (tried.length >= limit || this.#balancer.submit(request, now)) {
-            caller.outcome = "failed";
+        if (tried.length >= limit || owner.balancer.submit(request, now)) {
+            owner.caller.outcome = "failed";
         } else {
-            this.#pending.set(request, caller);
+            this.#pending.set(request, owner);
         }
     }
 
-    #expire(now: number): void {
-        for (const { request, refusal } of this.#balancer.expire(now)) {
-            const caller = this.#pending.get(request);
+    #expire(balancer: Balancer, now: number): void {
+        for (const { request, refusal } of balancer.expire(now)) {
+            const attempt = this.#pending.get(request);
             this.#pending.delete(request);
-            if (caller) {
-                this.#handleRefusal(caller, refusal.retryAfterMs, now - request.arrivedAt, now);
+            if (attempt) {
+                this.#handleRefusal(attempt.caller, refusal.retryAfterMs, now - request.arrivedAt, now);
             }
         }
     }
 
-    #dispatchQueued(now: number): void {
-        for (let turn = this.#balancer.reserveNext(now); turn; turn = this.#balancer.reserveNext(now)) {
+    #dispatchQueued(balancer: Balancer, now: number): void {
+        for (let turn = balancer.reserveNext(now); turn; turn = balancer.reserveNext(now)) {
             for (const { entry } of turn.candidates) {
                 if (this.#servers.answersProbe(entry, now)) {
-                    this.#balancer.recordLoad(entry, this.#servers.loadReport(entry), now);
+                    balancer.recordLoad(entry, this.#servers.loadReport(entry), now);
                 } else {
-                    this.#balancer.recordUnansweredProbe(entry, now);
+                    balancer.recordUnansweredProbe(entry, now);
                 }
             }
-            const slot = this.#balancer.grant(turn, now);
-            const caller = this.#pending.get(turn.request);
-            if (slot && caller) {
+            const slot = balancer.grant(turn, now);
+            const attempt = this.#pending.get(turn.request);
+            if (slot && attempt) {
                 this.#pending.delete(turn.request);
-                this.#servers.start(slot, caller, caller.workMs);
+                this.#servers.start(slot, attempt, attempt.caller.workMs);
             }
         }
     }
--- a/packages/bench/src/replaycommand.ts
+++ b/packages/bench/src/replaycommand.ts
@@ -1,18 +1,14 @@
 /** The `replay` measurement: utility of every load and fault scenario with the shipped balancer. */
 
-import { Balancer } from "@bramleymoor/balance/balancer";
-import { SeededRandom } from "@bramleymoor/dispatch/random";
 import { Command } from "commander";
-import { Replay, type ReplayResult } from "./replay.js";
+import { replayScenario, type ReplayResult } from "./replay.js";
 import { loadScenarios, faultScenarios } from "./replayscenarios.js";
 
 /** The `replay` subcommand. */
 export const replayCommand = (): Command =>
     new Command("replay").description("utility of load and fault scenarios under virtual time").action(() => {
         for (const scenario of [...loadScenarios, ...faultScenarios]) {
-            const random = new SeededRandom(scenario.seed);
-            const balancer = new Balancer({ candidateCount: 3, domain: "a" }, () => random.next());
-            process.stdout.write(`${line(scenario.name, new Replay(scenario, balancer).run())}\n`);
+            process.stdout.write(`${line(scenario.name, replayScenario(scenario))}\n`);
         }
     });
 
--- a/packages/bench/src/replayscenarios.ts
+++ b/packages/bench/src/replayscenarios.ts
@@ -131,6 +131,10 @@
     loadScenario("crowdable 300%", saturatingServers, constantRate(fullRate.saturating * 3)),
     loadScenario("crowdable burst", saturatingServers, burstRate(fullRate.saturating * 0.7, 2)),
     loadScenario("large bursts", largeSiteServers, overlappingBursts(203), patientCallers),
+    {
+        ...loadScenario("large bursts, 11 VMs", largeSiteServers, overlappingBursts(203), patientCallers),
+        entryVms: 11,
+    },
     loadScenario("crowdable impatient", saturatingServers, constantRate(fullRate.saturating * 1.5), {
         immediateRetryShare: 0.5,
     }),
--- a/packages/bench/test/replay.test.ts
+++ b/packages/bench/test/replay.test.ts
@@ -1,8 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Balancer } from "@bramleymoor/balance/balancer";
-import { SeededRandom } from "@bramleymoor/dispatch/random";
-import { Replay, type ReplayResult } from "../src/replay.js";
+import { replayScenario, type ReplayResult } from "../src/replay.js";
 import { loadScenarios, faultScenarios } from "../src/replayscenarios.js";
 
 const results = new Map<string, ReplayResult>();
@@ -11,10 +9,7 @@
     const known = results.get(name);
     const scenario = [...loadScenarios, ...faultScenarios].find(it => it.name === name);
     assert.ok(scenario);
-    const random = new SeededRandom(scenario.seed);
-    const result =
-        known ??
-        new Replay(scenario, new Balancer({ candidateCount: 3, domain: "a" }, () => random.next())).run();
+    const result = known ?? replayScenario(scenario);
     results.set(name, result);
     return result;
 };
@@ -64,12 +59,5 @@
 test("a replay is deterministic", () => {
     const scenario = loadScenarios[0];
     assert.ok(scenario);
-    const run = (): ReplayResult => {
-        const random = new SeededRandom(1);
-        return new Replay(
-            scenario,
-            new Balancer({ candidateCount: 3, domain: "a" }, () => random.next()),
-        ).run();
-    };
-    assert.deepEqual(run(), run());
+    assert.deepEqual(replayScenario(scenario), replayScenario(scenario));
 });
