--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -347,13 +347,12 @@
         return this.#queue.countAhead(request.priority) + 1 - Math.max(0, free);
     }
 
-    /** Number of free slots that a new request may take; one that yields takes only those that cost the others nothing. */
+    /** Number of free slots that a new request may take; one that yields takes none that would slow down the others. */
     #freeSlotsFor(request: Request, now: number): number {
         const open = this.#openServers(now);
-        const degrades = this.#latency.degradesWhenSaturated;
-        const takes = (it: ServerState): boolean =>
-            it.isLoadKnown(now) && (!degrades || it.isIdle(now) || !it.wouldSaturate(now));
-        return this.#totalFreeSlots(this.#yields(request, now) ? open.filter(takes) : open, now);
+        const isRestricted = this.#latency.degradesWhenSaturated && this.#yields(request, now);
+        const spare = (it: ServerState): boolean => it.isIdle(now) || !it.wouldSaturate(now);
+        return this.#totalFreeSlots(isRestricted ? open.filter(spare) : open, now);
     }
 
     /** Whether a request can't be in time any more, while others could that come at the same time. */
