--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -14,6 +14,7 @@
 import { replayCommand } from "./replaycommand.js";
 import { plotCommand } from "./policyplot.js";
 import { slopesCommand } from "./slopes.js";
+import { storeStartCommand } from "./storestart.js";
 import { storeReturnCommand } from "./storereturn.js";
 import { recordCommand } from "./tracecommand.js";
 
@@ -30,6 +31,7 @@
 program.addCommand(overloadCommand());
 program.addCommand(replayCommand());
 program.addCommand(storeReturnCommand());
+program.addCommand(storeStartCommand());
 program.addCommand(plotCommand());
 program.addCommand(recordCommand());
 program.addCommand(slopesCommand());
--- a/packages/bench/src/storereturnfleet.ts
+++ b/packages/bench/src/storereturnfleet.ts
@@ -15,7 +15,8 @@
 const storeLatencyMs = 4;
 const longPollStepMs = 20;
 const peerLatencyMs = 1;
-const configKey = "config";
+/** Key of the record that holds the configuration. */
+export const configKey = "config";
 
 interface StoredRecord {
     readonly key: string;
@@ -24,7 +25,7 @@
 }
 
 /** A store of two logs that may come back from an older copy. */
-class SimulatedStore implements KeyedLog {
+export class SimulatedStore implements KeyedLog {
     readonly #time: VirtualTime;
     #records: Readonly<Record<KeyedTopic, readonly StoredRecord[]>> = { configuration: [], servers: [] };
     era = 1;
@@ -126,8 +127,8 @@
     }
 
     #newVm(index: number, count: number): SimulatedVm {
-        const config = new ConfigCache(configKey, value => decode<RouteConfig>(value));
-        const servers = new ServerCache((_, value) => decode<ServerEntry>(value));
+        const config = new ConfigCache(configKey, value => decodeRecord<RouteConfig>(value));
+        const servers = new ServerCache((_, value) => decodeRecord<ServerEntry>(value));
         const peers = Array.from({ length: count }, (_, each) => `${each}`).filter(it => it !== `${index}`);
         const follower = new Follower({
             log: this.store,
@@ -157,4 +158,5 @@
     }
 }
 
-const decode = <T>(value: Uint8Array): T => JSON.parse(new TextDecoder().decode(value)) as T;
+/** Decodes a record of the simulated store. */
+export const decodeRecord = <T>(value: Uint8Array): T => JSON.parse(new TextDecoder().decode(value)) as T;
--- /dev/null
+++ b/packages/bench/src/storestartfleet.ts
@@ -0,0 +1,111 @@
+/** Simulates entry VMs that all start at once, find each other by gossip and follow a store, in virtual time. */
+
+import { ConfigCache } from "@bramleymoor/discovery/config";
+import { Follower } from "@bramleymoor/discovery/follower";
+import type { DiscoveryMessage } from "@bramleymoor/discovery/messages";
+import { ServerCache } from "@bramleymoor/discovery/servers";
+import { MemberTracker } from "@bramleymoor/gateway/membertracker";
+import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
+import { VirtualTime } from "@bramleymoor/platform/virtualtime";
+import { GossipNet, entryVmIdOf, peerAddressOf, type GossipNode } from "./gossipnet.js";
+import { configKey, decodeRecord, SimulatedStore } from "./storereturnfleet.js";
+
+/** One entry VM of the fleet. */
+interface SimulatedVm {
+    readonly node: GossipNode;
+    readonly tracker: MemberTracker;
+    readonly follower: Follower;
+    readonly config: ConfigCache;
+    readonly servers: ServerCache;
+}
+
+/** Entry VMs that know only the addresses of the first three at their start. */
+export class StartingFleet {
+    readonly time = new VirtualTime();
+    readonly store = new SimulatedStore(this.time);
+    readonly #net: GossipNet;
+    readonly #vms: SimulatedVm[] = [];
+    readonly #stop = new AbortController();
+    /** Datagrams between entry VMs that carry what was read from the store. */
+    messages = 0;
+
+    constructor(seed: number) {
+        this.#net = new GossipNet(seed, undefined, { periodMs: gossipPeriodMs, pingTimeoutMs });
+    }
+
+    /** Starts all entry VMs at once. */
+    start(count: number): void {
+        const seeds = Array.from({ length: seedCount }, (_, i) => peerAddressOf(i));
+        for (let index = 0; index < count; index++) {
+            const vm = this.#newVm(index, seeds);
+            this.#vms.push(vm);
+            void vm.follower.run(this.#stop.signal);
+        }
+    }
+
+    stop(): void {
+        this.#stop.abort();
+    }
+
+    async run(ms: number): Promise<void> {
+        for (let elapsed = 0; elapsed < ms; elapsed += stepMs) {
+            await this.#net.run(stepMs);
+            await this.time.advance(stepMs);
+        }
+    }
+
+    /** Mean number of members that an entry VM knows. */
+    get meanMembers(): number {
+        return this.#vms.reduce((sum, { tracker }) => sum + tracker.members.length, 0) / this.#vms.length;
+    }
+
+    /** Number of entry VMs whose copy of the servers or of the configuration is older than `ms`. */
+    countOlderThan(ms: number): number {
+        const oldest = this.time.now() - ms;
+        return this.#vms.filter(({ config, servers }) => Math.min(config.asOf, servers.asOf) < oldest).length;
+    }
+
+    #newVm(index: number, seeds: readonly string[]): SimulatedVm {
+        const node = this.#net.start(
+            index,
+            seeds.filter(it => it !== peerAddressOf(index)),
+        );
+        const tracker = new MemberTracker(entryVmIdOf(index), true, { emit: () => undefined });
+        node.membership.members.subscribe(members => tracker.update(members));
+        const config = new ConfigCache(configKey, value => decodeRecord<RouteConfig>(value));
+        const servers = new ServerCache((_, value) => decodeRecord<ServerEntry>(value));
+        const follower = new Follower({
+            log: this.store,
+            config,
+            servers,
+            clock: () => this.time.now(),
+            delay: this.time.sleep,
+            rank: () => tracker.readerRank,
+            peers: () => tracker.others.map(vm => vm.peerAddress),
+            send: (receivers, message) => {
+                receivers.forEach(it => void this.#deliver(peerAddressOf(index), it, message));
+                return true;
+            },
+            events: {
+                configChanged: () => {},
+                serversChanged: () => {},
+                eraChanged: () => {},
+                storeStatusChanged: () => {},
+            },
+        });
+        return { node, tracker, follower, config, servers };
+    }
+
+    async #deliver(from: string, to: string, message: DiscoveryMessage): Promise<void> {
+        this.messages++;
+        await this.time.sleep(peerLatencyMs);
+        this.#vms.find(it => it.node.vm.peerAddress === to)?.follower.receive(message, from, 0);
+    }
+}
+
+const seedCount = 3;
+const stepMs = 5;
+const peerLatencyMs = 2;
+/** As in the entry process for routed requests. */
+const gossipPeriodMs = 300;
+const pingTimeoutMs = 250;
--- a/packages/gateway/src/membertracker.ts
+++ b/packages/gateway/src/membertracker.ts
@@ -8,7 +8,7 @@
 export class MemberTracker {
     readonly #self: string;
     readonly #hasSeeds: boolean;
-    readonly #events: EventLog;
+    readonly #events: Pick<EventLog, "emit">;
     #members: readonly EntryVm[] = [];
     #maxMembers = 0;
 
@@ -16,7 +16,7 @@
      * @param self id of this entry VM
      * @param hasSeeds whether there are other entry VMs to join
      */
-    constructor(self: string, hasSeeds: boolean, events: EventLog) {
+    constructor(self: string, hasSeeds: boolean, events: Pick<EventLog, "emit">) {
         this.#self = self;
         this.#hasSeeds = hasSeeds;
         this.#events = events;
