--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -48,8 +48,6 @@
     readonly #predictions = new Map<Slot, Prediction>();
     /** Ids of the servers that this entry VM prefers; undefined if it has no preference. */
     #preferred: ReadonlySet<string> | undefined = undefined;
-    /** When the last request was submitted that could be in time. */
-    #timelyRequestAt = -Infinity;
     /** This entry VM's share of the service's requests, and so of the slots that become free. */
     readonly #demandShare = new MovingAverage(demandShareMs);
     /** Reservations that are neither granted nor cancelled; each will take a slot. */
@@ -113,9 +111,6 @@
         if (usable.length === 0) {
             return { reason: "no-server", retryAfterMs: noServerRetryMs * (1 + this.#random()) };
         }
-        if (now + this.#latency.baselineMs <= request.targetAt) {
-            this.#timelyRequestAt = now;
-        }
         usable.filter(it => this.#isLimited(it, now)).forEach(it => this.#limiter.recordDemand(it.key, now));
         const startAt = this.#earliestStartAt(usable, now);
         const isTooLate = startAt > now && this.#isTooLate(request, startAt);
@@ -342,32 +337,15 @@
     }
 
     /** Number of requests that have to start until a new one gets a slot, including itself. */
-    #countAhead(request: Request, now: number): number {
-        const free = this.#freeSlotsFor(request, now) - this.#openReservations;
-        return this.#queue.countAhead(request.priority) + 1 - Math.max(0, free);
-    }
-
-    /** Number of free slots that a new request may take; one that yields takes none that would slow down the others. */
-    #freeSlotsFor(request: Request, now: number): number {
-        const open = this.#openServers(now);
-        const isRestricted = this.#latency.degradesWhenSaturated && this.#yields(request, now);
-        const spare = (it: ServerState): boolean => it.isIdle(now) || !it.wouldSaturate(now);
-        return this.#totalFreeSlots(isRestricted ? open.filter(spare) : open, now);
-    }
-
-    /** Whether a request can't be in time any more, while others could that come at the same time. */
-    #yields({ targetAt }: Request, now: number): boolean {
-        const couldBeInTime = now + this.#latency.baselineMs <= targetAt;
-        return !couldBeInTime && now - this.#timelyRequestAt < timelyRequestTtlMs;
+    #countAhead({ priority }: Request, now: number): number {
+        const free = this.#totalFreeSlots(this.#openServers(now), now);
+        return this.#queue.countAhead(priority) + 1 - Math.max(0, free - this.#openReservations);
     }
 
     /** Number of queued requests up to which a new one can still meet its target. */
     #queueLimit(request: Request, now: number): number {
         const slackMs = request.targetAt - now - this.expectedLatencyMs;
-        const lateLimit = this.#yields(request, now)
-            ? lateQueueLimit * (this.#demandShare.value ?? 1)
-            : lateQueueLimit;
-        return Math.max(lateLimit, (slackMs * queueableSlackShare) / this.#startIntervalMs(now));
+        return Math.max(lateQueueLimit, (slackMs * queueableSlackShare) / this.#startIntervalMs(now));
     }
 
     /**
@@ -438,8 +416,6 @@
 const maxReturnShare = 1 / 3;
 /** A request that can no longer meet its target may wait for the next idle slot, but not behind others. */
 const lateQueueLimit = 1;
-/** Time after a request that could be in time for which others are expected: several at most of a busy service's. */
-const timelyRequestTtlMs = 1_000;
 /** Share of the slack before the target that may be spent in the queue; the rest is for slower servers. */
 const queueableSlackShare = 0.4;
 /** With less than this share of the expected latency left, a request would probably get no response in time. */
--- a/packages/balance/src/server.ts
+++ b/packages/balance/src/server.ts
@@ -74,11 +74,6 @@
             : this.#entry.slots - this.#slots.size - this.#load.otherRequests(now);
     }
 
-    /** Whether nothing is known to run on the server. */
-    isIdle(now: number): boolean {
-        return this.freeSlots(now) >= this.#entry.slots;
-    }
-
     /** The load as known now. */
     loadSnapshot(now: number): LoadSnapshot {
         return { inFlight: this.#slots.size, report: this.#load.report, ageMs: this.#load.ageMs(now) };
