--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -345,7 +345,8 @@
     /** Number of queued requests up to which a new one can still meet its target. */
     #queueLimit(request: Request, now: number): number {
         const slackMs = request.targetAt - now - this.expectedLatencyMs;
-        return Math.max(lateQueueLimit, (slackMs * queueableSlackShare) / this.#startIntervalMs(now));
+        const lateLimit = lateQueueLimit * (this.#demandShare.value ?? 1);
+        return Math.max(lateLimit, (slackMs * queueableSlackShare) / this.#startIntervalMs(now));
     }
 
     /**
@@ -414,7 +415,10 @@
 const lateReturnMs = 1_000;
 /** Longest delay as a share of the time that a caller has left, so that it can return more than once. */
 const maxReturnShare = 1 / 3;
-/** A request that can no longer meet its target may wait for the next idle slot, but not behind others. */
+/**
+ * A request that can no longer meet its target may wait for the next idle slot, but not behind others; at all entry VMs
+ * together, as those that are in time go first and it would wait in vain.
+ */
 const lateQueueLimit = 1;
 /** Share of the slack before the target that may be spent in the queue; the rest is for slower servers. */
 const queueableSlackShare = 0.4;
