discovery: entry VMs ask each other before they read the store

Cause: gossip takes 14 s to tell 311 entry VMs that start at once of each other. Until then many take themselves for the primary reader, and the others get no updates and read the store each 0.9 to 1.3 s. Change: an entry VM whose data is older than 0.8 s asks a random peer for what has changed, each 50 ms until a standby's time to read has come; one that starts asks a seed first and reads the store 150 ms later if nothing came. A seed reads at once. A long poll that ended in vain shows that the store held nothing newer while it waited, so standbys no longer read beside a healthy primary reader.

--- a/packages/bench/src/storereturnfleet.ts
+++ b/packages/bench/src/storereturnfleet.ts
@@ -8,6 +8,7 @@
     type KeyedPage,
     type KeyedTopic,
 } from "@bramleymoor/discovery/log";
+import { SeededRandom } from "@bramleymoor/dispatch/random";
 import { ServerCache } from "@bramleymoor/discovery/servers";
 import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { VirtualTime } from "@bramleymoor/platform/virtualtime";
@@ -88,6 +89,7 @@
 export class StoreFleet {
     readonly time = new VirtualTime();
     readonly store = new SimulatedStore(this.time);
+    readonly #random = new SeededRandom(1);
     readonly #vms: readonly SimulatedVm[];
     readonly #stops: AbortController[] = [];
 
@@ -138,6 +140,8 @@
             delay: this.time.sleep,
             rank: () => index,
             peers: () => peers,
+            seeds: [],
+            random: () => this.#random.next(),
             send: (receivers, message) => {
                 receivers.forEach(it => void this.#deliver(`${index}`, Number(it), message));
                 return true;
--- a/packages/bench/src/storestartfleet.ts
+++ b/packages/bench/src/storestartfleet.ts
@@ -3,6 +3,7 @@
 import { ConfigCache } from "@bramleymoor/discovery/config";
 import { Follower } from "@bramleymoor/discovery/follower";
 import type { DiscoveryMessage } from "@bramleymoor/discovery/messages";
+import { SeededRandom } from "@bramleymoor/dispatch/random";
 import { ServerCache } from "@bramleymoor/discovery/servers";
 import { MemberTracker } from "@bramleymoor/gateway/membertracker";
 import type { RouteConfig, ServerEntry } from "@bramleymoor/model/route";
@@ -23,6 +24,7 @@
 export class StartingFleet {
     readonly time = new VirtualTime();
     readonly store = new SimulatedStore(this.time);
+    readonly #random: SeededRandom;
     readonly #net: GossipNet;
     readonly #vms: SimulatedVm[] = [];
     readonly #stop = new AbortController();
@@ -30,6 +32,7 @@
     messages = 0;
 
     constructor(seed: number) {
+        this.#random = new SeededRandom(seed);
         this.#net = new GossipNet(seed, undefined, { periodMs: gossipPeriodMs, pingTimeoutMs });
     }
 
@@ -66,10 +69,8 @@
     }
 
     #newVm(index: number, seeds: readonly string[]): SimulatedVm {
-        const node = this.#net.start(
-            index,
-            seeds.filter(it => it !== peerAddressOf(index)),
-        );
+        const others = seeds.filter(it => it !== peerAddressOf(index));
+        const node = this.#net.start(index, others);
         const tracker = new MemberTracker(entryVmIdOf(index), true, { emit: () => undefined });
         node.membership.members.subscribe(members => tracker.update(members));
         const config = new ConfigCache(configKey, value => decodeRecord<RouteConfig>(value));
@@ -82,6 +83,8 @@
             delay: this.time.sleep,
             rank: () => tracker.readerRank,
             peers: () => tracker.others.map(vm => vm.peerAddress),
+            seeds: index < seedCount ? [] : others,
+            random: () => this.#random.next(),
             send: (receivers, message) => {
                 receivers.forEach(it => void this.#deliver(peerAddressOf(index), it, message));
                 return true;
--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -37,6 +37,10 @@
     readonly rank: () => number;
     /** Returns the addresses of the other entry VMs. */
     readonly peers: () => readonly string[];
+    /** Addresses of entry VMs to ask while no others are known; they may be stale or down. */
+    readonly seeds: readonly string[];
+    /** Returns a random number of at least 0 and below 1. */
+    readonly random: () => number;
     /** Sends a message to peers; returns false if it is too large to be sent to all of them. */
     readonly send: (peers: readonly string[], message: DiscoveryMessage) => boolean;
     readonly events: FollowerEvents;
@@ -51,6 +55,9 @@
     /** Up to where peers have announced a configuration without its text; it has to be read from the store. */
     #announced: { readonly era: number | undefined; readonly to: number } | undefined = undefined;
     #offeredAt = -Infinity;
+    #startedAt = 0;
+    /** When a peer was last asked for what it has read. */
+    #askedAt = -Infinity;
     #configSleep = new AbortController();
 
     constructor(options: FollowerOptions) {
@@ -59,6 +66,7 @@
 
     /** Runs until the signal aborts. */
     async run(signal: AbortSignal): Promise<void> {
+        this.#startedAt = this.#options.clock();
         await Promise.all([
             this.#pollTopic("configuration", this.#configSchedule, signal),
             this.#pollTopic("servers", this.#serverSchedule, signal),
@@ -125,14 +133,14 @@
      * come back without the newer one, which then only peers have. A few of them offer it.
      */
     #compareVersions(version: number | undefined, peer: string, now: number): void {
-        const { config, rank } = this.#options;
+        const { config } = this.#options;
         const own = config.config?.version;
         if (version === undefined || own === undefined || version === own) {
             return;
         }
         if (version > own) {
             this.#requestMissing(peer, now, true);
-        } else if (rank() <= maxBroadcasters && now - this.#offeredAt >= minRequestIntervalMs) {
+        } else if (this.#options.rank() <= maxBroadcasters && now - this.#offeredAt >= minRequestIntervalMs) {
             this.#offeredAt = now;
             this.#sendConfig(peer);
         }
@@ -165,19 +173,71 @@
     }
 
     async #pollTopic(topic: KeyedTopic, schedule: ReadSchedule, signal: AbortSignal): Promise<void> {
-        const { clock, rank } = this.#options;
+        const { clock } = this.#options;
         while (!signal.aborted) {
-            const asOf = topic === "servers" ? this.#options.servers.asOf : this.#options.config.asOf;
-            const waitMs = schedule.nextReadAt(asOf, rank()) - clock();
-            if (waitMs > 0 && !(topic === "configuration" && this.#hasAnnouncement)) {
-                await this.#sleep(topic, Math.min(waitMs, maxSleepMs), signal);
-                this.#options.servers.expire(clock());
+            const now = clock();
+            const readAt = this.#nextReadAt(topic, schedule);
+            if (readAt <= now || (topic === "configuration" && this.#hasAnnouncement)) {
+                await this.#readOnce(topic, schedule);
+                continue;
+            }
+            const askAt = schedule.failing ? Infinity : this.#nextAskAt(topic);
+            if (askAt <= now) {
+                this.#askPeer(now);
                 continue;
             }
-            await this.#readOnce(topic, schedule);
+            await this.#sleep(topic, Math.min(readAt - now, askAt - now, maxSleepMs), signal);
+            this.#options.servers.expire(clock());
         }
     }
 
+    /** Returns when to read the store: the first time only when peers have had time to respond. */
+    #nextReadAt(topic: KeyedTopic, schedule: ReadSchedule): number {
+        const { seeds } = this.#options;
+        const { position, asOf } = this.#options[cacheNames[topic]];
+        if (position === undefined && !schedule.failing && seeds.length > 0) {
+            return this.#startedAt + startAskMs;
+        }
+        return schedule.nextReadAt(asOf, this.#options.rank());
+    }
+
+    /**
+     * Returns when to ask a peer for what it has read, which costs the store no call: at once after the start, later when
+     * no update has come for a while. The primary reader doesn't ask.
+     */
+    #nextAskAt(topic: KeyedTopic): number {
+        const { position, asOf } = this.#options[cacheNames[topic]];
+        if (position !== undefined && this.#options.rank() === 0) {
+            return Infinity;
+        }
+        return Math.max(
+            position === undefined ? this.#startedAt : asOf + askAgeMs,
+            this.#askedAt + askIntervalMs,
+        );
+    }
+
+    /** Asks a random peer, or a random seed while no peers are known, for what has changed in both topics. */
+    #askPeer(now: number): void {
+        const { peers, seeds, random, send } = this.#options;
+        const known = peers();
+        const candidates = known.length > 0 ? known : seeds;
+        const peer = candidates[Math.floor(random() * candidates.length)];
+        this.#askedAt = now;
+        if (peer !== undefined) {
+            send([peer], this.#question());
+        }
+    }
+
+    #question(wholeConfig = false): TopicMessage<"question"> {
+        const { config, servers } = this.#options;
+        return {
+            topic: "question",
+            era: servers.era,
+            ...(servers.position === undefined ? {} : { servers: servers.position }),
+            ...(config.position === undefined || wholeConfig ? {} : { configuration: config.position }),
+        };
+    }
+
     /** Sleeps until `ms` have passed, the signal aborts, or a configuration is announced that has to be read. */
     async #sleep(topic: KeyedTopic, ms: number, signal: AbortSignal): Promise<void> {
         const sleep = new AbortController();
@@ -228,7 +288,7 @@
     }
 
     async #readConfig(): Promise<void> {
-        const { log, config, clock, rank } = this.#options;
+        const { log, config, clock } = this.#options;
         const asOf = clock();
         const isInitialRead = config.position === undefined;
         const era = eraOf(config);
@@ -236,8 +296,11 @@
         const isNewer = await this.#readSinceOrLatest(
             config.position,
             async from => {
-                const waitMs = rank() === 0 ? longPollMs : 0;
-                return config.applyRecords(await this.#readPage("configuration", from, waitMs), asOf);
+                const waitMs = this.#options.rank() === 0 ? longPollMs : 0;
+                const page = await this.#readPage("configuration", from, waitMs);
+                // A store that waited in vain held nothing newer for as long as it waited.
+                const waitedMs = page.records.length === 0 && clock() - asOf >= waitMs ? waitMs : 0;
+                return config.applyRecords(page, asOf + waitedMs);
             },
             async () => {
                 const page = checkEra("configuration", await log.readLatest("configuration"), config.era);
@@ -251,7 +314,7 @@
         const update = config.update;
         if (update && !isInitialRead) {
             const text = isNewer && update.value ? new TextDecoder().decode(update.value) : undefined;
-            const ageMs = clock() - asOf;
+            const ageMs = clock() - config.asOf;
             this.#broadcast({
                 topic: "configuration",
                 ageMs,
@@ -338,13 +401,7 @@
             return;
         }
         this.#requestedAt = now;
-        const { config, servers, send } = this.#options;
-        send([peer], {
-            topic: "question",
-            era: servers.era,
-            ...(servers.position === undefined ? {} : { servers: servers.position }),
-            ...(config.position === undefined || wholeConfig ? {} : { configuration: config.position }),
-        });
+        this.#options.send([peer], this.#question(wholeConfig));
     }
 
     #requestFromFirstPeer(): void {
@@ -363,12 +420,12 @@
         if (update) {
             this.#send([from], { topic: "servers", ageMs: clock() - servers.asOf, news: update });
         }
-        if (!isSameEra || (config.position ?? -1) > (request.configuration ?? -1)) {
-            this.#sendConfig(from);
-        }
+        const isNewer = !isSameEra || (config.position ?? -1) > (request.configuration ?? -1);
+        this.#sendConfig(from, isNewer);
     }
 
-    #sendConfig(peer: string): void {
+    /** Sends what is known of the configuration; without its text if the receiver has that and asks for its age only. */
+    #sendConfig(peer: string, withText = true): void {
         const { config, clock } = this.#options;
         const known = config.update;
         if (known?.value) {
@@ -378,7 +435,7 @@
                 era: known.era,
                 to: known.to,
                 version: config.config?.version,
-                text: new TextDecoder().decode(known.value),
+                ...(withText ? { text: new TextDecoder().decode(known.value) } : {}),
             });
         }
     }
@@ -396,10 +453,19 @@
     return page;
 };
 
+/** Names of the options that hold each topic's data. */
+const cacheNames = { configuration: "config", servers: "servers" } as const;
+
 type TopicMessage<T extends DiscoveryMessage["topic"]> = Extract<DiscoveryMessage, { readonly topic: T }>;
 
 /** Half of the shortest limit on the propagation of a configuration, so that a standby has time to take over. */
 const longPollMs = 500;
+/** Age from which a peer is asked: an update of the primary reader is overdue, and no standby reads yet. */
+const askAgeMs = 800;
+/** Time between two questions; several fit between the age from which a peer is asked and the first read of a standby. */
+const askIntervalMs = 50;
+/** Time after the start in which peers may respond before the store is read: a few questions, and a peer that is starting too. */
+const startAskMs = 150;
 /** Ranks change while a reader waits; a new primary notices within this time. */
 const maxSleepMs = 500;
 /** Many round trips between peers; a repeated request before the reply can arrive would only waste bandwidth. */
--- a/packages/discovery/test/fleet.test.ts
+++ b/packages/discovery/test/fleet.test.ts
@@ -154,3 +154,42 @@
     await fleet.time.run(6_000 + limitMs);
     assert.equal(fleet.vms[20]?.config.config?.version, 2);
 });
+
+test("an entry VM that starts beside others gets everything from them, without a call to the store", async t => {
+    const fleet = new Fleet(5, 0, ["vm0"]);
+    t.after(() => fleet.stop());
+    fleet.store.put("configuration", "config", config(1));
+    fleet.store.put("servers", "s0", serverEntry("s0"));
+    fleet.start();
+    await fleet.time.run(3_000);
+    const joined = fleet.join();
+    await fleet.time.run(3_100);
+    assert.equal(joined.config.config?.version, 1);
+    assert.equal(joined.servers.servers().length, 1);
+    assert.equal(fleet.store.callsBy.get(joined.id), undefined);
+});
+
+test("an entry VM whose seeds don't respond reads the store soon", async t => {
+    const fleet = new Fleet(1, Infinity, ["gone"]);
+    t.after(() => fleet.stop());
+    fleet.store.put("configuration", "config", config(1));
+    fleet.start();
+    await fleet.time.run(200);
+    assert.equal(fleet.vms[0]?.config.config?.version, 1);
+});
+
+test("an entry VM that gets no updates from the readers asks its peers rather than the store", async t => {
+    const fleet = await startFleet(14, 10);
+    t.after(() => fleet.stop());
+    const readers = new Set(["vm0", "vm1", "vm2"]);
+    fleet.isCut = (from, to) => readers.has(from) && to === "vm13";
+    const callsBefore = fleet.store.callsBy.get("vm13") ?? 0;
+    for (let at = 3_000; at < 13_000; at += 50) {
+        await fleet.time.run(at);
+        const { servers, config: known } = fleet.vms[13]!;
+        const ageMs = at - Math.min(servers.asOf, known.asOf);
+        assert.ok(ageMs <= limitMs, `${ageMs} ms at ${at}`);
+    }
+    const calls = (fleet.store.callsBy.get("vm13") ?? 0) - callsBefore;
+    assert.ok(calls <= 2, `${calls} calls in 10 s`);
+});
--- a/packages/discovery/test/fleet.ts
+++ b/packages/discovery/test/fleet.ts
@@ -53,6 +53,8 @@
     era: number | undefined = undefined;
     readonly #first: Record<KeyedTopic, number> = { configuration: 0, servers: 0 };
     calls = 0;
+    /** Number of calls by entry VM. */
+    readonly callsBy = new Map<string, number>();
     /** Ids of the entry VMs whose calls fail; "all" for every entry VM. */
     readonly rejectedClients = new Set<string>();
 
@@ -110,6 +112,7 @@
 
     async #simulateCall(id: string): Promise<void> {
         this.calls++;
+        this.callsBy.set(id, (this.callsBy.get(id) ?? 0) + 1);
         await this.#time.wait(storeLatencyMs);
         if (this.rejectedClients.has(id) || this.rejectedClients.has("all")) {
             throw new Error("503");
@@ -133,6 +136,8 @@
     readonly frozen = new Set<string>();
     /** Returns whether the n-th message is lost. */
     isLost: (n: number) => boolean = () => false;
+    /** Returns whether messages between two entry VMs are lost. */
+    isCut: (from: string, to: string) => boolean = () => false;
     /** Size up to which messages can be sent. */
     maxMessageBytes = Infinity;
     /** Bytes of the messages between entry VMs. */
@@ -150,8 +155,14 @@
     readonly #followers = new Map<string, Follower>();
     readonly #stopping = new AbortController();
     readonly #discoveredAt: number;
+    #randomState = 1;
 
-    constructor(count: number, discoveredAt: number) {
+    /** @param seeds ids of the entry VMs that others ask while they know none */
+    constructor(
+        count: number,
+        discoveredAt: number,
+        readonly seeds: readonly string[] = [],
+    ) {
         this.#discoveredAt = discoveredAt;
         for (let i = 0; i < count; i++) {
             this.#add(`vm${i}`);
@@ -202,6 +213,8 @@
             rank: () => (this.time.now < this.#discoveredAt ? 1 : index),
             peers: () =>
                 this.time.now < this.#discoveredAt ? [] : this.vms.map(it => it.id).filter(it => it !== id),
+            seeds: this.seeds,
+            random: () => this.#nextRandom(),
             send: (peers, message) => {
                 if (JSON.stringify(message).length > this.maxMessageBytes) {
                     return false;
@@ -220,10 +233,15 @@
         return vm;
     }
 
+    #nextRandom(): number {
+        this.#randomState = (Math.imul(this.#randomState, 1_664_525) + 1_013_904_223) >>> 0;
+        return this.#randomState / 2 ** 32;
+    }
+
     #deliver(from: string, to: string, message: DiscoveryMessage): void {
         this.messagesBySender.set(from, (this.messagesBySender.get(from) ?? 0) + 1);
         this.bytes += JSON.stringify(message).length;
-        if (this.isLost(this.messages++) || this.frozen.has(from)) {
+        if (this.isLost(this.messages++) || this.isCut(from, to) || this.frozen.has(from)) {
             return;
         }
         this.time.after(peerLatencyMs, () => {
--- a/packages/gateway/src/createmembership.ts
+++ b/packages/gateway/src/createmembership.ts
@@ -14,12 +14,13 @@
  * @param startedAt milliseconds since the Unix epoch, a hint to which of two runs is newer
  */
 export const createMembership = (
-    { id, place, front, peers, seeds }: GatewaySettings,
+    gatewaySettings: GatewaySettings,
     incarnation: string,
     transport: Transport,
     now: number,
     startedAt: number,
 ): Membership => {
+    const { id, place, front, peers } = gatewaySettings;
     const self: EntryVm = {
         id,
         incarnation,
@@ -35,12 +36,20 @@
         pingTimeoutMs,
         cluster,
         startedAt,
-        seeds: seeds.map(host => formatAddress({ host, port: peers.port })),
+        seeds: seedAddresses(gatewaySettings),
     };
     const random = xoroshiro128plus(randomBytes(seedBytes).readInt32LE());
     return new Membership(self, transport, settings, random, now);
 };
 
+/** Returns the peer addresses of the seeds, without this entry VM's own. */
+const seedAddresses = ({ seeds, peers }: GatewaySettings): readonly string[] =>
+    seeds.filter(host => host !== peers.host).map(host => formatAddress({ host, port: peers.port }));
+
+/** Returns the peer addresses to ask for the store's content at the start; none for a seed, as the others ask it. */
+export const addressesToAskAtStart = (settings: GatewaySettings): readonly string[] =>
+    settings.seeds.includes(settings.peers.host) ? [] : seedAddresses(settings);
+
 /** Formats an address as "HOST:port". */
 export const formatAddress = ({ host, port }: ListenAddress): string => `${host}:${port}`;
 
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -14,7 +14,7 @@
 import { KeepAliveAgent } from "./agent.js";
 import { AuxiliaryServers } from "./auxiliaryservers.js";
 import { monotonicMs, wallClockMs } from "./clock.js";
-import { createMembership, formatAddress } from "./createmembership.js";
+import { addressesToAskAtStart, createMembership, formatAddress } from "./createmembership.js";
 import { DemandExchange } from "./demand.js";
 import type { RecordStatement } from "./dispatcher.js";
 import { ElapsedTimeEstimator } from "./elapsed.js";
@@ -147,6 +147,8 @@
             clock: monotonicMs,
             readerRank: () => this.#members.readerRank,
             peers: () => this.#members.others.map(vm => vm.peerAddress),
+            seeds: addressesToAskAtStart(settings),
+            random: Math.random,
             sendToPeers: (peers, message) => this.#peerSocket.sendDiscovery(peers, message),
             onConfig: config => {
                 this.#frontend.setLimits(config.limits);
--- a/packages/gateway/src/storeview.ts
+++ b/packages/gateway/src/storeview.ts
@@ -28,6 +28,10 @@
     readonly readerRank: () => number;
     /** Returns the peer addresses of the other entry VMs. */
     readonly peers: () => readonly string[];
+    /** Peer addresses to ask at the start, while no other entry VMs are known. */
+    readonly seeds: readonly string[];
+    /** Returns a random number of at least 0 and below 1. */
+    readonly random: () => number;
     /** Sends a message to peers; returns false if it is too large. */
     readonly sendToPeers: (peers: readonly string[], message: DiscoveryMessage) => boolean;
     /** Called with each newer configuration. */
@@ -46,7 +50,7 @@
         this.#options = options;
         this.#config = new ConfigCache(configKey, decodeConfig);
         this.#servers = new ServerCache(decodeServer);
-        const { clock, readerRank, peers, sendToPeers, events } = options;
+        const { clock, readerRank, peers, seeds, random, sendToPeers, events } = options;
         this.#follower = new Follower({
             log,
             config: this.#config,
@@ -55,6 +59,8 @@
             delay,
             rank: readerRank,
             peers,
+            seeds,
+            random,
             send: sendToPeers,
             events: {
                 configChanged: (config, origin, ageMs) => this.#applyConfig(config, origin, ageMs),
