balance: demand that isn't known yet counts for an entry VM's share

Cause: a member's payload takes 20 s to reach half of 311 entry VMs (0.06 of them after 2 s; gossip in virtual time), so the sum of the known demand is a third or less of the whole, and an entry VM took its part of the slots for several times as large. Change: the entry VMs whose demand isn't known are assumed to have as much as the known ones.

--- a/packages/balance/src/fleetdemand.ts
+++ b/packages/balance/src/fleetdemand.ts
@@ -19,8 +19,15 @@
 export const totalDemand = ({ requestsPerSecond, knownEntryVms, entryVms }: FleetDemand): number =>
     Math.max(1, requestsPerSecond ?? Infinity) * Math.max(1, entryVms / Math.max(1, knownEntryVms));
 
-/** Returns this entry VM's part of the known requests for the service, from 0 to 1; 1 while that isn't known. */
-export const knownDemandShare = ({ ownRequestsPerSecond, requestsPerSecond }: FleetDemand): number =>
-    requestsPerSecond === undefined || requestsPerSecond <= 0
-        ? 1
-        : Math.min(1, ownRequestsPerSecond / requestsPerSecond);
+/**
+ * Returns this entry VM's part of the requests for the service, from 0 to 1; 1 while that isn't known. Demand takes long to
+ * reach all members of a large fleet, so the other entry VMs are assumed to have as many requests as the known ones of them.
+ */
+export const demandShare = (fleet: FleetDemand): number => {
+    const { ownRequestsPerSecond: own, requestsPerSecond: known, knownEntryVms, entryVms } = fleet;
+    if (known === undefined || known <= 0 || entryVms === Infinity) {
+        return 1;
+    }
+    const unknownFactor = knownEntryVms > 1 ? Math.max(1, (entryVms - 1) / (knownEntryVms - 1)) : 1;
+    return Math.min(1, own / (own + Math.max(0, known - own) * unknownFactor));
+};
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -2,7 +2,7 @@
 
 import { Balancer, type BalancerSettings } from "@bramleymoor/balance/balancer";
 import { RetryBudget, type RetryLimits } from "@bramleymoor/balance/budget";
-import { knownDemandShare } from "@bramleymoor/balance/fleetdemand";
+import { demandShare } from "@bramleymoor/balance/fleetdemand";
 import type { SendLimiter } from "@bramleymoor/balance/limiter";
 import { ProbeBudget } from "@bramleymoor/balance/probebudget";
 import type { KnownServer } from "@bramleymoor/discovery/servers";
@@ -77,7 +77,7 @@
             };
             probeBudget.update(fleet, dispatcher.balancer.servers.length, now);
             retryBudget.updateDemand(fleet, now);
-            dispatcher.balancer.recordDemandShare(knownDemandShare(fleet), now);
+            dispatcher.balancer.recordDemandShare(demandShare(fleet), now);
         }
     }
 
