membership: entry VMs that start at once load the list from the seeds

Cause: an entry VM that starts pings a seed once, then random members. Where hundreds start at once each of these knows as few as itself, while the seeds, which all have pinged, know most; replies to joining members were limited to 16 kB/s. Change: until the list is loaded a seed is pinged each period too; 200 kB/s for replies to joining members, which only these cause.

--- a/packages/bench/test/membership.test.ts
+++ b/packages/bench/test/membership.test.ts
@@ -157,3 +157,11 @@
     await net.run(20_000);
     assertViewsAgree(net);
 });
+
+test("200 entry VMs that start at once find each other within the 4 s after which they have to be in touch", async () => {
+    const net = new GossipNet(12, undefined, { periodMs: 300, pingTimeoutMs: 250 });
+    net.startAll(200);
+    await net.run(4_000);
+    const known = net.nodes.map(it => it.membership.current.length);
+    assert.ok(Math.min(...known) >= 190, `the entry VM that knows fewest knows ${Math.min(...known)}`);
+});
--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/exchange.ts
@@ -39,7 +39,7 @@
 /** Bytes charged for one indirect ping. */
 const indirectPingBytes = 1500;
 /** Rate of the budget for replies to joining entry VMs. */
-const joinReplyBytesPerSecond = 16_000;
+const joinReplyBytesPerSecond = 200_000;
 
 /** Fills outgoing messages with records that peers may lack, and merges the records of incoming ones. */
 export class GossipExchange {
@@ -48,7 +48,6 @@
     readonly #updateBudget: ByteBudget;
     readonly #joinBudget: ByteBudget;
     #joined = false;
-    /** Whether this entry VM has, most probably, loaded the whole member list from its peers. */
     #listLoaded = false;
     #replies = 0;
     /** Consecutive replies whose digest equals the local one. */
@@ -68,6 +67,11 @@
         return this.#joined;
     }
 
+    /** Whether this entry VM has, most probably, loaded the whole member list from its peers. */
+    get listLoaded(): boolean {
+        return this.#listLoaded;
+    }
+
     markJoined(): void {
         this.#joined = true;
     }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -204,6 +204,9 @@
             void this.#checkMember(target);
         }
         this.#pingNewAddresses();
+        if (!this.#exchange.listLoaded) {
+            void this.#pingSeed();
+        }
         if (this.#periods % lostRetryPeriods === 0) {
             void this.#pingLostAddress();
         }
@@ -270,6 +273,14 @@
         }
     }
 
+    /** Pings a random seed: of many entry VMs that start at once, all contact the seeds, which so know most of them. */
+    async #pingSeed(): Promise<void> {
+        const { seeds } = this.#settings;
+        if (seeds.length > 0) {
+            await this.#ping(seeds[uniformInt(this.#random, 0, seeds.length - 1)] ?? "", undefined);
+        }
+    }
+
     /** Pings a random lost address, so that the two sides of a network partition rejoin. */
     async #pingLostAddress(): Promise<void> {
         const addresses = this.#state.lostAddresses(this.#settings.seeds);
