discovery: an entry VM that restarts waits 40 ms for a peer, not 150 ms

Change: 40 ms for a restart; 500 ms at the first start of the whole system, which the settings name, as no callers wait then.

--- a/packages/bench/src/storereturnfleet.ts
+++ b/packages/bench/src/storereturnfleet.ts
@@ -141,6 +141,7 @@
             rank: () => index,
             peers: () => peers,
             seeds: [],
+            isFirstStart: false,
             random: () => this.#random.next(),
             send: (receivers, message) => {
                 receivers.forEach(it => void this.#deliver(`${index}`, Number(it), message));
--- a/packages/bench/src/storestartfleet.ts
+++ b/packages/bench/src/storestartfleet.ts
@@ -84,6 +84,7 @@
             rank: () => tracker.readerRank,
             peers: () => tracker.others.map(vm => vm.peerAddress),
             seeds: index < seedCount ? [] : others,
+            isFirstStart: true,
             random: () => this.#random.next(),
             send: (receivers, message) => {
                 receivers.forEach(it => void this.#deliver(peerAddressOf(index), it, message));
--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -39,6 +39,8 @@
     readonly peers: () => readonly string[];
     /** Addresses of entry VMs to ask while no others are known; they may be stale or down. */
     readonly seeds: readonly string[];
+    /** Whether the whole system starts for the first time, so that no callers are waiting. */
+    readonly isFirstStart: boolean;
     /** Returns a random number of at least 0 and below 1. */
     readonly random: () => number;
     /** Sends a message to peers; returns false if it is too large to be sent to all of them. */
@@ -193,10 +195,10 @@
 
     /** Returns when to read the store: the first time only when peers have had time to respond. */
     #nextReadAt(topic: KeyedTopic, schedule: ReadSchedule): number {
-        const { seeds } = this.#options;
+        const { seeds, isFirstStart } = this.#options;
         const { position, asOf } = this.#options[cacheNames[topic]];
         if (position === undefined && !schedule.failing && seeds.length > 0) {
-            return this.#startedAt + startAskMs;
+            return this.#startedAt + (isFirstStart ? firstStartAskMs : startAskMs);
         }
         return schedule.nextReadAt(asOf, this.#options.rank());
     }
@@ -464,8 +466,10 @@
 const askAgeMs = 800;
 /** Time between two questions; several fit between the age from which a peer is asked and the first read of a standby. */
 const askIntervalMs = 50;
-/** Time after the start in which peers may respond before the store is read: a few questions, and a peer that is starting too. */
-const startAskMs = 150;
+/** Time after the start in which a peer may respond before the store is read; callers are waiting after a power failure. */
+const startAskMs = 40;
+/** The same for the first start: all machines start within 0.3 s of each other. */
+const firstStartAskMs = 500;
 /** Ranks change while a reader waits; a new primary notices within this time. */
 const maxSleepMs = 500;
 /** Many round trips between peers; a repeated request before the reply can arrive would only waste bandwidth. */
--- a/packages/discovery/test/fleet.ts
+++ b/packages/discovery/test/fleet.ts
@@ -214,6 +214,7 @@
             peers: () =>
                 this.time.now < this.#discoveredAt ? [] : this.vms.map(it => it.id).filter(it => it !== id),
             seeds: this.seeds,
+            isFirstStart: false,
             random: () => this.#nextRandom(),
             send: (peers, message) => {
                 if (JSON.stringify(message).length > this.maxMessageBytes) {
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -148,6 +148,7 @@
             readerRank: () => this.#members.readerRank,
             peers: () => this.#members.others.map(vm => vm.peerAddress),
             seeds: addressesToAskAtStart(settings),
+            isFirstStart: settings.isFirstStart,
             random: Math.random,
             sendToPeers: (peers, message) => this.#peerSocket.sendDiscovery(peers, message),
             onConfig: config => {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -26,6 +26,8 @@
     readonly metrics: ListenAddress;
     /** Hosts of entry VMs through which to join the cluster; may be outdated. */
     readonly seeds: readonly string[];
+    /** Whether the whole system starts for the first time, so that no callers are waiting. */
+    readonly isFirstStart: boolean;
     /** Number of processor cores that the process may use; may be a fraction. */
     readonly processorShare: number;
     /** Bandwidth of the entry VM's link, in Mbit/s. */
--- a/packages/gateway/src/storeview.ts
+++ b/packages/gateway/src/storeview.ts
@@ -30,6 +30,8 @@
     readonly peers: () => readonly string[];
     /** Peer addresses to ask at the start, while no other entry VMs are known. */
     readonly seeds: readonly string[];
+    /** Whether the whole system starts for the first time. */
+    readonly isFirstStart: boolean;
     /** Returns a random number of at least 0 and below 1. */
     readonly random: () => number;
     /** Sends a message to peers; returns false if it is too large. */
@@ -50,7 +52,7 @@
         this.#options = options;
         this.#config = new ConfigCache(configKey, decodeConfig);
         this.#servers = new ServerCache(decodeServer);
-        const { clock, readerRank, peers, seeds, random, sendToPeers, events } = options;
+        const { clock, readerRank, peers, seeds, isFirstStart, random, sendToPeers, events } = options;
         this.#follower = new Follower({
             log,
             config: this.#config,
@@ -60,6 +62,7 @@
             rank: readerRank,
             peers,
             seeds,
+            isFirstStart,
             random,
             send: sendToPeers,
             events: {
