balance, membership: shares of moved requests, and seeds that don't ping themselves

Cause: an entry VM without requests had a share of 0 of them; requests that moved to it found no queue until the average of 2 s had followed. A seed that loads the member list might ping itself. Change: without requests the last share stays; a seed's own address is left out. The test of moved requests fails on the code before.

--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -100,9 +100,14 @@
         this.#preferred = preferred;
     }
 
-    /** Records which share of the service's requests this entry VM gets at present; 1 if all. */
+    /**
+     * Records which share of the service's requests this entry VM gets at present; 1 if all. Without requests the last share
+     * stays, so that requests that move here aren't refused until the average has followed.
+     */
     recordDemandShare(share: number, now: number): void {
-        this.#demandShare.add(share, now);
+        if (share > 0) {
+            this.#demandShare.add(share, now);
+        }
     }
 
     /** Queues a request and returns undefined, or returns why it is refused. */
--- a/packages/balance/test/balancer.test.ts
+++ b/packages/balance/test/balancer.test.ts
@@ -237,6 +237,19 @@
     assert.equal(queue.peek(100), urgent);
 });
 
+test("requests that move to an entry VM find the queue of its present share, not of the time without any", () => {
+    const accepted = (shares: readonly number[]): number => {
+        const balancer = new Balancer({ candidateCount: 3, domain: "a" }, () => 0);
+        balancer.updateServers([{ entry: entry("s1"), lapsed: false }], 0);
+        shares.forEach((share, i) => balancer.recordDemandShare(share, i * 500));
+        const submit = () =>
+            balancer.submit(makeRequest(2_000, { targetAt: 5_000, deadlineAt: 9_000 }), 2_000);
+        return Array.from({ length: 40 }, submit).filter(it => it === undefined).length;
+    };
+    assert.equal(accepted([0, 0, 0, 0.5]), accepted([0.5, 0.5, 0.5, 0.5]));
+    assert.ok(accepted([0.5]) < accepted([1]), `${accepted([0.5])} and ${accepted([1])}`);
+});
+
 test("retries stay within their share of the requests and this entry VM's part of the slack", () => {
     const budget = new RetryBudget({ ratio: 0.2, slack: 40, windowMs: 10_000 });
     for (let i = 0; i < 1_000; i++) {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -275,7 +275,7 @@
 
     /** Pings a random seed: of many entry VMs that start at once, all contact the seeds, which so know most of them. */
     async #pingSeed(): Promise<void> {
-        const { seeds } = this.#settings;
+        const seeds = this.#settings.seeds.filter(it => it !== this.#state.self.peerAddress);
         if (seeds.length > 0) {
             await this.#ping(seeds[uniformInt(this.#random, 0, seeds.length - 1)] ?? "", undefined);
         }
