--- a/packages/bench/src/storestart.ts
+++ b/packages/bench/src/storestart.ts
@@ -2,6 +2,7 @@
 
 import { routeConfig, serverEntry } from "@bramleymoor/testkit/builders";
 import { Command } from "commander";
+import { configKey } from "./storereturnfleet.js";
 import { StartingFleet } from "./storestartfleet.js";
 
 const servers = 40;
@@ -65,6 +66,5 @@
     return rows;
 };
 
-const configKey = "config";
 /** The shortest bound on the propagation of what the store says. */
 const boundMs = 2_000;
