--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -126,6 +126,18 @@
     }
 });
 
+test("an idempotent request to a server that has fallen silent is sent to another one before its time is up", async t => {
+    const silent = await startRawServer(t, "s1", () => undefined);
+    const good = await startRawServer(t, "s2", ({ socket, id }) => socket.write(responseText(id, "ok")));
+    const { port } = await startFrontend(t, [silent, good], { timeoutMs: 2_000, maxAttempts: 2 });
+    const results = await Promise.all(["a", "b", "c", "d"].map(id => sendRaw(port, requestText(id))));
+    assert.ok(silent.requests.length > 0, "the silent server got requests");
+    assert.deepEqual(
+        results.map(it => status(it.text)),
+        [200, 200, 200, 200],
+    );
+});
+
 test("the rest of a long body that a server responded to early is not read as another request", async t => {
     const server = await startRawServer(
         t,
