balance: no bound rests on demand that is heard late; the retry slack is divided equally again

Cause: divided the slack by the demand that entry VMs exchange. That takes 20 s to reach half of 311 entry VMs, and is none until the first message: each entry VM of a service whose traffic begins takes itself for the only one, and all of them together use the slack several times. Its tests told every entry VM the demand of all at once. Change: equal parts, as before. demandShare says that no bound may use it. Ruled out: parts by demand only where it is heard soon, as equal parts suffice there. Open: ProbeBudget uses the same demand, capped at 10 probes a request.

--- a/packages/balance/src/budget.ts
+++ b/packages/balance/src/budget.ts
@@ -1,8 +1,5 @@
 /** Limits retries, the sends beyond the first of each request, to a share of the requests in a sliding window. */
 
-import { totalDemand, type FleetDemand } from "./fleetdemand.js";
-import { MovingAverage } from "./movingaverage.js";
-
 /** Limits on the retries of all entry VMs together. */
 export interface RetryLimits {
     /** Retries as a share of the requests in a window. */
@@ -14,20 +11,16 @@
 }
 
 /**
- * One entry VM's part of a service's retries: a share of its own requests, an equal part of some of the slack, and of the
- * rest as much as it has of the service's requests. In a large fleet few entry VMs serve a service, and equal parts alone
- * would leave nearly all of the slack to those that have no use for it.
+ * One entry VM's part of a service's retries: a share of its own requests and an equal part of the slack. Parts by demand
+ * would exceed the slack while entry VMs don't know each other's demand, which takes longer than the window in a large fleet.
  */
 export class RetryBudget {
     #limits: RetryLimits;
     readonly #requests = new WindowCounter();
     readonly #retries = new WindowCounter();
-    /** This entry VM's share of the service's requests, averaged over about a window. */
-    readonly #demandShare: MovingAverage;
 
     constructor(limits: RetryLimits) {
         this.#limits = limits;
-        this.#demandShare = new MovingAverage(limits.windowMs, 0);
     }
 
     /** Changes the limits; requests and retries already counted remain. */
@@ -35,14 +28,6 @@
         this.#limits = limits;
     }
 
-    /**
-     * Records the present demand. The average makes one entry VM's share shrink as slowly as another's grows when requests
-     * move between them, so that within a window they don't both use the whole.
-     */
-    updateDemand(fleet: FleetDemand, now: number): void {
-        this.#demandShare.add(Math.min(1, fleet.ownRequestsPerSecond / totalDemand(fleet)), now);
-    }
-
     /** Counts the first send of a request. */
     recordRequest(now: number): void {
         this.#requests.add(now, this.#limits.windowMs);
@@ -51,15 +36,12 @@
     /**
      * Debits one retry and returns true, or returns false if the budget is used up.
      *
-     * @param sharers number of entry VMs that share the slack, at least as many as may be sending; Infinity if there is no
-     *     telling
+     * @param sharers number of entry VMs that share the slack, at least as many as may be sending
      */
     tryTake(now: number, sharers: number): boolean {
         const { ratio, slack, windowMs } = this.#limits;
-        const slackShare =
-            equalSlackShare / Math.max(1, sharers) + demandSlackShare * (this.#demandShare.value ?? 0);
-        const allowed =
-            ratio * ratioSafetyFactor * this.#requests.count(now, windowMs) + Math.floor(slack * slackShare);
+        const share = Math.floor((slack * slackSafetyFactor) / Math.max(1, sharers));
+        const allowed = ratio * ratioSafetyFactor * this.#requests.count(now, windowMs) + share;
         if (this.#retries.count(now, windowMs) + 1 > allowed) {
             return false;
         }
@@ -86,9 +68,9 @@
     }
 }
 
-/** Used share of the ratio: a send counts towards the limit when it arrives, which is later than it is counted here. */
+/**
+ * Share of each limit that is used. The margin is needed as a send counts towards the limit when it arrives at the
+ * server, which is later than it is counted here.
+ */
 const ratioSafetyFactor = 0.75;
-/** Share of the slack that is divided equally, for entry VMs whose requests the others don't know of yet. */
-const equalSlackShare = 0.35;
-/** Share of the slack that is divided by demand; the rest covers requests that move between entry VMs within a window. */
-const demandSlackShare = 0.35;
+const slackSafetyFactor = 0.75;
--- a/packages/balance/src/fleetdemand.ts
+++ b/packages/balance/src/fleetdemand.ts
@@ -14,7 +14,8 @@
 
 /**
  * Returns the requests per second for the service at all entry VMs, at least 1; Infinity if there is no telling. Entry VMs
- * that aren't known, as after a network partition, are assumed to have as many requests as the known ones.
+ * that aren't known, as after a network partition, are assumed to have as many requests as the known ones, this one
+ * included: for a bound an estimate that is too high does no harm.
  */
 export const totalDemand = ({ requestsPerSecond, knownEntryVms, entryVms }: FleetDemand): number =>
     Math.max(1, requestsPerSecond ?? Infinity) * Math.max(1, entryVms / Math.max(1, knownEntryVms));
@@ -22,6 +23,7 @@
 /**
  * Returns this entry VM's part of the requests for the service, from 0 to 1; 1 while that isn't known. Demand takes long to
  * reach all members of a large fleet, so the other entry VMs are assumed to have as many requests as the known ones of them.
+ * It may be outdated and so too high, which costs latency only; no bound may depend on it.
  */
 export const demandShare = (fleet: FleetDemand): number => {
     const { ownRequestsPerSecond: own, requestsPerSecond: known, knownEntryVms, entryVms } = fleet;
--- a/packages/balance/src/movingaverage.ts
+++ b/packages/balance/src/movingaverage.ts
@@ -3,16 +3,14 @@
 /** Averages samples with weights that decay exponentially with age. */
 export class MovingAverage {
     readonly #timeConstantMs: number;
-    #value: number | undefined;
+    #value: number | undefined = undefined;
     #sampledAt: number | undefined = undefined;
 
-    /** @param initial value before the first sample; undefined to begin with the first sample */
-    constructor(timeConstantMs: number, initial?: number) {
+    constructor(timeConstantMs: number) {
         this.#timeConstantMs = timeConstantMs;
-        this.#value = initial;
     }
 
-    /** The average; undefined before the first sample if there is no initial value. */
+    /** The average; undefined before the first sample. */
     get value(): number | undefined {
         return this.#value;
     }
--- a/packages/balance/test/budget.test.ts
+++ b/packages/balance/test/budget.test.ts
@@ -5,7 +5,6 @@
 
 const limits: RetryLimits = { ratio: 0.2, slack: 430, windowMs: 10_000 };
 const stepMs = 100;
-const demandPeriodMs = 500;
 const msPerSecond = 1_000;
 
 /** A fleet whose entry VMs all retry as often as their budgets allow. */
@@ -35,9 +34,6 @@
      */
     run(untilMs: number, retriesPerRequest: number): void {
         for (let now = this.requests.length * stepMs; now < untilMs; now += stepMs) {
-            if (now % demandPeriodMs === 0) {
-                this.#publishDemand(now);
-            }
             let requests = 0;
             let retries = 0;
             this.#budgets.forEach((budget, i) => {
@@ -56,18 +52,6 @@
             this.retries.push(retries);
         }
     }
-
-    #publishDemand(now: number): void {
-        const requestsPerSecond = this.#rates.reduce((sum, it) => sum + it, 0);
-        const entryVms = this.#budgets.length;
-        this.#budgets.forEach((budget, i) => {
-            const ownRequestsPerSecond = this.#rates[i] ?? 0;
-            budget.updateDemand(
-                { ownRequestsPerSecond, requestsPerSecond, knownEntryVms: entryVms, entryVms },
-                now,
-            );
-        });
-    }
 }
 
 /** Returns the largest excess of the retries of a window over what the limits allow; negative if they are kept. */
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -63,12 +63,12 @@
     }
 
     /**
-     * Computes the probe and retry budgets and the shares of the slots from the demand of all entry VMs.
+     * Computes the probe budgets and the shares of the slots from the demand of all entry VMs.
      *
      * @param entryVms number of entry VMs that may be sending, whether known or not; Infinity if there is no telling
      */
     updateDemand(demand: ServiceDemand, entryVms: number, now: number): void {
-        for (const [name, { dispatcher, probeBudget, retryBudget }] of this.#services) {
+        for (const [name, { dispatcher, probeBudget }] of this.#services) {
             const fleet = {
                 ownRequestsPerSecond: demand.ownServiceRate(name),
                 requestsPerSecond: demand.serviceRate(name),
@@ -76,7 +76,6 @@
                 entryVms,
             };
             probeBudget.update(fleet, dispatcher.balancer.servers.length, now);
-            retryBudget.updateDemand(fleet, now);
             dispatcher.balancer.recordDemandShare(demandShare(fleet), now);
         }
     }
