--- a/packages/balance/src/balancer.ts
+++ b/packages/balance/src/balancer.ts
@@ -349,38 +349,30 @@
 
     /** Number of queued requests up to which a new one can still meet its target. */
     #queueLimit(request: Request, now: number): number {
-        const slackMs = request.targetAt - now - this.expectedLatencyMs;
         const lateLimit = lateQueueLimit * (this.#demandShare.value ?? 1);
-        return Math.max(lateLimit, (slackMs * queueableSlackShare) / this.#startIntervalMs(now));
+        return Math.max(
+            lateLimit,
+            (this.#slackMs(request, now) * queueableSlackShare) / this.#startIntervalMs(now),
+        );
     }
 
-    /**
-     * Refuses a request until there is probably room. The time is randomized, so that refused callers don't all return at
-     * once.
-     */
     #overloaded(request: Request, now: number): Refusal {
         this.#overload.recordRefusal(now);
+        const refused = {
+            leftMs: Math.max(0, request.callerDeadlineAt - now),
+            slackMs: this.#slackMs(request, now),
+            closedMs: this.#earliestStartAt(this.#usableServers(now), now) - now,
+            drainMs: this.#queue.size * this.#startIntervalMs(now),
+        };
         return {
             reason: "overloaded",
-            retryAfterMs: this.#returnDelayMs(request, now) * (1 + this.#random()),
+            retryAfterMs: this.#overload.returnDelayMs(refused, this.#random(), now),
         };
     }
 
-    /**
-     * Returns when a refused caller should return at the earliest: when the first server is open, or else when the queue has
-     * drained, but not before the overload has lasted as long again. A caller that can't be in time any more loses little by
-     * returning later, and leaves the room to others until then.
-     */
-    #returnDelayMs(request: Request, now: number): number {
-        const longestMs = Math.max(0, request.callerDeadlineAt - now) * maxReturnShare;
-        const drainMs = Math.max(minReturnMs, this.#queue.size * this.#startIntervalMs(now));
-        const closedMs = this.#earliestStartAt(this.#usableServers(now), now) - now;
-        if (closedMs > 0) {
-            return Math.min(longestMs, Math.max(drainMs, closedMs));
-        }
-        const soonMs = Math.max(drainMs, this.#overload.durationMs(now));
-        const canBeInTime = now + soonMs + this.expectedLatencyMs <= request.targetAt;
-        return Math.min(longestMs / 2, canBeInTime ? soonMs : Math.max(soonMs, lateReturnMs));
+    /** Time by which a request's start may be delayed so that it still meets its target; negative if it can't. */
+    #slackMs(request: Request, now: number): number {
+        return request.targetAt - now - this.expectedLatencyMs;
     }
 
     /** Expected time between two starts of requests at this entry VM while the service is fully loaded. */
@@ -414,12 +406,6 @@
 
 /** Shortest retry time without a server; new and returning ones become known within about a second. */
 const noServerRetryMs = 400;
-/** About the duration of a request; a caller that retries sooner finds the same queue. */
-const minReturnMs = 120;
-/** About the length of a peak. */
-const lateReturnMs = 1_000;
-/** Longest delay as a share of the time that a caller has left, so that it can return more than once. */
-const maxReturnShare = 1 / 3;
 /**
  * A request that can no longer meet its target may wait for the next idle slot, but not behind others; at all entry VMs
  * together, as those that are in time go first and it would wait in vain.
