--- a/packages/discovery/src/follower.ts
+++ b/packages/discovery/src/follower.ts
@@ -2,7 +2,6 @@
 
 import type { RouteConfig } from "@bramleymoor/model/route";
 import { ReadSchedule, type ReadScheduleSettings } from "./schedule.js";
-import type { ConfigCache } from "./config.js";
 import {
     OutdatedEraError,
     RecordsExpiredError,
@@ -10,7 +9,8 @@
     type KeyedPage,
     type KeyedTopic,
 } from "./log.js";
-import type { DiscoveryMessage } from "./messages.js";
+import type { DiscoveryMessage, TopicMessage } from "./messages.js";
+import { PeerExchange, type PeerExchangeOptions } from "./peerexchange.js";
 import type { ServerCache, ServerUpdate } from "./servers.js";
 
 /** Callbacks of a follower. */
@@ -26,25 +26,13 @@
 }
 
 /** Dependencies of a follower. */
-export interface FollowerOptions {
+export interface FollowerOptions extends PeerExchangeOptions {
     readonly log: KeyedLog;
-    readonly config: ConfigCache;
-    readonly servers: ServerCache;
     readonly clock: () => number;
     /** Resolves after `ms` milliseconds, or when the signal aborts. */
     readonly delay: (ms: number, signal: AbortSignal) => Promise<void>;
-    /** Returns this entry VM's rank among the readers; 0 is the primary reader. */
-    readonly rank: () => number;
-    /** Returns the addresses of the other entry VMs. */
-    readonly peers: () => readonly string[];
-    /** Addresses of entry VMs to ask while no others are known; they may be stale or down. */
-    readonly seeds: readonly string[];
     /** Whether the whole system starts for the first time, so that no callers are waiting. */
     readonly isFirstStart: boolean;
-    /** Returns a random number of at least 0 and below 1. */
-    readonly random: () => number;
-    /** Sends a message to peers; returns false if it is too large to be sent to all of them. */
-    readonly send: (peers: readonly string[], message: DiscoveryMessage) => boolean;
     readonly events: FollowerEvents;
 }
 
@@ -53,17 +41,15 @@
     readonly #options: FollowerOptions;
     readonly #configSchedule = new ReadSchedule(configSchedule);
     readonly #serverSchedule = new ReadSchedule(serverSchedule);
-    #requestedAt = -Infinity;
+    readonly #exchange: PeerExchange;
     /** Up to where peers have announced a configuration without its text; it has to be read from the store. */
     #announced: { readonly era: number | undefined; readonly to: number } | undefined = undefined;
-    #offeredAt = -Infinity;
     #startedAt = 0;
-    /** When a peer was last asked for what it has read. */
-    #askedAt = -Infinity;
     #configSleep = new AbortController();
 
     constructor(options: FollowerOptions) {
         this.#options = options;
+        this.#exchange = new PeerExchange(options);
     }
 
     /** Runs until the signal aborts. */
@@ -84,13 +70,13 @@
         const { clock } = this.#options;
         const now = clock();
         if (message.topic === "question") {
-            this.#respond(message, from);
+            this.#exchange.respond(message, from, now);
             return;
         }
         const { passTo, ...content } = message;
         const aged = { ...content, ageMs: content.ageMs + unreadMs };
         if (passTo) {
-            this.#send(passTo, aged);
+            this.#exchange.send(passTo, aged);
         }
         if (aged.topic === "servers") {
             this.#applyServers(aged, from, now);
@@ -102,7 +88,7 @@
     #applyServers({ news: update, ageMs }: TopicMessage<"servers">, from: string, now: number): void {
         const { servers } = this.#options;
         if (servers.leavesGap(update)) {
-            this.#requestMissing(from, now);
+            this.#exchange.requestMissing(from, now);
             return;
         }
         const era = eraOf(servers);
@@ -141,10 +127,9 @@
             return;
         }
         if (version > own) {
-            this.#requestMissing(peer, now, true);
-        } else if (this.#options.rank() <= maxBroadcasters && now - this.#offeredAt >= minRequestIntervalMs) {
-            this.#offeredAt = now;
-            this.#sendConfig(peer);
+            this.#exchange.requestMissing(peer, now, true);
+        } else {
+            this.#exchange.offerConfig(peer, now);
         }
     }
 
@@ -162,7 +147,7 @@
     /** Reads a configuration that a peer knows, from the store or, if the store can't be read, from the peer. */
     #followAnnouncement(era: number | undefined, to: number, from: string, now: number): void {
         if (this.#configSchedule.failing) {
-            this.#requestMissing(from, now);
+            this.#exchange.requestMissing(from, now);
             return;
         }
         this.#announced = { era, to };
@@ -185,7 +170,7 @@
             }
             const askAt = schedule.failing ? Infinity : this.#nextAskAt(topic);
             if (askAt <= now) {
-                this.#askPeer(now);
+                this.#exchange.ask(now);
                 continue;
             }
             await this.#sleep(topic, Math.min(readAt - now, askAt - now, maxSleepMs), signal);
@@ -214,32 +199,10 @@
         }
         return Math.max(
             position === undefined ? this.#startedAt : asOf + askAgeMs,
-            this.#askedAt + askIntervalMs,
+            this.#exchange.askedAt + askIntervalMs,
         );
     }
 
-    /** Asks a random peer, or a random seed while no peers are known, for what has changed in both topics. */
-    #askPeer(now: number): void {
-        const { peers, seeds, random, send } = this.#options;
-        const known = peers();
-        const candidates = known.length > 0 ? known : seeds;
-        const peer = candidates[Math.floor(random() * candidates.length)];
-        this.#askedAt = now;
-        if (peer !== undefined) {
-            send([peer], this.#question());
-        }
-    }
-
-    #question(wholeConfig = false): TopicMessage<"question"> {
-        const { config, servers } = this.#options;
-        return {
-            topic: "question",
-            era: servers.era,
-            ...(servers.position === undefined ? {} : { servers: servers.position }),
-            ...(config.position === undefined || wholeConfig ? {} : { configuration: config.position }),
-        };
-    }
-
     /** Sleeps until `ms` have passed, the signal aborts, or a configuration is announced that has to be read. */
     async #sleep(topic: KeyedTopic, ms: number, signal: AbortSignal): Promise<void> {
         const sleep = new AbortController();
@@ -266,11 +229,12 @@
             }
             schedule.recordFailure(clock());
             if (this.#options.config.position === undefined || this.#options.servers.position === undefined) {
-                this.#requestFromFirstPeer();
+                this.#exchange.requestFromFirstPeer(clock());
             }
         }
     }
 
+    /** Reads the servers and passes on what has changed; not the result of the initial read, which peers know already. */
     async #readServers(): Promise<void> {
         const { log, servers, clock } = this.#options;
         const asOf = clock();
@@ -285,7 +249,7 @@
         this.#reportServers(update, "store", clock() - asOf);
         this.#reportEra("servers", era, servers, "store");
         if (!isInitialRead) {
-            this.#broadcast({ topic: "servers", ageMs: clock() - asOf, news: update });
+            this.#exchange.broadcast({ topic: "servers", ageMs: clock() - asOf, news: update });
         }
     }
 
@@ -317,7 +281,7 @@
         if (update && !isInitialRead) {
             const text = isNewer && update.value ? new TextDecoder().decode(update.value) : undefined;
             const ageMs = clock() - config.asOf;
-            this.#broadcast({
+            this.#exchange.broadcast({
                 topic: "configuration",
                 ageMs,
                 era: update.era,
@@ -368,79 +332,6 @@
             this.#options.events.serversChanged(update, origin, ageMs);
         }
     }
-
-    /**
-     * Sends what was read to the peers, if this is one of the first readers: in a large fleet, every standby would
-     * otherwise send to every peer. If there are many peers, one of each group forwards the message to the rest. The
-     * result of the initial read isn't sent, as peers know it already.
-     */
-    #broadcast(message: TopicMessage<"servers" | "configuration">): void {
-        const peers = this.#options.peers();
-        if (this.#options.rank() >= maxBroadcasters) {
-            return;
-        }
-        if (peers.length <= maxDirectPeers) {
-            this.#send(peers, message);
-            return;
-        }
-        const size = Math.ceil(Math.sqrt(peers.length));
-        for (let at = 0; at < peers.length; at += size) {
-            const [first, ...passTo] = peers.slice(at, at + size);
-            this.#send(first === undefined ? [] : [first], { ...message, passTo });
-        }
-    }
-
-    /** Sends a message. A configuration that is too large is sent without its text; peers then read the store. */
-    #send(peers: readonly string[], message: DiscoveryMessage): void {
-        if (!this.#options.send(peers, message) && message.topic === "configuration") {
-            this.#options.send(peers, { ...message, text: undefined });
-        }
-    }
-
-    /** Requests the missing changes, or the whole configuration, from a peer, at a limited rate. */
-    #requestMissing(peer: string, now: number, wholeConfig = false): void {
-        if (now - this.#requestedAt < minRequestIntervalMs) {
-            return;
-        }
-        this.#requestedAt = now;
-        this.#options.send([peer], this.#question(wholeConfig));
-    }
-
-    #requestFromFirstPeer(): void {
-        const [peer] = this.#options.peers();
-        if (peer !== undefined) {
-            this.#requestMissing(peer, this.#options.clock());
-        }
-    }
-
-    #respond(request: TopicMessage<"question">, from: string): void {
-        const { config, servers, clock } = this.#options;
-        const isSameEra = (request.era ?? servers.era) === servers.era;
-        const since = isSameEra ? request.servers : undefined;
-        const update =
-            (since === undefined ? undefined : servers.changesSince(since)) ?? servers.fullUpdate();
-        if (update) {
-            this.#send([from], { topic: "servers", ageMs: clock() - servers.asOf, news: update });
-        }
-        const isNewer = !isSameEra || (config.position ?? -1) > (request.configuration ?? -1);
-        this.#sendConfig(from, isNewer);
-    }
-
-    /** Sends what is known of the configuration; without its text if the receiver has that and asks for its age only. */
-    #sendConfig(peer: string, withText = true): void {
-        const { config, clock } = this.#options;
-        const known = config.update;
-        if (known?.value) {
-            this.#send([peer], {
-                topic: "configuration",
-                ageMs: clock() - config.asOf,
-                era: known.era,
-                to: known.to,
-                version: config.config?.version,
-                ...(withText ? { text: new TextDecoder().decode(known.value) } : {}),
-            });
-        }
-    }
 }
 
 /** Returns the known era; undefined before the first read. */
@@ -458,8 +349,6 @@
 /** Names of the options that hold each topic's data. */
 const cacheNames = { configuration: "config", servers: "servers" } as const;
 
-type TopicMessage<T extends DiscoveryMessage["topic"]> = Extract<DiscoveryMessage, { readonly topic: T }>;
-
 /** Half of the shortest limit on the propagation of a configuration, so that a standby has time to take over. */
 const longPollMs = 500;
 /** Age from which a peer is asked: an update of the primary reader is overdue, and no standby reads yet. */
@@ -472,12 +361,6 @@
 const firstStartAskMs = 500;
 /** Ranks change while a reader waits; a new primary notices within this time. */
 const maxSleepMs = 500;
-/** Many round trips between peers; a repeated request before the reply can arrive would only waste bandwidth. */
-const minRequestIntervalMs = 150;
-/** A link of 7 Mbit/s carries this many datagrams of a few kilobytes within 0.2 s. */
-const maxDirectPeers = 32;
-/** The primary and two standbys, so that updates still arrive on time if two of them fail. */
-const maxBroadcasters = 3;
 
 /** A new version has to be in force everywhere within 2 s; a standby reads before that. */
 const configSchedule: ReadScheduleSettings = {
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -65,3 +65,9 @@
 
 /** A message between entry VMs. */
 export type DiscoveryMessage = z.infer<typeof discoveryMessageSchema>;
+
+/** A message about one topic. */
+export type TopicMessage<T extends DiscoveryMessage["topic"]> = Extract<
+    DiscoveryMessage,
+    { readonly topic: T }
+>;
--- a/packages/discovery/test/fleet.test.ts
+++ b/packages/discovery/test/fleet.test.ts
@@ -155,6 +155,16 @@
     assert.equal(fleet.vms[20]?.config.config?.version, 2);
 });
 
+test("beside a healthy primary reader no other entry VM reads the store", async t => {
+    const fleet = await startFleet(14, 10);
+    t.after(() => fleet.stop());
+    const callsOfOthers = (): number =>
+        [...fleet.store.callsBy].reduce((sum, [id, calls]) => sum + (id === "vm0" ? 0 : calls), 0);
+    const before = callsOfOthers();
+    await fleet.time.run(13_000);
+    assert.equal(callsOfOthers() - before, 0);
+});
+
 test("an entry VM that starts beside others gets everything from them, without a call to the store", async t => {
     const fleet = new Fleet(5, 0, ["vm0"]);
     t.after(() => fleet.stop());
