Log which request was in flight when a server ended its connection

Cause: not known; no log line said which attempts carry the same request, so that hypothesis 1 (nobody connects the attempts) couldn't be told from 3 (servers end by themselves). Event 8013 names server, request and a fingerprint of account, host, method, target and body for each connection that a server ends without a response. No decision depends on it.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -18,6 +18,11 @@
         this.#limit = limit;
     }
 
+    /** What has been buffered: the whole body, or the beginning of one that is too large. */
+    get buffered(): readonly Buffer[] {
+        return this.#chunks;
+    }
+
     /** Whether the body can be sent, or sent again. */
     get replayable(): boolean {
         return this.#complete || !this.#streamed;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -2,13 +2,14 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { LoadSnapshot, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
-import type { Route } from "@bramleymoor/model/route";
+import type { Route, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { toCallError } from "@bramleymoor/proxy/responses";
 import type { Timer, TimerSet } from "@bramleymoor/proxy/timers";
 import { drainPendingInput, mayHideDisconnect, type InputDelay } from "@bramleymoor/proxy/unreadinput";
+import { fingerprint } from "@bramleymoor/quarantine/fingerprint";
 import type { KeepAliveAgent } from "./agent.js";
 import { RequestBody } from "./body.js";
 import type { Dispatcher, RecordStatement } from "./dispatcher.js";
@@ -26,6 +27,16 @@
 import { Relay } from "./relay.js";
 import type { WireFormat } from "./wireformat.js";
 
+/** A send whose connection the server ended without a response. */
+export interface LostSend {
+    readonly requestId: string;
+    /** Identifies the request among attempts that carry the same one. */
+    readonly fingerprint: string;
+    readonly server: ServerEntry;
+    /** Time from the send to the end of the connection, in milliseconds. */
+    readonly afterMs: number;
+}
+
 /** Dependencies that all requests share. */
 export interface ForwardOptions {
     readonly wire: WireFormat;
@@ -59,6 +70,8 @@
     readonly countAhead: (req: IncomingMessage) => number;
     /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
     readonly extraHeaders: (req: IncomingMessage) => readonly string[];
+    /** Called for each send whose connection the server ended without a response. */
+    readonly onSendLost: (send: LostSend) => void;
     /** Called once at the end of each request. */
     readonly onDone: (record: ForwardRecord) => void;
 }
@@ -75,6 +88,7 @@
     readonly #sent = new Set<Slot>();
     #route: Route | undefined = undefined;
     #service = "";
+    #fingerprint = "";
     #deadlineTimer: Timer | undefined = undefined;
     #abortWait: (error: CallError) => void = () => undefined;
     #callerGone = false;
@@ -139,6 +153,7 @@
             this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
         );
         await this.#abortable(body.buffer());
+        this.#fingerprint = this.#computeFingerprint(body);
         await this.#readDisconnect(this.#inputDelay.acceptMs);
         const elapsedMs = this.#options.elapsedMs(route, callerDeadlineMs);
         let request: Request = {
@@ -251,6 +266,14 @@
             return relayResult === "broken-before-start" ? { kind: "lost" } : outcomeOfRelay[relayResult];
         } catch (err) {
             if (err instanceof SendError) {
+                if (err.result.kind === "lost") {
+                    this.#options.onSendLost({
+                        requestId,
+                        fingerprint: this.#fingerprint,
+                        server: slot.server,
+                        afterMs: clock() - startedAt,
+                    });
+                }
                 return settle(err.result);
             }
             if (exchange.sent) {
@@ -265,6 +288,18 @@
         }
     }
 
+    #computeFingerprint(body: RequestBody): string {
+        const { headers, method, url } = this.#req;
+        return fingerprint({
+            account: this.#options.wire.accountHeaders.map(it => String(headers[it] ?? "")),
+            host: headers.host ?? "",
+            method: method ?? "GET",
+            target: url ?? "/",
+            body: body.buffered,
+            bodyLength: headers["content-length"],
+        });
+    }
+
     /** Whether a server may have received the request and has not reported that it didn't run it. */
     get #isSent(): boolean {
         return this.#uncertainResult !== undefined || (this.#exchange?.sent ?? false);
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -313,6 +313,7 @@
             acceptWaitMs: req => this.#frontend.acceptWaitMs(req),
             countAhead: req => this.#frontend.countAhead(req),
             extraHeaders: req => this.#frontend.extraHeaders(req),
+            onSendLost: send => this.#reporter.reportLostSend(send),
             onDone: record => this.#reporter.report(record),
         };
     }
--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -2,6 +2,7 @@
 
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import type { CallMetrics } from "@bramleymoor/observe/metrics";
+import type { LostSend } from "./forward.js";
 import { formatLoad, type ForwardRecord } from "./outcomes.js";
 import type { ProbeUsageReport } from "./probeusage.js";
 
@@ -67,6 +68,17 @@
         }
     }
 
+    /** Logs a send whose connection the server ended without a response. */
+    reportLostSend({ requestId, fingerprint, server, afterMs }: LostSend): void {
+        this.#options.events.emit("send-lost", {
+            requestId,
+            fingerprint,
+            server: server.id,
+            service: server.service,
+            afterMs: Math.round(afterMs),
+        });
+    }
+
     /** Logs what a service's probes were used for and updates the metrics. */
     reportProbes(usage: ProbeUsageReport): void {
         const { reservations, candidates, granted, sent, shared, answered, unanswered } = usage;
--- a/packages/gateway/src/wireformat.ts
+++ b/packages/gateway/src/wireformat.ts
@@ -13,6 +13,8 @@
 export interface WireFormat {
     /** Names, in lower case, of the headers that the gateway sets itself and never forwards. */
     readonly reservedHeaders: ReadonlySet<string>;
+    /** Names, in lower case, of the headers that tell callers' accounts apart. */
+    readonly accountHeaders: readonly string[];
     /** Returns the id of a caller's attempt; undefined if there is none. */
     requestId(headers: IncomingHttpHeaders): string | undefined;
     /** Returns how long the caller will wait, in milliseconds; undefined if it doesn't say. */
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -25,6 +25,7 @@
 /** The wire format between the tests' callers and servers. */
 export const testWire: WireFormat = {
     reservedHeaders: new Set(["t-deadline", "t-server"]),
+    accountHeaders: ["t-account"],
     requestId: headers => text(headers["t-id"]),
     deadlineMs: headers => (headers["t-deadline"] === undefined ? undefined : Number(headers["t-deadline"])),
     requestHeaders: (deadlineMs, serverId) => ["t-deadline", String(deadlineMs), "t-server", serverId],
@@ -241,6 +242,7 @@
         acceptWaitMs: req => frontend.acceptWaitMs(req),
         countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
+        onSendLost: () => undefined,
         onDone: record => records.push(record),
     };
     const frontend = new FrontendServer({
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -325,6 +325,18 @@
             probedServers: "number",
         },
     ),
+    "send-lost": defineEvent(
+        8013,
+        "info",
+        "Backend server {server} of {service} ended its connection {afterMs} ms after request {requestId} was sent to it, without a response; fingerprint {fingerprint}.",
+        {
+            server: "string",
+            service: "string",
+            requestId: "string",
+            fingerprint: "string",
+            afterMs: "number",
+        },
+    ),
     "internal-error": defineEvent(9001, "error", "Internal error while {doing}: {reason}.", {
         doing: "string",
         reason: "string",
