Requests under which servers crash are quarantined, at all entry VMs together

Cause: each entry VM saw one or two lost connections and tried the next server; nobody connected the attempts. A bound over the whole fleet on a property of the request, kept by nobody.

Change: package quarantine. A server that can't be reached after a send was lost there counts as ended under that request's fingerprint; entry VMs merge these endings by datagrams. Three endings at two moments without an answer in between keep the request from servers, but for rare trials; an answer seen anywhere clears it. Ruled out: no retries (in-flight requests would fail), counting alone or in the store, all headers in the fingerprint: docs/design/10-quarantine.md.

--- /dev/null
+++ b/packages/gateway/src/crashexchange.ts
@@ -0,0 +1,149 @@
+/** Connects the quarantine of requests with the sends of this entry VM, the other entry VMs and the log. */
+
+import { incarnationKey, type ServerEntry } from "@bramleymoor/model/route";
+import type { EventLog } from "@bramleymoor/observe/event-log";
+import { CallError } from "@bramleymoor/protocol/errors";
+import { delay } from "@bramleymoor/proxy/delay";
+import type { CrashMessage } from "@bramleymoor/quarantine/messages";
+import { Quarantine, type SendEnd } from "@bramleymoor/quarantine/quarantine";
+
+/** How a send of a request ended. */
+export interface SendOutcome {
+    /** Fingerprint of the request. */
+    readonly fingerprint: string;
+    readonly server: ServerEntry;
+    readonly sentAt: number;
+    readonly end: SendEnd;
+}
+
+/** Keeps requests from servers that end under them. */
+export interface CrashGuard {
+    /**
+     * Resolves when a request may be sent; to true if it is a trial, which isn't to be sent again.
+     *
+     * @throws CallError if the request is quarantined
+     */
+    admit(fingerprint: string): Promise<boolean>;
+    /** Ends the trial of a request that was admitted for one. */
+    endTrial(fingerprint: string): void;
+    /** Whether the request has been quarantined since it was admitted. */
+    isQuarantined(fingerprint: string): boolean;
+    /** Records how a send ended; resolves when the request may be sent again. */
+    recordEnd(outcome: SendOutcome): Promise<void>;
+    /** Records whether a server has responded to a probe sent at `sentAt`. */
+    recordProbe(server: ServerEntry, isAlive: boolean, sentAt: number): void;
+}
+
+/** Dependencies of a `CrashExchange`. */
+export interface CrashExchangeOptions {
+    /** Stable name of this entry VM. */
+    readonly self: string;
+    readonly events: Pick<EventLog, "emit">;
+    /** Returns the names of all entry VMs that aren't dead, this one's included. */
+    readonly members: () => readonly string[];
+    /** Sends a message to all other entry VMs. */
+    readonly send: (message: CrashMessage) => void;
+    /** Probes a server, unless too many are probed already; resolves when the result has been recorded. */
+    readonly probe: (server: ServerEntry) => Promise<void>;
+    /** Returns monotonic milliseconds. */
+    readonly clock: () => number;
+}
+
+/** The quarantine of one entry VM, kept up to date with its peers and logged. */
+export class CrashExchange implements CrashGuard {
+    readonly #options: CrashExchangeOptions;
+    readonly #quarantine: Quarantine;
+
+    constructor(options: CrashExchangeOptions) {
+        this.#options = options;
+        this.#quarantine = new Quarantine(options.self);
+    }
+
+    /** Number of quarantined requests. */
+    get quarantined(): number {
+        return this.#quarantine.quarantined;
+    }
+
+    async admit(fingerprint: string): Promise<boolean> {
+        const { members, clock } = this.#options;
+        const admission = this.#quarantine.admit(fingerprint, members().length > 1, clock());
+        if (admission.kind === "free") {
+            return false;
+        }
+        if (admission.kind === "quarantined") {
+            throw new CallError("quarantined", "", admission.retryAfterMs);
+        }
+        this.#sendDue();
+        await delay(admission.waitMs);
+        if (!this.#quarantine.holdsTrial(fingerprint)) {
+            throw new CallError("quarantined", "", trialRetryMs);
+        }
+        this.#options.events.emit("request-trial", { fingerprint });
+        return true;
+    }
+
+    endTrial(fingerprint: string): void {
+        this.#quarantine.endTrial(fingerprint);
+    }
+
+    isQuarantined(fingerprint: string): boolean {
+        return this.#quarantine.isQuarantined(fingerprint);
+    }
+
+    async recordEnd({ fingerprint: key, server, sentAt, end }: SendOutcome): Promise<void> {
+        const { clock, probe } = this.#options;
+        const incarnation = incarnationKey(server);
+        this.#quarantine.recordEnd({ key, server: incarnation, sentAt, end }, clock());
+        this.#logChanges();
+        if (end === "lost" && this.#quarantine.isUnclear(incarnation)) {
+            const probed = probe(server);
+            if (this.#quarantine.isSuspect(key)) {
+                await Promise.race([probed, delay(maxProbeWaitMs)]);
+            }
+        }
+    }
+
+    recordProbe(server: ServerEntry, isAlive: boolean, sentAt: number): void {
+        this.#quarantine.recordProbe(incarnationKey(server), isAlive, sentAt, this.#options.clock());
+        this.#logChanges();
+    }
+
+    /** Processes a peer's message. */
+    receive(message: CrashMessage): void {
+        this.#quarantine.receive(message, this.#options.clock());
+        this.#logChanges();
+    }
+
+    /** Sends what is due. To be called often. */
+    tick(): void {
+        this.#sendDue();
+        this.#logChanges();
+    }
+
+    #sendDue(): void {
+        const { members, send, clock } = this.#options;
+        this.#quarantine.tick(members(), clock()).forEach(it => send(it));
+    }
+
+    #logChanges(): void {
+        const { events } = this.#options;
+        for (const { key: fingerprint, kind, endings } of this.#quarantine.takeChanges()) {
+            switch (kind) {
+                case "ending":
+                    events.emit("server-ended-under-request", { fingerprint, endings });
+                    break;
+                case "quarantined":
+                    events.emit("request-quarantined", { fingerprint, endings });
+                    break;
+                case "cleared":
+                    events.emit("request-cleared", { fingerprint, endings });
+                    break;
+            }
+        }
+    }
+}
+
+/** Time until a trial that another entry VM has begun has probably ended. */
+const trialRetryMs = 500;
+/** Longest time for which a request waits to learn whether its last server has ended; a refused connection takes less. */
+const maxProbeWaitMs = 100;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -5,6 +5,7 @@
 import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import { incarnationKey, type ServerEntry, type ServiceSettings } from "@bramleymoor/model/route";
+import type { CrashGuard } from "./crashexchange.js";
 import type { ProbeClient } from "./probeclient.js";
 import { ProbeRound } from "./proberound.js";
 import { ProbeUsage, type ProbeUsageReport } from "./probeusage.js";
@@ -29,6 +30,8 @@
     readonly probeBudget: ProbeBudget;
     /** Records what a server says of itself in its response to a probe. */
     readonly recordStatement: RecordStatement;
+    /** Records whether a server has responded to a probe sent at `sentAt`. */
+    readonly recordProbe: CrashGuard["recordProbe"];
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -39,6 +42,7 @@
     readonly #probeClient: ProbeClient;
     readonly #probeBudget: ProbeBudget;
     readonly #recordStatement: RecordStatement;
+    readonly #recordProbe: CrashGuard["recordProbe"];
     readonly #clock: () => number;
     readonly #usage: ProbeUsage;
     /** Probes in flight by incarnation key; each resolves when its result has been recorded. */
@@ -48,13 +52,14 @@
 
     constructor(
         settings: ServiceSettings,
-        { balancer, probeClient, probeBudget, recordStatement, clock }: DispatcherOptions,
+        { balancer, probeClient, probeBudget, recordStatement, recordProbe, clock }: DispatcherOptions,
     ) {
         this.#settings = settings;
         this.#balancer = balancer;
         this.#probeClient = probeClient;
         this.#probeBudget = probeBudget;
         this.#recordStatement = recordStatement;
+        this.#recordProbe = recordProbe;
         this.#clock = clock;
         this.#usage = new ProbeUsage(clock());
     }
@@ -105,6 +110,14 @@
         this.#dispatchWaiting();
     }
 
+    /** Probes a server that may have ended, unless the budget is used up; resolves when the result has been recorded. */
+    async checkServer(server: ServerEntry): Promise<void> {
+        if (this.#pendingProbes.has(incarnationKey(server)) || this.#probeBudget.tryTake(this.#clock())) {
+            await this.#probe(server);
+            this.#dispatchWaiting();
+        }
+    }
+
     /** Records that the head of the response to a slot's request has arrived. */
     recordResponseHead(slot: Slot): void {
         this.#balancer.recordResponseHead(slot);
@@ -203,7 +216,9 @@
             this.#probeBudget.recordUnplanned(),
         );
         this.#usage.record(response ? "answered" : "unanswered");
-        if (!response || response.misdirected) {
+        const isAlive = response !== undefined && !response.misdirected;
+        this.#recordProbe(server, isAlive, startedAt);
+        if (!isAlive) {
             this.#balancer.recordUnansweredProbe(server, this.#clock());
             return;
         }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -12,12 +12,14 @@
 import { fingerprint } from "@bramleymoor/quarantine/fingerprint";
 import type { KeepAliveAgent } from "./agent.js";
 import { RequestBody } from "./body.js";
+import type { CrashGuard } from "./crashexchange.js";
 import type { Dispatcher, RecordStatement } from "./dispatcher.js";
 import { sendError } from "./errorresponse.js";
 import { Exchange, SendError } from "./exchange.js";
 import {
     errorFor,
     isNotRun,
+    sendEndOf,
     slotResultOfRelay,
     outcomeOfRelay,
     slotOrThrow,
@@ -37,6 +39,9 @@
     readonly afterMs: number;
 }
 
+/** The outcome of a relayed response, or the result of a failed send after which the request may be retried. */
+type SentResult = "answered" | "body-broken" | "caller-gone" | SlotResult;
+
 /** Dependencies that all requests share. */
 export interface ForwardOptions {
     readonly wire: WireFormat;
@@ -70,6 +75,8 @@
     readonly countAhead: (req: IncomingMessage) => number;
     /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
     readonly extraHeaders: (req: IncomingMessage) => readonly string[];
+    /** Keeps requests from servers that end under them. */
+    readonly crashGuard: CrashGuard;
     /** Called for each send whose connection the server ended without a response. */
     readonly onSendLost: (send: LostSend) => void;
     /** Called once at the end of each request. */
@@ -167,11 +174,7 @@
             tried: [],
         };
         for (let unreachableServers = 0; ;) {
-            const slot = await this.#acquireSlot(dispatcher, request);
-            if (request.tried.length === 0) {
-                this.#options.countRequest(this.#service);
-            }
-            const result = await this.#send(dispatcher, slot, body, requestId);
+            const { slot, result } = await this.#sendOnce(dispatcher, request, body, requestId);
             if (typeof result === "string") {
                 return result;
             }
@@ -188,6 +191,32 @@
         }
     }
 
+    /** Sends the request to the next server, unless it is quarantined or becomes so while it waits for a slot. */
+    async #sendOnce(
+        dispatcher: Dispatcher,
+        request: Request,
+        body: RequestBody,
+        requestId: string,
+    ): Promise<{ readonly slot: Slot; readonly result: SentResult }> {
+        const { crashGuard, countRequest } = this.#options;
+        const isTrial = await this.#abortable(crashGuard.admit(this.#fingerprint));
+        try {
+            const slot = await this.#acquireSlot(dispatcher, request);
+            if (!isTrial && crashGuard.isQuarantined(this.#fingerprint)) {
+                dispatcher.settle(slot, { kind: "cancelled" });
+                return await this.#sendOnce(dispatcher, request, body, requestId);
+            }
+            if (request.tried.length === 0) {
+                countRequest(this.#service);
+            }
+            return { slot, result: await this.#send(dispatcher, slot, body, requestId) };
+        } finally {
+            if (isTrial) {
+                crashGuard.endTrial(this.#fingerprint);
+            }
+        }
+    }
+
     async #acquireSlot(dispatcher: Dispatcher, request: Request): Promise<Slot> {
         const startedAt = this.#options.clock();
         const acquiring = dispatcher.acquireSlot(request);
@@ -225,14 +254,20 @@
         slot: Slot,
         body: RequestBody,
         requestId: string,
-    ): Promise<"answered" | "body-broken" | "caller-gone" | SlotResult> {
-        const { clock } = this.#options;
+    ): Promise<SentResult> {
+        const { clock, crashGuard } = this.#options;
         const startedAt = clock();
         this.#lastSentAt = startedAt;
         const exchange = this.#openExchange(slot, body, requestId);
         this.#exchange = exchange;
-        const settle = (result: SlotResult): SlotResult => {
+        const settle = async (result: SlotResult): Promise<SlotResult> => {
             dispatcher.settle(slot, result);
+            await crashGuard.recordEnd({
+                fingerprint: this.#fingerprint,
+                server: slot.server,
+                sentAt: startedAt,
+                end: sendEndOf(result),
+            });
             return result;
         };
         const connectTimer = this.#options.timers.schedule(startedAt + connectTimeoutMs, () => {
@@ -254,7 +289,7 @@
             const answered: SlotResult = { kind: "answered", status, notNow: notNowMs > 0 };
             if (status >= firstServerErrorStatus && this.#mayRetryServerError(slot, body)) {
                 discardResponse(serverRes, () => exchange.finish());
-                return settle(answered);
+                return await settle(answered);
             }
             const relay = new Relay(serverRes, this.#res, () => exchange.wasReset);
             const relayResult = await this.#abortable(
@@ -262,7 +297,7 @@
                 abort,
             );
             exchange.finish();
-            settle(relayResult === "complete" ? answered : slotResultOfRelay[relayResult]);
+            await settle(relayResult === "complete" ? answered : slotResultOfRelay[relayResult]);
             return relayResult === "broken-before-start" ? { kind: "lost" } : outcomeOfRelay[relayResult];
         } catch (err) {
             if (err instanceof SendError) {
@@ -274,13 +309,13 @@
                         afterMs: clock() - startedAt,
                     });
                 }
-                return settle(err.result);
+                return await settle(err.result);
             }
             if (exchange.sent) {
                 this.#sent.add(slot);
             }
             const callerGone = err instanceof CallError && err.kind === "caller-gone";
-            settle({ kind: callerGone ? "cancelled" : "timeout" });
+            await settle({ kind: callerGone ? "cancelled" : "timeout" });
             throw err;
         } finally {
             this.#exchange = undefined;
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -15,6 +15,7 @@
 import { AuxiliaryServers } from "./auxiliaryservers.js";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { addressesToAskAtStart, createMembership, formatAddress } from "./createmembership.js";
+import { CrashExchange } from "./crashexchange.js";
 import { DemandExchange } from "./demand.js";
 import type { RecordStatement } from "./dispatcher.js";
 import { ElapsedTimeEstimator } from "./elapsed.js";
@@ -64,6 +65,7 @@
     };
     readonly #probeClient: HttpProbeClient;
     readonly #statements: StatementExchange;
+    readonly #crashes: CrashExchange;
     readonly #splits = new TrafficSplits();
     readonly #elapsedTimes = new ElapsedTimeEstimator();
     readonly #lag = new EventLoopLag(monotonicMs() + tickMs);
@@ -96,6 +98,18 @@
             onLeaving: () => this.#applyStoreView(),
             now: monotonicMs(),
         });
+        this.#crashes = new CrashExchange({
+            self: settings.id,
+            events,
+            members: () => this.#members.members.map(vm => vm.id),
+            send: message =>
+                this.#peerSocket.sendCrashes(
+                    this.#members.others.map(vm => vm.peerAddress),
+                    message,
+                ),
+            probe: async server => this.#dispatchers.dispatcher(server.service)?.checkServer(server),
+            clock: monotonicMs,
+        });
         this.#probeClient = new HttpProbeClient(platform.wire, this.#agents.pooled);
         this.#dispatchers = new ServiceDispatchers({
             probeClient: this.#probeClient,
@@ -106,6 +120,7 @@
             probesPerServerPerSecond: settings.probesPerServerPerSecond,
             limiter: this.#statements.rules,
             recordStatement: this.#recordStatement,
+            recordProbe: (server, isAlive, sentAt) => this.#crashes.recordProbe(server, isAlive, sentAt),
         });
         this.#peerSocket = new PeerSocket({
             onGossip: message => this.#membership.receive(message, monotonicMs()),
@@ -115,6 +130,7 @@
                 const now = monotonicMs();
                 this.#statements.receive(message, this.#lag.lagMs(now), now);
             },
+            onCrashes: message => this.#crashes.receive(message),
             onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
@@ -166,6 +182,7 @@
             sendsCancelledAtOnce: () => this.#reporter.cancelledAtOnce,
             storeEra: () => this.#storeView.era,
             limitedServers: () => this.#statements.limits.limitedServers,
+            quarantinedRequests: () => this.#crashes.quarantined,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
         });
         this.#frontend = new FrontendServer({
@@ -313,6 +330,7 @@
             acceptWaitMs: req => this.#frontend.acceptWaitMs(req),
             countAhead: req => this.#frontend.countAhead(req),
             extraHeaders: req => this.#frontend.extraHeaders(req),
+            crashGuard: this.#crashes,
             onSendLost: send => this.#reporter.reportLostSend(send),
             onDone: record => this.#reporter.report(record),
         };
@@ -351,6 +369,7 @@
             this.#dispatchers.updateDemand(this.#demand, this.#members.budgetDivisor, now);
         }
         this.#statements.tick(now);
+        this.#crashes.tick();
         this.#dispatchers.takeProbeUsage(now).forEach(it => this.#reporter.reportProbes(it));
     }
 
--- a/packages/gateway/src/nodemetrics.ts
+++ b/packages/gateway/src/nodemetrics.ts
@@ -13,6 +13,7 @@
     readonly sendsCancelledAtOnce: () => number;
     readonly storeEra: () => number;
     readonly limitedServers: () => number;
+    readonly quarantinedRequests: () => number;
     /** Event loop lag in milliseconds. */
     readonly lagMs: () => number;
 }
@@ -42,6 +43,11 @@
         "Backend servers that name a request limit.",
         values.limitedServers,
     );
+    metrics.registerGauge(
+        "bm_quarantined_requests",
+        "Requests that are kept from servers, as servers have ended while they ran them.",
+        values.quarantinedRequests,
+    );
     metrics.registerGauge(
         "bm_event_loop_lag_seconds",
         "Lag of the event loop.",
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -4,6 +4,7 @@
 import type { Route } from "@bramleymoor/model/route";
 import { CallError, type ErrorKind } from "@bramleymoor/protocol/errors";
 import type { InputDelay } from "@bramleymoor/proxy/unreadinput";
+import type { SendEnd } from "@bramleymoor/quarantine/quarantine";
 import type { AcquireResult } from "./dispatcher.js";
 import type { RelayResult } from "./relay.js";
 
@@ -67,6 +68,23 @@
 /** Returns whether a send ended in a way that guarantees that the request did not run. */
 export const isNotRun = ({ kind }: SlotResult): boolean => kind === "refused" || kind === "unreachable";
 
+/** Returns how a send ended, as far as it says something of the server. */
+export const sendEndOf = (result: SlotResult): SendEnd => {
+    switch (result.kind) {
+        case "answered":
+            return "answered";
+        case "refused":
+            return result.reason === "other-incarnation" ? "unreachable" : "refused";
+        case "unreachable":
+            return "unreachable";
+        case "lost":
+            return "lost";
+        case "timeout":
+        case "cancelled":
+            return "abandoned";
+    }
+};
+
 /** Returns the error of a request whose last send ended with `result`. */
 export const errorFor = (result: SlotResult): CallError => {
     switch (result.kind) {
--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -12,6 +12,7 @@
 } from "@bramleymoor/membership/messages";
 import { deflateSync, inflateSync } from "node:zlib";
 import * as z from "zod";
+import { crashMessageSchema, type CrashMessage } from "@bramleymoor/quarantine/messages";
 import { splitAddress } from "./exchange.js";
 
 const envelopeSchema = z.discriminatedUnion("kind", [
@@ -19,6 +20,7 @@
     z.object({ kind: z.literal("reply"), n: z.number(), body: gossipReplySchema }),
     z.object({ kind: z.literal("news"), body: discoveryMessageSchema }),
     z.object({ kind: z.literal("limits"), body: limitMessageSchema }),
+    z.object({ kind: z.literal("crashes"), body: crashMessageSchema }),
 ]);
 
 type Envelope = z.infer<typeof envelopeSchema>;
@@ -29,6 +31,7 @@
     readonly onGossip: (message: GossipMessage) => Promise<GossipReply>;
     readonly onDiscovery: (message: DiscoveryMessage, from: string) => void;
     readonly onLimits: (message: LimitMessage) => void;
+    readonly onCrashes: (message: CrashMessage) => void;
     /** Called for a datagram that can't be sent, parsed or replied to; `address` is empty if unknown. */
     readonly onRejected: (address: string, reason: string) => void;
 }
@@ -100,6 +103,12 @@
         peerAddresses.forEach(it => this.#send(it, data));
     }
 
+    /** Sends what this entry VM knows of requests under which servers have ended to peers. */
+    sendCrashes(peerAddresses: readonly string[], body: CrashMessage): void {
+        const data = encode({ kind: "crashes", body });
+        peerAddresses.forEach(it => this.#send(it, data));
+    }
+
     close(): void {
         this.#closed = true;
         this.#socket.close();
@@ -152,6 +161,9 @@
             case "limits":
                 this.#handlers.onLimits(envelope.body);
                 break;
+            case "crashes":
+                this.#handlers.onCrashes(envelope.body);
+                break;
         }
     }
 }
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -8,6 +8,7 @@
 import type { KnownServer } from "@bramleymoor/discovery/servers";
 import type { RouteConfig } from "@bramleymoor/model/route";
 import type { DemandExchange } from "./demand.js";
+import type { CrashGuard } from "./crashexchange.js";
 import { Dispatcher, type RecordStatement } from "./dispatcher.js";
 import type { ProbeClient } from "./probeclient.js";
 import type { ProbeUsageReport } from "./probeusage.js";
@@ -33,6 +34,8 @@
     readonly limiter: SendLimiter;
     /** Records what a server says of itself in its response to a probe. */
     readonly recordStatement: RecordStatement;
+    /** Records whether a server has responded to a probe sent at `sentAt`. */
+    readonly recordProbe: CrashGuard["recordProbe"];
 }
 
 type ServiceDemand = Pick<DemandExchange, "serviceRate" | "ownServiceRate" | "knownEntryVms">;
@@ -115,7 +118,7 @@
     }
 
     #create(name: string, config: RouteConfig): ServiceState {
-        const { probeClient, clock, random, balance, limiter, recordStatement } = this.#options;
+        const { probeClient, clock, random, balance, limiter, recordStatement, recordProbe } = this.#options;
         const settings = config.services.get(name);
         if (!settings) {
             throw new Error(`the configuration has no service ${name}`);
@@ -128,6 +131,7 @@
                 probeClient,
                 probeBudget,
                 recordStatement,
+                recordProbe,
                 clock,
             }),
             retryBudget: new RetryBudget(this.#retryLimits),
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -63,6 +63,7 @@
             probeBudget: this.probeBudget,
             recordStatement: ({ id }, { requestLimit }, source) =>
                 this.limits.push([id, requestLimit, source]),
+            recordProbe: () => undefined,
             clock: () => this.now,
         });
         this.dispatcher.update(
--- a/packages/gateway/test/peersocket.test.ts
+++ b/packages/gateway/test/peersocket.test.ts
@@ -9,6 +9,7 @@
         onGossip: () => Promise.reject(new Error("not used here")),
         onDiscovery: () => undefined,
         onLimits: () => undefined,
+        onCrashes: () => undefined,
         onRejected: address => rejected.push(address),
     });
     await socket.listen(0, "127.0.0.1");
--- a/packages/gateway/test/probeamplification.test.ts
+++ b/packages/gateway/test/probeamplification.test.ts
@@ -109,6 +109,7 @@
                 probeClient: { probe: ({ id }) => byId.get(id)!.probe(roundTripMs) },
                 probeBudget: this.#budgets[i]!,
                 recordStatement: () => undefined,
+                recordProbe: () => undefined,
                 clock: () => this.now,
             });
             dispatcher.update(
--- a/packages/gateway/test/retrybudget.test.ts
+++ b/packages/gateway/test/retrybudget.test.ts
@@ -36,6 +36,7 @@
             probesPerServerPerSecond: 60,
             limiter: noLimits,
             recordStatement: () => undefined,
+            recordProbe: () => undefined,
         });
         dispatchers.update(config, []);
         return dispatchers;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -9,6 +9,7 @@
 import { RouteTable } from "@bramleymoor/routing/table";
 import { serverEntry } from "@bramleymoor/testkit/builders";
 import { KeepAliveAgent } from "../src/agent.js";
+import { CrashExchange } from "../src/crashexchange.js";
 import type { RecordStatement } from "../src/dispatcher.js";
 import { ElapsedTimeEstimator } from "../src/elapsed.js";
 import { ForwardTask, type ForwardOptions } from "../src/forward.js";
@@ -211,6 +212,15 @@
         probesPerServerPerSecond: 1_000,
         limiter: statements.rules,
         recordStatement,
+        recordProbe: (server, isAlive, sentAt) => crashes.recordProbe(server, isAlive, sentAt),
+    });
+    const crashes = new CrashExchange({
+        self: "vm",
+        events: { emit: () => undefined },
+        members: () => ["vm"],
+        send: () => undefined,
+        probe: async server => services.dispatcher(server.service)?.checkServer(server),
+        clock,
     });
     applyServers();
     const table = new RouteTable(config.routes);
@@ -242,6 +252,7 @@
         acceptWaitMs: req => frontend.acceptWaitMs(req),
         countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
+        crashGuard: crashes,
         onSendLost: () => undefined,
         onDone: record => records.push(record),
     };
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -337,6 +337,41 @@
             afterMs: "number",
         },
     ),
+    "server-ended-under-request": defineEvent(
+        8014,
+        "info",
+        "A backend server has ended while it ran the request with fingerprint {fingerprint}; {endings} since it was last answered.",
+        {
+            fingerprint: "string",
+            endings: "number",
+        },
+    ),
+    "request-quarantined": defineEvent(
+        8015,
+        "warn",
+        "The request with fingerprint {fingerprint} is quarantined: {endings} backend servers have ended while they ran it, and none has answered it since.",
+        {
+            fingerprint: "string",
+            endings: "number",
+        },
+    ),
+    "request-trial": defineEvent(
+        8016,
+        "info",
+        "The quarantined request with fingerprint {fingerprint} is sent to one backend server.",
+        {
+            fingerprint: "string",
+        },
+    ),
+    "request-cleared": defineEvent(
+        8017,
+        "info",
+        "The request with fingerprint {fingerprint} is no longer quarantined, as a backend server has answered it; {endings} have ended since.",
+        {
+            fingerprint: "string",
+            endings: "number",
+        },
+    ),
     "internal-error": defineEvent(9001, "error", "Internal error while {doing}: {reason}.", {
         doing: "string",
         reason: "string",
--- a/packages/protocol/src/errors.ts
+++ b/packages/protocol/src/errors.ts
@@ -56,6 +56,12 @@
     "deadline-queued": info(504, "not run", "never", "The deadline passed while the request was queued."),
     "connect-failed": info(502, "not run", "same", "No connection to a backend server could be opened."),
     "server-refused": info(503, "not run", "same", "Backend servers refused the request before starting it."),
+    quarantined: info(
+        503,
+        "not run",
+        "same",
+        "Backend servers have ended while they ran this request; it isn't sent to others for now.",
+    ),
     "deadline-sent": info(
         504,
         "outcome unknown",
--- /dev/null
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -0,0 +1,227 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Quarantine, type SendEnd } from "../src/quarantine.js";
+import type { CrashMessage } from "../src/messages.js";
+
+const members = ["a", "b", "c"];
+const poison = "account.poison";
+const innocent = "account.innocent";
+
+/** One entry VM in virtual time. */
+class Vm {
+    readonly quarantine: Quarantine;
+    now = 0;
+
+    constructor(name: string) {
+        this.quarantine = new Quarantine(name);
+    }
+
+    /** Sends a request to a server that answers it, or ends under it. */
+    send(key: string, server: string, end: SendEnd = "lost"): void {
+        this.now += 10;
+        this.quarantine.recordEnd({ key, server, sentAt: this.now - 10, end }, this.now);
+    }
+
+    /** Learns that a server can't be reached, while another one answers. */
+    learnEnd(server: string): void {
+        this.now += 10;
+        this.quarantine.recordProbe(server, false, this.now - 5, this.now);
+        this.quarantine.recordProbe("other", true, this.now, this.now);
+    }
+
+    /** Sends a request to a server that ends under it, and learns that it has. */
+    crash(key: string, server: string): void {
+        this.send(key, server);
+        this.learnEnd(server);
+    }
+
+    tick(ms: number): readonly CrashMessage[] {
+        this.now += ms;
+        return this.quarantine.tick(members, this.now);
+    }
+
+    admits(key: string): string {
+        return this.quarantine.admit(key, false, this.now).kind;
+    }
+}
+
+/** Lets servers end under a request, one each second. */
+const crashServers = (vm: Vm, key: string, count: number): void => {
+    for (let i = 0; i < count; i++) {
+        vm.crash(key, `s${i}`);
+        vm.now += 1_000;
+    }
+};
+
+/** Returns an entry VM at which a request has just been quarantined. */
+const quarantinedAt = (name: string, key: string): Vm => {
+    const vm = new Vm(name);
+    crashServers(vm, key, 2);
+    vm.crash(key, "s2");
+    assert.ok(vm.quarantine.isQuarantined(key));
+    return vm;
+};
+
+test("a request is quarantined once three servers have ended under it", () => {
+    const vm = new Vm("a");
+    crashServers(vm, poison, 2);
+    assert.equal(vm.admits(poison), "free");
+    vm.crash(poison, "s2");
+    assert.equal(vm.admits(poison), "quarantined");
+    assert.equal(vm.admits(innocent), "free");
+});
+
+test("servers that end together count as one ending, however many", () => {
+    const vm = new Vm("a");
+    for (let i = 0; i < 8; i++) {
+        vm.send(innocent, `s${i}`);
+    }
+    for (let i = 0; i < 8; i++) {
+        vm.quarantine.recordProbe(`s${i}`, false, vm.now, vm.now);
+    }
+    vm.quarantine.recordProbe("other", true, vm.now + 1, vm.now + 1);
+    assert.equal(vm.admits(innocent), "free");
+});
+
+test("a request that any entry VM sees answered in between isn't quarantined", () => {
+    const vm = new Vm("a");
+    const peer = new Vm("b");
+    for (let i = 0; i < 10; i++) {
+        vm.crash(innocent, `s${i}`);
+        vm.tick(300).forEach(it => peer.quarantine.receive(it, vm.now));
+        peer.now = vm.now;
+        peer.send(innocent, "other", "answered");
+        peer.tick(100).forEach(it => vm.quarantine.receive(it, peer.now));
+        assert.equal(vm.admits(innocent), "free", `ending ${i}`);
+        vm.now += 500;
+    }
+});
+
+test("connections that break at servers which go on are no endings", () => {
+    const vm = new Vm("a");
+    for (let i = 0; i < 10; i++) {
+        vm.send(innocent, `s${i}`);
+        vm.now += 500;
+        vm.quarantine.recordProbe(`s${i}`, true, vm.now - 1, vm.now);
+    }
+    vm.tick(5_000);
+    assert.equal(vm.admits(innocent), "free");
+    assert.equal(vm.quarantine.size, 0);
+});
+
+test("an entry VM that reaches no server at all takes none for ended", () => {
+    const vm = new Vm("a");
+    for (let i = 0; i < 10; i++) {
+        vm.send(innocent, `s${i}`);
+        vm.now += 400;
+        vm.quarantine.recordProbe(`s${i}`, false, vm.now - 300, vm.now);
+    }
+    assert.equal(vm.admits(innocent), "free");
+    assert.equal(vm.quarantine.size, 0);
+});
+
+test("a quarantined request is tried once more after a second, and is free when a server answers it", () => {
+    const vm = quarantinedAt("a", innocent);
+    vm.now += 1_000;
+    assert.equal(vm.admits(innocent), "trial");
+    assert.ok(vm.quarantine.holdsTrial(innocent));
+    assert.equal(vm.admits(innocent), "quarantined", "one trial at a time");
+    vm.send(innocent, "other", "answered");
+    assert.equal(vm.admits(innocent), "free");
+});
+
+test("trials under which servers end become rare: two in the first minute, four in ten", () => {
+    const vm = quarantinedAt("a", poison);
+    const trials: number[] = [];
+    const from = vm.now;
+    for (let i = 0; vm.now < from + 599_000; i++) {
+        vm.now += 100;
+        if (vm.admits(poison) === "trial") {
+            trials.push(vm.now - from);
+            vm.crash(poison, `t${i}`);
+            vm.quarantine.endTrial(poison);
+        }
+    }
+    assert.equal(trials.filter(it => it < 60_000).length, 2);
+    assert.ok(trials.length <= 4, trials.join());
+});
+
+test("of two entry VMs that claim a trial at the same time one sends the request", () => {
+    const [a, b] = [quarantinedAt("a", poison), quarantinedAt("b", poison)];
+    for (const vm of [a, b]) {
+        vm.now += 1_500;
+        assert.equal(vm.quarantine.admit(poison, true, vm.now).kind, "trial");
+    }
+    a.tick(5).forEach(it => b.quarantine.receive(it, b.now + 5));
+    b.tick(5).forEach(it => a.quarantine.receive(it, a.now));
+    assert.deepEqual(
+        [a, b].map(it => it.quarantine.holdsTrial(poison)),
+        [true, false],
+    );
+});
+
+test("an entry VM that has just started learns of quarantined requests within two intervals, even if it ranks first", () => {
+    const holders = ["a", "b", "c"].map(name => quarantinedAt(name, poison));
+    for (const starting of holders) {
+        const others = holders.filter(it => it !== starting);
+        const fresh = new Vm("fresh");
+        let heardAfterMs = Infinity;
+        for (let ms = 0; ms < 10_000 && heardAfterMs === Infinity; ms += 50) {
+            const messages = others.flatMap(it => it.tick(50));
+            messages.forEach(message =>
+                [fresh, ...others].forEach(it => it.quarantine.receive(message, it.now)),
+            );
+            heardAfterMs = fresh.quarantine.isQuarantined(poison) ? ms : Infinity;
+        }
+        assert.ok(heardAfterMs <= 3_200, `${heardAfterMs} ms`);
+    }
+});
+
+test("an account with many requests under which servers end pushes out none of another account's", () => {
+    const vm = quarantinedAt("a", poison);
+    const endings = [{ server: "s9", agoMs: 0 }];
+    for (let i = 0; i < 3_000; i++) {
+        vm.now += 1;
+        vm.quarantine.receive({ from: "b", reports: [{ key: `flood.${i}`, endings }] }, vm.now);
+    }
+    assert.ok(vm.quarantine.size <= 1_000);
+    assert.ok(vm.quarantine.isQuarantined(poison));
+});
+
+test("a quarantined request is forgotten ten minutes after the last ending", () => {
+    const vm = quarantinedAt("a", poison);
+    vm.tick(601_000);
+    assert.equal(vm.admits(poison), "free");
+    assert.equal(vm.quarantine.size, 0);
+});
+
+test("entry VMs that forget a request at different times don't remind one another of it", () => {
+    const [a, b] = [quarantinedAt("a", poison), quarantinedAt("b", poison)];
+    a.now += 500;
+    for (let ms = 0; ms < 700_000; ms += 500) {
+        a.tick(500).forEach(it => b.quarantine.receive(it, b.now));
+        b.tick(500).forEach(it => a.quarantine.receive(it, a.now));
+    }
+    assert.deepEqual([a.quarantine.size, b.quarantine.size], [0, 0]);
+});
+
+test("a quarantined request outlasts others of its own account", () => {
+    const vm = quarantinedAt("a", poison);
+    const endings = [{ server: "s9", agoMs: 0 }];
+    for (let i = 0; i < 3_000; i++) {
+        vm.now += 1;
+        vm.quarantine.receive({ from: "b", reports: [{ key: `account.${i}`, endings }] }, vm.now);
+    }
+    assert.ok(vm.quarantine.isQuarantined(poison));
+});
+
+test("messages name at most as many endings and requests as their schema allows", () => {
+    const vm = new Vm("a");
+    for (let i = 0; i < 30; i++) {
+        crashServers(vm, `account.${i}`, 12);
+    }
+    const messages = vm.tick(1_000);
+    assert.ok(messages.length > 1);
+    messages.forEach(it => assert.ok(it.reports.length <= 20));
+    messages.flatMap(it => it.reports).forEach(it => assert.ok(it.endings.length <= 8));
+});
