Quarantine: requests that were merely in flight beside others that explain the endings are free

Cause: the quarantine counted endings of each request alone. Now others that were in flight at the same endings are compared, and waits between trials follow the failed trials, not the endings: five trials in ten minutes instead of four, two in the first minute as before.

--- a/packages/gateway/src/crashexchange.ts
+++ b/packages/gateway/src/crashexchange.ts
@@ -132,8 +132,8 @@
                 case "ending":
                     events.emit("server-ended-under-request", { fingerprint, endings });
                     break;
-                case "quarantined":
-                    events.emit("request-quarantined", { fingerprint, endings });
+                case "suspect":
+                    events.emit("request-suspected", { fingerprint, endings });
                     break;
                 case "cleared":
                     events.emit("request-cleared", { fingerprint, endings });
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -346,10 +346,10 @@
             endings: "number",
         },
     ),
-    "request-quarantined": defineEvent(
+    "request-suspected": defineEvent(
         8015,
         "warn",
-        "The request with fingerprint {fingerprint} is quarantined: {endings} backend servers have ended while they ran it, and none has answered it since.",
+        "{endings} backend servers have ended while they ran the request with fingerprint {fingerprint}, and none has answered it since; it is quarantined, unless others that were in flight there explain this.",
         {
             fingerprint: "string",
             endings: "number",
@@ -366,7 +366,7 @@
     "request-cleared": defineEvent(
         8017,
         "info",
-        "The request with fingerprint {fingerprint} is no longer quarantined, as a backend server has answered it; {endings} have ended since.",
+        "The request with fingerprint {fingerprint} is no longer suspected, as a backend server has answered it; {endings} have ended since.",
         {
             fingerprint: "string",
             endings: "number",
--- a/packages/quarantine/src/messages.ts
+++ b/packages/quarantine/src/messages.ts
@@ -3,7 +3,7 @@
 import * as z from "zod";
 
 /** Largest number of endings of one request that are kept and reported. */
-export const maxEndings = 8;
+export const maxEndings = 24;
 /** Largest number of requests in one message. */
 export const maxReportsPerMessage = 20;
 
@@ -18,6 +18,8 @@
             .readonly(),
         /** How long ago a server answered it, in milliseconds; absent if none is known to have. */
         answeredAgoMs: z.number().nonnegative().optional(),
+        /** Number of trials under which a server has ended, since it was last answered; absent for none. */
+        failedTrials: z.number().int().nonnegative().optional(),
         /** How long ago the sender claimed the next trial, in milliseconds; absent if it holds none. */
         trialAgoMs: z.number().nonnegative().optional(),
     })
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -39,7 +39,8 @@
 /** A change of what is known of a request. */
 export interface QuarantineChange {
     readonly key: string;
-    readonly kind: "ending" | "quarantined" | "cleared";
+    /** "suspect" if it is now quarantined unless other requests explain the endings. */
+    readonly kind: "ending" | "suspect" | "cleared";
     /** Number of servers that have ended under it. */
     readonly endings: number;
 }
@@ -63,7 +64,7 @@
 
     /** Number of quarantined requests. */
     get quarantined(): number {
-        return [...this.#records.values()].filter(it => it.isQuarantined).length;
+        return [...this.#records.keys()].filter(it => this.isQuarantined(it)).length;
     }
 
     /** Number of requests of which anything is kept. */
@@ -71,9 +72,19 @@
         return this.#records.size;
     }
 
-    /** Whether a request is quarantined. */
+    /** Whether a request is quarantined: servers end under it, and not under others that would explain their ends. */
     isQuarantined(key: string): boolean {
-        return this.#records.get(key)?.isQuarantined ?? false;
+        const record = this.#records.get(key);
+        if (!record?.isSuspect) {
+            return false;
+        }
+        const rivals = [...this.#records.values()].filter(
+            it =>
+                it !== record &&
+                it.endings >= record.endings &&
+                it.countShared(record) > record.endings * sharedByRivals,
+        );
+        return rivals.length < rivalsToExcuse && rivals.every(it => it.endings === record.endings);
     }
 
     /** Whether servers have ended under a request, so that the next loss should be understood before it is sent again. */
@@ -93,7 +104,7 @@
      */
     admit(key: string, hasPeers: boolean, now: number): Admission {
         const record = this.#records.get(key);
-        if (!record?.isQuarantined) {
+        if (!record || !this.isQuarantined(key)) {
             return { kind: "free" };
         }
         if (now < record.nextTrialAt) {
@@ -148,7 +159,7 @@
 
     /** Processes a peer's message. */
     receive({ from, reports }: CrashMessage, now: number): void {
-        for (const { key, endings, answeredAgoMs, trialAgoMs } of reports) {
+        for (const { key, endings, answeredAgoMs, trialAgoMs, failedTrials = 0 } of reports) {
             const known = this.#records.get(key);
             const record = known ?? new CrashRecord();
             this.#update(key, record, () => {
@@ -160,6 +171,9 @@
             if (trialAgoMs !== undefined) {
                 record.claimTrial(from, now - trialAgoMs);
             }
+            if (record.endings > 0) {
+                record.recordFailedTrials(failedTrials);
+            }
             if (record.endings > 0 && !known) {
                 this.#add(key, record);
             }
@@ -187,7 +201,7 @@
         for (const [key, record] of this.#records) {
             if (now - record.changedAt > (record.endings > 0 ? keepMs : keepAnsweredMs)) {
                 this.#remove(key);
-            } else if (record.isQuarantined && this.#isRepeatDue(key, members, now)) {
+            } else if (this.#isRepeatDue(key, members, now) && this.isQuarantined(key)) {
                 this.#dueAt.set(key, now);
             }
         }
@@ -247,14 +261,14 @@
 
     /** Applies a change of a record, and notes what it means. */
     #update(key: string, record: CrashRecord, change: () => void): void {
-        const before = { endings: record.endings, isQuarantined: record.isQuarantined };
+        const before = { endings: record.endings, isSuspect: record.isSuspect };
         change();
-        const { endings, isQuarantined } = record;
-        if (isQuarantined && !before.isQuarantined) {
-            this.#changes.push({ key, kind: "quarantined", endings });
+        const { endings, isSuspect } = record;
+        if (isSuspect && !before.isSuspect) {
+            this.#changes.push({ key, kind: "suspect", endings });
         } else if (endings > before.endings) {
             this.#changes.push({ key, kind: "ending", endings });
-        } else if (before.isQuarantined && !isQuarantined) {
+        } else if (before.isSuspect && !isSuspect) {
             this.#changes.push({ key, kind: "cleared", endings });
         }
         this.#changes.splice(0, this.#changes.length - maxChanges);
@@ -282,7 +296,7 @@
     /** Orders requests by how much would be lost if they were forgotten. */
     #keepingValue(key: string): number {
         const record = this.#records.get(key);
-        return (record?.isQuarantined ? keepMs : 0) + (record?.changedAt ?? -Infinity);
+        return (record?.isSuspect ? keepMs : 0) + (record?.changedAt ?? -Infinity);
     }
 
     #remove(key: string): void {
@@ -292,6 +306,10 @@
     }
 }
 
+/** Share of a request's endings above which another request that was in flight at them may explain them as well. */
+const sharedByRivals = 0.5;
+/** Number of requests under which the same servers end from which on none of them is to blame. */
+const rivalsToExcuse = 3;
 /** Time from a claim to the trial, in which the claims of others arrive: several round trips between failure domains. */
 const claimMs = 60;
 /** Shortest time after which a caller may return with a quarantined request: about the duration of a trial. */
--- a/packages/quarantine/src/record.ts
+++ b/packages/quarantine/src/record.ts
@@ -6,6 +6,8 @@
 interface Trial {
     readonly by: string;
     readonly claimedAt: number;
+    /** Whether a server has ended under it. */
+    readonly failed: boolean;
 }
 
 /** What is known of one request. */
@@ -14,6 +16,7 @@
     readonly #endings = new Map<string, number>();
     #answeredAt = -Infinity;
     #trial: Trial | undefined = undefined;
+    #failedTrials = 0;
 
     /** Number of servers that have ended under it since it was last answered. */
     get endings(): number {
@@ -31,17 +34,16 @@
     }
 
     /**
-     * Whether it is kept from servers: several ended under it, not all at one moment, as those of a failure domain or of an
-     * operator's mistake do, and none has answered it since.
+     * Whether several servers ended under it, not all at one moment, as those of a failure domain or of an operator's mistake
+     * do, and none has answered it since.
      */
-    get isQuarantined(): boolean {
+    get isSuspect(): boolean {
         return this.#endings.size >= endingsToQuarantine && this.#moments() >= momentsToQuarantine;
     }
 
     /** When it may be sent once more, to see whether servers still end under it. */
     get nextTrialAt(): number {
-        const waits = this.#endings.size - endingsToQuarantine;
-        const waitMs = trialWaitsMs[Math.min(waits, trialWaitsMs.length - 1)] ?? 0;
+        const waitMs = trialWaitsMs[Math.min(this.#failedTrials, trialWaitsMs.length - 1)] ?? 0;
         return Math.max(this.lastEndingAt + waitMs, (this.#trial?.claimedAt ?? -Infinity) + trialTimeoutMs);
     }
 
@@ -51,6 +53,7 @@
             return false;
         }
         this.#endings.set(server, at);
+        this.#recordTrialEnding(at);
         const [oldest] = this.#endings.keys();
         if (this.#endings.size > maxEndings && oldest !== undefined) {
             this.#endings.delete(oldest);
@@ -65,6 +68,7 @@
         cleared.forEach(([server]) => this.#endings.delete(server));
         if (cleared.length > 0) {
             this.#trial = undefined;
+            this.#failedTrials = 0;
         }
         return cleared.length > 0;
     }
@@ -74,7 +78,7 @@
         const known = this.#trial;
         const isConcurrent = known !== undefined && Math.abs(known.claimedAt - claimedAt) < trialTimeoutMs;
         if (!known || (isConcurrent ? by < known.by : claimedAt > known.claimedAt)) {
-            this.#trial = { by, claimedAt };
+            this.#trial = { by, claimedAt, failed: false };
         }
     }
 
@@ -86,10 +90,20 @@
     /** Ends an entry VM's trial. */
     endTrial(vm: string): void {
         if (this.#trial?.by === vm) {
-            this.#trial = { by: "", claimedAt: this.#trial.claimedAt };
+            this.#trial = { ...this.#trial, by: "" };
         }
     }
 
+    /** Records the number of failed trials that another entry VM knows of. */
+    recordFailedTrials(count: number): void {
+        this.#failedTrials = Math.max(this.#failedTrials, count);
+    }
+
+    /** Returns how many of its endings are also another request's. */
+    countShared(other: CrashRecord): number {
+        return [...this.#endings.keys()].filter(it => other.#endings.has(it)).length;
+    }
+
     /** Returns the report of an entry VM about it. */
     report(key: string, self: string, now: number): CrashReport {
         const ago = (at: number): number => Math.max(0, Math.round(now - at));
@@ -97,10 +111,19 @@
             key,
             endings: [...this.#endings].map(([server, at]) => ({ server, agoMs: ago(at) })),
             ...(this.#answeredAt === -Infinity ? {} : { answeredAgoMs: ago(this.#answeredAt) }),
+            ...(this.#failedTrials > 0 ? { failedTrials: this.#failedTrials } : {}),
             ...(this.#trial?.by === self ? { trialAgoMs: ago(this.#trial.claimedAt) } : {}),
         };
     }
 
+    #recordTrialEnding(at: number): void {
+        const trial = this.#trial;
+        if (trial && !trial.failed && at >= trial.claimedAt && at - trial.claimedAt < trialTimeoutMs) {
+            this.#trial = { ...trial, failed: true };
+            this.#failedTrials++;
+        }
+    }
+
     /** Number of moments at which servers ended; those that end together count as one. */
     #moments(): number {
         let moments = 0;
@@ -119,7 +142,7 @@
 const momentsToQuarantine = 2;
 /** Longer than a request that crashes its server takes to crash the next one in the same attempt. */
 const momentMs = 250;
-/** Time from the last ending to the next trial, by the number of endings beyond those that led to the quarantine. */
-const trialWaitsMs: readonly number[] = [1_000, 30_000, 300_000];
+/** Time from the last ending to the next trial, by the number of failed trials. */
+const trialWaitsMs: readonly number[] = [1_000, 30_000, 60_000, 120_000, 300_000];
 /** Time after which a trial of which nothing is heard counts as over. */
 const trialTimeoutMs = 2_000;
