--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -1,7 +1,17 @@
 /** An HTTP agent that pools idle connections to backend servers and closes those that receive unsolicited data. */
 
 import { Agent, type ClientRequest } from "node:http";
-import type { Socket } from "node:net";
+import { createConnection, type NetConnectOpts, type Socket } from "node:net";
+
+/** Observes the connections of an agent; addresses are "IP:port". */
+export interface ConnectionObserver {
+    /** Called when a connection is open. */
+    readonly onConnected: (address: string) => void;
+    /** Called when a connection couldn't be opened, with when that was begun. */
+    readonly onConnectFailed: (address: string, startedAt: number) => void;
+    /** Called when a response has arrived in full. */
+    readonly onResponse: (address: string) => void;
+}
 
 /** Settings of a `KeepAliveAgent`. */
 export interface KeepAliveSettings {
@@ -11,11 +21,13 @@
     readonly marginMs: number;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
+    readonly observer?: ConnectionObserver;
 }
 
 /** A keep-alive agent that tracks how long each of its connections has been idle. */
 export class KeepAliveAgent extends Agent {
     readonly #settings: KeepAliveSettings;
+    readonly #addresses = new WeakMap<Socket, string>();
     readonly #idle = new WeakMap<Socket, { readonly destroy: () => void; readonly since: number }>();
 
     constructor(settings: KeepAliveSettings) {
@@ -23,8 +35,22 @@
         this.#settings = settings;
     }
 
+    /** Called by Node to open a connection. */
+    override createConnection(options: NetConnectOpts, onCreated: () => void): Socket {
+        const socket = createConnection(options, onCreated);
+        const { observer, clock } = this.#settings;
+        if (observer && "host" in options) {
+            this.#observe(socket, `${options.host}:${options.port}`, observer, clock());
+        }
+        return socket;
+    }
+
     /** Called by Node when a response is complete; returning false closes the connection. */
     override keepSocketAlive(socket: Socket): boolean {
+        const address = this.#addresses.get(socket);
+        if (address !== undefined) {
+            this.#settings.observer?.onResponse(address);
+        }
         const idleMs = this.#keepAliveMs(socket);
         if (idleMs <= 0) {
             return false;
@@ -59,6 +85,21 @@
         return idle !== undefined && this.#settings.clock() - idle.since <= ms;
     }
 
+    #observe(socket: Socket, address: string, observer: ConnectionObserver, startedAt: number): void {
+        this.#addresses.set(socket, address);
+        let isOpen = false;
+        socket.once("connect", () => {
+            isOpen = true;
+            observer.onConnected(address);
+        });
+        socket.once("close", hadError => {
+            // One that is closed without an error was given up here, perhaps because its request had ended.
+            if (!isOpen && (hadError || this.#settings.clock() - startedAt >= minFailedConnectMs)) {
+                observer.onConnectFailed(address, startedAt);
+            }
+        });
+    }
+
     /** Returns how long to keep a connection: the server's announced timeout less the margin, at most `idleMs`. */
     #keepAliveMs(socket: Socket): number {
         const { idleMs, marginMs } = this.#settings;
@@ -73,4 +114,6 @@
     readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
 }
 
+/** Many round trips between failure domains. */
+const minFailedConnectMs = 200;
 const msPerSecond = 1_000;
--- a/packages/gateway/src/crashexchange.ts
+++ b/packages/gateway/src/crashexchange.ts
@@ -45,6 +45,8 @@
     readonly send: (message: CrashMessage) => void;
     /** Probes a server, unless too many are probed already; resolves when the result has been recorded. */
     readonly probe: (server: ServerEntry) => Promise<void>;
+    /** Whether this entry VM has lost its links to the servers, so that it can't tell whether any has ended. */
+    readonly isCutOff: () => boolean;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -91,7 +93,10 @@
     }
 
     async recordEnd({ fingerprint: key, server, sentAt, end }: SendOutcome): Promise<void> {
-        const { clock, probe } = this.#options;
+        const { clock, probe, isCutOff } = this.#options;
+        if (isCutOff()) {
+            return;
+        }
         const incarnation = incarnationKey(server);
         this.#quarantine.recordEnd({ key, server: incarnation, sentAt, end }, clock());
         this.#logChanges();
@@ -104,10 +109,18 @@
     }
 
     recordProbe(server: ServerEntry, isAlive: boolean, sentAt: number): void {
+        if (this.#options.isCutOff()) {
+            return;
+        }
         this.#quarantine.recordProbe(incarnationKey(server), isAlive, sentAt, this.#options.clock());
         this.#logChanges();
     }
 
+    /** Forgets the sends of which it isn't known yet whether their server has ended. */
+    forgetUnclear(): void {
+        this.#quarantine.forgetUnclear();
+    }
+
     /** Processes a peer's message. */
     receive(message: CrashMessage): void {
         this.#quarantine.receive(message, this.#options.clock());
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -14,7 +14,9 @@
 export type AcquireResult =
     | { readonly kind: "slot"; readonly slot: Slot }
     | { readonly kind: "refused"; readonly refusal: Refusal }
-    | { readonly kind: "withdrawn" };
+    | { readonly kind: "withdrawn" }
+    /** The entry VM has lost its links to the servers. */
+    | { readonly kind: "released" };
 
 /** Records what a server says of itself in a response. */
 export type RecordStatement = (
@@ -104,6 +106,14 @@
         this.#resolveWait(request, { kind: "withdrawn" });
     }
 
+    /** Ends all waits, as this entry VM has lost its links to the servers. */
+    releaseWaiting(): void {
+        for (const request of [...this.#waiting.keys()]) {
+            this.#balancer.withdraw(request);
+            this.#resolveWait(request, { kind: "released" });
+        }
+    }
+
     /** Records how a slot's request ended and frees the slot. */
     settle(slot: Slot, result: SlotResult): void {
         this.#balancer.settle(slot, result, this.#clock());
--- a/packages/gateway/src/entryvmselector.ts
+++ b/packages/gateway/src/entryvmselector.ts
@@ -55,12 +55,15 @@
         hosts: Iterable<string>,
         members: readonly EntryVm[],
         capacityOf: CapacityOf,
+        isCutOff: (vm: EntryVm) => boolean = noneIsCutOff,
     ): readonly EntryVm[] {
         const domains = new Set(members.map(vm => vm.place.domain));
         const selected = new Map<string, EntryVm>();
         for (const host of hosts) {
             for (const domain of domains) {
-                this.select(host, domain, members, capacityOf).forEach(vm => selected.set(vm.id, vm));
+                this.select(host, domain, members, capacityOf, isCutOff).forEach(vm =>
+                    selected.set(vm.id, vm),
+                );
             }
         }
         return [...selected.values()];
@@ -68,31 +71,35 @@
 
     /**
      * Returns the entry VMs for a host's callers in one failure domain: only those of the domain if the host needs at
-     * least as many entry VMs as there are domains, otherwise the same ones for all domains.
+     * least as many entry VMs as there are domains, otherwise the same ones for all domains. Those that can't reach the
+     * servers are left out, and replaced by those of other domains, unless the others couldn't carry the demand.
+     *
+     * @param isCutOff returns whether an entry VM can't reach the servers
      */
     select(
         host: string,
         domain: string,
         members: readonly EntryVm[],
         capacityOf: CapacityOf,
+        isCutOff: (vm: EntryVm) => boolean = noneIsCutOff,
     ): readonly EntryVm[] {
         const alive = members.filter(vm => vm.state === "alive");
         const domains = new Set(alive.map(vm => vm.place.domain)).size;
         const tenths = Math.max(this.#scaler.dispatchersFor(host), this.#minTenths.get(host) ?? 1);
-        const chosen = takeCapacity(
-            selectEntryVms(host, alive, alive.length, capacityOf),
-            tenths,
-            capacityOf,
-        );
-        const local = alive.filter(vm => vm.place.domain === domain);
+        const rank = (vms: readonly EntryVm[]): readonly EntryVm[] =>
+            selectEntryVms(host, vms, vms.length, capacityOf);
+        const isLocal = (vm: EntryVm): boolean => vm.place.domain === domain;
+        const working = rank(alive.filter(vm => !isCutOff(vm)));
+        const workingTenths = working.reduce((sum, vm) => sum + capacityOf(vm), 0);
+        const cutOff = workingTenths * maxOvercommitment >= tenths ? [] : rank(alive.filter(isCutOff));
+        const chosen = takeCapacity([...working, ...cutOff], tenths, capacityOf);
+        const local = rank(working.filter(isLocal));
         if (chosen.length < domains || local.length === 0) {
             return chosen;
         }
-        return takeCapacity(
-            selectEntryVms(host, local, local.length, capacityOf),
-            tenths / domains,
-            capacityOf,
-        );
+        const isWhole = local.length === alive.filter(isLocal).length;
+        const substitutes = isWhole ? [] : [...working.filter(vm => !isLocal(vm)), ...cutOff];
+        return takeCapacity([...local, ...substitutes], tenths / domains, capacityOf);
     }
 }
 
@@ -138,6 +145,13 @@
     return new Set(subset.map(({ id }) => id));
 };
 
+const noneIsCutOff = (): boolean => false;
+
+/**
+ * Multiple of the planned requests that entry VMs carry at most. With more for those that reach the servers, the others
+ * are named to callers too, as they turn away what can't be served.
+ */
+const maxOvercommitment = 2;
 /** Maximum number of addresses that callers use from one response. */
 const maxAddresses = 64;
 /** More than any fleet has, so that only demand and the number of members limit a host's entry VMs. */
--- /dev/null
+++ b/packages/gateway/src/examine.ts
@@ -0,0 +1,56 @@
+/** Which responses to a send are relayed, and how a send ended whose response isn't. */
+
+import type { IncomingMessage } from "node:http";
+import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
+import type { SlotResult } from "@bramleymoor/balance/types";
+import type { WireFormat } from "./wireformat.js";
+
+/**
+ * Examines the response of a backend server to a request.
+ *
+ * @param onStatement called with what the server says of itself
+ * @returns undefined if the response is to be relayed
+ */
+export const examineServerResponse = (
+    res: IncomingMessage,
+    requestId: string,
+    wire: WireFormat,
+    onStatement: (statement: ServerStatement, source: StatementSource) => void,
+): SlotResult | undefined => {
+    const status = res.statusCode ?? 0;
+    const echoedId = wire.requestId(res.headers);
+    if (echoedId !== undefined && echoedId !== requestId) {
+        return { kind: "lost" };
+    }
+    const reason = wire.refusal(status, res.headers);
+    const statement = wire.statement(status, res.headersDistinct);
+    if (reason) {
+        if (reason !== "other-incarnation") {
+            onStatement(statement, "refusal");
+        }
+        return { kind: "refused", reason };
+    }
+    if (echoedId === undefined || !wire.isFromServer(res.headers)) {
+        return { kind: "lost" };
+    }
+    onStatement(statement, "response");
+    return undefined;
+};
+
+/** Examines the response of a peer to a request that it was sent for a caller; undefined if it is a server's. */
+export const examinePeerResponse = (res: IncomingMessage, wire: WireFormat): SlotResult | undefined => {
+    if (wire.isFromServer(res.headers)) {
+        return undefined;
+    }
+    switch (res.statusCode) {
+        case httpServiceUnavailable:
+            return { kind: "refused", reason: "full" };
+        case httpGatewayTimeout:
+            return { kind: "timeout" };
+        default:
+            return { kind: "lost" };
+    }
+};
+
+const httpServiceUnavailable = 503;
+const httpGatewayTimeout = 504;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,29 +1,26 @@
-/** One request to a backend server, up to the response head; tracks whether the server can have received any of it. */
+/** One request to a backend server or a peer, up to the response head; tracks whether it can have received any of it. */
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { SlotResult } from "@bramleymoor/balance/types";
-import type { ServerEntry } from "@bramleymoor/model/route";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import type { KeepAliveAgent } from "./agent.js";
-import type { WireFormat } from "./wireformat.js";
 
 /** A request to send. */
 export interface OutgoingRequest {
-    readonly server: ServerEntry;
+    /** "IP:port" of the receiver. */
+    readonly address: string;
     readonly agent: KeepAliveAgent;
     readonly method: string;
     readonly target: string;
     /** Names and values alternating, framing included. */
     readonly headers: readonly string[];
-    readonly requestId: string;
     /** When the remaining time in the headers is outdated, so that a connection established later isn't used. */
     readonly latestConnectAt: number;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
-    /** Called with what the server says of itself in its response. */
-    readonly onStatement: (statement: ServerStatement, source: StatementSource) => void;
+    /** Returns how the send ended if its response isn't one to relay. */
+    readonly examine: (res: IncomingMessage) => SlotResult | undefined;
     /** Writes the body and ends the request. */
     readonly writeBody: (req: ClientRequest) => void;
 }
@@ -41,11 +38,12 @@
 
 /** A send in progress. */
 export class Exchange {
-    /** Resolves at the head of the server's response to this request; rejects with a SendError. */
+    /** Resolves at the head of a response to relay; rejects with a SendError. */
     readonly head: Promise<IncomingMessage>;
+    /** Resolves when the exchange has ended, in whatever way. */
+    readonly closed: Promise<void>;
     readonly #req: ClientRequest;
     #socket: Socket | undefined = undefined;
-    #statement: ServerStatement | undefined = undefined;
     #connected = false;
     #wasReset = false;
     /** Whether `head` has been settled. */
@@ -55,8 +53,8 @@
         this.#wasReset = true;
     };
 
-    constructor(outgoing: OutgoingRequest, wire: WireFormat) {
-        const { host, port } = splitAddress(outgoing.server.address);
+    constructor(outgoing: OutgoingRequest) {
+        const { host, port } = splitAddress(outgoing.address);
         this.#req = request({
             host,
             port,
@@ -72,10 +70,11 @@
                 reject(error);
             };
             this.#req.on("response", res => {
-                this.#handleResponse(res, outgoing, wire, resolve);
+                this.#handleResponse(res, outgoing, resolve);
                 this.#settled = true;
             });
         });
+        this.closed = new Promise(resolve => this.#req.once("close", resolve));
         this.#req.on("error", err => this.#handleConnectionLoss(err.message));
         this.#req.on("close", () => {
             this.#socket?.off("error", this.#handleSocketError);
@@ -92,16 +91,11 @@
         });
     }
 
-    /** Whether any byte of the request can have reached the server. */
+    /** Whether any byte of the request can have reached the receiver. */
     get sent(): boolean {
         return this.#connected;
     }
 
-    /** What the server says of itself in its response; undefined before the head. */
-    get statement(): ServerStatement | undefined {
-        return this.#statement;
-    }
-
     /** Whether the connection was reset, in which case a response without a declared length is incomplete. */
     get wasReset(): boolean {
         return this.#wasReset;
@@ -138,32 +132,17 @@
     #handleResponse(
         res: IncomingMessage,
         outgoing: OutgoingRequest,
-        wire: WireFormat,
         resolve: (res: IncomingMessage) => void,
     ): void {
-        const status = res.statusCode ?? 0;
-        const echoedId = wire.requestId(res.headers);
-        if (echoedId !== undefined && echoedId !== outgoing.requestId) {
-            this.abort({ kind: "lost" });
-            return;
-        }
-        const refusal = wire.refusal(status, res.headers);
-        const statement = wire.statement(status, res.headersDistinct);
-        this.#statement = statement;
-        if (refusal) {
-            if (refusal !== "other-incarnation") {
-                outgoing.onStatement(statement, "refusal");
-            }
+        const failure = outgoing.examine(res);
+        if (!failure) {
+            resolve(res);
+        } else if (failure.kind === "refused") {
             discardResponse(res, () => this.finish());
-            this.#fail(new SendError({ kind: "refused", reason: refusal }, `status ${status}`));
-            return;
-        }
-        if (echoedId === undefined || !wire.isFromServer(res.headers)) {
-            this.abort({ kind: "lost" });
-            return;
+            this.#fail(new SendError(failure, `status ${res.statusCode}`));
+        } else {
+            this.abort(failure);
         }
-        outgoing.onStatement(statement, "response");
-        resolve(res);
     }
 
     #handleConnectionLoss(detail: string): void {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -1,8 +1,9 @@
 /** Forwards one routed request, from its head to the last byte of the response. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerStatement } from "@bramleymoor/balance/statement";
 import type { LoadSnapshot, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
-import type { Route, ServerEntry } from "@bramleymoor/model/route";
+import type { Route, RouteKind, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
@@ -10,11 +11,13 @@
 import type { Timer, TimerSet } from "@bramleymoor/proxy/timers";
 import { drainPendingInput, mayHideDisconnect, type InputDelay } from "@bramleymoor/proxy/unreadinput";
 import { fingerprint } from "@bramleymoor/quarantine/fingerprint";
+import type { Observable } from "rxjs";
 import type { KeepAliveAgent } from "./agent.js";
 import { RequestBody } from "./body.js";
 import type { CrashGuard } from "./crashexchange.js";
 import type { Dispatcher, RecordStatement } from "./dispatcher.js";
 import { sendError } from "./errorresponse.js";
+import { examineServerResponse } from "./examine.js";
 import { Exchange, SendError } from "./exchange.js";
 import {
     errorFor,
@@ -26,7 +29,8 @@
     type ForwardOutcome,
     type ForwardRecord,
 } from "./outcomes.js";
-import { Relay } from "./relay.js";
+import type { PeerForwarder } from "./peerforward.js";
+import { Relay, type RelayResult } from "./relay.js";
 import type { WireFormat } from "./wireformat.js";
 
 /** A send whose connection the server ended without a response. */
@@ -42,6 +46,14 @@
 /** The outcome of a relayed response, or the result of a failed send after which the request may be retried. */
 type SentResult = "answered" | "body-broken" | "caller-gone" | SlotResult;
 
+/** A request that has been read. */
+interface ReadRequest {
+    readonly id: string;
+    readonly route: Route;
+    readonly body: RequestBody;
+    readonly deadlineAt: number;
+}
+
 /** Dependencies that all requests share. */
 export interface ForwardOptions {
     readonly wire: WireFormat;
@@ -65,6 +77,10 @@
     readonly tryRetry: (service: string) => boolean;
     /** Records what a server says of itself in a response. */
     readonly recordStatement: RecordStatement;
+    /** Sends requests to peers while this entry VM can't reach the servers; undefined if they come from a peer. */
+    readonly peers: PeerForwarder | undefined;
+    /** Emits when this entry VM has lost its links to the servers. */
+    readonly linksLost: Observable<void>;
     /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
     /** Returns how long input that is read now may have waited since it reached an accepted connection. */
@@ -173,8 +189,16 @@
             callerDeadlineAt: this.#arrivedAt + callerDeadlineMs,
             tried: [],
         };
+        const read = { id: requestId, route, body, deadlineAt };
         for (let unreachableServers = 0; ;) {
-            const { slot, result } = await this.#sendOnce(dispatcher, request, body, requestId);
+            if (this.#options.peers?.isNeeded) {
+                return await this.#forwardToPeers(read);
+            }
+            const sent = await this.#sendOnce(dispatcher, request, body, requestId);
+            if (!sent) {
+                continue;
+            }
+            const { slot, result } = sent;
             if (typeof result === "string") {
                 return result;
             }
@@ -184,27 +208,93 @@
             }
             this.#sent.add(slot);
             this.#uncertainResult = isNotRun(result) ? this.#uncertainResult : result;
-            if (!this.#tryRetry(route, result, body, deadlineAt)) {
+            if (this.#options.peers?.isNeeded && this.#mayResend(read, result)) {
+                continue;
+            }
+            if (!this.#tryRetry(read, result)) {
                 throw errorFor(result);
             }
             request = { ...request, tried: [...request.tried, slot.server.id] };
         }
     }
 
-    /** Sends the request to the next server, unless it is quarantined or becomes so while it waits for a slot. */
+    /** Has a peer that reaches the servers serve the request. */
+    async #forwardToPeers(read: ReadRequest): Promise<ForwardOutcome> {
+        const tried = new Set<string>();
+        for (;;) {
+            const result = await this.#sendToPeer(read, tried);
+            if (typeof result === "string") {
+                return result;
+            }
+            this.#uncertainResult = isNotRun(result) ? this.#uncertainResult : result;
+            if (tried.size >= maxPeers || !this.#mayResend(read, result)) {
+                throw errorFor(result);
+            }
+        }
+    }
+
+    async #sendToPeer(read: ReadRequest, tried: Set<string>): Promise<SentResult> {
+        const { wire, clock, peers } = this.#options;
+        const startedAt = clock();
+        const remainingMs = Math.max(1, Math.floor(read.deadlineAt - startedAt));
+        const exchange = peers?.open(
+            {
+                method: this.#req.method ?? "GET",
+                target: this.#req.url ?? "/",
+                headers: [
+                    ...this.#forwardedHeaders(),
+                    ...read.body.framingHeaders(),
+                    ...wire.deadlineHeaders(remainingMs),
+                ],
+                latestConnectAt: startedAt + connectTimeoutMs,
+                mayReuseConnection: read.route.kind !== "non-idempotent",
+                writeBody: req => read.body.writeTo(req),
+            },
+            tried,
+        );
+        if (!exchange) {
+            throw new CallError("no-links", "", noLinksRetryMs);
+        }
+        this.#lastSentAt = startedAt;
+        this.#exchange = exchange;
+        const connectTimer = this.#scheduleConnectTimeout(exchange, startedAt);
+        const abort = (): void => this.#abortExchange(exchange, read.route.kind);
+        try {
+            const peerRes = await this.#abortable(exchange.head, abort);
+            this.#serverMs = clock() - startedAt;
+            const relayResult = await this.#relay(exchange, peerRes, abort);
+            return relayResult === "broken-before-start" ? { kind: "lost" } : outcomeOfRelay[relayResult];
+        } catch (err) {
+            if (err instanceof SendError) {
+                return err.result;
+            }
+            throw err;
+        } finally {
+            this.#exchange = undefined;
+            this.#options.timers.cancel(connectTimer);
+        }
+    }
+
+    /**
+     * Sends the request to the next server, unless it is quarantined or becomes so while it waits for a slot. Returns
+     * undefined if it wasn't sent, and what to do has to be decided anew.
+     */
     async #sendOnce(
         dispatcher: Dispatcher,
         request: Request,
         body: RequestBody,
         requestId: string,
-    ): Promise<{ readonly slot: Slot; readonly result: SentResult }> {
+    ): Promise<{ readonly slot: Slot; readonly result: SentResult } | undefined> {
         const { crashGuard, countRequest } = this.#options;
         const isTrial = await this.#abortable(crashGuard.admit(this.#fingerprint));
         try {
             const slot = await this.#acquireSlot(dispatcher, request);
+            if (!slot) {
+                return undefined;
+            }
             if (!isTrial && crashGuard.isQuarantined(this.#fingerprint)) {
                 dispatcher.settle(slot, { kind: "cancelled" });
-                return await this.#sendOnce(dispatcher, request, body, requestId);
+                return undefined;
             }
             if (request.tried.length === 0) {
                 countRequest(this.#service);
@@ -217,12 +307,16 @@
         }
     }
 
-    async #acquireSlot(dispatcher: Dispatcher, request: Request): Promise<Slot> {
+    /** Waits for a slot; returns undefined if this entry VM loses its links to the servers meanwhile. */
+    async #acquireSlot(dispatcher: Dispatcher, request: Request): Promise<Slot | undefined> {
         const startedAt = this.#options.clock();
         const acquiring = dispatcher.acquireSlot(request);
         const acquired = await this.#abortable(acquiring, () => dispatcher.withdraw(request));
         this.#queueMs += this.#options.clock() - startedAt;
         const slot = slotOrThrow(acquired);
+        if (!slot) {
+            return undefined;
+        }
         this.#loadSnapshot = slot.load;
         try {
             await this.#readDisconnect(0);
@@ -258,7 +352,8 @@
         const { clock, crashGuard } = this.#options;
         const startedAt = clock();
         this.#lastSentAt = startedAt;
-        const exchange = this.#openExchange(slot, body, requestId);
+        let statement: ServerStatement | undefined;
+        const exchange = this.#openExchange(slot, body, requestId, it => (statement = it));
         this.#exchange = exchange;
         const settle = async (result: SlotResult): Promise<SlotResult> => {
             dispatcher.settle(slot, result);
@@ -270,18 +365,20 @@
             });
             return result;
         };
-        const connectTimer = this.#options.timers.schedule(startedAt + connectTimeoutMs, () => {
-            if (!exchange.sent) {
-                exchange.abort({ kind: "unreachable" });
+        const connectTimer = this.#scheduleConnectTimeout(exchange, startedAt);
+        const abort = (): void => this.#abortExchange(exchange, slot.request.kind);
+        const linksLost = this.#options.linksLost.subscribe(() => {
+            if (slot.request.kind !== "non-idempotent") {
+                exchange.abort({ kind: "lost" });
             }
         });
-        const abort = (): void => this.#abortExchange(exchange, slot);
         try {
             const serverRes = await this.#abortable(exchange.head, abort);
+            linksLost.unsubscribe();
             this.#serverMs = clock() - startedAt;
             this.#sent.add(slot);
             dispatcher.recordResponseHead(slot);
-            const { load, notNowMs = 0 } = exchange.statement ?? {};
+            const { load, notNowMs = 0 } = statement ?? {};
             if (load) {
                 dispatcher.report(slot.server, load);
             }
@@ -291,12 +388,7 @@
                 discardResponse(serverRes, () => exchange.finish());
                 return await settle(answered);
             }
-            const relay = new Relay(serverRes, this.#res, () => exchange.wasReset);
-            const relayResult = await this.#abortable(
-                relay.run(() => this.#options.extraHeaders(this.#req)),
-                abort,
-            );
-            exchange.finish();
+            const relayResult = await this.#relay(exchange, serverRes, abort);
             await settle(relayResult === "complete" ? answered : slotResultOfRelay[relayResult]);
             return relayResult === "broken-before-start" ? { kind: "lost" } : outcomeOfRelay[relayResult];
         } catch (err) {
@@ -318,11 +410,30 @@
             await settle({ kind: callerGone ? "cancelled" : "timeout" });
             throw err;
         } finally {
+            linksLost.unsubscribe();
             this.#exchange = undefined;
             this.#options.timers.cancel(connectTimer);
         }
     }
 
+    async #relay(exchange: Exchange, res: IncomingMessage, abort: () => void): Promise<RelayResult> {
+        const relay = new Relay(res, this.#res, () => exchange.wasReset);
+        const result = await this.#abortable(
+            relay.run(() => this.#options.extraHeaders(this.#req)),
+            abort,
+        );
+        exchange.finish();
+        return result;
+    }
+
+    #scheduleConnectTimeout(exchange: Exchange, startedAt: number): Timer {
+        return this.#options.timers.schedule(startedAt + connectTimeoutMs, () => {
+            if (!exchange.sent) {
+                exchange.abort({ kind: "unreachable" });
+            }
+        });
+    }
+
     #computeFingerprint(body: RequestBody): string {
         const { headers, method, url } = this.#req;
         return fingerprint({
@@ -349,31 +460,38 @@
         return claimsNotRun && this.#uncertainResult ? errorFor(this.#uncertainResult) : error;
     }
 
-    #openExchange(slot: Slot, body: RequestBody, requestId: string): Exchange {
-        const { wire, clock, agents } = this.#options;
+    #openExchange(
+        slot: Slot,
+        body: RequestBody,
+        requestId: string,
+        onStatement: (statement: ServerStatement) => void,
+    ): Exchange {
+        const { wire, clock, agents, recordStatement } = this.#options;
         const remainingMs = Math.max(1, Math.floor(slot.request.deadlineAt - clock()));
+        const added = wire.requestHeaders(remainingMs, slot.server.id);
+        return new Exchange({
+            address: slot.server.address,
+            agent: this.#mayReuseConnection(slot) ? agents.pooled : agents.unpooled,
+            method: this.#req.method ?? "GET",
+            target: this.#req.url ?? "/",
+            headers: [...this.#forwardedHeaders(), ...body.framingHeaders(), ...added],
+            latestConnectAt: clock() + connectTimeoutMs,
+            clock,
+            examine: res =>
+                examineServerResponse(res, requestId, wire, (statement, source) => {
+                    onStatement(statement);
+                    recordStatement(slot.server, statement, source);
+                }),
+            writeBody: req => body.writeTo(req),
+        });
+    }
+
+    /** Returns the caller's headers that are forwarded; names and values alternating. */
+    #forwardedHeaders(): readonly string[] {
         const { rawHeaders, headers } = this.#req;
         const endToEnd = endToEndHeaders(rawHeaders, headers.connection, rewrittenHeaders);
-        const added = wire.requestHeaders(remainingMs, slot.server.id);
-        const forwarded = endToEnd.filter(
-            (_, i, all) => !wire.reservedHeaders.has((all[i - (i % 2)] ?? "").toLowerCase()),
-        );
-        return new Exchange(
-            {
-                server: slot.server,
-                agent: this.#mayReuseConnection(slot) ? agents.pooled : agents.unpooled,
-                method: this.#req.method ?? "GET",
-                target: this.#req.url ?? "/",
-                headers: [...forwarded, ...body.framingHeaders(), ...added],
-                requestId,
-                latestConnectAt: clock() + connectTimeoutMs,
-                clock,
-                onStatement: (statement, source) =>
-                    this.#options.recordStatement(slot.server, statement, source),
-                writeBody: req => body.writeTo(req),
-            },
-            wire,
-        );
+        const { reservedHeaders } = this.#options.wire;
+        return endToEnd.filter((_, i, all) => !reservedHeaders.has((all[i - (i % 2)] ?? "").toLowerCase()));
     }
 
     /**
@@ -391,22 +509,29 @@
      * Aborts a send, unless a non-idempotent request was sent and its caller has disconnected: it then runs to its end,
      * as a partial execution would be worse.
      */
-    #abortExchange(exchange: Exchange, slot: Slot): void {
-        if (slot.request.kind !== "non-idempotent" || !this.#callerGone || !exchange.sent) {
+    #abortExchange(exchange: Exchange, kind: RouteKind): void {
+        if (kind !== "non-idempotent" || !this.#callerGone || !exchange.sent) {
             exchange.abort({ kind: this.#callerGone ? "cancelled" : "timeout" });
         }
     }
 
-    /** Returns whether to retry after a failed send; if so, takes the retry from the service's budget. */
-    #tryRetry(route: Route, result: SlotResult, body: RequestBody, deadlineAt: number): boolean {
+    /** Returns whether to retry at a server after a failed send; if so, takes the retry from the service's budget. */
+    #tryRetry(read: ReadRequest, result: SlotResult): boolean {
+        return (
+            this.#mayResend(read, result) &&
+            this.#sent.size < read.route.maxAttempts &&
+            this.#options.tryRetry(this.#service)
+        );
+    }
+
+    /** Returns whether the request may be sent again after a failed send, as far as it is concerned. */
+    #mayResend({ route, body, deadlineAt }: ReadRequest, result: SlotResult): boolean {
         const retriable = isNotRun(result) || (route.kind !== "non-idempotent" && result.kind !== "timeout");
         return (
             retriable &&
             body.replayable &&
             !this.#res.headersSent &&
-            this.#sent.size < route.maxAttempts &&
-            this.#options.clock() + minRetryMs < deadlineAt &&
-            this.#options.tryRetry(this.#service)
+            this.#options.clock() + minRetryMs < deadlineAt
         );
     }
 
@@ -468,6 +593,10 @@
 const connectTimeoutMs = 250;
 /** Maximum number of unreachable servers per request that don't count as attempts, as nothing was sent to them. */
 const maxUnreachableServers = 4;
+/** Maximum number of peers that one request is sent to. */
+const maxPeers = 3;
+/** Time after which a peer that has room is likely to be known. */
+const noLinksRetryMs = 300;
 /** With less time than this to the deadline a retry is unlikely to succeed. */
 const minRetryMs = 60;
 /** A configuration with the missing service is being distributed, which takes at most 2 s. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -2,7 +2,7 @@
 
 import { randomBytes } from "node:crypto";
 import type { Membership } from "@bramleymoor/membership/membership";
-import type { Route } from "@bramleymoor/model/route";
+import type { Route, ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import { CallMetrics } from "@bramleymoor/observe/metrics";
@@ -11,7 +11,7 @@
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { TrafficSplits } from "@bramleymoor/routing/split";
-import { KeepAliveAgent } from "./agent.js";
+import { KeepAliveAgent, type ConnectionObserver } from "./agent.js";
 import { AuxiliaryServers } from "./auxiliaryservers.js";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { addressesToAskAtStart, createMembership, formatAddress } from "./createmembership.js";
@@ -22,11 +22,13 @@
 import { ForwardTask, type ForwardOptions } from "./forward.js";
 import { FrontendServer } from "./frontend.js";
 import { runGossip } from "./gossip.js";
+import { PeerForwarder } from "./peerforward.js";
 import { HttpProbeClient } from "./probeclient.js";
 import { StatementExchange } from "./statementexchange.js";
 import { MemberTracker } from "./membertracker.js";
 import { registerNodeMetrics } from "./nodemetrics.js";
 import { PeerSocket } from "./peersocket.js";
+import { ReachExchange } from "./reachexchange.js";
 import { RequestReporter } from "./reporter.js";
 import { ServiceDispatchers } from "./servicedispatchers.js";
 import type { GatewaySettings } from "./settings.js";
@@ -55,15 +57,14 @@
     readonly #members: MemberTracker;
     readonly #membership: Membership;
     readonly #dispatchers: ServiceDispatchers;
-    readonly #agents = {
-        pooled: new KeepAliveAgent({
-            idleMs: keepAliveIdleMs,
-            marginMs: keepAliveMarginMs,
-            clock: monotonicMs,
-        }),
-        unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: keepAliveMarginMs, clock: monotonicMs }),
-    };
+    readonly #reach: ReachExchange;
+    /** Connections to backend servers. */
+    readonly #agents: ForwardOptions["agents"];
+    /** Connections to peers, for requests. */
+    readonly #peerAgents = createAgents();
     readonly #probeClient: HttpProbeClient;
+    /** Probes on new connections. */
+    readonly #linkProbeClient: HttpProbeClient;
     readonly #statements: StatementExchange;
     readonly #crashes: CrashExchange;
     readonly #splits = new TrafficSplits();
@@ -73,8 +74,10 @@
     readonly #partitioner: TrafficPartitioner;
     readonly #reporter: RequestReporter;
     readonly #frontend: FrontendServer;
+    /** Serves the requests of peers that can't reach the servers. */
+    readonly #peerFrontend: FrontendServer;
     readonly #auxiliaryServers: AuxiliaryServers;
-    readonly #forwardOptions: ForwardOptions;
+    readonly #peerForwarder: PeerForwarder;
     readonly #closed = new AbortController();
     readonly #recordStatement: RecordStatement = (server, statement, source) =>
         this.#statements.record(server, statement, source, monotonicMs());
@@ -108,9 +111,34 @@
                     message,
                 ),
             probe: async server => this.#dispatchers.dispatcher(server.service)?.checkServer(server),
+            isCutOff: () => this.#reach.isCutOff,
+            clock: monotonicMs,
+        });
+        this.#reach = new ReachExchange({
+            self: settings.id,
+            events,
+            others: () => this.#members.others,
+            send: (addresses, message) => this.#peerSocket.sendReach(addresses, message),
+            probe: server => this.#probeLink(server),
+            hasRoom: () => this.#hasRoomForPeers(),
+            random: Math.random,
+            clock: monotonicMs,
+        });
+        this.#reach.lost.subscribe(() => {
+            this.#crashes.forgetUnclear();
+            this.#dispatchers.releaseWaiting();
+        });
+        this.#agents = createAgents(this.#reach.connections);
+        this.#peerForwarder = new PeerForwarder({
+            wire: platform.wire,
+            isCutOff: () => this.#reach.isCutOff,
+            helpers: () => this.#reach.helpers,
+            agents: this.#peerAgents,
+            random: Math.random,
             clock: monotonicMs,
         });
         this.#probeClient = new HttpProbeClient(platform.wire, this.#agents.pooled);
+        this.#linkProbeClient = new HttpProbeClient(platform.wire, this.#agents.unpooled);
         this.#dispatchers = new ServiceDispatchers({
             probeClient: this.#probeClient,
             clock: monotonicMs,
@@ -120,7 +148,10 @@
             probesPerServerPerSecond: settings.probesPerServerPerSecond,
             limiter: this.#statements.rules,
             recordStatement: this.#recordStatement,
-            recordProbe: (server, isAlive, sentAt) => this.#crashes.recordProbe(server, isAlive, sentAt),
+            recordProbe: (server, isAlive, sentAt) => {
+                this.#crashes.recordProbe(server, isAlive, sentAt);
+                this.#reach.recordProbe(server, isAlive, sentAt);
+            },
         });
         this.#peerSocket = new PeerSocket({
             onGossip: message => this.#membership.receive(message, monotonicMs()),
@@ -131,6 +162,7 @@
                 this.#statements.receive(message, this.#lag.lagMs(now), now);
             },
             onCrashes: message => this.#crashes.receive(message),
+            onReach: message => this.#reach.receive(message),
             onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
@@ -147,6 +179,7 @@
             linkMbps: settings.linkMbps,
             membership: this.#membership,
             members: () => this.#members.members,
+            isCutOff: vm => this.#reach.isCutOffVm(vm),
             setPreferredServers: (service, serverIds) =>
                 this.#dispatchers.dispatcher(service)?.balancer.setPreferredServers(serverIds),
             demand: this.#demand,
@@ -169,11 +202,11 @@
             sendToPeers: (peers, message) => this.#peerSocket.sendDiscovery(peers, message),
             onConfig: config => {
                 this.#frontend.setLimits(config.limits);
+                this.#peerFrontend.setLimits(config.limits);
                 this.#metrics.setConfigVersion(config.version);
                 this.#applyStoreView();
             },
         });
-        this.#forwardOptions = this.#makeForwardOptions();
         registerNodeMetrics(this.#metrics, {
             storeCalls: platform.storeCalls,
             droppedLines: platform.droppedLines,
@@ -182,15 +215,23 @@
             sendsCancelledAtOnce: () => this.#reporter.cancelledAtOnce,
             storeEra: () => this.#storeView.era,
             limitedServers: () => this.#statements.limits.limitedServers,
+            cutOff: () => Number(this.#reach.isCutOff),
             quarantinedRequests: () => this.#crashes.quarantined,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
         });
-        this.#frontend = new FrontendServer({
-            serve: (req, res) => new ForwardTask(this.#forwardOptions, req, res).run(),
-            onMalformed: (reason, address) => events.emit("request-malformed", { address, reason }),
-            onAccepted: waitMs => this.#metrics.recordAcceptWait(waitMs),
-            clock: monotonicMs,
-        });
+        const shared = this.#makeSharedOptions();
+        this.#frontend = this.#createFrontend(frontend => ({
+            ...shared,
+            ...connectionOptions(frontend),
+            findRoute: (host, target) => this.#findRoute(host, target),
+            peers: this.#peerForwarder,
+        }));
+        this.#peerFrontend = this.#createFrontend(frontend => ({
+            ...shared,
+            ...connectionOptions(frontend),
+            findRoute: (host, target) => this.#findRouteForPeer(host, target),
+            peers: undefined,
+        }));
         this.#auxiliaryServers = new AuxiliaryServers({
             wire: platform.wire,
             metrics: this.#metrics,
@@ -207,6 +248,7 @@
             this.#frontend.listen(front.port, front.host),
             this.#auxiliaryServers.listen(this.#settings),
             this.#peerSocket.listen(peers.port, peers.host),
+            this.#peerFrontend.listen(peers.port, peers.host),
         ]);
         this.#events.emit("started", {
             id,
@@ -255,19 +297,22 @@
         this.#membership.leave(monotonicMs());
         this.#statements.release(monotonicMs());
         this.#frontend.beginDrain();
+        this.#peerFrontend.beginDrain();
         await delay(Math.min(addressTtlMs + leavePropagationMs, shutdownGraceMs / 2), this.#closed.signal);
         const finished = new AbortController();
-        const finishing = this.#frontend.drain().finally(() => finished.abort());
+        const finishing = Promise.all([this.#frontend.drain(), this.#peerFrontend.drain()]).finally(() =>
+            finished.abort(),
+        );
         await Promise.race([finishing, delay(shutdownGraceMs - exitReserveMs, finished.signal)]);
         this.#close();
-        this.#events.emit("stopped", { cut: this.#frontend.inFlight });
+        this.#events.emit("stopped", { cut: this.#frontend.inFlight + this.#peerFrontend.inFlight });
     }
 
     #close(): void {
         this.#closed.abort();
         this.#auxiliaryServers.close();
         this.#peerSocket.close();
-        Object.values(this.#agents).forEach(it => it.destroy());
+        [this.#agents, this.#peerAgents].flatMap(it => Object.values(it)).forEach(it => it.destroy());
     }
 
     #createMembership(): Membership {
@@ -294,6 +339,7 @@
     #applyStoreView(): void {
         const { config, isComplete } = this.#storeView;
         const servers = this.#statements.markLeaving(this.#storeView.servers);
+        this.#reach.updateServers(servers.map(it => it.entry).filter(it => !it.leaving));
         if (config) {
             this.#dispatchers.update(config, servers);
             this.#partitioner.update(config, servers);
@@ -304,17 +350,33 @@
         }
     }
 
-    #makeForwardOptions(): ForwardOptions {
+    #createFrontend(optionsFor: (frontend: FrontendServer) => ForwardOptions): FrontendServer {
+        const frontend: FrontendServer = new FrontendServer({
+            serve: (req, res) => new ForwardTask(options, req, res).run(),
+            onMalformed: (reason, address) => this.#events.emit("request-malformed", { address, reason }),
+            onAccepted: waitMs => this.#metrics.recordAcceptWait(waitMs),
+            clock: monotonicMs,
+        });
+        const options = optionsFor(frontend);
+        return frontend;
+    }
+
+    /** Returns the options of requests from callers and from peers alike. */
+    #makeSharedOptions(): Omit<
+        ForwardOptions,
+        keyof ReturnType<typeof connectionOptions> | "findRoute" | "peers"
+    > {
         return {
             wire: this.#platform.wire,
             clock: monotonicMs,
             timers: new TimerSet(monotonicMs, timerPeriodMs),
             nextId: () => ++this.#lastId,
-            findRoute: (host, target) => this.#findRoute(host, target),
             maxBodyBytes: () => this.#storeView.config?.limits.maxBodyBytes ?? 0,
             chooseService: route => {
                 const service = this.#splits.chooseService(route, Math.random);
-                this.#demand.countService(service);
+                if (!this.#reach.isCutOff) {
+                    this.#demand.countService(service);
+                }
                 return service;
             },
             dispatcher: service => this.#dispatchers.dispatcher(service),
@@ -326,10 +388,8 @@
                 false,
             recordStatement: this.#recordStatement,
             agents: this.#agents,
+            linksLost: this.#reach.lost,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
-            acceptWaitMs: req => this.#frontend.acceptWaitMs(req),
-            countAhead: req => this.#frontend.countAhead(req),
-            extraHeaders: req => this.#frontend.extraHeaders(req),
             crashGuard: this.#crashes,
             onSendLost: send => this.#reporter.reportLostSend(send),
             onDone: record => this.#reporter.report(record),
@@ -337,6 +397,13 @@
     }
 
     #findRoute(host: string, target: string): Route {
+        const route = this.#findRouteForPeer(host, target);
+        this.#demand.countHost(route.host);
+        return route;
+    }
+
+    /** Returns the route of a request that a peer has counted. */
+    #findRouteForPeer(host: string, target: string): Route {
         const { table } = this.#storeView;
         if (!table || this.#state === "starting") {
             throw new CallError("not-ready", "", notReadyRetryMs);
@@ -345,10 +412,28 @@
         if (!route) {
             throw new CallError("no-route");
         }
-        this.#demand.countHost(route.host);
         return route;
     }
 
+    async #probeLink(server: ServerEntry): Promise<boolean> {
+        const healthPath = this.#storeView.config?.services.get(server.service)?.healthPath;
+        if (healthPath === undefined) {
+            return false;
+        }
+        const response = await this.#linkProbeClient.probe(server, healthPath, () => undefined);
+        return response !== undefined && !response.misdirected;
+    }
+
+    /** Whether this entry VM keeps up with its own callers, and may take more from peers. */
+    #hasRoomForPeers(): boolean {
+        const { processorShare } = this.#settings;
+        return (
+            this.#state === "serving" &&
+            this.#lag.lagMs(monotonicMs()) < maxLagForPeersMs &&
+            this.#peerFrontend.inFlight < processorShare * peerRequestsPerCore
+        );
+    }
+
     /** Runs periodic work until the node is closed. */
     async #runTicks(): Promise<void> {
         while (!this.#closed.signal.aborted) {
@@ -370,6 +455,7 @@
         }
         this.#statements.tick(now);
         this.#crashes.tick();
+        this.#reach.tick();
         this.#dispatchers.takeProbeUsage(now).forEach(it => this.#reporter.reportProbes(it));
     }
 
@@ -383,6 +469,23 @@
     }
 }
 
+const createAgents = (observer?: ConnectionObserver): ForwardOptions["agents"] => {
+    const settings = { marginMs: keepAliveMarginMs, clock: monotonicMs, ...(observer ? { observer } : {}) };
+    return {
+        pooled: new KeepAliveAgent({ ...settings, idleMs: keepAliveIdleMs }),
+        unpooled: new KeepAliveAgent({ ...settings, idleMs: 0 }),
+    };
+};
+
+/** Returns what requests need to know of the connections that a frontend accepts. */
+const connectionOptions = (
+    frontend: FrontendServer,
+): Pick<ForwardOptions, "acceptWaitMs" | "countAhead" | "extraHeaders"> => ({
+    acceptWaitMs: req => frontend.acceptWaitMs(req),
+    countAhead: req => frontend.countAhead(req),
+    extraHeaders: req => frontend.extraHeaders(req),
+});
+
 /** Settings that only take effect at the next start. */
 const restartOnlySettings = [
     "id",
@@ -413,5 +516,9 @@
 const leavePropagationMs = 500;
 /** Part of the grace period that is reserved for writing the last log lines and exiting. */
 const exitReserveMs = 400;
+/** An entry VM that is later than this has no room for requests of peers. */
+const maxLagForPeersMs = 100;
+/** Requests of peers that are in flight at the same time, per processor core. */
+const peerRequestsPerCore = 200;
 /** Interval of the periodic work, which also checks queued requests while nothing else triggers it. */
 const tickMs = 50;
--- a/packages/gateway/src/nodemetrics.ts
+++ b/packages/gateway/src/nodemetrics.ts
@@ -14,6 +14,8 @@
     readonly storeEra: () => number;
     readonly limitedServers: () => number;
     readonly quarantinedRequests: () => number;
+    /** 1 while this entry VM reaches no server and others do, otherwise 0. */
+    readonly cutOff: () => number;
     /** Event loop lag in milliseconds. */
     readonly lagMs: () => number;
 }
@@ -43,6 +45,11 @@
         "Backend servers that name a request limit.",
         values.limitedServers,
     );
+    metrics.registerGauge(
+        "bm_cut_off",
+        "Whether this entry VM reaches no backend server, while others do.",
+        values.cutOff,
+    );
     metrics.registerGauge(
         "bm_quarantined_requests",
         "Requests that are kept from servers, as servers have ended while they ran them.",
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -53,13 +53,15 @@
     return { load: `own ${inFlight}; ${reported}`, loadAgeMs: Math.round(ageMs) };
 };
 
-/** Returns the slot that was acquired; throws a CallError if there is none. */
-export const slotOrThrow = (result: AcquireResult): Slot => {
+/** Returns the slot that was acquired, undefined if the entry VM has lost its links; throws a CallError if it was refused. */
+export const slotOrThrow = (result: AcquireResult): Slot | undefined => {
     switch (result.kind) {
         case "slot":
             return result.slot;
         case "refused":
             throw new CallError(result.refusal.reason, "", result.refusal.retryAfterMs);
+        case "released":
+            return undefined;
         case "withdrawn":
             throw new CallError("caller-gone");
     }
--- /dev/null
+++ b/packages/gateway/src/peerforward.ts
@@ -0,0 +1,95 @@
+/** Sends requests to peers that reach the servers, while this entry VM doesn't. */
+
+import type { EntryVm } from "@bramleymoor/model/vm";
+import type { KeepAliveAgent } from "./agent.js";
+import { examinePeerResponse } from "./examine.js";
+import { Exchange, type OutgoingRequest } from "./exchange.js";
+import type { WireFormat } from "./wireformat.js";
+
+/** A request to send to a peer. */
+export type PeerRequest = Pick<
+    OutgoingRequest,
+    "method" | "target" | "headers" | "latestConnectAt" | "writeBody"
+> & {
+    /** Whether it may be sent on a connection that the peer may have dropped. */
+    readonly mayReuseConnection: boolean;
+};
+
+/** Dependencies of a `PeerForwarder`. */
+export interface PeerForwarderOptions {
+    readonly wire: WireFormat;
+    /** Whether this entry VM has lost its links to the servers. */
+    readonly isCutOff: () => boolean;
+    /** Returns the peers that reach the servers and have room. */
+    readonly helpers: () => readonly EntryVm[];
+    /** Connections to peers: pooled ones, and new ones for requests that must not risk a stale connection. */
+    readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
+    /** Returns a random number of at least 0 and below 1. */
+    readonly random: () => number;
+    /** Returns monotonic milliseconds. */
+    readonly clock: () => number;
+}
+
+/** Sends requests to the peers that help, and spreads them over these. */
+export class PeerForwarder {
+    readonly #options: PeerForwarderOptions;
+    /** Requests in flight, by the peer's name. */
+    readonly #inFlight = new Map<string, number>();
+
+    constructor(options: PeerForwarderOptions) {
+        this.#options = options;
+    }
+
+    /** Whether requests are to be sent to peers. */
+    get isNeeded(): boolean {
+        return this.#options.isCutOff();
+    }
+
+    /**
+     * Sends a request to one of the peers that it hasn't been sent to; returns undefined if none has room.
+     *
+     * @param tried names of the peers that it has been sent to, to which the chosen one is added
+     */
+    open(request: PeerRequest, tried: Set<string>): Exchange | undefined {
+        const { wire, agents, clock } = this.#options;
+        const peer = this.#choose(tried);
+        if (!peer) {
+            return undefined;
+        }
+        tried.add(peer.id);
+        const exchange = new Exchange({
+            ...request,
+            address: peer.peerAddress,
+            agent: request.mayReuseConnection ? agents.pooled : agents.unpooled,
+            clock,
+            examine: res => examinePeerResponse(res, wire),
+        });
+        this.#count(peer.id, 1);
+        void exchange.closed.then(() => this.#count(peer.id, -1));
+        return exchange;
+    }
+
+    /** Returns the less busy of two random peers. */
+    #choose(tried: ReadonlySet<string>): EntryVm | undefined {
+        const { helpers, random } = this.#options;
+        const candidates = helpers().filter(
+            vm => !tried.has(vm.id) && (this.#inFlight.get(vm.id) ?? 0) < maxInFlight,
+        );
+        const pick = (): EntryVm | undefined => candidates[Math.floor(random() * candidates.length)];
+        const [first, second] = [pick(), pick()];
+        const load = (vm: EntryVm | undefined): number => (vm ? (this.#inFlight.get(vm.id) ?? 0) : Infinity);
+        return load(second) < load(first) ? second : first;
+    }
+
+    #count(vm: string, change: number): void {
+        const count = (this.#inFlight.get(vm) ?? 0) + change;
+        if (count > 0) {
+            this.#inFlight.set(vm, count);
+        } else {
+            this.#inFlight.delete(vm);
+        }
+    }
+}
+
+/** Requests in flight at one peer; more would keep it from its own callers. */
+const maxInFlight = 64;
--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -13,6 +13,7 @@
 import { deflateSync, inflateSync } from "node:zlib";
 import * as z from "zod";
 import { crashMessageSchema, type CrashMessage } from "@bramleymoor/quarantine/messages";
+import { reachMessageSchema, type ReachMessage } from "@bramleymoor/reach/messages";
 import { splitAddress } from "./exchange.js";
 
 const envelopeSchema = z.discriminatedUnion("kind", [
@@ -21,6 +22,7 @@
     z.object({ kind: z.literal("news"), body: discoveryMessageSchema }),
     z.object({ kind: z.literal("limits"), body: limitMessageSchema }),
     z.object({ kind: z.literal("crashes"), body: crashMessageSchema }),
+    z.object({ kind: z.literal("reach"), body: reachMessageSchema }),
 ]);
 
 type Envelope = z.infer<typeof envelopeSchema>;
@@ -32,6 +34,7 @@
     readonly onDiscovery: (message: DiscoveryMessage, from: string) => void;
     readonly onLimits: (message: LimitMessage) => void;
     readonly onCrashes: (message: CrashMessage) => void;
+    readonly onReach: (message: ReachMessage) => void;
     /** Called for a datagram that can't be sent, parsed or replied to; `address` is empty if unknown. */
     readonly onRejected: (address: string, reason: string) => void;
 }
@@ -109,6 +112,12 @@
         peerAddresses.forEach(it => this.#send(it, data));
     }
 
+    /** Sends a message about reached servers to peers. */
+    sendReach(peerAddresses: readonly string[], body: ReachMessage): void {
+        const data = encode({ kind: "reach", body });
+        peerAddresses.forEach(it => this.#send(it, data));
+    }
+
     close(): void {
         this.#closed = true;
         this.#socket.close();
@@ -164,6 +173,9 @@
             case "crashes":
                 this.#handlers.onCrashes(envelope.body);
                 break;
+            case "reach":
+                this.#handlers.onReach(envelope.body);
+                break;
         }
     }
 }
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -107,6 +107,11 @@
         }
     }
 
+    /** Ends all waits, as this entry VM has lost its links to the servers. */
+    releaseWaiting(): void {
+        this.#services.forEach(it => it.dispatcher.releaseWaiting());
+    }
+
     /** Handles expired and dispatchable requests in every queue. */
     tick(): void {
         this.#services.forEach(it => it.dispatcher.tick());
--- a/packages/gateway/src/trafficpartitioner.ts
+++ b/packages/gateway/src/trafficpartitioner.ts
@@ -21,6 +21,8 @@
     readonly membership: Pick<Membership, "payload" | "setPayload">;
     /** Returns all members that are not dead, including this one. */
     readonly members: () => readonly EntryVm[];
+    /** Whether an entry VM can't reach the servers. */
+    readonly isCutOff: (vm: EntryVm) => boolean;
     /** Sets the ids of the servers of a service that this entry VM prefers; undefined for no preference. */
     readonly setPreferredServers: (service: string, serverIds: ReadonlySet<string> | undefined) => void;
     readonly demand: Pick<DemandExchange, "hostRate" | "ownHostRate">;
@@ -47,7 +49,8 @@
 
     /** Returns the entry VMs for a host's callers in one failure domain. */
     entryVmsFor(host: string, domain: string): readonly EntryVm[] {
-        return this.#selector.select(host, domain, this.#options.members(), this.#capacityOf);
+        const { members, isCutOff } = this.#options;
+        return this.#selector.select(host, domain, members(), this.#capacityOf, isCutOff);
     }
 
     /** Applies a newer configuration or a newer list of servers. */
@@ -77,13 +80,13 @@
      * nothing has changed: hashing all servers costs a small VM much of its time.
      */
     #partitionServers(): void {
-        const { self, members, demand, setPreferredServers } = this.#options;
+        const { self, members, isCutOff, demand, setPreferredServers } = this.#options;
         for (const [service, allHosts] of this.#hostsByService) {
             const hosts = [...allHosts].filter(it => demand.ownHostRate(it) > 0);
             if (hosts.length === 0) {
                 continue;
             }
-            const entryVms = this.#selector.selectForHosts(hosts, members(), this.#capacityOf);
+            const entryVms = this.#selector.selectForHosts(hosts, members(), this.#capacityOf, isCutOff);
             const ids = entryVms.map(vm => vm.id).join(" ");
             if (this.#partitionedAmong.get(service) !== ids) {
                 this.#partitionedAmong.set(service, ids);
--- a/packages/gateway/src/wireformat.ts
+++ b/packages/gateway/src/wireformat.ts
@@ -19,6 +19,8 @@
     requestId(headers: IncomingHttpHeaders): string | undefined;
     /** Returns how long the caller will wait, in milliseconds; undefined if it doesn't say. */
     deadlineMs(headers: IncomingHttpHeaders): number | undefined;
+    /** Returns headers with the deadline; names and values alternating. */
+    deadlineHeaders(deadlineMs: number): readonly string[];
     /** Returns headers with the deadline and the server incarnation that is addressed; names and values alternating. */
     requestHeaders(deadlineMs: number, serverId: string): readonly string[];
     /** Returns why a server refused the request without running it; undefined if it doesn't say that it refused. */
--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { KeepAliveAgent } from "../src/agent.js";
 import { Exchange, SendError } from "../src/exchange.js";
-import { responseText, startRawServer, testWire } from "./setup.js";
+import { responseText, startRawServer } from "./setup.js";
 
 const clock = (): number => performance.now();
 const maxConnectMs = 250;
@@ -17,21 +17,17 @@
     const server = await startRawServer(t, "s1", ({ socket, id }) => socket.write(responseText(id, "ok")));
     const agent = new KeepAliveAgent({ idleMs: 0, marginMs: 0, clock });
     t.after(() => agent.destroy());
-    const exchange = new Exchange(
-        {
-            server: server.entry,
-            agent,
-            method: "GET",
-            target: "/x",
-            headers: ["Host", "h.example", "t-id", "a", "t-deadline", "300"],
-            requestId: "a",
-            latestConnectAt: clock() + maxConnectMs,
-            clock,
-            onStatement: () => undefined,
-            writeBody: req => req.end(),
-        },
-        testWire,
-    );
+    const exchange = new Exchange({
+        address: server.entry.address,
+        agent,
+        method: "GET",
+        target: "/x",
+        headers: ["Host", "h.example", "t-id", "a", "t-deadline", "300"],
+        latestConnectAt: clock() + maxConnectMs,
+        clock,
+        examine: () => undefined,
+        writeBody: req => req.end(),
+    });
     pause(2 * maxConnectMs);
     const err: unknown = await exchange.head.then(
         () => undefined,
--- a/packages/gateway/test/gossip.test.ts
+++ b/packages/gateway/test/gossip.test.ts
@@ -48,6 +48,7 @@
         onDiscovery: () => undefined,
         onLimits: () => undefined,
         onCrashes: () => undefined,
+        onReach: () => undefined,
         onRejected: () => undefined,
     });
     await socket.listen(port, "127.0.0.1");
--- a/packages/gateway/test/peersocket.test.ts
+++ b/packages/gateway/test/peersocket.test.ts
@@ -10,6 +10,7 @@
         onDiscovery: () => undefined,
         onLimits: () => undefined,
         onCrashes: () => undefined,
+        onReach: () => undefined,
         onRejected: address => rejected.push(address),
     });
     await socket.listen(0, "127.0.0.1");
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -6,6 +6,7 @@
 import { CallError } from "@bramleymoor/protocol/errors";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { TimerSet } from "@bramleymoor/proxy/timers";
+import { Subject } from "rxjs";
 import { RouteTable } from "@bramleymoor/routing/table";
 import { serverEntry } from "@bramleymoor/testkit/builders";
 import { KeepAliveAgent } from "../src/agent.js";
@@ -29,6 +30,7 @@
     accountHeaders: ["t-account"],
     requestId: headers => text(headers["t-id"]),
     deadlineMs: headers => (headers["t-deadline"] === undefined ? undefined : Number(headers["t-deadline"])),
+    deadlineHeaders: deadlineMs => ["t-deadline", String(deadlineMs)],
     requestHeaders: (deadlineMs, serverId) => ["t-deadline", String(deadlineMs), "t-server", serverId],
     refusal: (_, headers) => (headers["t-not-run"] === undefined ? undefined : "full"),
     statement: (_, headers) => ({
@@ -220,6 +222,7 @@
         members: () => ["vm"],
         send: () => undefined,
         probe: async server => services.dispatcher(server.service)?.checkServer(server),
+        isCutOff: () => false,
         clock,
     });
     applyServers();
@@ -252,6 +255,8 @@
         acceptWaitMs: req => frontend.acceptWaitMs(req),
         countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
+        peers: undefined,
+        linksLost: new Subject(),
         crashGuard: crashes,
         onSendLost: () => undefined,
         onDone: record => records.push(record),
--- a/packages/gateway/test/trafficpartitioner.test.ts
+++ b/packages/gateway/test/trafficpartitioner.test.ts
@@ -38,6 +38,7 @@
             linkMbps,
             membership,
             members,
+            isCutOff: () => false,
             setPreferredServers: (service, serverIds) => {
                 partitions.push(service);
                 preferred.set(self, serverIds);
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -190,6 +190,29 @@
         id: "string",
         incarnation: "string",
     }),
+    "links-lost": defineEvent(
+        2006,
+        "warn",
+        "This entry VM reaches no backend server, while other entry VMs do; requests go to them.",
+        {},
+    ),
+    "links-back": defineEvent(2007, "info", "This entry VM reaches backend servers again, after {ms} ms.", {
+        ms: "number",
+    }),
+    "peer-links-lost": defineEvent(
+        2008,
+        "info",
+        "Entry VM {id} says that it reaches no backend server; callers are sent to others.",
+        { id: "string" },
+    ),
+    "peer-links-back": defineEvent(
+        2009,
+        "info",
+        "Entry VM {id} no longer says that it reaches no backend server.",
+        {
+            id: "string",
+        },
+    ),
     started: defineEvent(
         5001,
         "info",
--- a/packages/protocol/src/errors.ts
+++ b/packages/protocol/src/errors.ts
@@ -56,6 +56,12 @@
     "deadline-queued": info(504, "not run", "never", "The deadline passed while the request was queued."),
     "connect-failed": info(502, "not run", "same", "No connection to a backend server could be opened."),
     "server-refused": info(503, "not run", "same", "Backend servers refused the request before starting it."),
+    "no-links": info(
+        503,
+        "not run",
+        "other",
+        "This entry VM can't reach the backend servers at present, and no other one has room for its callers.",
+    ),
     quarantined: info(
         503,
         "not run",
--- a/packages/quarantine/src/endings.ts
+++ b/packages/quarantine/src/endings.ts
@@ -76,6 +76,13 @@
         return endings;
     }
 
+    /** Forgets all sends. */
+    clear(): void {
+        this.#sends.clear();
+        this.#endedServers.clear();
+        this.#size = 0;
+    }
+
     #forget(server: string): void {
         this.#size -= this.#sends.get(server)?.size ?? 0;
         this.#sends.delete(server);
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -157,6 +157,11 @@
         this.#takeEndings(now);
     }
 
+    /** Forgets the sends of which it isn't known yet whether their server has ended, as this entry VM can't tell. */
+    forgetUnclear(): void {
+        this.#detector.clear();
+    }
+
     /** Processes a peer's message. */
     receive({ from, reports }: CrashMessage, now: number): void {
         for (const { key, endings, answeredAgoMs, trialAgoMs, failedTrials = 0 } of reports) {
