--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -48,7 +48,6 @@
 
 /** A request that has been read. */
 interface ReadRequest {
-    readonly id: string;
     readonly route: Route;
     readonly body: RequestBody;
     readonly deadlineAt: number;
@@ -189,7 +188,7 @@
             callerDeadlineAt: this.#arrivedAt + callerDeadlineMs,
             tried: [],
         };
-        const read = { id: requestId, route, body, deadlineAt };
+        const read = { route, body, deadlineAt };
         for (let unreachableServers = 0; ;) {
             if (this.#options.peers?.isNeeded) {
                 return await this.#forwardToPeers(read);
--- a/packages/reach/src/links.ts
+++ b/packages/reach/src/links.ts
@@ -104,6 +104,12 @@
     }
 }
 
+/** Returns when it began to look as if no server could be reached; Infinity if there are no suspects. */
+export const suspectedAt = (suspects: readonly UnreachedServer[]): number => {
+    const times = suspects.map(it => it.failedAt).sort((a, b) => a - b);
+    return times[Math.min(serversToSuspect, times.length) - 1] ?? Infinity;
+};
+
 interface Failure {
     readonly failedAt: number;
     readonly lastSentAt: number;
--- a/packages/reach/src/reach.ts
+++ b/packages/reach/src/reach.ts
@@ -1,6 +1,6 @@
 /** Whether an entry VM has lost its links to the servers, judged with its peers, and which of them can help it. */
 
-import { LinkMonitor, type ReachFailure, type UnreachedServer } from "./links.js";
+import { LinkMonitor, suspectedAt, type ReachFailure, type UnreachedServer } from "./links.js";
 import { maxServersPerQuestion, type ReachMessage } from "./messages.js";
 
 /** What a `Reach` learns from its owner. */
@@ -138,12 +138,13 @@
         this.#forget(now);
         const suspects = this.#links.suspects(servers.length, now);
         this.#judge(servers.length, now);
-        const isAsking = peers.length > 0 && (this.#isCutOff || suspects.length > 0);
+        const hasProbed = now - suspectedAt(suspects) >= ownProbeMs;
+        const isAsking = peers.length > 0 && (this.#isCutOff || hasProbed);
+        const isProbing = this.#isCutOff || suspects.length > 0 || this.#links.isUnclear(now);
         return {
             broadcasts: this.#dueAnnouncements(now),
             questions: isAsking ? this.#dueQuestions(suspects, servers, peers, now) : [],
-            probes:
-                this.#isCutOff || this.#links.isUnclear(now) ? this.#dueProbes(suspects, servers, now) : [],
+            probes: isProbing ? this.#dueProbes(suspects, servers, now) : [],
         };
     }
 
@@ -281,8 +282,10 @@
 const proofsDue = 2;
 /** Answered probes in a row after which the links are back. */
 const successesToRecover = 2;
+/** Time in which a probe of another server shows that the links work, and peers needn't be asked. */
+const ownProbeMs = 100;
 /** Interval of questions while it isn't known whether this entry VM is cut off. */
-const firstQuestionsMs = 150;
+const firstQuestionsMs = 100;
 /** Interval of questions while it is cut off, which also find helpers. */
 const repeatQuestionMs = 1_000;
 /** What a peer has reached longer ago says nothing of the present. */
@@ -300,7 +303,7 @@
 const stateTtlMs = 3_500;
 const recoveryAnnouncements = 3;
 /** Interval of probes while it isn't known whether this entry VM is cut off. */
-const firstProbesMs = 150;
+const firstProbesMs = 100;
 /** Interval of probes while it is. */
 const probeMs = 250;
 const probesAtOnce = 2;
