Quarantine: servers that fall silent are probed after a send is given up

Cause: only a broken connection led to a probe, so a request under which servers fall silent was recognized only where other requests probed them; a started entry VM could hear of quarantined requests up to 3 s after its start, which is when it counts as in touch. Now a send that is given up leads to a probe unless the server has answered something later, and quarantined requests are repeated each second. The fleet's test of silent servers passes before and after, as its other requests probe the servers.

--- a/packages/gateway/src/crashexchange.ts
+++ b/packages/gateway/src/crashexchange.ts
@@ -100,9 +100,10 @@
         const incarnation = incarnationKey(server);
         this.#quarantine.recordEnd({ key, server: incarnation, sentAt, end }, clock());
         this.#logChanges();
-        if (end === "lost" && this.#quarantine.isUnclear(incarnation)) {
+        const isUnanswered = end === "lost" || end === "abandoned";
+        if (isUnanswered && this.#quarantine.isUnclear(incarnation, sentAt)) {
             const probed = probe(server);
-            if (this.#quarantine.isSuspect(key)) {
+            if (end === "lost" && this.#quarantine.isSuspect(key)) {
                 await Promise.race([probed, delay(maxProbeWaitMs)]);
             }
         }
--- a/packages/quarantine/src/endings.ts
+++ b/packages/quarantine/src/endings.ts
@@ -17,7 +17,9 @@
 export class EndingDetector {
     /** Latest sends by server and fingerprint. */
     readonly #sends = new Map<string, Map<string, UnansweredSend>>();
-    readonly #endedServers = new Map<string, number>();
+    readonly #endedServers = new Set<string>();
+    /** Start of the latest send that each server has answered. */
+    readonly #answeredSends = new Map<string, number>();
     #size = 0;
     /** Start of the latest send that a server has answered. */
     #reachedAt = -Infinity;
@@ -27,9 +29,13 @@
         return this.#size;
     }
 
-    /** Whether a server is suspected to have ended, and nothing that was sent since says whether it has. */
-    isUnclear(server: string): boolean {
-        return this.#sends.has(server) && !this.#endedServers.has(server);
+    /** Whether a server may have ended after `sentAt`, and nothing that was sent since says whether it has. */
+    isUnclear(server: string, sentAt: number): boolean {
+        return (
+            this.#sends.has(server) &&
+            !this.#endedServers.has(server) &&
+            (this.#answeredSends.get(server) ?? -Infinity) <= sentAt
+        );
     }
 
     /** Records a send without a response. */
@@ -47,6 +53,7 @@
     /** Records that a server has responded to something sent at `sentAt`. */
     recordAlive(server: string, sentAt: number): void {
         this.#reachedAt = Math.max(this.#reachedAt, sentAt);
+        this.#recordAnsweredSend(server, sentAt);
         const sends = this.#sends.get(server);
         if (sends && [...sends.values()].every(it => it.at <= sentAt)) {
             this.#forget(server);
@@ -54,9 +61,9 @@
     }
 
     /** Records that a server can't be reached, or another one has its address. */
-    recordUnreachable(server: string, now: number): void {
-        if (this.#sends.has(server) && !this.#endedServers.has(server)) {
-            this.#endedServers.set(server, now);
+    recordUnreachable(server: string): void {
+        if (this.#sends.has(server)) {
+            this.#endedServers.add(server);
         }
     }
 
@@ -83,6 +90,16 @@
         this.#size = 0;
     }
 
+    #recordAnsweredSend(server: string, sentAt: number): void {
+        const latest = Math.max(sentAt, this.#answeredSends.get(server) ?? -Infinity);
+        this.#answeredSends.delete(server);
+        this.#answeredSends.set(server, latest);
+        const [oldest] = this.#answeredSends.keys();
+        if (this.#answeredSends.size > maxServers && oldest !== undefined) {
+            this.#answeredSends.delete(oldest);
+        }
+    }
+
     #forget(server: string): void {
         this.#size -= this.#sends.get(server)?.size ?? 0;
         this.#sends.delete(server);
@@ -92,5 +109,6 @@
 
 /** Time after a send in which its server is found to have ended, if it has: longer than a connect or a probe takes. */
 const unclearMs = 3_000;
-/** Bounds the memory. */
+/** Bound the memory. */
 const maxSends = 2_000;
+const maxServers = 2_000;
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -92,9 +92,9 @@
         return (this.#records.get(key)?.endings ?? 0) > 0;
     }
 
-    /** Whether nothing says yet whether a server has ended that a send was lost at. */
-    isUnclear(server: string): boolean {
-        return this.#detector.isUnclear(server);
+    /** Whether a server may have ended that gave no response to a request sent at `sentAt`, so that it should be probed. */
+    isUnclear(server: string, sentAt: number): boolean {
+        return this.#detector.isUnclear(server, sentAt);
     }
 
     /**
@@ -141,7 +141,7 @@
                 this.#detector.recordUnanswered({ key, server, at: now });
                 break;
             case "unreachable":
-                this.#detector.recordUnreachable(server, now);
+                this.#detector.recordUnreachable(server);
                 break;
         }
         this.#takeEndings(now);
@@ -152,7 +152,7 @@
         if (isAlive) {
             this.#detector.recordAlive(server, sentAt);
         } else {
-            this.#detector.recordUnreachable(server, now);
+            this.#detector.recordUnreachable(server);
         }
         this.#takeEndings(now);
     }
@@ -322,7 +322,7 @@
 /** Most requests that were in flight when a server ended are answered by another one within this time. */
 const firstReportDelayMs = 250;
 /** Interval at which peers are told again of a quarantined request. */
-const repeatMs = 1_500;
+const repeatMs = 1_000;
 /** Time after the last ending after which a request is forgotten: longer than any wait for a trial. */
 const keepMs = 600_000;
 /** Time for which it is kept that a request was answered: longer than reports of earlier endings may be on their way. */
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -204,7 +204,7 @@
             );
             heardAfterMs = fresh.quarantine.isQuarantined(poison) ? ms : Infinity;
         }
-        assert.ok(heardAfterMs <= 3_200, `${heardAfterMs} ms`);
+        assert.ok(heardAfterMs <= 2_200, `${heardAfterMs} ms`);
     }
 });
 
@@ -246,6 +246,25 @@
     assert.ok(vm.quarantine.isQuarantined(poison));
 });
 
+test("a request under which servers fall silent is quarantined too", () => {
+    const vm = new Vm("a");
+    for (let i = 0; i < 3; i++) {
+        vm.send(poison, `s${i}`, "abandoned");
+        assert.ok(vm.quarantine.isUnclear(`s${i}`, vm.now - 10), "it should be probed");
+        vm.learnEnd(`s${i}`);
+        vm.now += 500;
+    }
+    assert.ok(vm.quarantine.isQuarantined(poison));
+});
+
+test("a server that has answered something sent later needs no probe after a send is given up", () => {
+    const vm = new Vm("a");
+    vm.now = 100;
+    vm.send(innocent, "s0", "answered");
+    vm.quarantine.recordEnd({ key: innocent, server: "s0", sentAt: 50, end: "abandoned" }, vm.now);
+    assert.ok(!vm.quarantine.isUnclear("s0", 50));
+});
+
 test("messages name at most as many endings and requests as their schema allows", () => {
     const vm = new Vm("a");
     for (let i = 0; i < 30; i++) {
