--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -78,6 +78,11 @@
         super.reuseSocket(socket, req);
     }
 
+    /** Closes the connections that are idle. */
+    closeIdle(): void {
+        Object.values(this.freeSockets).forEach(sockets => sockets?.forEach(it => it.destroy()));
+    }
+
     /** Returns whether the connection that the next request to `address` reuses was in use within the last `ms`. */
     wasUsedWithin(address: string, ms: number): boolean {
         const socket = this.freeSockets[`${address}:`]?.findLast(it => !it.destroyed);
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -127,6 +127,7 @@
         this.#reach.lost.subscribe(() => {
             this.#crashes.forgetUnclear();
             this.#dispatchers.releaseWaiting();
+            this.#agents.pooled.closeIdle();
         });
         this.#agents = createAgents(this.#reach.connections);
         this.#peerForwarder = new PeerForwarder({
