--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -356,12 +356,16 @@
         this.#exchange = exchange;
         const settle = async (result: SlotResult): Promise<SlotResult> => {
             dispatcher.settle(slot, result);
-            await crashGuard.recordEnd({
-                fingerprint: this.#fingerprint,
-                server: slot.server,
-                sentAt: startedAt,
-                end: sendEndOf(result),
-            });
+            const end = sendEndOf(result);
+            if (exchange.sent || end !== "abandoned") {
+                const { server } = slot;
+                await crashGuard.recordEnd({
+                    fingerprint: this.#fingerprint,
+                    server,
+                    sentAt: startedAt,
+                    end,
+                });
+            }
             return result;
         };
         const connectTimer = this.#scheduleConnectTimeout(exchange, startedAt);
