Lost links: peers learn the caller's deadline; ticks with nothing to judge are skipped

Cause: a request for a peer carried the route's remaining timeout as its deadline, which the peer takes for the time that the caller has left: it counted the request as late and refused it sooner under load. It carries the caller's own now.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -51,6 +51,8 @@
     readonly route: Route;
     readonly body: RequestBody;
     readonly deadlineAt: number;
+    /** When the caller gives up, further attempts of its own included. */
+    readonly callerDeadlineAt: number;
 }
 
 /** Dependencies that all requests share. */
@@ -188,7 +190,7 @@
             callerDeadlineAt: this.#arrivedAt + callerDeadlineMs,
             tried: [],
         };
-        const read = { route, body, deadlineAt };
+        const read = { route, body, deadlineAt, callerDeadlineAt: request.callerDeadlineAt };
         for (let unreachableServers = 0; ;) {
             if (this.#options.peers?.isNeeded) {
                 return await this.#forwardToPeers(read);
@@ -235,7 +237,8 @@
     async #sendToPeer(read: ReadRequest, tried: Set<string>): Promise<SentResult> {
         const { wire, clock, peers } = this.#options;
         const startedAt = clock();
-        const remainingMs = Math.max(1, Math.floor(read.deadlineAt - startedAt));
+        // The peer applies the route's timeout itself, and tells from the caller's deadline how late the request is.
+        const remainingMs = Math.max(1, Math.floor(read.callerDeadlineAt - startedAt));
         const exchange = peers?.open(
             {
                 method: this.#req.method ?? "GET",
--- a/packages/gateway/src/reachexchange.ts
+++ b/packages/gateway/src/reachexchange.ts
@@ -105,6 +105,9 @@
 
     /** Judges what is known, and does what is due. To be called often. */
     tick(): void {
+        if (this.#reach.isIdle && this.#lostAt === undefined && this.#cutOffPeers.size === 0) {
+            return;
+        }
         const { others, send, clock } = this.#options;
         const peers = others();
         const alive = peers.filter(vm => vm.state === "alive").map(vm => vm.id);
--- a/packages/reach/src/links.ts
+++ b/packages/reach/src/links.ts
@@ -98,6 +98,11 @@
         );
     }
 
+    /** Whether no server has failed since one was reached. */
+    get isClear(): boolean {
+        return Object.values(this.#failures).every(it => it.size === 0);
+    }
+
     /** Forgets all failures. */
     clear(): void {
         Object.values(this.#failures).forEach(it => it.clear());
--- a/packages/reach/src/reach.ts
+++ b/packages/reach/src/reach.ts
@@ -50,6 +50,16 @@
         return this.#isCutOff;
     }
 
+    /** Whether nothing is to be done or found out, so that `tick` needn't be called. */
+    get isIdle(): boolean {
+        return (
+            this.#links.isClear &&
+            !this.#isCutOff &&
+            this.#recoveryAnnouncements === 0 &&
+            this.#cutOffPeers.size === 0
+        );
+    }
+
     /** Whether an entry VM can't reach the servers, this one included. */
     isCutOffVm(vm: string, now: number): boolean {
         return vm === this.#options.self ? this.#isCutOff : (this.#cutOffPeers.get(vm) ?? -Infinity) > now;
