--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -327,7 +327,7 @@
 const keepMs = 600_000;
 /** Time for which it is kept that a request was answered: longer than reports of earlier endings may be on their way. */
 const keepAnsweredMs = 10_000;
-/** Bounds the memory, to about a megabyte. */
+/** Bounds the memory, to a few megabytes. */
 const maxRecords = 1_000;
 /** Changes that are kept until they are taken. */
 const maxChanges = 1_000;
