Quarantine: a server that answers after it couldn't be reached has not ended

Cause: a probe that timed out marked a server as ended, and nothing took the mark back but an answer to something sent after the last loss. A loaded server that missed one probe, answered, and lost a connection again counted as ended under requests that it merely lost; found by reading the change. Test before: 1 record of such a request, 0 due; after: 0. Now an answer to something sent after the failed attempt began takes the mark back.

--- a/packages/quarantine/src/endings.ts
+++ b/packages/quarantine/src/endings.ts
@@ -17,7 +17,8 @@
 export class EndingDetector {
     /** Latest sends by server and fingerprint. */
     readonly #sends = new Map<string, Map<string, UnansweredSend>>();
-    readonly #endedServers = new Set<string>();
+    /** When the attempt began that couldn't reach a server, by incarnation key. */
+    readonly #unreachableSince = new Map<string, number>();
     /** Start of the latest send that each server has answered. */
     readonly #answeredSends = new Map<string, number>();
     #size = 0;
@@ -33,7 +34,7 @@
     isUnclear(server: string, sentAt: number): boolean {
         return (
             this.#sends.has(server) &&
-            !this.#endedServers.has(server) &&
+            !this.#unreachableSince.has(server) &&
             (this.#answeredSends.get(server) ?? -Infinity) <= sentAt
         );
     }
@@ -57,13 +58,16 @@
         const sends = this.#sends.get(server);
         if (sends && [...sends.values()].every(it => it.at <= sentAt)) {
             this.#forget(server);
+        } else if (sentAt > (this.#unreachableSince.get(server) ?? Infinity)) {
+            this.#unreachableSince.delete(server);
         }
     }
 
-    /** Records that a server can't be reached, or another one has its address. */
-    recordUnreachable(server: string): void {
+    /** Records that an attempt that began at `sentAt` couldn't reach a server, or found another one at its address. */
+    recordUnreachable(server: string, sentAt: number): void {
         if (this.#sends.has(server)) {
-            this.#endedServers.add(server);
+            const latest = Math.max(sentAt, this.#unreachableSince.get(server) ?? -Infinity);
+            this.#unreachableSince.set(server, latest);
         }
     }
 
@@ -72,7 +76,7 @@
         const endings: UnansweredSend[] = [];
         for (const [server, sends] of this.#sends) {
             const unanswered = [...sends.values()];
-            const ended = this.#endedServers.has(server);
+            const ended = this.#unreachableSince.has(server);
             if (ended && unanswered.every(it => it.at < this.#reachedAt)) {
                 endings.push(...unanswered);
                 this.#forget(server);
@@ -86,7 +90,7 @@
     /** Forgets all sends. */
     clear(): void {
         this.#sends.clear();
-        this.#endedServers.clear();
+        this.#unreachableSince.clear();
         this.#size = 0;
     }
 
@@ -103,7 +107,7 @@
     #forget(server: string): void {
         this.#size -= this.#sends.get(server)?.size ?? 0;
         this.#sends.delete(server);
-        this.#endedServers.delete(server);
+        this.#unreachableSince.delete(server);
     }
 }
 
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -141,7 +141,7 @@
                 this.#detector.recordUnanswered({ key, server, at: now });
                 break;
             case "unreachable":
-                this.#detector.recordUnreachable(server);
+                this.#detector.recordUnreachable(server, sentAt);
                 break;
         }
         this.#takeEndings(now);
@@ -152,7 +152,7 @@
         if (isAlive) {
             this.#detector.recordAlive(server, sentAt);
         } else {
-            this.#detector.recordUnreachable(server);
+            this.#detector.recordUnreachable(server, sentAt);
         }
         this.#takeEndings(now);
     }
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -140,6 +140,22 @@
     assert.equal(vm.quarantine.size, 0);
 });
 
+test("a server that answers after it couldn't be reached for a time has not ended", () => {
+    const vm = new Vm("a");
+    for (let i = 0; i < 3; i++) {
+        const server = `s${i}`;
+        vm.send(innocent, server);
+        vm.quarantine.recordProbe(server, false, vm.now, vm.now + 400);
+        vm.now += 500;
+        const sentAt = vm.now;
+        vm.send(innocent, server);
+        vm.quarantine.recordProbe(server, true, sentAt, vm.now);
+        vm.quarantine.recordProbe("other", true, vm.now + 1, vm.now + 2);
+        vm.now += 1_000;
+    }
+    assert.equal(vm.quarantine.size, 0);
+});
+
 test("an entry VM that reaches no server at all takes none for ended", () => {
     const vm = new Vm("a");
     for (let i = 0; i < 10; i++) {
