Quarantine: reports count from when they were written, not read

Cause: a peer's report names ages, and these were counted from its reading. Test: fails without the subtraction of the delay, passes with it. The bound of the delay is the event loop's lag, as for request limits.

--- a/packages/gateway/src/crashexchange.ts
+++ b/packages/gateway/src/crashexchange.ts
@@ -122,9 +122,13 @@
         this.#quarantine.forgetUnclear();
     }
 
-    /** Processes a peer's message. */
-    receive(message: CrashMessage): void {
-        this.#quarantine.receive(message, this.#options.clock());
+    /**
+     * Processes a peer's message.
+     *
+     * @param unreadMs how long the message may have waited unread, in milliseconds
+     */
+    receive(message: CrashMessage, unreadMs: number): void {
+        this.#quarantine.receive(message, unreadMs, this.#options.clock());
         this.#logChanges();
     }
 
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -162,7 +162,7 @@
                 const now = monotonicMs();
                 this.#statements.receive(message, this.#lag.lagMs(now), now);
             },
-            onCrashes: message => this.#crashes.receive(message),
+            onCrashes: message => this.#crashes.receive(message, this.#lag.lagMs(monotonicMs())),
             onReach: message => this.#reach.receive(message),
             onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -162,19 +162,24 @@
         this.#detector.clear();
     }
 
-    /** Processes a peer's message. */
-    receive({ from, reports }: CrashMessage, now: number): void {
+    /**
+     * Processes a peer's message.
+     *
+     * @param unreadMs how long the message may have waited unread, in milliseconds
+     */
+    receive({ from, reports }: CrashMessage, unreadMs: number, now: number): void {
+        const writtenAt = now - unreadMs;
         for (const { key, endings, answeredAgoMs, trialAgoMs, failedTrials = 0 } of reports) {
             const known = this.#records.get(key);
             const record = known ?? new CrashRecord();
             this.#update(key, record, () => {
                 if (answeredAgoMs !== undefined) {
-                    record.recordAnswer(now - answeredAgoMs);
+                    record.recordAnswer(writtenAt - answeredAgoMs);
                 }
-                endings.forEach(it => record.addEnding(it.server, now - it.agoMs));
+                endings.forEach(it => record.addEnding(it.server, writtenAt - it.agoMs));
             });
             if (trialAgoMs !== undefined) {
-                record.claimTrial(from, now - trialAgoMs);
+                record.claimTrial(from, writtenAt - trialAgoMs);
             }
             if (record.endings > 0) {
                 record.recordFailedTrials(failedTrials);
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -88,10 +88,10 @@
     const peer = new Vm("b");
     for (let i = 0; i < 10; i++) {
         vm.crash(innocent, `s${i}`);
-        vm.tick(300).forEach(it => peer.quarantine.receive(it, vm.now));
+        vm.tick(300).forEach(it => peer.quarantine.receive(it, 0, vm.now));
         peer.now = vm.now;
         peer.send(innocent, "other", "answered");
-        peer.tick(100).forEach(it => vm.quarantine.receive(it, peer.now));
+        peer.tick(100).forEach(it => vm.quarantine.receive(it, 0, peer.now));
         assert.equal(vm.admits(innocent), "free", `ending ${i}`);
         vm.now += 500;
     }
@@ -128,6 +128,22 @@
     assert.ok(vm.quarantine.isQuarantined("account.second"));
 });
 
+test("a report that lay unread while a server answered brings no ending back", () => {
+    const vm = new Vm("a");
+    const report = { from: "b", reports: [{ key: innocent, endings: [{ server: "s0", agoMs: 0 }] }] };
+    vm.quarantine.receive(report, 0, vm.now);
+    vm.now += 1_000;
+    vm.send(innocent, "other", "answered");
+    vm.now += 500;
+    vm.quarantine.receive(
+        { ...report, reports: [{ key: innocent, endings: [{ server: "s1", agoMs: 0 }] }] },
+        1_400,
+        vm.now,
+    );
+    vm.tick(11_000);
+    assert.equal(vm.quarantine.size, 0);
+});
+
 test("connections that break at servers which go on are no endings", () => {
     const vm = new Vm("a");
     for (let i = 0; i < 10; i++) {
@@ -199,8 +215,8 @@
         vm.now += 1_500;
         assert.equal(vm.quarantine.admit(poison, true, vm.now).kind, "trial");
     }
-    a.tick(5).forEach(it => b.quarantine.receive(it, b.now + 5));
-    b.tick(5).forEach(it => a.quarantine.receive(it, a.now));
+    a.tick(5).forEach(it => b.quarantine.receive(it, 0, b.now + 5));
+    b.tick(5).forEach(it => a.quarantine.receive(it, 0, a.now));
     assert.deepEqual(
         [a, b].map(it => it.quarantine.holdsTrial(poison)),
         [true, false],
@@ -216,7 +232,7 @@
         for (let ms = 0; ms < 10_000 && heardAfterMs === Infinity; ms += 50) {
             const messages = others.flatMap(it => it.tick(50));
             messages.forEach(message =>
-                [fresh, ...others].forEach(it => it.quarantine.receive(message, it.now)),
+                [fresh, ...others].forEach(it => it.quarantine.receive(message, 0, it.now)),
             );
             heardAfterMs = fresh.quarantine.isQuarantined(poison) ? ms : Infinity;
         }
@@ -229,7 +245,7 @@
     const endings = [{ server: "s9", agoMs: 0 }];
     for (let i = 0; i < 3_000; i++) {
         vm.now += 1;
-        vm.quarantine.receive({ from: "b", reports: [{ key: `flood.${i}`, endings }] }, vm.now);
+        vm.quarantine.receive({ from: "b", reports: [{ key: `flood.${i}`, endings }] }, 0, vm.now);
     }
     assert.ok(vm.quarantine.size <= 1_000);
     assert.ok(vm.quarantine.isQuarantined(poison));
@@ -246,8 +262,8 @@
     const [a, b] = [quarantinedAt("a", poison), quarantinedAt("b", poison)];
     a.now += 500;
     for (let ms = 0; ms < 700_000; ms += 500) {
-        a.tick(500).forEach(it => b.quarantine.receive(it, b.now));
-        b.tick(500).forEach(it => a.quarantine.receive(it, a.now));
+        a.tick(500).forEach(it => b.quarantine.receive(it, 0, b.now));
+        b.tick(500).forEach(it => a.quarantine.receive(it, 0, a.now));
     }
     assert.deepEqual([a.quarantine.size, b.quarantine.size], [0, 0]);
 });
@@ -257,7 +273,7 @@
     const endings = [{ server: "s9", agoMs: 0 }];
     for (let i = 0; i < 3_000; i++) {
         vm.now += 1;
-        vm.quarantine.receive({ from: "b", reports: [{ key: `account.${i}`, endings }] }, vm.now);
+        vm.quarantine.receive({ from: "b", reports: [{ key: `account.${i}`, endings }] }, 0, vm.now);
     }
     assert.ok(vm.quarantine.isQuarantined(poison));
 });
