Lost links: answers count from when they were written, not read

Cause: the age in a peer's answer was counted from its reading, so that one that had lain unread since before all servers failed proved that this entry VM alone was cut off. Test: cut off without the subtraction of the delay, not with it. A counter of messages that no test read is gone.

--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -163,7 +163,7 @@
                 this.#statements.receive(message, this.#lag.lagMs(now), now);
             },
             onCrashes: message => this.#crashes.receive(message, this.#lag.lagMs(monotonicMs())),
-            onReach: message => this.#reach.receive(message),
+            onReach: message => this.#reach.receive(message, this.#lag.lagMs(monotonicMs())),
             onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
         });
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
--- a/packages/gateway/src/reachexchange.ts
+++ b/packages/gateway/src/reachexchange.ts
@@ -88,11 +88,15 @@
         }
     }
 
-    /** Processes a peer's message. */
-    receive(message: ReachMessage): void {
+    /**
+     * Processes a peer's message.
+     *
+     * @param unreadMs how long the message may have waited unread, in milliseconds
+     */
+    receive(message: ReachMessage, unreadMs: number): void {
         const { hasRoom, others, send, clock } = this.#options;
         const now = clock();
-        const { answer, unknown } = this.#reach.receive(message, hasRoom(), now);
+        const { answer, unknown } = this.#reach.receive(message, hasRoom(), unreadMs, now);
         const asker = others().find(vm => vm.id === message.from);
         if (answer && asker) {
             send([asker.peerAddress], answer);
--- a/packages/reach/src/reach.ts
+++ b/packages/reach/src/reach.ts
@@ -105,10 +105,12 @@
      * which nothing is known here.
      *
      * @param hasRoom whether this entry VM has room for requests of others
+     * @param unreadMs how long the message may have waited unread, in milliseconds
      */
     receive(
         message: ReachMessage,
         hasRoom: boolean,
+        unreadMs: number,
         now: number,
     ): { readonly answer: ReachMessage | undefined; readonly unknown: readonly string[] } {
         const { from } = message;
@@ -121,7 +123,7 @@
                 }
                 return nothingToDo;
             case "answer":
-                this.#receiveAnswer(message, now);
+                this.#receiveAnswer(message, unreadMs, now);
                 return nothingToDo;
             case "question": {
                 const { self } = this.#options;
@@ -158,12 +160,12 @@
         };
     }
 
-    #receiveAnswer(answer: Extract<ReachMessage, { type: "answer" }>, now: number): void {
+    #receiveAnswer(answer: Extract<ReachMessage, { type: "answer" }>, unreadMs: number, now: number): void {
         for (const { key, agoMs } of answer.reached) {
             const known = this.#reachedByPeers.get(key);
             const isFirst = known === undefined || known.firstAt <= this.#links.failedAt(key) + onTheWayMs;
             this.#reachedByPeers.set(key, {
-                firstAt: isFirst ? now - agoMs : known.firstAt,
+                firstAt: isFirst ? now - unreadMs - agoMs : known.firstAt,
                 until: now + answerTtlMs,
             });
         }
--- a/packages/reach/test/reach.test.ts
+++ b/packages/reach/test/reach.test.ts
@@ -19,8 +19,6 @@
     readonly servers: readonly string[];
     readonly cutOff = new Set<string>();
     readonly dead = new Set<string>();
-    /** Number of messages so far. */
-    messages = 0;
     readonly #lossShare: number;
     #seed = 1;
     #deliveries: Delivery[] = [];
@@ -74,13 +72,12 @@
     }
 
     #send(to: string, message: ReachMessage): void {
-        this.messages++;
         if (this.#random() < this.#lossShare) {
             return;
         }
         this.#later(networkMs, () => {
             const reach = this.vms.get(to);
-            const { answer, unknown } = reach?.receive(message, true, this.now) ?? {
+            const { answer, unknown } = reach?.receive(message, true, 0, this.now) ?? {
                 answer: undefined,
                 unknown: [],
             };
@@ -220,7 +217,7 @@
     const first = reach.tick(servers, ["vm1"], 130);
     assert.deepEqual([first.questions.length, first.probes.length], [0, 2], "it probes before it asks");
     assert.equal(reach.tick(servers, ["vm1"], 230).questions.length, 1);
-    reach.receive(answer(servers), true, 250);
+    reach.receive(answer(servers), true, 0, 250);
     reach.tick(servers, ["vm1"], 260);
     assert.ok(!reach.isCutOff, "the servers might be back");
     servers.forEach(it => reach.recordFailure(it, "no-connection", 270, 280));
@@ -229,11 +226,21 @@
     assert.deepEqual(reach.helpers(290), ["vm1"]);
 });
 
+test("an answer that lay unread since before the servers failed is no proof of lost links", () => {
+    const reach = new Reach({ self: "vm0", random: () => 0 });
+    const servers = ["s0", "s1", "s2"];
+    servers.forEach(it => reach.recordFailure(it, "silent", 0, 400));
+    reach.receive(answer(servers), true, 700, 1_000);
+    servers.forEach(it => reach.recordFailure(it, "silent", 1_010, 1_400));
+    reach.tick(servers, ["vm1"], 1_410);
+    assert.ok(!reach.isCutOff);
+});
+
 test("a peer without room is no helper, but its answer counts", () => {
     const reach = new Reach({ self: "vm0", random: () => 0 });
     const servers = ["s0", "s1", "s2"];
     servers.forEach(it => reach.recordFailure(it, "silent", 0, 400));
-    reach.receive({ ...answer(servers), hasRoom: false }, true, 500);
+    reach.receive({ ...answer(servers), hasRoom: false }, true, 0, 500);
     servers.forEach(it => reach.recordFailure(it, "silent", 510, 900));
     reach.tick(servers, ["vm1"], 910);
     assert.ok(reach.isCutOff);
