--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -78,8 +78,8 @@
     readonly tryRetry: (service: string) => boolean;
     /** Records what a server says of itself in a response. */
     readonly recordStatement: RecordStatement;
-    /** Sends requests to peers while this entry VM can't reach the servers; undefined if they come from a peer. */
-    readonly peers: PeerForwarder | undefined;
+    /** Sends requests to peers while this entry VM can't reach the servers. */
+    readonly peers: PeerForwarder;
     /** Emits when this entry VM has lost its links to the servers. */
     readonly linksLost: Observable<void>;
     /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
@@ -192,7 +192,7 @@
         };
         const read = { route, body, deadlineAt, callerDeadlineAt: request.callerDeadlineAt };
         for (let unreachableServers = 0; ;) {
-            if (this.#options.peers?.isNeeded) {
+            if (this.#options.peers.isNeeded) {
                 return await this.#forwardToPeers(read);
             }
             const sent = await this.#sendOnce(dispatcher, request, body, requestId);
@@ -209,7 +209,7 @@
             }
             this.#sent.add(slot);
             this.#uncertainResult = isNotRun(result) ? this.#uncertainResult : result;
-            if (this.#options.peers?.isNeeded && this.#mayResend(read, result)) {
+            if (this.#options.peers.isNeeded && this.#mayResend(read, result)) {
                 continue;
             }
             if (!this.#tryRetry(read, result)) {
@@ -239,7 +239,7 @@
         const startedAt = clock();
         // The peer applies the route's timeout itself, and tells from the caller's deadline how late the request is.
         const remainingMs = Math.max(1, Math.floor(read.callerDeadlineAt - startedAt));
-        const exchange = peers?.open(
+        const exchange = peers.open(
             {
                 method: this.#req.method ?? "GET",
                 target: this.#req.url ?? "/",
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -77,7 +77,6 @@
     /** Serves the requests of peers that can't reach the servers. */
     readonly #peerFrontend: FrontendServer;
     readonly #auxiliaryServers: AuxiliaryServers;
-    readonly #peerForwarder: PeerForwarder;
     readonly #closed = new AbortController();
     readonly #recordStatement: RecordStatement = (server, statement, source) =>
         this.#statements.record(server, statement, source, monotonicMs());
@@ -130,14 +129,6 @@
             this.#agents.pooled.closeIdle();
         });
         this.#agents = createAgents(this.#reach.connections);
-        this.#peerForwarder = new PeerForwarder({
-            wire: platform.wire,
-            isCutOff: () => this.#reach.isCutOff,
-            helpers: () => this.#reach.helpers,
-            agents: this.#peerAgents,
-            random: Math.random,
-            clock: monotonicMs,
-        });
         this.#probeClient = new HttpProbeClient(platform.wire, this.#agents.pooled);
         this.#linkProbeClient = new HttpProbeClient(platform.wire, this.#agents.unpooled);
         this.#dispatchers = new ServiceDispatchers({
@@ -225,13 +216,14 @@
             ...shared,
             ...connectionOptions(frontend),
             findRoute: (host, target) => this.#findRoute(host, target),
-            peers: this.#peerForwarder,
+            peers: this.#createPeerForwarder(() => this.#reach.helpers),
         }));
         this.#peerFrontend = this.#createFrontend(frontend => ({
             ...shared,
             ...connectionOptions(frontend),
             findRoute: (host, target) => this.#findRouteForPeer(host, target),
-            peers: undefined,
+            // No request takes a second hop: without links, one of a peer is refused.
+            peers: this.#createPeerForwarder(() => []),
         }));
         this.#auxiliaryServers = new AuxiliaryServers({
             wire: platform.wire,
@@ -362,6 +354,17 @@
         return frontend;
     }
 
+    #createPeerForwarder(helpers: () => readonly EntryVm[]): PeerForwarder {
+        return new PeerForwarder({
+            wire: this.#platform.wire,
+            isCutOff: () => this.#reach.isCutOff,
+            helpers,
+            agents: this.#peerAgents,
+            random: Math.random,
+            clock: monotonicMs,
+        });
+    }
+
     /** Returns the options of requests from callers and from peers alike. */
     #makeSharedOptions(): Omit<
         ForwardOptions,
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -15,6 +15,7 @@
 import { ElapsedTimeEstimator } from "../src/elapsed.js";
 import { ForwardTask, type ForwardOptions } from "../src/forward.js";
 import { FrontendServer } from "../src/frontend.js";
+import { PeerForwarder } from "../src/peerforward.js";
 import { HttpProbeClient } from "../src/probeclient.js";
 import type { ForwardRecord } from "../src/outcomes.js";
 import { ServiceDispatchers } from "../src/servicedispatchers.js";
@@ -255,7 +256,14 @@
         acceptWaitMs: req => frontend.acceptWaitMs(req),
         countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
-        peers: undefined,
+        peers: new PeerForwarder({
+            wire: testWire,
+            isCutOff: () => false,
+            helpers: () => [],
+            agents,
+            random: () => 0,
+            clock,
+        }),
         linksLost: new Subject(),
         crashGuard: crashes,
         onSendLost: () => undefined,
