Lost links: only servers of configured services are probed

Cause: a server whose service isn't in the configuration has no health path, and counted as a link probe without a response. Found by reading; not reproduced, and without a test of its own: it takes three such servers and answers of peers to matter.

--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -332,7 +332,9 @@
     #applyStoreView(): void {
         const { config, isComplete } = this.#storeView;
         const servers = this.#statements.markLeaving(this.#storeView.servers);
-        this.#reach.updateServers(servers.map(it => it.entry).filter(it => !it.leaving));
+        this.#reach.updateServers(
+            servers.map(it => it.entry).filter(it => !it.leaving && config?.services.has(it.service)),
+        );
         if (config) {
             this.#dispatchers.update(config, servers);
             this.#partitioner.update(config, servers);
