Reading the change: ForwardOptions and the request's head get modules of their own

RecordProbe is a type of the dispatcher that calls it, not of the guard of crashes; suspects are computed once a tick; a reason for Node's null in orderedresponse.ts. No behaviour is changed.

--- a/packages/gateway/src/crashexchange.ts
+++ b/packages/gateway/src/crashexchange.ts
@@ -30,8 +30,6 @@
     isQuarantined(fingerprint: string): boolean;
     /** Records how a send ended; resolves when the request may be sent again. */
     recordEnd(outcome: SendOutcome): Promise<void>;
-    /** Records whether a server has responded to a probe sent at `sentAt`. */
-    recordProbe(server: ServerEntry, isAlive: boolean, sentAt: number): void;
 }
 
 /** Dependencies of a `CrashExchange`. */
@@ -109,6 +107,7 @@
         }
     }
 
+    /** Records whether a server has responded to a probe sent at `sentAt`. */
     recordProbe(server: ServerEntry, isAlive: boolean, sentAt: number): void {
         if (this.#options.isCutOff()) {
             return;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -5,7 +5,6 @@
 import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { LoadReport, Refusal, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import { incarnationKey, type ServerEntry, type ServiceSettings } from "@bramleymoor/model/route";
-import type { CrashGuard } from "./crashexchange.js";
 import type { ProbeClient } from "./probeclient.js";
 import { ProbeRound } from "./proberound.js";
 import { ProbeUsage, type ProbeUsageReport } from "./probeusage.js";
@@ -25,6 +24,9 @@
     source: StatementSource,
 ) => void;
 
+/** Records whether a server has responded to a probe sent at `sentAt`. */
+export type RecordProbe = (server: ServerEntry, isAlive: boolean, sentAt: number) => void;
+
 /** Dependencies of a `Dispatcher`. */
 export interface DispatcherOptions {
     readonly balancer: Balancer;
@@ -32,8 +34,7 @@
     readonly probeBudget: ProbeBudget;
     /** Records what a server says of itself in its response to a probe. */
     readonly recordStatement: RecordStatement;
-    /** Records whether a server has responded to a probe sent at `sentAt`. */
-    readonly recordProbe: CrashGuard["recordProbe"];
+    readonly recordProbe: RecordProbe;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -44,7 +45,7 @@
     readonly #probeClient: ProbeClient;
     readonly #probeBudget: ProbeBudget;
     readonly #recordStatement: RecordStatement;
-    readonly #recordProbe: CrashGuard["recordProbe"];
+    readonly #recordProbe: RecordProbe;
     readonly #clock: () => number;
     readonly #usage: ProbeUsage;
     /** Probes in flight by incarnation key; each resolves when its result has been recorded. */
--- a/packages/gateway/src/entryvmselector.ts
+++ b/packages/gateway/src/entryvmselector.ts
@@ -50,7 +50,11 @@
         this.#scaler.observe(host, requestsPerSecond, now);
     }
 
-    /** Returns the entry VMs for the callers of several hosts in all failure domains. */
+    /**
+     * Returns the entry VMs for the callers of several hosts in all failure domains.
+     *
+     * @param isCutOff returns whether an entry VM can't reach the servers
+     */
     selectForHosts(
         hosts: Iterable<string>,
         members: readonly EntryVm[],
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -3,19 +3,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ServerStatement } from "@bramleymoor/balance/statement";
 import type { LoadSnapshot, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
-import type { Route, RouteKind, ServerEntry } from "@bramleymoor/model/route";
+import type { Route, RouteKind } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { discardResponse } from "@bramleymoor/proxy/discard";
-import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { toCallError } from "@bramleymoor/proxy/responses";
-import type { Timer, TimerSet } from "@bramleymoor/proxy/timers";
+import type { Timer } from "@bramleymoor/proxy/timers";
 import { drainPendingInput, mayHideDisconnect, type InputDelay } from "@bramleymoor/proxy/unreadinput";
-import { fingerprint } from "@bramleymoor/quarantine/fingerprint";
-import type { Observable } from "rxjs";
-import type { KeepAliveAgent } from "./agent.js";
 import { RequestBody } from "./body.js";
-import type { CrashGuard } from "./crashexchange.js";
-import type { Dispatcher, RecordStatement } from "./dispatcher.js";
+import type { Dispatcher } from "./dispatcher.js";
 import { sendError } from "./errorresponse.js";
 import { examineServerResponse } from "./examine.js";
 import { Exchange, SendError } from "./exchange.js";
@@ -27,21 +22,10 @@
     outcomeOfRelay,
     slotOrThrow,
     type ForwardOutcome,
-    type ForwardRecord,
 } from "./outcomes.js";
-import type { PeerForwarder } from "./peerforward.js";
+import type { ForwardOptions } from "./forwardoptions.js";
 import { Relay, type RelayResult } from "./relay.js";
-import type { WireFormat } from "./wireformat.js";
-
-/** A send whose connection the server ended without a response. */
-export interface LostSend {
-    readonly requestId: string;
-    /** Identifies the request among attempts that carry the same one. */
-    readonly fingerprint: string;
-    readonly server: ServerEntry;
-    /** Time from the send to the end of the connection, in milliseconds. */
-    readonly afterMs: number;
-}
+import { fingerprintOf, forwardedHeaders } from "./requesthead.js";
 
 /** The outcome of a relayed response, or the result of a failed send after which the request may be retried. */
 type SentResult = "answered" | "body-broken" | "caller-gone" | SlotResult;
@@ -55,51 +39,6 @@
     readonly callerDeadlineAt: number;
 }
 
-/** Dependencies that all requests share. */
-export interface ForwardOptions {
-    readonly wire: WireFormat;
-    /** Returns monotonic milliseconds. */
-    readonly clock: () => number;
-    readonly timers: TimerSet;
-    readonly nextId: () => number;
-    /** Returns a request's route; throws a CallError if there is none. */
-    readonly findRoute: (host: string, target: string) => Route;
-    /** Maximum size of a request body, in bytes. */
-    readonly maxBodyBytes: () => number;
-    /** Chooses one of a route's services for the next request. */
-    readonly chooseService: (route: Route) => string;
-    /** Returns a service's dispatcher; undefined if the service isn't configured. */
-    readonly dispatcher: (service: string) => Dispatcher | undefined;
-    /** Estimates the time since the caller's first attempt from its remaining deadline; both in milliseconds. */
-    readonly elapsedMs: (route: Route, deadlineMs: number) => number;
-    /** Counts a request at its first send, which adds to the service's retry budget. */
-    readonly countRequest: (service: string) => void;
-    /** Takes one retry from the service's budget; returns false if the budget is exhausted. */
-    readonly tryRetry: (service: string) => boolean;
-    /** Records what a server says of itself in a response. */
-    readonly recordStatement: RecordStatement;
-    /** Sends requests to peers while this entry VM can't reach the servers. */
-    readonly peers: PeerForwarder;
-    /** Emits when this entry VM has lost its links to the servers. */
-    readonly linksLost: Observable<void>;
-    /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
-    readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
-    /** Returns how long input that is read now may have waited since it reached an accepted connection. */
-    readonly lagMs: () => number;
-    /** Returns how long a request may have waited for its connection to be accepted or read; called when it is read. */
-    readonly acceptWaitMs: (req: IncomingMessage) => number;
-    /** Returns the number of pending earlier requests on a request's connection; called when the request is read. */
-    readonly countAhead: (req: IncomingMessage) => number;
-    /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
-    readonly extraHeaders: (req: IncomingMessage) => readonly string[];
-    /** Keeps requests from servers that end under them. */
-    readonly crashGuard: CrashGuard;
-    /** Called for each send whose connection the server ended without a response. */
-    readonly onSendLost: (send: LostSend) => void;
-    /** Called once at the end of each request. */
-    readonly onDone: (record: ForwardRecord) => void;
-}
-
 /** Forwards one request. */
 export class ForwardTask {
     readonly #options: ForwardOptions;
@@ -177,7 +116,7 @@
             this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
         );
         await this.#abortable(body.buffer());
-        this.#fingerprint = this.#computeFingerprint(body);
+        this.#fingerprint = fingerprintOf(this.#req, body, this.#options.wire);
         await this.#readDisconnect(this.#inputDelay.acceptMs);
         const elapsedMs = this.#options.elapsedMs(route, callerDeadlineMs);
         let request: Request = {
@@ -244,7 +183,7 @@
                 method: this.#req.method ?? "GET",
                 target: this.#req.url ?? "/",
                 headers: [
-                    ...this.#forwardedHeaders(),
+                    ...forwardedHeaders(this.#req, wire),
                     ...read.body.framingHeaders(),
                     ...wire.deadlineHeaders(remainingMs),
                 ],
@@ -440,18 +379,6 @@
         });
     }
 
-    #computeFingerprint(body: RequestBody): string {
-        const { headers, method, url } = this.#req;
-        return fingerprint({
-            account: this.#options.wire.accountHeaders.map(it => String(headers[it] ?? "")),
-            host: headers.host ?? "",
-            method: method ?? "GET",
-            target: url ?? "/",
-            body: body.buffered,
-            bodyLength: headers["content-length"],
-        });
-    }
-
     /** Whether a server may have received the request and has not reported that it didn't run it. */
     get #isSent(): boolean {
         return this.#uncertainResult !== undefined || (this.#exchange?.sent ?? false);
@@ -480,7 +407,7 @@
             agent: this.#mayReuseConnection(slot) ? agents.pooled : agents.unpooled,
             method: this.#req.method ?? "GET",
             target: this.#req.url ?? "/",
-            headers: [...this.#forwardedHeaders(), ...body.framingHeaders(), ...added],
+            headers: [...forwardedHeaders(this.#req, wire), ...body.framingHeaders(), ...added],
             latestConnectAt: clock() + connectTimeoutMs,
             clock,
             examine: res =>
@@ -492,14 +419,6 @@
         });
     }
 
-    /** Returns the caller's headers that are forwarded; names and values alternating. */
-    #forwardedHeaders(): readonly string[] {
-        const { rawHeaders, headers } = this.#req;
-        const endToEnd = endToEndHeaders(rawHeaders, headers.connection, rewrittenHeaders);
-        const { reservedHeaders } = this.#options.wire;
-        return endToEnd.filter((_, i, all) => !reservedHeaders.has((all[i - (i % 2)] ?? "").toLowerCase()));
-    }
-
     /**
      * Returns whether the request may use a pooled connection. The server may have dropped one that has been idle, and
      * a request lost on it may have run. One that has just carried a response, usually to a probe, is alive.
@@ -588,9 +507,6 @@
 }
 
 const firstServerErrorStatus = 500;
-/** Headers that are rewritten for each send. */
-const rewrittenHeaders: ReadonlySet<string> = new Set(["content-length", "expect"]);
-
 /** Time after the deadline in which a response that the server sent right at it can still reach the caller. */
 const responseGraceMs = 40;
 /** Time that a response spends in the network on its way to the caller. */
--- /dev/null
+++ b/packages/gateway/src/forwardoptions.ts
@@ -0,0 +1,67 @@
+/** What requests need to be forwarded: the dependencies that all of them share. */
+
+import type { IncomingMessage } from "node:http";
+import type { Route, ServerEntry } from "@bramleymoor/model/route";
+import type { TimerSet } from "@bramleymoor/proxy/timers";
+import type { Observable } from "rxjs";
+import type { KeepAliveAgent } from "./agent.js";
+import type { CrashGuard } from "./crashexchange.js";
+import type { Dispatcher, RecordStatement } from "./dispatcher.js";
+import type { ForwardRecord } from "./outcomes.js";
+import type { PeerForwarder } from "./peerforward.js";
+import type { WireFormat } from "./wireformat.js";
+
+/** A send whose connection the server ended without a response. */
+export interface LostSend {
+    readonly requestId: string;
+    /** Identifies the request among attempts that carry the same one. */
+    readonly fingerprint: string;
+    readonly server: ServerEntry;
+    /** Time from the send to the end of the connection, in milliseconds. */
+    readonly afterMs: number;
+}
+
+/** Dependencies that all requests share. */
+export interface ForwardOptions {
+    readonly wire: WireFormat;
+    /** Returns monotonic milliseconds. */
+    readonly clock: () => number;
+    readonly timers: TimerSet;
+    readonly nextId: () => number;
+    /** Returns a request's route; throws a CallError if there is none. */
+    readonly findRoute: (host: string, target: string) => Route;
+    /** Maximum size of a request body, in bytes. */
+    readonly maxBodyBytes: () => number;
+    /** Chooses one of a route's services for the next request. */
+    readonly chooseService: (route: Route) => string;
+    /** Returns a service's dispatcher; undefined if the service isn't configured. */
+    readonly dispatcher: (service: string) => Dispatcher | undefined;
+    /** Estimates the time since the caller's first attempt from its remaining deadline; both in milliseconds. */
+    readonly elapsedMs: (route: Route, deadlineMs: number) => number;
+    /** Counts a request at its first send, which adds to the service's retry budget. */
+    readonly countRequest: (service: string) => void;
+    /** Takes one retry from the service's budget; returns false if the budget is exhausted. */
+    readonly tryRetry: (service: string) => boolean;
+    /** Records what a server says of itself in a response. */
+    readonly recordStatement: RecordStatement;
+    /** Sends requests to peers while this entry VM can't reach the servers. */
+    readonly peers: PeerForwarder;
+    /** Emits when this entry VM has lost its links to the servers. */
+    readonly linksLost: Observable<void>;
+    /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
+    readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
+    /** Returns how long input that is read now may have waited since it reached an accepted connection. */
+    readonly lagMs: () => number;
+    /** Returns how long a request may have waited for its connection to be accepted or read; called when it is read. */
+    readonly acceptWaitMs: (req: IncomingMessage) => number;
+    /** Returns the number of pending earlier requests on a request's connection; called when the request is read. */
+    readonly countAhead: (req: IncomingMessage) => number;
+    /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
+    readonly extraHeaders: (req: IncomingMessage) => readonly string[];
+    /** Keeps requests from servers that end under them. */
+    readonly crashGuard: CrashGuard;
+    /** Called for each send whose connection the server ended without a response. */
+    readonly onSendLost: (send: LostSend) => void;
+    /** Called once at the end of each request. */
+    readonly onDone: (record: ForwardRecord) => void;
+}
--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -2,7 +2,7 @@
 
 import type { EventLog } from "@bramleymoor/observe/event-log";
 import type { CallMetrics } from "@bramleymoor/observe/metrics";
-import type { LostSend } from "./forward.js";
+import type { LostSend } from "./forwardoptions.js";
 import { formatLoad, type ForwardRecord } from "./outcomes.js";
 import type { ProbeUsageReport } from "./probeusage.js";
 
--- a/packages/gateway/src/servicedispatchers.ts
+++ b/packages/gateway/src/servicedispatchers.ts
@@ -8,8 +8,7 @@
 import type { KnownServer } from "@bramleymoor/discovery/servers";
 import type { RouteConfig } from "@bramleymoor/model/route";
 import type { DemandExchange } from "./demand.js";
-import type { CrashGuard } from "./crashexchange.js";
-import { Dispatcher, type RecordStatement } from "./dispatcher.js";
+import { Dispatcher, type RecordProbe, type RecordStatement } from "./dispatcher.js";
 import type { ProbeClient } from "./probeclient.js";
 import type { ProbeUsageReport } from "./probeusage.js";
 
@@ -34,8 +33,7 @@
     readonly limiter: SendLimiter;
     /** Records what a server says of itself in its response to a probe. */
     readonly recordStatement: RecordStatement;
-    /** Records whether a server has responded to a probe sent at `sentAt`. */
-    readonly recordProbe: CrashGuard["recordProbe"];
+    readonly recordProbe: RecordProbe;
 }
 
 type ServiceDemand = Pick<DemandExchange, "serviceRate" | "ownServiceRate" | "knownEntryVms">;
--- a/packages/proxy/src/orderedresponse.ts
+++ b/packages/proxy/src/orderedresponse.ts
@@ -25,6 +25,7 @@
     }
 
     override write(chunk: unknown, encoding?: unknown, callback?: unknown): boolean {
+        // Node's type of the callback has null.
         const write = (): boolean =>
             super.write(chunk, encoding as BufferEncoding, callback as (err?: Error | null) => void);
         if (!this.#mustHold()) {
--- a/packages/reach/src/reach.ts
+++ b/packages/reach/src/reach.ts
@@ -149,7 +149,7 @@
     tick(servers: readonly string[], peers: readonly string[], now: number): ReachActions {
         this.#forget(now);
         const suspects = this.#links.suspects(servers.length, now);
-        this.#judge(servers.length, now);
+        this.#judge(suspects);
         const hasProbed = now - suspectedAt(suspects) >= ownProbeMs;
         const isAsking = peers.length > 0 && (this.#isCutOff || hasProbed);
         const isProbing = this.#isCutOff || suspects.length > 0 || this.#links.isUnclear(now);
@@ -176,7 +176,7 @@
         }
     }
 
-    #judge(serverCount: number, now: number): void {
+    #judge(suspects: readonly UnreachedServer[]): void {
         if (this.#isCutOff) {
             if (this.#successes >= successesToRecover || this.#reachedByPeers.size === 0) {
                 this.#isCutOff = false;
@@ -187,7 +187,6 @@
             }
             return;
         }
-        const suspects = this.#links.suspects(serverCount, now);
         const proofs = suspects.filter(it => this.#isProof(it)).length;
         if (suspects.length > 0 && proofs >= Math.min(proofsDue, suspects.length)) {
             this.#isCutOff = true;
