Connections that wait are accepted before others are served

What callers saw: at a full processor their requests waited for seconds where the entry VM could neither measure nor end it. Cause: Node accepts one connection per turn of its event loop, and a turn serves whatever is ready. While turns are long, connections pile up in the listener's queue; all that is known of their wait is since when the queue hasn't been empty. Change: Intake (in place of AcceptQueue) accepts those that wait, unread, turn after turn, then serves the latest first, 16 a turn. One that has waited for a second is closed unread: its caller knows that nothing has run, and has given up anyway where it may repeat. The event loop's lag also says for how long at most input that is read now has waited.

--- a/packages/bench/src/oncecost.ts
+++ b/packages/bench/src/oncecost.ts
@@ -174,7 +174,12 @@
             findIssuer: () => "gone",
             clock: monotonicMs,
             lagMs: () => 0,
-            observer: { callEnded: () => undefined, badRequest: () => undefined },
+            unreadMs: () => 0,
+            observer: {
+                callEnded: () => undefined,
+                badRequest: () => undefined,
+                connectionUnread: () => undefined,
+            },
         },
         { nonIdempotentIdleMs: idleMs },
     );
--- a/packages/entry/src/eventreporter.ts
+++ b/packages/entry/src/eventreporter.ts
@@ -33,6 +33,10 @@
         });
     }
 
+    connectionUnread(waitMs: number, remoteAddress: string): void {
+        this.#events.emit("connection-unread", { address: remoteAddress, waitMs: Math.round(waitMs) });
+    }
+
     badRequest(code: string, remoteAddress: string): void {
         this.#events.emit("request-malformed", { address: remoteAddress, reason: code });
     }
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -255,6 +255,7 @@
             findIssuer: (incarnation: string) => this.#findIssuer(incarnation),
             clock: monotonicMs,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
+            unreadMs: () => this.#lag.unreadMs(monotonicMs()),
             observer: this.#reporter,
         };
         return new CallServer(options, { callerConnections: this.#settings.callers["most-connections"] });
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -4,8 +4,8 @@
 import type { AddressInfo, Server as NetServer, Socket } from "node:net";
 import type { ClientLimits } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
-import { AcceptQueue } from "@bramleymoor/proxy/acceptqueue";
 import { ConnectionTracker } from "@bramleymoor/proxy/connections";
+import { Intake } from "@bramleymoor/proxy/intake";
 import { OrderedResponse } from "@bramleymoor/proxy/orderedresponse";
 import { ReadPauses } from "@bramleymoor/proxy/readpauses";
 import { rawErrorResponse } from "@bramleymoor/proxy/responses";
@@ -17,8 +17,10 @@
     readonly serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
     /** Called for each request that can't be parsed. */
     readonly onMalformed: (reason: string, peer: string) => void;
-    /** Called for each accepted connection, with the milliseconds that it may have waited. */
-    readonly onAccepted: (waitMs: number) => void;
+    /** Called for each connection that is served, with the milliseconds that it may have waited. */
+    readonly onServed: (waitMs: number) => void;
+    /** Called for each connection that is closed unread, with the milliseconds that it has waited. */
+    readonly onUnread: (waitMs: number, peer: string) => void;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -27,7 +29,7 @@
 export class FrontendServer {
     readonly #server: Server<typeof IncomingMessage, typeof OrderedResponse>;
     readonly #connections = new ConnectionTracker();
-    readonly #acceptQueue = new AcceptQueue();
+    readonly #intake: Intake;
     readonly #readPauses: ReadPauses;
     /** Number of requests per connection whose response isn't complete yet. */
     readonly #pendingResponses = new Map<Socket, number>();
@@ -38,7 +40,7 @@
     #maxHeadBytes = maxParserHeadBytes;
     #draining = false;
 
-    constructor({ serve, onMalformed, onAccepted, clock }: FrontendOptions) {
+    constructor({ serve, onMalformed, onServed, onUnread, clock }: FrontendOptions) {
         this.#serve = serve;
         this.#onMalformed = onMalformed;
         this.#readPauses = new ReadPauses(clock);
@@ -52,9 +54,13 @@
         });
         this.#server.maxHeadersCount = 0;
         this.#server.on("connection", (socket: Socket) => {
-            this.#connections.track(socket);
             this.#readPauses.track(socket);
-            onAccepted(this.#acceptQueue.recordAccepted(socket, clock()));
+            onServed(this.#intake.waitMs(socket));
+        });
+        this.#intake = Intake.attach(this.#server, {
+            onAccepted: socket => this.#connections.track(socket),
+            onUnread: (socket, waitMs) => onUnread(waitMs, socket.remoteAddress ?? ""),
+            clock,
         });
         this.#server.on("request", (req, res) => this.#handle(req, res));
         this.#server.on("checkContinue", (req, res) => {
@@ -76,7 +82,7 @@
      * pause, in milliseconds.
      */
     acceptWaitMs({ socket }: IncomingMessage): number {
-        return this.#acceptQueue.waitMs(socket) + this.#readPauses.waitMs(socket);
+        return Math.max(this.#intake.waitMs(socket), this.#readPauses.waitMs(socket));
     }
 
     /** Returns the number of pending requests on a request's connection that are to be answered before it. */
@@ -115,7 +121,7 @@
 
     /** Accepts no new connections, closes idle ones, and resolves when all requests in progress have ended. */
     async drain(): Promise<void> {
-        await this.#connections.closeAll(this.#server);
+        await this.#connections.closeAll(this.#server, it => this.#intake.isWaiting(it));
         await Promise.all(this.#running);
     }
 
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -350,7 +350,9 @@
         const frontend: FrontendServer = new FrontendServer({
             serve: (req, res) => new ForwardTask(options, req, res).run(),
             onMalformed: (reason, address) => this.#events.emit("request-malformed", { address, reason }),
-            onAccepted: waitMs => this.#metrics.recordAcceptWait(waitMs),
+            onServed: waitMs => this.#metrics.recordAcceptWait(waitMs),
+            onUnread: (waitMs, address) =>
+                this.#events.emit("connection-unread", { address, waitMs: Math.round(waitMs) }),
             clock: monotonicMs,
         });
         const options = optionsFor(frontend);
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -273,7 +273,8 @@
     const frontend = new FrontendServer({
         serve: (req, res) => new ForwardTask(options, req, res).run(),
         onMalformed: () => undefined,
-        onAccepted: () => undefined,
+        onServed: () => undefined,
+        onUnread: () => undefined,
         clock,
     });
     const port = await frontend.listen(0, "127.0.0.1");
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -284,6 +284,15 @@
         address: "string",
         reason: "string",
     }),
+    "connection-unread": defineEvent(
+        8003,
+        "info",
+        "Connection from {address} closed unread after {waitMs} ms: the processor is too busy; its requests haven't run.",
+        {
+            address: "string",
+            waitMs: "number",
+        },
+    ),
     "request-answered": defineEvent(
         8010,
         "info",
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -77,11 +77,13 @@
     /**
      * Stops listening and closes connections as they become idle; resolves when all are closed. The HTTP server's
      * own close would truncate responses that a slow reader has not received yet.
+     *
+     * @param isWaiting whether a connection waits to be served
      */
-    async closeAll(server: NetServer): Promise<void> {
+    async closeAll(server: NetServer, isWaiting: (socket: Socket) => boolean): Promise<void> {
         await this.#acceptWaiting();
         const closed = new Promise<void>(resolve => NetServer.prototype.close.call(server, () => resolve()));
-        const timer = setInterval(() => this.closeIdle(), idleCheckIntervalMs);
+        const timer = setInterval(() => this.closeIdle(isWaiting), idleCheckIntervalMs);
         await closed;
         clearInterval(timer);
     }
@@ -115,11 +117,11 @@
         }
     }
 
-    /** Closes connections that were idle at the previous check and have received nothing since. */
-    closeIdle(): void {
+    /** Closes connections that were idle at the previous check and have received nothing since, but for those that wait. */
+    closeIdle(isWaiting: (socket: Socket) => boolean): void {
         for (const [socket, connection] of this.#open) {
             const { bytesRead } = socket as Socket;
-            if (this.unfinishedResponse(socket)) {
+            if (this.unfinishedResponse(socket) || isWaiting(socket as Socket)) {
                 connection.idleBytesRead = undefined;
             } else if (connection.idleBytesRead === bytesRead) {
                 (socket as Socket).destroySoon();
--- /dev/null
+++ b/packages/proxy/src/intake.ts
@@ -0,0 +1,144 @@
+/**
+ * Callers' connections from when they are accepted until they are served. Node accepts one connection per turn of its event
+ * loop, so while turns are long, connections wait where their wait can be neither measured nor ended. While several wait,
+ * they are accepted first, unread, and then served a few per turn.
+ */
+
+import type { Server, Socket } from "node:net";
+import { drainPendingInput } from "./unreadinput.js";
+
+/** Dependencies of an `Intake`. */
+export interface IntakeOptions {
+    /** Begins to read a connection. */
+    readonly serve: (socket: Socket) => void;
+    /** Called for each connection when it is accepted. */
+    readonly onAccepted: (socket: Socket) => void;
+    /** Called for each connection that is closed unread, with the milliseconds that it has waited. */
+    readonly onUnread: (socket: Socket, waitMs: number) => void;
+    /** Returns monotonic milliseconds. */
+    readonly clock: () => number;
+}
+
+/** A connection that waits to be served. */
+interface Waiting {
+    readonly acceptedAt: number;
+    /** It has arrived since then. */
+    readonly arrivedAfter: number;
+}
+
+/**
+ * Serves accepted connections, the latest first: these have most of their time left. One that can't be served in time is closed
+ * unread, so that its caller knows that its request hasn't run.
+ */
+export class Intake {
+    readonly #options: IntakeOptions;
+    /** Connections that wait, the earliest first. */
+    readonly #waiting = new Map<Socket, Waiting>();
+    /** When the connections arrived at the earliest whose first input is being read. */
+    readonly #arrivedAfter = new WeakMap<Socket, number>();
+    /** Start of the present run of turns that each accepted a connection; undefined if the last turn accepted none. */
+    #nonEmptySince: number | undefined = undefined;
+    #acceptedInTurn = false;
+    #runsTurns = false;
+
+    constructor(options: IntakeOptions) {
+        this.#options = options;
+    }
+
+    /** Has the connections of an HTTP server pass through the intake. The server must not have accepted any yet. */
+    static attach(server: Server, options: Omit<IntakeOptions, "serve">): Intake {
+        const listeners = server.listeners("connection") as ((socket: Socket) => void)[];
+        const intake = new Intake({
+            ...options,
+            serve: socket => {
+                listeners.forEach(it => it.call(server, socket));
+                socket.resume();
+            },
+        });
+        server.removeAllListeners("connection");
+        // Node's type lacks the property that the constructor's option of the same name sets.
+        (server as { pauseOnConnect?: boolean }).pauseOnConnect = true;
+        server.on("connection", (socket: Socket) => intake.accept(socket));
+        return intake;
+    }
+
+    /** Accepts a paused connection; serves it at once if no other waits. */
+    accept(socket: Socket): void {
+        const now = this.#options.clock();
+        this.#options.onAccepted(socket);
+        this.#acceptedInTurn = true;
+        if (this.#nonEmptySince === undefined && this.#waiting.size === 0) {
+            this.#nonEmptySince = now;
+            this.#serve(socket, now);
+        } else {
+            this.#nonEmptySince ??= now;
+            this.#waiting.set(socket, { acceptedAt: now, arrivedAfter: this.#nonEmptySince });
+            socket.once("close", () => this.#waiting.delete(socket));
+        }
+        if (!this.#runsTurns) {
+            this.#runsTurns = true;
+            setImmediate(() => this.#endTurn());
+        }
+    }
+
+    /** Whether a connection waits to be served. */
+    isWaiting(socket: Socket): boolean {
+        return this.#waiting.has(socket);
+    }
+
+    /** Returns how long input that is read now has waited at most since its connection arrived, in milliseconds. */
+    waitMs(socket: Socket): number {
+        const since = this.#arrivedAfter.get(socket);
+        return since === undefined ? 0 : this.#options.clock() - since;
+    }
+
+    #endTurn(): void {
+        const now = this.#options.clock();
+        if (!this.#acceptedInTurn) {
+            this.#nonEmptySince = undefined;
+        }
+        this.#acceptedInTurn = false;
+        this.#closeExpired(now);
+        const [earliest] = this.#waiting.values();
+        if (earliest && (this.#nonEmptySince === undefined || now - earliest.acceptedAt > maxAcceptMs)) {
+            this.#serveLatest(now);
+        }
+        this.#runsTurns = this.#nonEmptySince !== undefined || this.#waiting.size > 0;
+        if (this.#runsTurns) {
+            setImmediate(() => this.#endTurn());
+        }
+    }
+
+    #closeExpired(now: number): void {
+        for (const [socket, { arrivedAfter }] of this.#waiting) {
+            if (now - arrivedAfter <= maxWaitMs) {
+                return;
+            }
+            this.#waiting.delete(socket);
+            this.#options.onUnread(socket, now - arrivedAfter);
+            socket.destroy();
+        }
+    }
+
+    #serveLatest(now: number): void {
+        for (const [socket, { arrivedAfter }] of [...this.#waiting].slice(-servedPerTurn).reverse()) {
+            this.#waiting.delete(socket);
+            this.#serve(socket, arrivedAfter, now);
+        }
+    }
+
+    #serve(socket: Socket, arrivedAfter: number, now = arrivedAfter): void {
+        if (now > arrivedAfter) {
+            this.#arrivedAfter.set(socket, arrivedAfter);
+            void drainPendingInput().then(() => this.#arrivedAfter.delete(socket));
+        }
+        this.#options.serve(socket);
+    }
+}
+
+/** Callers give up requests that may be repeated if they aren't read in this time; the others can still go elsewhere. */
+const maxWaitMs = 1_000;
+/** Time in which connections are accepted before others are served, while more arrive in each turn. */
+const maxAcceptMs = 25;
+/** Few enough for short turns, in each of which one further connection is accepted. */
+const servedPerTurn = 16;
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -6,9 +6,9 @@
 import { addressesPathPrefix, callPathPrefix } from "@bramleymoor/protocol/headers";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { sendError, sendJson, toCallError, rawErrorResponse } from "./responses.js";
-import { AcceptQueue } from "./acceptqueue.js";
 import { BackendClient } from "./backend.js";
 import { ConnectionTracker } from "./connections.js";
+import { Intake } from "./intake.js";
 import { OrderedResponse } from "./orderedresponse.js";
 import { ReadPauses } from "./readpauses.js";
 import { RetryBudgets } from "./retries.js";
@@ -25,7 +25,7 @@
     readonly #server: OrderedServer;
     readonly #running = new Set<Promise<void>>();
     readonly #connections = new ConnectionTracker();
-    readonly #acceptQueue = new AcceptQueue();
+    readonly #intake: Intake;
     readonly #readPauses: ReadPauses;
     #lastId = 0;
     #stopping = false;
@@ -41,9 +41,16 @@
             retryBudgets: new RetryBudgets(),
             extraHeaders: () => (this.#stopping ? connectionClose : noHeaders),
             nextId: () => ++this.#lastId,
-            acceptWaitMs: ({ socket }) => this.#acceptQueue.waitMs(socket) + this.#readPauses.waitMs(socket),
+            acceptWaitMs: ({ socket }) =>
+                Math.max(this.#intake.waitMs(socket), this.#readPauses.waitMs(socket)),
         };
         this.#server = this.#createServer();
+        this.#intake = Intake.attach(this.#server, {
+            onAccepted: socket => this.#connections.track(socket),
+            onUnread: (socket, waitMs) =>
+                options.observer.connectionUnread(waitMs, socket.remoteAddress ?? ""),
+            clock: options.clock,
+        });
     }
 
     /** Number of calls and address queries in progress. */
@@ -74,7 +81,7 @@
     async stop(drainMs: number): Promise<void> {
         this.#stopping = true;
         await new Promise(resolve => setTimeout(resolve, drainMs));
-        await this.#connections.closeAll(this.#server);
+        await this.#connections.closeAll(this.#server, it => this.#intake.isWaiting(it));
         await Promise.all(this.#running);
         this.#options.client.close();
     }
@@ -92,8 +99,6 @@
             noDelay: true,
         });
         server.on("connection", (socket: Socket) => {
-            this.#connections.track(socket);
-            this.#acceptQueue.recordAccepted(socket, this.#options.clock());
             this.#readPauses.track(socket);
         });
         server.maxConnections = limits.callerConnections;
--- a/packages/proxy/src/services.ts
+++ b/packages/proxy/src/services.ts
@@ -57,8 +57,10 @@
     readonly findIssuer: FindIssuer;
     /** Monotonic clock in milliseconds, shared with tickets, table and dispatchers. */
     readonly clock: () => number;
-    /** Returns the event loop lag: how long input that is read now may have waited, in milliseconds. */
+    /** Returns how long input has recently waited unread in accepted connections, in milliseconds. */
     readonly lagMs: () => number;
+    /** Returns how long at most input that is read now has waited unread, in milliseconds. */
+    readonly unreadMs: () => number;
     readonly observer: CallObserver;
 }
 
--- a/packages/proxy/test/eventlooplag.test.ts
+++ b/packages/proxy/test/eventlooplag.test.ts
@@ -23,3 +23,15 @@
     assert.equal(mayHideDisconnect({ lagMs: 0, acceptMs: 51 }), true);
     assert.equal(mayHideDisconnect({ lagMs: 30, acceptMs: 30 }), true);
 });
+
+test("input that is read after a long turn may have waited since the input of the turn before was read", async () => {
+    const lag = new EventLoopLag(50);
+    lag.recordRun(50, 100);
+    assert.equal(lag.unreadMs(90), 0);
+    assert.equal(lag.unreadMs(500), 400, "in the long turn");
+    lag.recordRun(500, 550);
+    assert.equal(lag.unreadMs(500), 400, "directly after it");
+    assert.equal(lag.unreadMs(850), 700, "in a second one");
+    await new Promise(resolve => setImmediate(resolve));
+    assert.equal(lag.unreadMs(510), 0, "all input of the long turn has been read");
+});
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -124,6 +124,7 @@
     readonly findIssuer?: FindIssuer;
     readonly ticketLifeMs?: number;
     readonly lagMs?: () => number;
+    readonly unreadMs?: () => number;
     /** Caller addresses of the entry VMs that dispatch the service instead of this one. */
     readonly passTo?: () => readonly string[];
 }
@@ -191,7 +192,12 @@
                 findIssuer: options.findIssuer ?? (() => "gone"),
                 clock,
                 lagMs: options.lagMs ?? (() => 0),
-                observer: { callEnded: record => this.records.push(record), badRequest: () => undefined },
+                unreadMs: options.unreadMs ?? (() => 0),
+                observer: {
+                    callEnded: record => this.records.push(record),
+                    badRequest: () => undefined,
+                    connectionUnread: () => undefined,
+                },
             },
             options.limits,
         );
