Requests begin a few per turn of the event loop

Cause: a turn begins all requests that have arrived on open connections, which at a full processor takes so long that others aren't accepted, and disconnects and responses aren't read. Change: TurnBudget lets two begin per turn while others wait, in the order of their arrival; on an idle VM all begin at once.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -97,7 +97,11 @@
     }
 
     async #forward(): Promise<ForwardOutcome> {
-        const { wire, clock } = this.#options;
+        const { wire, clock, turns } = this.#options;
+        const turn = turns.take(clock());
+        if (turn) {
+            await this.#abortable(turn);
+        }
         const requestId = wire.requestId(this.#req.headers);
         if (requestId === undefined) {
             throw new CallError("bad-request", "The request has no id.");
--- a/packages/gateway/src/forwardoptions.ts
+++ b/packages/gateway/src/forwardoptions.ts
@@ -4,6 +4,7 @@
 import type { Route, ServerEntry } from "@bramleymoor/model/route";
 import type { TimerSet } from "@bramleymoor/proxy/timers";
 import type { Observable } from "rxjs";
+import type { TurnBudget } from "@bramleymoor/proxy/turnbudget";
 import type { KeepAliveAgent } from "./agent.js";
 import type { CrashGuard } from "./crashexchange.js";
 import type { Dispatcher, RecordStatement } from "./dispatcher.js";
@@ -50,10 +51,12 @@
     readonly linksLost: Observable<void>;
     /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
-    /** Returns how long input that is read now may have waited since it reached an accepted connection. */
+    /** Returns how long input has recently waited unread in accepted connections, in milliseconds. */
     readonly lagMs: () => number;
-    /** Returns how long a request may have waited for its connection to be accepted or read; called when it is read. */
-    readonly acceptWaitMs: (req: IncomingMessage) => number;
+    /** Bounds the requests that are begun in one turn of the event loop. */
+    readonly turns: TurnBudget;
+    /** Returns where a request has spent time; called when it is read. */
+    readonly ageOf: (req: IncomingMessage) => RequestAge;
     /** Returns the number of pending earlier requests on a request's connection; called when the request is read. */
     readonly countAhead: (req: IncomingMessage) => number;
     /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -12,6 +12,7 @@
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { TrafficSplits } from "@bramleymoor/routing/split";
 import { KeepAliveAgent, type ConnectionObserver } from "./agent.js";
+import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
 import { AuxiliaryServers } from "./auxiliaryservers.js";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { addressesToAskAtStart, createMembership, formatAddress } from "./createmembership.js";
@@ -383,6 +384,7 @@
             maxBodyBytes: () => this.#storeView.config?.limits.maxBodyBytes ?? 0,
             chooseService: route => {
                 const service = this.#splits.chooseService(route, Math.random);
+            turns: new TurnBudget(),
                 if (!this.#reach.isCutOff) {
                     this.#demand.countService(service);
                 }
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -7,6 +7,7 @@
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { Subject } from "rxjs";
+import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
 import { RouteTable } from "@bramleymoor/routing/table";
 import { serverEntry } from "@bramleymoor/testkit/builders";
 import { KeepAliveAgent } from "../src/agent.js";
@@ -238,6 +239,7 @@
         clock,
         timers: new TimerSet(clock, 5),
         nextId: () => ++lastId,
+        turns: new TurnBudget(),
         findRoute: (host, target) => {
             const found = table.find(host, target);
             if (!found) {
