A request's age counts from its first byte, on each path

Cause: a request's deadline, target and the time named to servers counted from the moment at which its handler ran. The class: whose clock? Change: one account (proxy/requestage), from which gateway/requesttimes derives all times of a request; CallTask on the own interface counts the same. Entry VMs pass a request's age on to peers (bm-age-ms). Event 8011 names all parts. Ruled out: late timers (504 after 1,079 to 1,102 ms of the entry VM's own clock at a timeout of 1 s), a changed timeout while requests wait.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -7,8 +7,9 @@
 import { CallError } from "@bramleymoor/protocol/errors";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { toCallError } from "@bramleymoor/proxy/responses";
+import { totalAgeMs, type RequestAge } from "@bramleymoor/proxy/requestage";
 import type { Timer } from "@bramleymoor/proxy/timers";
-import { drainPendingInput, mayHideDisconnect, type InputDelay } from "@bramleymoor/proxy/unreadinput";
+import { drainPendingInput, mayHideDisconnect } from "@bramleymoor/proxy/unreadinput";
 import { RequestBody } from "./body.js";
 import type { Dispatcher } from "./dispatcher.js";
 import { sendError } from "./errorresponse.js";
@@ -25,7 +26,9 @@
 } from "./outcomes.js";
 import type { ForwardOptions } from "./forwardoptions.js";
 import { Relay, type RelayResult } from "./relay.js";
+import { peerAgeHeaders } from "./peerforward.js";
 import { fingerprintOf, forwardedHeaders } from "./requesthead.js";
+import { requestTimes, type RequestTimes } from "./requesttimes.js";
 
 /** The outcome of a relayed response, or the result of a failed send after which the request may be retried. */
 type SentResult = "answered" | "body-broken" | "caller-gone" | SlotResult;
@@ -34,9 +37,7 @@
 interface ReadRequest {
     readonly route: Route;
     readonly body: RequestBody;
-    readonly deadlineAt: number;
-    /** When the caller gives up, further attempts of its own included. */
-    readonly callerDeadlineAt: number;
+    readonly times: RequestTimes;
 }
 
 /** Forwards one request. */
@@ -44,8 +45,8 @@
     readonly #options: ForwardOptions;
     readonly #req: IncomingMessage;
     readonly #res: ServerResponse;
-    readonly #arrivedAt: number;
-    readonly #inputDelay: InputDelay;
+    readonly #age: RequestAge;
+    readonly #readAt: number;
     readonly #ahead: number;
     /** Slots that count as attempts, in order; several may be of the same server. */
     readonly #sent = new Set<Slot>();
@@ -68,8 +69,8 @@
         this.#options = options;
         this.#req = req;
         this.#res = res;
-        this.#arrivedAt = options.clock();
-        this.#inputDelay = { lagMs: options.lagMs(), acceptMs: options.acceptWaitMs(req) };
+        this.#age = options.ageOf(req);
+        this.#readAt = options.clock();
         this.#ahead = options.countAhead(req);
     }
 
@@ -114,31 +115,31 @@
             throw new CallError("no-server", "The service isn't configured.", unknownServiceRetryMs);
         }
         const body = new RequestBody(this.#req, this.#options.maxBodyBytes());
-        const callerDeadlineMs = wire.deadlineMs(this.#req.headers) ?? route.timeoutMs;
-        const deadlineAt = this.#arrivedAt + Math.min(callerDeadlineMs, route.timeoutMs);
-        this.#deadlineTimer = this.#options.timers.schedule(deadlineAt + responseGraceMs, () =>
+        const times = requestTimes(route, this.#age, wire.deadlineMs(this.#req.headers), this.#readAt);
+        this.#requireTimeToServe(times);
+        this.#deadlineTimer = this.#options.timers.schedule(times.deadlineAt + responseGraceMs, () =>
             this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
         );
         await this.#abortable(body.buffer());
         this.#fingerprint = fingerprintOf(this.#req, body, this.#options.wire);
-        await this.#readDisconnect(this.#inputDelay.acceptMs);
-        const elapsedMs = this.#options.elapsedMs(route, callerDeadlineMs);
+        await this.#readDisconnect(this.#age.acceptMs);
+        const elapsedMs = this.#options.elapsedMs(route, times.givenMs);
         let request: Request = {
             id: this.#options.nextId(),
             kind: route.kind,
             priority: route.priority,
             arrivedAt: clock(),
-            targetAt: this.#arrivedAt + Math.max(0, route.targetLatencyMs - elapsedMs - responseTransitMs),
-            deadlineAt,
-            callerDeadlineAt: this.#arrivedAt + callerDeadlineMs,
+            targetAt: times.arrivedAt + Math.max(0, route.targetLatencyMs - elapsedMs - responseTransitMs),
+            deadlineAt: times.deadlineAt,
+            callerDeadlineAt: times.callerDeadlineAt,
             tried: [],
         };
-        const read = { route, body, deadlineAt, callerDeadlineAt: request.callerDeadlineAt };
+        const read = { route, body, times };
         for (let unreachableServers = 0; ;) {
             if (this.#options.peers.isNeeded) {
                 return await this.#forwardToPeers(read);
             }
-            const sent = await this.#sendOnce(dispatcher, request, body, requestId);
+            const sent = await this.#sendOnce(dispatcher, request, read, requestId);
             if (!sent) {
                 continue;
             }
@@ -162,6 +163,13 @@
         }
     }
 
+    /** @throws CallError if no server can be expected to answer in the time that is left */
+    #requireTimeToServe({ latestSendAt }: RequestTimes): void {
+        if (this.#options.clock() > latestSendAt) {
+            throw new CallError("deadline-queued", "", Math.max(minLateRetryMs, this.#age.acceptMs));
+        }
+    }
+
     /** Has a peer that reaches the servers serve the request. */
     async #forwardToPeers(read: ReadRequest): Promise<ForwardOutcome> {
         const tried = new Set<string>();
@@ -180,8 +188,8 @@
     async #sendToPeer(read: ReadRequest, tried: Set<string>): Promise<SentResult> {
         const { wire, clock, peers } = this.#options;
         const startedAt = clock();
-        // The peer applies the route's timeout itself, and tells from the caller's deadline how late the request is.
-        const remainingMs = Math.max(1, Math.floor(read.callerDeadlineAt - startedAt));
+        // The peer applies the route's timeout itself, from the request's age on.
+        const remainingMs = Math.max(1, Math.floor(read.times.callerDeadlineAt - startedAt));
         const exchange = peers.open(
             {
                 method: this.#req.method ?? "GET",
@@ -190,6 +198,7 @@
                     ...forwardedHeaders(this.#req, wire),
                     ...read.body.framingHeaders(),
                     ...wire.deadlineHeaders(remainingMs),
+                    ...peerAgeHeaders(startedAt - read.times.arrivedAt),
                 ],
                 latestConnectAt: startedAt + connectTimeoutMs,
                 mayReuseConnection: read.route.kind !== "non-idempotent",
@@ -227,7 +236,7 @@
     async #sendOnce(
         dispatcher: Dispatcher,
         request: Request,
-        body: RequestBody,
+        { body, times }: ReadRequest,
         requestId: string,
     ): Promise<{ readonly slot: Slot; readonly result: SentResult } | undefined> {
         const { crashGuard, countRequest } = this.#options;
@@ -241,6 +250,12 @@
                 dispatcher.settle(slot, { kind: "cancelled" });
                 return undefined;
             }
+            try {
+                this.#requireTimeToServe(times);
+            } catch (err) {
+                dispatcher.settle(slot, { kind: "cancelled" });
+                throw err;
+            }
             if (request.tried.length === 0) {
                 countRequest(this.#service);
             }
@@ -454,13 +469,13 @@
     }
 
     /** Returns whether the request may be sent again after a failed send, as far as it is concerned. */
-    #mayResend({ route, body, deadlineAt }: ReadRequest, result: SlotResult): boolean {
+    #mayResend({ route, body, times }: ReadRequest, result: SlotResult): boolean {
         const retriable = isNotRun(result) || (route.kind !== "non-idempotent" && result.kind !== "timeout");
         return (
             retriable &&
             body.replayable &&
             !this.#res.headersSent &&
-            this.#options.clock() + minRetryMs < deadlineAt
+            this.#options.clock() + minRetryMs < times.deadlineAt
         );
     }
 
@@ -500,9 +515,9 @@
             servers: [...this.#sent].map(({ server }) => server.id),
             queueMs: this.#queueMs,
             serverMs: this.#serverMs,
-            totalMs: this.#options.clock() - this.#arrivedAt,
+            totalMs: this.#options.clock() - this.#readAt + totalAgeMs(this.#age),
             loadSnapshot: this.#loadSnapshot,
-            inputDelay: this.#inputDelay,
+            age: this.#age,
             ahead: this.#ahead,
             sinceSendMs: this.#lastSentAt === undefined ? -1 : this.#options.clock() - this.#lastSentAt,
             detail,
@@ -521,6 +536,8 @@
 const maxUnreachableServers = 4;
 /** Maximum number of peers that one request is sent to. */
 const maxPeers = 3;
+/** Shortest time after which the caller of a request that was read too late may return; at most as long as it waited. */
+const minLateRetryMs = 150;
 /** Time after which a peer that has room is likely to be known. */
 const noLinksRetryMs = 300;
 /** With less time than this to the deadline a retry is unlikely to succeed. */
--- a/packages/gateway/src/forwardoptions.ts
+++ b/packages/gateway/src/forwardoptions.ts
@@ -2,9 +2,10 @@
 
 import type { IncomingMessage } from "node:http";
 import type { Route, ServerEntry } from "@bramleymoor/model/route";
+import type { RequestAge } from "@bramleymoor/proxy/requestage";
 import type { TimerSet } from "@bramleymoor/proxy/timers";
-import type { Observable } from "rxjs";
 import type { TurnBudget } from "@bramleymoor/proxy/turnbudget";
+import type { Observable } from "rxjs";
 import type { KeepAliveAgent } from "./agent.js";
 import type { CrashGuard } from "./crashexchange.js";
 import type { Dispatcher, RecordStatement } from "./dispatcher.js";
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -1,6 +1,7 @@
 /** The entry process that serves routes: connects its components, and runs its start, periodic work and shutdown. */
 
 import { randomBytes } from "node:crypto";
+import type { IncomingMessage } from "node:http";
 import type { Membership } from "@bramleymoor/membership/membership";
 import type { Route, ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
@@ -9,10 +10,11 @@
 import { CallError } from "@bramleymoor/protocol/errors";
 import { delay } from "@bramleymoor/proxy/delay";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
+import { headReadMs, type RequestAge } from "@bramleymoor/proxy/requestage";
 import { TimerSet } from "@bramleymoor/proxy/timers";
+import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
 import { TrafficSplits } from "@bramleymoor/routing/split";
 import { KeepAliveAgent, type ConnectionObserver } from "./agent.js";
-import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
 import { AuxiliaryServers } from "./auxiliaryservers.js";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { addressesToAskAtStart, createMembership, formatAddress } from "./createmembership.js";
@@ -24,7 +26,7 @@
 import type { ForwardOptions } from "./forwardoptions.js";
 import { FrontendServer } from "./frontend.js";
 import { runGossip } from "./gossip.js";
-import { PeerForwarder } from "./peerforward.js";
+import { ageAtPeerMs, PeerForwarder } from "./peerforward.js";
 import { HttpProbeClient } from "./probeclient.js";
 import { StatementExchange } from "./statementexchange.js";
 import { MemberTracker } from "./membertracker.js";
@@ -217,12 +219,14 @@
         this.#frontend = this.#createFrontend(frontend => ({
             ...shared,
             ...connectionOptions(frontend),
+            ageOf: req => this.#ageOf(frontend, req),
             findRoute: (host, target) => this.#findRoute(host, target),
             peers: this.#createPeerForwarder(() => this.#reach.helpers),
         }));
         this.#peerFrontend = this.#createFrontend(frontend => ({
             ...shared,
             ...connectionOptions(frontend),
+            ageOf: req => ({ ...this.#ageOf(frontend, req), peerMs: ageAtPeerMs(req) }),
             findRoute: (host, target) => this.#findRouteForPeer(host, target),
             // No request takes a second hop: without links, one of a peer is refused.
             peers: this.#createPeerForwarder(() => []),
@@ -374,17 +378,17 @@
     /** Returns the options of requests from callers and from peers alike. */
     #makeSharedOptions(): Omit<
         ForwardOptions,
-        keyof ReturnType<typeof connectionOptions> | "findRoute" | "peers"
+        keyof ReturnType<typeof connectionOptions> | "ageOf" | "findRoute" | "peers"
     > {
         return {
             wire: this.#platform.wire,
             clock: monotonicMs,
             timers: new TimerSet(monotonicMs, timerPeriodMs),
+            turns: new TurnBudget(),
             nextId: () => ++this.#lastId,
             maxBodyBytes: () => this.#storeView.config?.limits.maxBodyBytes ?? 0,
             chooseService: route => {
                 const service = this.#splits.chooseService(route, Math.random);
-            turns: new TurnBudget(),
                 if (!this.#reach.isCutOff) {
                     this.#demand.countService(service);
                 }
@@ -407,6 +411,15 @@
         };
     }
 
+    #ageOf(frontend: FrontendServer, req: IncomingMessage): RequestAge {
+        return {
+            peerMs: 0,
+            acceptMs: frontend.acceptWaitMs(req),
+            unreadMs: this.#lag.unreadMs(monotonicMs()),
+            headMs: headReadMs(req),
+        };
+    }
+
     #findRoute(host: string, target: string): Route {
         const route = this.#findRouteForPeer(host, target);
         this.#demand.countHost(route.host);
@@ -491,8 +504,7 @@
 /** Returns what requests need to know of the connections that a frontend accepts. */
 const connectionOptions = (
     frontend: FrontendServer,
-): Pick<ForwardOptions, "acceptWaitMs" | "countAhead" | "extraHeaders"> => ({
-    acceptWaitMs: req => frontend.acceptWaitMs(req),
+): Pick<ForwardOptions, "countAhead" | "extraHeaders"> => ({
     countAhead: req => frontend.countAhead(req),
     extraHeaders: req => frontend.extraHeaders(req),
 });
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -3,7 +3,7 @@
 import type { LoadSnapshot, Slot, SlotResult } from "@bramleymoor/balance/types";
 import type { Route } from "@bramleymoor/model/route";
 import { CallError, type ErrorKind } from "@bramleymoor/protocol/errors";
-import type { InputDelay } from "@bramleymoor/proxy/unreadinput";
+import type { RequestAge } from "@bramleymoor/proxy/requestage";
 import type { SendEnd } from "@bramleymoor/quarantine/quarantine";
 import type { AcquireResult } from "./dispatcher.js";
 import type { RelayResult } from "./relay.js";
@@ -23,11 +23,12 @@
     readonly servers: readonly string[];
     readonly queueMs: number;
     readonly serverMs: number;
+    /** From the request's arrival, in milliseconds; see `RequestAge`. */
     readonly totalMs: number;
     /** The load data behind the last choice of a server; undefined if no server was chosen. */
     readonly loadSnapshot: LoadSnapshot | undefined;
-    /** How long the request may have waited before it was read. */
-    readonly inputDelay: InputDelay;
+    /** Where the request had spent time when it was read. */
+    readonly age: RequestAge;
     /** Number of earlier requests on its connection that were pending when it was read. */
     readonly ahead: number;
     /** Time from its last send to its end, in milliseconds; -1 if it wasn't sent. */
--- a/packages/gateway/src/peerforward.ts
+++ b/packages/gateway/src/peerforward.ts
@@ -1,5 +1,6 @@
 /** Sends requests to peers that reach the servers, while this entry VM doesn't. */
 
+import type { IncomingMessage } from "node:http";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { KeepAliveAgent } from "./agent.js";
 import { examinePeerResponse } from "./examine.js";
@@ -91,5 +92,20 @@
     }
 }
 
+/** Returns headers that tell a peer how old a request is, in milliseconds; names and values alternating. */
+export const peerAgeHeaders = (ageMs: number): readonly string[] => [
+    peerAgeHeader,
+    String(Math.round(ageMs)),
+];
+
+/** Returns how long a request of a peer had been there when the peer sent it, in milliseconds; 0 if it doesn't say. */
+export const ageAtPeerMs = ({ headers }: IncomingMessage): number => {
+    const value = String(headers[peerAgeHeader] ?? "");
+    return /^\d{1,8}$/.test(value) ? Number(value) : 0;
+};
+
+/** Name of the header between entry VMs that holds a request's age; not forwarded to servers. */
+export const peerAgeHeader = "bm-age-ms";
+
 /** Requests in flight at one peer; more would keep it from its own callers. */
 const maxInFlight = 64;
--- a/packages/gateway/src/requesthead.ts
+++ b/packages/gateway/src/requesthead.ts
@@ -4,6 +4,7 @@
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { fingerprint } from "@bramleymoor/quarantine/fingerprint";
 import type { RequestBody } from "./body.js";
+import { peerAgeHeader } from "./peerforward.js";
 import type { WireFormat } from "./wireformat.js";
 
 /** Returns the caller's headers that are forwarded; names and values alternating. */
@@ -31,4 +32,4 @@
     });
 
 /** Headers that are rewritten for each send. */
-const rewrittenHeaders: ReadonlySet<string> = new Set(["content-length", "expect"]);
+const rewrittenHeaders: ReadonlySet<string> = new Set(["content-length", "expect", peerAgeHeader]);
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -5,9 +5,10 @@
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
+import { headReadMs } from "@bramleymoor/proxy/requestage";
 import { TimerSet } from "@bramleymoor/proxy/timers";
-import { Subject } from "rxjs";
 import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
+import { Subject } from "rxjs";
 import { RouteTable } from "@bramleymoor/routing/table";
 import { serverEntry } from "@bramleymoor/testkit/builders";
 import { KeepAliveAgent } from "../src/agent.js";
@@ -238,8 +239,8 @@
         wire: testWire,
         clock,
         timers: new TimerSet(clock, 5),
-        nextId: () => ++lastId,
         turns: new TurnBudget(),
+        nextId: () => ++lastId,
         findRoute: (host, target) => {
             const found = table.find(host, target);
             if (!found) {
@@ -256,7 +257,12 @@
         recordStatement,
         agents,
         lagMs: () => lag.lagMs(clock()),
-        acceptWaitMs: req => frontend.acceptWaitMs(req),
+        ageOf: req => ({
+            peerMs: 0,
+            acceptMs: frontend.acceptWaitMs(req),
+            unreadMs: lag.unreadMs(clock()),
+            headMs: headReadMs(req),
+        }),
         countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
         peers: new PeerForwarder({
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -312,7 +312,7 @@
     "request-failed": defineEvent(
         8011,
         "info",
-        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late, {ahead} ahead of it on the connection; last sent {sinceSendMs} ms before its end; configuration {version}. {detail}",
+        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late, its head read in {headMs} ms, at a peer for {peerMs} ms, {ahead} ahead of it on the connection; last sent {sinceSendMs} ms before its end; configuration {version}. {detail}",
         {
             load: "string",
             loadAgeMs: "number",
@@ -329,6 +329,8 @@
             serversAgeMs: "number",
             lagMs: "number",
             acceptMs: "number",
+            headMs: "number",
+            peerMs: "number",
             ahead: "number",
             sinceSendMs: "number",
             detail: "string",
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -13,6 +13,7 @@
 import type { RelayResult } from "./relay.js";
 import { findClass, parseCallHeaders, parseTarget, type CallHeaders, type CallTarget } from "./request.js";
 import type { CallServerOptions, LocalRoute, ServiceRoute } from "./services.js";
+import { headReadMs, totalAgeMs, type RequestAge } from "./requestage.js";
 import { outcomeOfRelay, CallExecution, type CallExecutionOptions } from "./execution.js";
 import type { Timer } from "./timers.js";
 import { CallTiming } from "./timing.js";
@@ -36,7 +37,9 @@
     readonly #req: IncomingMessage;
     readonly #res: ServerResponse;
     readonly #timing: CallTiming;
-    readonly #startedAt: number;
+    readonly #age: RequestAge;
+    /** When the call's first byte reached this entry VM. */
+    readonly #arrivedAt: number;
     #deadlineTimer: Timer | undefined = undefined;
     #deadlineAt = Infinity;
     #stallMs = minStallMs;
@@ -46,8 +49,14 @@
         this.#options = options;
         this.#req = req;
         this.#res = res;
-        this.#startedAt = options.clock();
-        this.#timing = new CallTiming(this.#startedAt);
+        this.#age = {
+            peerMs: 0,
+            acceptMs: options.acceptWaitMs(req),
+            unreadMs: options.unreadMs(),
+            headMs: headReadMs(req),
+        };
+        this.#arrivedAt = options.clock() - totalAgeMs(this.#age);
+        this.#timing = new CallTiming(this.#arrivedAt);
     }
 
     /** Runs the call and reports it to the observer; never rejects. */
@@ -95,8 +104,7 @@
      * @throws CallError if the caller has disconnected
      */
     async #readDisconnect(): Promise<void> {
-        const { lagMs, acceptWaitMs } = this.#options;
-        if (mayHideDisconnect({ lagMs: lagMs(), acceptMs: acceptWaitMs(this.#req) })) {
+        if (mayHideDisconnect({ lagMs: this.#options.lagMs(), acceptMs: this.#age.acceptMs })) {
             await drainPendingInput();
         }
         if (this.#res.destroyed) {
@@ -198,7 +206,7 @@
 
     #setDeadline(headers: CallHeaders, cls: RequestClass | undefined): void {
         const deadlineMs = headers.deadlineMs ?? cls?.deadlineMs ?? defaultDeadlineMs;
-        this.#deadlineAt = this.#startedAt + deadlineMs;
+        this.#deadlineAt = this.#arrivedAt + deadlineMs;
         this.#stallMs = Math.max(deadlineMs, minStallMs);
         this.#deadlineTimer = this.#options.timers.schedule(this.#deadlineAt, () => this.#pending?.expire());
     }
@@ -213,6 +221,9 @@
         if (!cls) {
             throw new CallError("unknown-service");
         }
+        if (this.#options.clock() >= this.#deadlineAt) {
+            throw new CallError("deadline-queued");
+        }
         const execution = new CallExecution(this.#options, {
             req: this.#req,
             res: this.#res,
