Values from outside are checked where they are decoded

What callers saw: one server entry with the address 127.0.0.1:99999 ended every entry VM that read it, again and again (LOST). Cause: the entry's address was checked for its form only, and the probe's connect throws for the port. Not mended: a caller that names a very long deadline once moves the estimate of what others have spent (ElapsedTimeEstimator).

--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -1,5 +1,6 @@
 /** Messages in which entry VMs exchange what they read from the store. */
 
+import { isAddress } from "@bramleymoor/model/address";
 import * as z from "zod";
 
 const offsetSchema = z.number().int().nonnegative();
@@ -9,14 +10,14 @@
 
 const entrySchema = z
     .object({
-        id: z.string(),
+        id: z.string().regex(/^[\x21-\x7e]+$/),
         bornAt: z.number(),
         service: z.string(),
-        address: z.string(),
+        address: z.string().refine(isAddress),
         domain: z.string(),
-        slots: z.number(),
+        slots: z.number().int().positive(),
         leaving: z.boolean(),
-        warmUpMs: z.number(),
+        warmUpMs: z.number().nonnegative(),
     })
     .readonly();
 
@@ -27,7 +28,14 @@
         to: offsetSchema,
         changes: z
             .array(
-                z.object({ offset: offsetSchema, id: z.string(), entry: entrySchema.optional() }).readonly(),
+                z
+                    .object({
+                        offset: offsetSchema,
+                        id: z.string(),
+                        // An entry that a sender's older build accepted names no server to use.
+                        entry: entrySchema.optional().catch(undefined),
+                    })
+                    .readonly(),
             )
             .readonly(),
     })
@@ -38,15 +46,22 @@
 
 /** Schema of the messages. `ageMs` is the time in milliseconds since the store was known to hold nothing newer. */
 export const discoveryMessageSchema = z.discriminatedUnion("topic", [
-    z.object({ topic: z.literal("servers"), ageMs: z.number(), news: serverUpdateSchema, passTo }).readonly(),
+    z
+        .object({
+            topic: z.literal("servers"),
+            ageMs: z.number().nonnegative(),
+            news: serverUpdateSchema,
+            passTo,
+        })
+        .readonly(),
     z
         .object({
             topic: z.literal("configuration"),
-            ageMs: z.number(),
+            ageMs: z.number().nonnegative(),
             era,
             to: offsetSchema,
             /** Version that the sender has in force; absent in messages of older builds. */
-            version: z.number().optional(),
+            version: z.number().int().nonnegative().optional(),
             /** Absent if it is unchanged, or too large to send, so that the receiver reads the store. */
             text: z.string().optional(),
             passTo,
--- a/packages/gateway/src/peerforward.ts
+++ b/packages/gateway/src/peerforward.ts
@@ -1,6 +1,7 @@
 /** Sends requests to peers that reach the servers, while this entry VM doesn't. */
 
 import type { IncomingMessage } from "node:http";
+import { isAddress } from "@bramleymoor/model/address";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { KeepAliveAgent } from "./agent.js";
 import { examinePeerResponse } from "./examine.js";
@@ -74,7 +75,10 @@
     #choose(tried: ReadonlySet<string>): EntryVm | undefined {
         const { helpers, random } = this.#options;
         const candidates = helpers().filter(
-            vm => !tried.has(vm.id) && (this.#inFlight.get(vm.id) ?? 0) < maxInFlight,
+            vm =>
+                isAddress(vm.peerAddress) &&
+                !tried.has(vm.id) &&
+                (this.#inFlight.get(vm.id) ?? 0) < maxInFlight,
         );
         const pick = (): EntryVm | undefined => candidates[Math.floor(random() * candidates.length)];
         const [first, second] = [pick(), pick()];
