At a full processor accepting comes first, and a rejection costs less

Cause: while connections wait for their turn to be accepted, each request begun on an open connection delays them by as much as eight of them cost; a fingerprint was computed for requests that are refused at once. Change: while connections have been waiting for 100 ms, requests begin in one turn of eight. A connection that arrives when others have waited for a second is closed at once. The fingerprint is computed when it is asked for.

--- a/packages/entry/src/eventreporter.ts
+++ b/packages/entry/src/eventreporter.ts
@@ -33,8 +33,8 @@
         });
     }
 
-    connectionUnread(waitMs: number, remoteAddress: string): void {
-        this.#events.emit("connection-unread", { address: remoteAddress, waitMs: Math.round(waitMs) });
+    connectionUnread(waitMs: number): void {
+        this.#events.emit("connection-unread", { waitMs: Math.round(waitMs) });
     }
 
     badRequest(code: string, remoteAddress: string): void {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -52,7 +52,7 @@
     readonly #sent = new Set<Slot>();
     #route: Route | undefined = undefined;
     #service = "";
-    #fingerprint = "";
+    #fingerprint: string | undefined = undefined;
     #deadlineTimer: Timer | undefined = undefined;
     #abortWait: (error: CallError) => void = () => undefined;
     #callerGone = false;
@@ -121,7 +121,6 @@
             this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
         );
         await this.#abortable(body.buffer());
-        this.#fingerprint = fingerprintOf(this.#req, body, this.#options.wire);
         await this.#readDisconnect(this.#age.acceptMs);
         const elapsedMs = this.#options.elapsedMs(route, times.givenMs);
         let request: Request = {
@@ -240,13 +239,13 @@
         requestId: string,
     ): Promise<{ readonly slot: Slot; readonly result: SentResult } | undefined> {
         const { crashGuard, countRequest } = this.#options;
-        const isTrial = await this.#abortable(crashGuard.admit(this.#fingerprint));
+        const isTrial = await this.#abortable(crashGuard.admit(() => this.#fingerprintOf(body)));
         try {
             const slot = await this.#acquireSlot(dispatcher, request);
             if (!slot) {
                 return undefined;
             }
-            if (!isTrial && crashGuard.isQuarantined(this.#fingerprint)) {
+            if (!isTrial && crashGuard.isQuarantined(() => this.#fingerprintOf(body))) {
                 dispatcher.settle(slot, { kind: "cancelled" });
                 return undefined;
             }
@@ -262,11 +261,17 @@
             return { slot, result: await this.#send(dispatcher, slot, body, requestId) };
         } finally {
             if (isTrial) {
-                crashGuard.endTrial(this.#fingerprint);
+                crashGuard.endTrial(this.#fingerprintOf(body));
             }
         }
     }
 
+    /** Returns the request's fingerprint, which takes as long as a tenth of a rejection. */
+    #fingerprintOf(body: RequestBody): string {
+        this.#fingerprint ??= fingerprintOf(this.#req, body, this.#options.wire);
+        return this.#fingerprint;
+    }
+
     /** Waits for a slot; returns undefined if this entry VM loses its links to the servers meanwhile. */
     async #acquireSlot(dispatcher: Dispatcher, request: Request): Promise<Slot | undefined> {
         const startedAt = this.#options.clock();
@@ -321,7 +326,7 @@
             if (exchange.sent || end !== "abandoned") {
                 const { server } = slot;
                 await crashGuard.recordEnd({
-                    fingerprint: this.#fingerprint,
+                    fingerprint: this.#fingerprintOf(body),
                     server,
                     sentAt: startedAt,
                     end,
@@ -360,7 +365,7 @@
                 if (err.result.kind === "lost") {
                     this.#options.onSendLost({
                         requestId,
-                        fingerprint: this.#fingerprint,
+                        fingerprint: this.#fingerprintOf(body),
                         server: slot.server,
                         afterMs: clock() - startedAt,
                     });
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -20,7 +20,7 @@
     /** Called for each connection that is served, with the milliseconds that it may have waited. */
     readonly onServed: (waitMs: number) => void;
     /** Called for each connection that is closed unread, with the milliseconds that it has waited. */
-    readonly onUnread: (waitMs: number, peer: string) => void;
+    readonly onUnread: (waitMs: number) => void;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -59,7 +59,7 @@
         });
         this.#intake = Intake.attach(this.#server, {
             onAccepted: socket => this.#connections.track(socket),
-            onUnread: (socket, waitMs) => onUnread(waitMs, socket.remoteAddress ?? ""),
+            onUnread,
             clock,
         });
         this.#server.on("request", (req, res) => this.#handle(req, res));
@@ -72,6 +72,11 @@
         );
     }
 
+    /** Whether connections have been arriving for a while faster than they can be accepted beside other work. */
+    get isCrowded(): boolean {
+        return this.#intake.isCrowded;
+    }
+
     /** Number of requests in progress. */
     get inFlight(): number {
         return this.#running.size;
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -356,8 +356,7 @@
             serve: (req, res) => new ForwardTask(options, req, res).run(),
             onMalformed: (reason, address) => this.#events.emit("request-malformed", { address, reason }),
             onServed: waitMs => this.#metrics.recordAcceptWait(waitMs),
-            onUnread: (waitMs, address) =>
-                this.#events.emit("connection-unread", { address, waitMs: Math.round(waitMs) }),
+            onUnread: waitMs => this.#events.emit("connection-unread", { waitMs: Math.round(waitMs) }),
             clock: monotonicMs,
         });
         const options = optionsFor(frontend);
@@ -384,7 +383,7 @@
             wire: this.#platform.wire,
             clock: monotonicMs,
             timers: new TimerSet(monotonicMs, timerPeriodMs),
-            turns: new TurnBudget(),
+            turns: new TurnBudget(() => this.#frontend.isCrowded || this.#peerFrontend.isCrowded),
             nextId: () => ++this.#lastId,
             maxBodyBytes: () => this.#storeView.config?.limits.maxBodyBytes ?? 0,
             chooseService: route => {
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -287,11 +287,8 @@
     "connection-unread": defineEvent(
         8003,
         "info",
-        "Connection from {address} closed unread after {waitMs} ms: the processor is too busy; its requests haven't run.",
-        {
-            address: "string",
-            waitMs: "number",
-        },
+        "Connection closed unread after {waitMs} ms, as the processor is too busy; its requests haven't run.",
+        { waitMs: "number" },
     ),
     "request-answered": defineEvent(
         8010,
--- a/packages/proxy/src/intake.ts
+++ b/packages/proxy/src/intake.ts
@@ -14,7 +14,7 @@
     /** Called for each connection when it is accepted. */
     readonly onAccepted: (socket: Socket) => void;
     /** Called for each connection that is closed unread, with the milliseconds that it has waited. */
-    readonly onUnread: (socket: Socket, waitMs: number) => void;
+    readonly onUnread: (waitMs: number) => void;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -67,11 +67,13 @@
         const now = this.#options.clock();
         this.#options.onAccepted(socket);
         this.#acceptedInTurn = true;
-        if (this.#nonEmptySince === undefined && this.#waiting.size === 0) {
-            this.#nonEmptySince = now;
+        const isFirst = this.#nonEmptySince === undefined && this.#waiting.size === 0;
+        this.#nonEmptySince ??= now;
+        if (isFirst) {
             this.#serve(socket, now);
+        } else if (now - this.#nonEmptySince > maxWaitMs) {
+            this.#closeUnread(socket, now - this.#nonEmptySince);
         } else {
-            this.#nonEmptySince ??= now;
             this.#waiting.set(socket, { acceptedAt: now, arrivedAfter: this.#nonEmptySince });
             socket.once("close", () => this.#waiting.delete(socket));
         }
@@ -81,6 +83,13 @@
         }
     }
 
+    /** Whether connections have been arriving for a while faster than one per turn. */
+    get isCrowded(): boolean {
+        return (
+            this.#nonEmptySince !== undefined && this.#options.clock() - this.#nonEmptySince > crowdedAfterMs
+        );
+    }
+
     /** Whether a connection waits to be served. */
     isWaiting(socket: Socket): boolean {
         return this.#waiting.has(socket);
@@ -115,11 +124,15 @@
                 return;
             }
             this.#waiting.delete(socket);
-            this.#options.onUnread(socket, now - arrivedAfter);
-            socket.destroy();
+            this.#closeUnread(socket, now - arrivedAfter);
         }
     }
 
+    #closeUnread(socket: Socket, waitMs: number): void {
+        this.#options.onUnread(waitMs);
+        socket.destroy();
+    }
+
     #serveLatest(now: number): void {
         for (const [socket, { arrivedAfter }] of [...this.#waiting].slice(-servedPerTurn).reverse()) {
             this.#waiting.delete(socket);
@@ -138,6 +151,8 @@
 
 /** Callers give up requests that may be repeated if they aren't read in this time; the others can still go elsewhere. */
 const maxWaitMs = 1_000;
+/** Longer than it takes to accept what arrives together, or while the process is paused for a part of a second. */
+const crowdedAfterMs = 100;
 /** Time in which connections are accepted before others are served, while more arrive in each turn. */
 const maxAcceptMs = 25;
 /** Few enough for short turns, in each of which one further connection is accepted. */
--- a/packages/proxy/src/observer.ts
+++ b/packages/proxy/src/observer.ts
@@ -47,6 +47,6 @@
     callEnded(record: CallRecord): void;
     /** Called when a request could not be parsed. `code` is Node's error code, `remoteAddress` an IP address. */
     badRequest(code: string, remoteAddress: string): void;
-    /** Called when a connection was closed unread, `waitMs` after it arrived. `remoteAddress` is an IP address. */
-    connectionUnread(waitMs: number, remoteAddress: string): void;
+    /** Called when a connection was closed unread, `waitMs` after it arrived. */
+    connectionUnread(waitMs: number): void;
 }
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -47,8 +47,7 @@
         this.#server = this.#createServer();
         this.#intake = Intake.attach(this.#server, {
             onAccepted: socket => this.#connections.track(socket),
-            onUnread: (socket, waitMs) =>
-                options.observer.connectionUnread(waitMs, socket.remoteAddress ?? ""),
+            onUnread: waitMs => options.observer.connectionUnread(waitMs),
             clock: options.clock,
         });
     }
