A refusal without an id on a reused connection proves nothing

Cause here: copies were told by the id that they echo. A probe's refusal has none, and a request's own refusal has the same one as its repeat at the same server. Change: a refusal without an id is believed on a new connection only; a request is sent to a server a second time on a new connection. Measured: both tests fail on (a request ran twice; a repeat that ran was said not to have), and pass.

--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -6,20 +6,23 @@
 import type { WireFormat } from "./wireformat.js";
 
 /**
- * Examines the response of a backend server to a request.
+ * Examines the response of a backend server to a request. A refusal without an id, on a connection that has carried other
+ * requests, may be a copy of an earlier one, such as that of a probe; the request may run all the same.
  *
+ * @param isReused whether the connection has carried other requests
  * @param onStatement called with what the server says of itself
  * @returns undefined if the response is to be relayed
  */
 export const examineServerResponse = (
     res: IncomingMessage,
+    isReused: boolean,
     requestId: string,
     wire: WireFormat,
     onStatement: (statement: ServerStatement, source: StatementSource) => void,
 ): SlotResult | undefined => {
     const status = res.statusCode ?? 0;
     const echoedId = wire.requestId(res.headers);
-    if (echoedId !== undefined && echoedId !== requestId) {
+    if (echoedId === undefined ? isReused : echoedId !== requestId) {
         return { kind: "lost" };
     }
     const reason = wire.refusal(status, res.headers);
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -434,8 +434,8 @@
             headers: [...forwardedHeaders(this.#req, wire), ...body.framingHeaders(), ...added],
             latestConnectAt: clock() + connectTimeoutMs,
             clock,
-            examine: res =>
-                examineServerResponse(res, requestId, wire, (statement, source) => {
+            examine: (res, isReused) =>
+                examineServerResponse(res, isReused, requestId, wire, (statement, source) => {
                     onStatement(statement);
                     recordStatement(slot.server, statement, source);
                 }),
@@ -444,13 +444,15 @@
     }
 
     /**
-     * Returns whether the request may use a pooled connection. The server may have dropped one that has been idle, and
+     * Returns whether the request may use a pooled connection. One that has carried it before may hold a copy of the earlier
+     * response, which has the same id. The server may have dropped one that has been idle, and
      * a request lost on it may have run. One that has just carried a response, usually to a probe, is alive.
      */
     #mayReuseConnection({ request, server }: Slot): boolean {
         return (
-            request.kind !== "non-idempotent" ||
-            this.#options.agents.pooled.wasUsedWithin(server.address, maxIdleMs)
+            !request.tried.includes(server.id) &&
+            (request.kind !== "non-idempotent" ||
+                this.#options.agents.pooled.wasUsedWithin(server.address, maxIdleMs))
         );
     }
 
--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -86,6 +86,79 @@
     assert.notEqual(status(second.text), 503);
 });
 
+test("a copy of a probe's refusal isn't a refusal of the request that follows on the connection", async t => {
+    const refusal = "HTTP/1.1 503 Busy\r\nt-not-run: 1\r\nContent-Length: 0\r\n\r\n";
+    const probed = new Set<Socket>();
+    const server = await startRawServer(
+        t,
+        "s1",
+        ({ socket, id }) => {
+            if (probed.has(socket)) {
+                socket.write(refusal);
+            }
+            setTimeout(() => socket.write(responseText(id, "ran")), 30);
+        },
+        {
+            answerProbe: socket => {
+                probed.add(socket);
+                socket.write(refusal);
+            },
+        },
+    );
+    const idleClock = (): number => 0;
+    const { port } = await startFrontend(
+        t,
+        [server],
+        { kind: "non-idempotent", maxAttempts: 3 },
+        { idleClock },
+    );
+    const ids = ["a", "b", "c"];
+    for (const id of ids) {
+        const result = await sendRaw(
+            port,
+            requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" }),
+        );
+        assert.equal(countRequests([server], id), 1, `${id} ran more than once`);
+        assert.notEqual(status(result.text), 503, `${id} ran, and was said not to have`);
+    }
+    assert.ok(
+        server.requests.some(it => probed.has(it.socket)),
+        "a connection was reused after a probe",
+    );
+});
+
+test("a copy of a request's own refusal isn't a refusal of its repeat", async t => {
+    let runs = 0;
+    const server = await startRawServer(t, "s1", request => {
+        const { socket, id } = request;
+        const isRepeat = countRequests([server], id) > 1;
+        if (!isRepeat) {
+            refuse(request);
+            return;
+        }
+        runs++;
+        if (request.indexOnConnection > 0) {
+            refuse(request);
+        }
+        setTimeout(() => socket.write(responseText(id, "ran")), 30);
+    });
+    const idleClock = (): number => 0;
+    const { port } = await startFrontend(
+        t,
+        [server],
+        { kind: "non-idempotent", maxAttempts: 3 },
+        { idleClock },
+    );
+    for (const id of ["a", "b", "c"]) {
+        const result = await sendRaw(
+            port,
+            requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" }),
+        );
+        assert.match(result.text, /ran$/, id);
+    }
+    assert.equal(runs, 3);
+});
+
 test("a late copy of a refusal that arrives with the next request is neither relayed nor counted as its result", async t => {
     const server = await startRawServer(t, "s1", ({ socket, id }) => {
         const refusal = `HTTP/1.1 503 Busy\r\nt-id: ${id}\r\nt-not-run: 1\r\nContent-Length: 0\r\n\r\n`;
