Requests that wait for their turn are answered when their time is over

Cause: the wait for a turn came before the deadline's timer, so at a full processor with hundreds of open connections a request could wait in this process for longer than its route's timeout. Change: times and timer come first; a request whose time is over when its turn comes goes no further.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -98,11 +98,7 @@
     }
 
     async #forward(): Promise<ForwardOutcome> {
-        const { wire, clock, turns } = this.#options;
-        const turn = turns.take(clock());
-        if (turn) {
-            await this.#abortable(turn);
-        }
+        const { wire, clock } = this.#options;
         const requestId = wire.requestId(this.#req.headers);
         if (requestId === undefined) {
             throw new CallError("bad-request", "The request has no id.");
@@ -120,6 +116,7 @@
         this.#deadlineTimer = this.#options.timers.schedule(times.deadlineAt + responseGraceMs, () =>
             this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
         );
+        await this.#waitForTurn(times);
         await this.#abortable(body.buffer());
         await this.#readDisconnect(this.#age.acceptMs);
         const elapsedMs = this.#options.elapsedMs(route, times.givenMs);
@@ -162,6 +159,15 @@
         }
     }
 
+    /** Waits while requests that arrived before are begun, so that the turns of the event loop stay short. */
+    async #waitForTurn(times: RequestTimes): Promise<void> {
+        const turn = this.#options.turns.take(this.#options.clock());
+        if (turn) {
+            await this.#abortable(turn);
+            this.#requireTimeToServe(times);
+        }
+    }
+
     /** @throws CallError if no server can be expected to answer in the time that is left */
     #requireTimeToServe({ latestSendAt }: RequestTimes): void {
         if (this.#options.clock() > latestSendAt) {
