While connections keep arriving, few of those that wait are served

Cause: once connections had waited for 25 ms, 16 a turn were served, far more than requests may begin at a full processor; they were read, and then had to be answered at the full price of a rejection. Change: while further ones arrive, one is served in four turns.

--- a/packages/proxy/src/intake.ts
+++ b/packages/proxy/src/intake.ts
@@ -39,6 +39,8 @@
     /** Start of the present run of turns that each accepted a connection; undefined if the last turn accepted none. */
     #nonEmptySince: number | undefined = undefined;
     #acceptedInTurn = false;
+    /** Number of turns since a connection was served while others arrived. */
+    #turnsWithout = 0;
     #runsTurns = false;
 
     constructor(options: IntakeOptions) {
@@ -108,9 +110,10 @@
         }
         this.#acceptedInTurn = false;
         this.#closeExpired(now);
-        const [earliest] = this.#waiting.values();
-        if (earliest && (this.#nonEmptySince === undefined || now - earliest.acceptedAt > maxAcceptMs)) {
-            this.#serveLatest(now);
+        if (this.#nonEmptySince === undefined) {
+            this.#serveLatest(servedPerTurn, now);
+        } else if (this.#isServiceDue(now)) {
+            this.#serveLatest(1, now);
         }
         this.#runsTurns = this.#nonEmptySince !== undefined || this.#waiting.size > 0;
         if (this.#runsTurns) {
@@ -133,8 +136,18 @@
         socket.destroy();
     }
 
-    #serveLatest(now: number): void {
-        for (const [socket, { arrivedAfter }] of [...this.#waiting].slice(-servedPerTurn).reverse()) {
+    /** Returns whether to serve a connection that waits although further ones are arriving; called once a turn. */
+    #isServiceDue(now: number): boolean {
+        const [earliest] = this.#waiting.values();
+        if (!earliest || now - earliest.acceptedAt <= maxAcceptMs || ++this.#turnsWithout < turnsPerServed) {
+            return false;
+        }
+        this.#turnsWithout = 0;
+        return true;
+    }
+
+    #serveLatest(count: number, now: number): void {
+        for (const [socket, { arrivedAfter }] of [...this.#waiting].slice(-count).reverse()) {
             this.#waiting.delete(socket);
             this.#serve(socket, arrivedAfter, now);
         }
@@ -155,5 +168,7 @@
 const crowdedAfterMs = 100;
 /** Time in which connections are accepted before others are served, while more arrive in each turn. */
 const maxAcceptMs = 25;
-/** Few enough for short turns, in each of which one further connection is accepted. */
+/** Few enough for short turns. */
 const servedPerTurn = 16;
+/** Turns for each connection that is served while others arrive; to accept one costs much less than its requests. */
+const turnsPerServed = 4;
