At a full processor, service goes on by time rather than by turns

Cause: one connection in four turns and requests in one of eight are far too few where turns are long for other reasons: connections waited past a second in turns of 8 ms.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -161,7 +161,7 @@
 
     /** Waits while requests that arrived before are begun, so that the turns of the event loop stay short. */
     async #waitForTurn(times: RequestTimes): Promise<void> {
-        const turn = this.#options.turns.take(this.#options.clock());
+        const turn = this.#options.turns.take();
         if (turn) {
             await this.#abortable(turn);
             this.#requireTimeToServe(times);
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -383,7 +383,10 @@
             wire: this.#platform.wire,
             clock: monotonicMs,
             timers: new TimerSet(monotonicMs, timerPeriodMs),
-            turns: new TurnBudget(() => this.#frontend.isCrowded || this.#peerFrontend.isCrowded),
+            turns: new TurnBudget({
+                isCrowded: () => this.#frontend.isCrowded || this.#peerFrontend.isCrowded,
+                clock: monotonicMs,
+            }),
             nextId: () => ++this.#lastId,
             maxBodyBytes: () => this.#storeView.config?.limits.maxBodyBytes ?? 0,
             chooseService: route => {
--- a/packages/proxy/src/intake.ts
+++ b/packages/proxy/src/intake.ts
@@ -39,8 +39,8 @@
     /** Start of the present run of turns that each accepted a connection; undefined if the last turn accepted none. */
     #nonEmptySince: number | undefined = undefined;
     #acceptedInTurn = false;
-    /** Number of turns since a connection was served while others arrived. */
-    #turnsWithout = 0;
+    /** When a connection was last served after a wait. */
+    #servedAt = -Infinity;
     #runsTurns = false;
 
     constructor(options: IntakeOptions) {
@@ -139,14 +139,15 @@
     /** Returns whether to serve a connection that waits although further ones are arriving; called once a turn. */
     #isServiceDue(now: number): boolean {
         const [earliest] = this.#waiting.values();
-        if (!earliest || now - earliest.acceptedAt <= maxAcceptMs || ++this.#turnsWithout < turnsPerServed) {
-            return false;
-        }
-        this.#turnsWithout = 0;
-        return true;
+        return (
+            earliest !== undefined &&
+            now - earliest.acceptedAt > maxAcceptMs &&
+            now - this.#servedAt >= minServeIntervalMs
+        );
     }
 
     #serveLatest(count: number, now: number): void {
+        this.#servedAt = now;
         for (const [socket, { arrivedAfter }] of [...this.#waiting].slice(-count).reverse()) {
             this.#waiting.delete(socket);
             this.#serve(socket, arrivedAfter, now);
@@ -170,5 +171,5 @@
 const maxAcceptMs = 25;
 /** Few enough for short turns. */
 const servedPerTurn = 16;
-/** Turns for each connection that is served while others arrive; to accept one costs much less than its requests. */
-const turnsPerServed = 4;
+/** Time between two connections that are served while others arrive; to accept one costs much less than its requests. */
+const minServeIntervalMs = 2;
