Connections that carried a refusal without an id are closed

Change: such a refusal is believed, and its connection closed, so that no copy of it can follow on one that is reused; the same for a probe's refusal.

--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -6,28 +6,31 @@
 import type { WireFormat } from "./wireformat.js";
 
 /**
- * Examines the response of a backend server to a request. A refusal without an id, on a connection that has carried other
- * requests, may be a copy of an earlier one, such as that of a probe; the request may run all the same.
+ * Examines the response of a backend server to a request.
  *
- * @param isReused whether the connection has carried other requests
+ * @param closeConnection closes the connection after the response; called for a refusal without an id, as a copy of it couldn't
+ *     be told from a refusal of the next request
  * @param onStatement called with what the server says of itself
  * @returns undefined if the response is to be relayed
  */
 export const examineServerResponse = (
     res: IncomingMessage,
-    isReused: boolean,
+    closeConnection: () => void,
     requestId: string,
     wire: WireFormat,
     onStatement: (statement: ServerStatement, source: StatementSource) => void,
 ): SlotResult | undefined => {
     const status = res.statusCode ?? 0;
     const echoedId = wire.requestId(res.headers);
-    if (echoedId === undefined ? isReused : echoedId !== requestId) {
+    if (echoedId !== undefined && echoedId !== requestId) {
         return { kind: "lost" };
     }
     const reason = wire.refusal(status, res.headers);
     const statement = wire.statement(status, res.headersDistinct);
     if (reason) {
+        if (echoedId === undefined) {
+            closeConnection();
+        }
         if (reason !== "other-incarnation") {
             onStatement(statement, "refusal");
         }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -19,8 +19,8 @@
     readonly latestConnectAt: number;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
-    /** Returns how the send ended if its response isn't one to relay; `isReused` if its connection has carried others. */
-    readonly examine: (res: IncomingMessage, isReused: boolean) => SlotResult | undefined;
+    /** Returns how the send ended if its response isn't one to relay; `closeConnection` closes the connection after it. */
+    readonly examine: (res: IncomingMessage, closeConnection: () => void) => SlotResult | undefined;
     /** Writes the body and ends the request. */
     readonly writeBody: (req: ClientRequest) => void;
 }
@@ -134,7 +134,7 @@
         outgoing: OutgoingRequest,
         resolve: (res: IncomingMessage) => void,
     ): void {
-        const failure = outgoing.examine(res, this.#req.reusedSocket);
+        const failure = outgoing.examine(res, () => (this.#req.shouldKeepAlive = false));
         if (!failure) {
             resolve(res);
         } else if (failure.kind === "refused") {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -440,8 +440,8 @@
             headers: [...forwardedHeaders(this.#req, wire), ...body.framingHeaders(), ...added],
             latestConnectAt: clock() + connectTimeoutMs,
             clock,
-            examine: (res, isReused) =>
-                examineServerResponse(res, isReused, requestId, wire, (statement, source) => {
+            examine: (res, closeConnection) =>
+                examineServerResponse(res, closeConnection, requestId, wire, (statement, source) => {
                     onStatement(statement);
                     recordStatement(slot.server, statement, source);
                 }),
@@ -451,8 +451,8 @@
 
     /**
      * Returns whether the request may use a pooled connection. One that has carried it before may hold a copy of the earlier
-     * response, which has the same id. The server may have dropped one that has been idle, and
-     * a request lost on it may have run. One that has just carried a response, usually to a probe, is alive.
+     * response, which has the same id. The server may have dropped one that has been idle, and a request lost on it may have
+     * run. One that has just carried a response, usually to a probe, is alive.
      */
     #mayReuseConnection({ request, server }: Slot): boolean {
         return (
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -91,6 +91,10 @@
                     req.destroy();
                     return;
                 }
+                if (this.#wire.refusal(res.statusCode ?? 0, res.headers)) {
+                    // It has no id, so a copy of it couldn't be told from a refusal of the next request.
+                    req.shouldKeepAlive = false;
+                }
                 discardResponse(res);
                 const statement = this.#wire.statement(res.statusCode ?? 0, res.headersDistinct);
                 const { serverId: id, load: report } = statement;
