--- a/packages/gateway/src/crashexchange.ts
+++ b/packages/gateway/src/crashexchange.ts
@@ -21,14 +21,14 @@
     /**
      * Resolves when a request may be sent; to true if it is a trial, which isn't to be sent again.
      *
-     * @param fingerprint returns the request's fingerprint; called only if servers have ended under any request
+     * @param getFingerprint returns the request's fingerprint; called only if servers have ended under any request
      * @throws CallError if the request is quarantined
      */
-    admit(fingerprint: () => string): Promise<boolean>;
+    admit(getFingerprint: () => string): Promise<boolean>;
     /** Ends the trial of a request that was admitted for one. */
     endTrial(fingerprint: string): void;
     /** Whether the request has been quarantined since it was admitted. */
-    isQuarantined(fingerprint: () => string): boolean;
+    isQuarantined(getFingerprint: () => string): boolean;
     /** Records how a send ended; resolves when the request may be sent again. */
     recordEnd(outcome: SendOutcome): Promise<void>;
 }
@@ -91,8 +91,8 @@
         this.#quarantine.endTrial(fingerprint);
     }
 
-    isQuarantined(fingerprint: () => string): boolean {
-        return this.#quarantine.size > 0 && this.#quarantine.isQuarantined(fingerprint());
+    isQuarantined(getFingerprint: () => string): boolean {
+        return this.#quarantine.size > 0 && this.#quarantine.isQuarantined(getFingerprint());
     }
 
     async recordEnd({ fingerprint: key, server, sentAt, end }: SendOutcome): Promise<void> {
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -25,8 +25,8 @@
     type ForwardOutcome,
 } from "./outcomes.js";
 import type { ForwardOptions } from "./forwardoptions.js";
-import { Relay, type RelayResult } from "./relay.js";
 import { peerAgeHeaders } from "./peerforward.js";
+import { Relay, type RelayResult } from "./relay.js";
 import { fingerprintOf, forwardedHeaders } from "./requesthead.js";
 import { requestTimes, type RequestTimes } from "./requesttimes.js";
 
@@ -46,6 +46,7 @@
     readonly #req: IncomingMessage;
     readonly #res: ServerResponse;
     readonly #age: RequestAge;
+    /** When the request's head was read. */
     readonly #readAt: number;
     readonly #ahead: number;
     /** Slots that count as attempts, in order; several may be of the same server. */
@@ -168,7 +169,11 @@
         }
     }
 
-    /** @throws CallError if no server can be expected to answer in the time that is left */
+    /**
+     * Checks that a server can be expected to answer in the time that is left.
+     *
+     * @throws CallError if not
+     */
     #requireTimeToServe({ latestSendAt }: RequestTimes): void {
         if (this.#options.clock() > latestSendAt) {
             throw new CallError("deadline-queued", "", Math.max(minLateRetryMs, this.#age.acceptMs));
@@ -549,7 +554,7 @@
 const maxUnreachableServers = 4;
 /** Maximum number of peers that one request is sent to. */
 const maxPeers = 3;
-/** Shortest time after which the caller of a request that was read too late may return; at most as long as it waited. */
+/** Shortest time after which the caller of a request that was read too late may return; one that waited longer, after as long. */
 const minLateRetryMs = 150;
 /** Time after which a peer that has room is likely to be known. */
 const noLinksRetryMs = 300;
