Reading the whole change: checks that had been loosened are back, what stood twice is one

The disconnect tests still end their wait when a connection is closed unread, and then fail. No change of behaviour.

--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -8,9 +8,12 @@
 /** Era of the store in which offsets are valid; absent in messages of older builds, which know only one. */
 const era = z.number().int().nonnegative().optional();
 
+/** Id of a backend server's incarnation, which headers name. */
+export const serverIdSchema = z.string().regex(/^[\x21-\x7e]+$/, "must be printable ASCII");
+
 const entrySchema = z
     .object({
-        id: z.string().regex(/^[\x21-\x7e]+$/),
+        id: serverIdSchema,
         bornAt: z.number(),
         service: z.string(),
         address: z.string().refine(isAddress),
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -10,7 +10,7 @@
 import { CallError } from "@bramleymoor/protocol/errors";
 import { delay } from "@bramleymoor/proxy/delay";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
-import { headReadMs, type RequestAge } from "@bramleymoor/proxy/requestage";
+import { ageOfRequest, type RequestAge } from "@bramleymoor/proxy/requestage";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
 import { TrafficSplits } from "@bramleymoor/routing/split";
@@ -414,12 +414,8 @@
     }
 
     #ageOf(frontend: FrontendServer, req: IncomingMessage): RequestAge {
-        return {
-            peerMs: 0,
-            acceptMs: frontend.acceptWaitMs(req),
-            unreadMs: this.#lag.unreadMs(monotonicMs()),
-            headMs: headReadMs(req),
-        };
+        const unreadMs = this.#lag.unreadMs(monotonicMs());
+        return ageOfRequest(req, { acceptMs: frontend.acceptWaitMs(req), unreadMs });
     }
 
     #findRoute(host: string, target: string): Route {
--- a/packages/gateway/test/callerdisconnect.test.ts
+++ b/packages/gateway/test/callerdisconnect.test.ts
@@ -33,6 +33,7 @@
     callers.leaveUnnoticed(300);
     await runShortTurns(8, () => records.length + unread() >= 61);
     await callers.terminate();
+    assert.equal(records.length, 61, `${unread()} connections closed unread`);
     assert.deepEqual(
         server.requests.map(it => it.id),
         ["warm"],
@@ -97,6 +98,7 @@
     callers.leaveUnnoticed(300);
     await runShortTurns(8, () => records.length + 2 * unread() >= 121);
     await callers.terminate();
+    assert.equal(records.length, 121, `${unread()} connections closed unread`);
     assert.deepEqual(
         server.requests.map(it => it.id),
         ["warm"],
--- a/packages/gateway/test/cuthead.test.ts
+++ b/packages/gateway/test/cuthead.test.ts
@@ -34,7 +34,7 @@
                 }
             });
             const { port } = await startFrontend(t, [server], { kind: "non-idempotent", maxAttempts: 2 });
-            for (let length = 1; length < headOf("cut100").length - 1; length++) {
+            for (let length = 1; length < headOf(`cut${length}`).length; length++) {
                 const id = `cut${length}`;
                 const first = requestText(id, { method: "POST", body: "x" });
                 const behind = requestText(`behind${length}`, {
--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
     responseText,
@@ -11,6 +11,7 @@
     startFrontend,
     type RawServer,
     type RequestHandler,
+    type TestFrontend,
 } from "./setup.js";
 
 const status = (bytes: string): number => Number(/^HTTP\/1\.1 (\d+)/.exec(bytes)?.[1] ?? 0);
@@ -20,6 +21,13 @@
 
 const closeConnection: RequestHandler = ({ socket }) => socket.destroy();
 
+/** Starts a frontend that sends non-idempotent requests on pooled connections, however long these have been idle. */
+const startReusingFrontend = (t: TestContext, server: RawServer): Promise<TestFrontend> =>
+    startFrontend(t, [server], { kind: "non-idempotent", maxAttempts: 3 }, { idleClock: () => 0 });
+
+const postText = (id: string): string =>
+    requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" });
+
 const countRequests = (servers: readonly RawServer[], id: string): number =>
     servers.reduce((sum, it) => sum + it.requests.filter(request => request.id === id).length, 0);
 
@@ -69,17 +77,9 @@
         }
         setTimeout(() => socket.write(responseText(id, "ran")), 30);
     });
-    const idleClock = (): number => 0;
-    const { port } = await startFrontend(
-        t,
-        [server],
-        { kind: "non-idempotent", maxAttempts: 3 },
-        { idleClock },
-    );
-    const post = (id: string): string =>
-        requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" });
-    const first = await sendRaw(port, post("first"));
-    const second = await sendRaw(port, post("second"));
+    const { port } = await startReusingFrontend(t, server);
+    const first = await sendRaw(port, postText("first"));
+    const second = await sendRaw(port, postText("second"));
     assert.equal(status(first.text), 503);
     assert.equal(countRequests([server], "second"), 1);
     assert.ok((server.requests.at(-1)?.indexOnConnection ?? 0) > 0, "the connection was reused");
@@ -105,19 +105,9 @@
             },
         },
     );
-    const idleClock = (): number => 0;
-    const { port } = await startFrontend(
-        t,
-        [server],
-        { kind: "non-idempotent", maxAttempts: 3 },
-        { idleClock },
-    );
-    const ids = ["a", "b", "c"];
-    for (const id of ids) {
-        const result = await sendRaw(
-            port,
-            requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" }),
-        );
+    const { port } = await startReusingFrontend(t, server);
+    for (const id of ["a", "b", "c"]) {
+        const result = await sendRaw(port, postText(id));
         assert.equal(countRequests([server], id), 1, `${id} ran more than once`);
         assert.notEqual(status(result.text), 503, `${id} ran, and was said not to have`);
     }
@@ -140,18 +130,9 @@
         }
         setTimeout(() => socket.write(responseText(id, "ran")), 30);
     });
-    const idleClock = (): number => 0;
-    const { port } = await startFrontend(
-        t,
-        [server],
-        { kind: "non-idempotent", maxAttempts: 3 },
-        { idleClock },
-    );
+    const { port } = await startReusingFrontend(t, server);
     for (const id of ["a", "b", "c"]) {
-        const result = await sendRaw(
-            port,
-            requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" }),
-        );
+        const result = await sendRaw(port, postText(id));
         assert.match(result.text, /ran$/, id);
     }
     assert.equal(runs, 3);
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -5,7 +5,7 @@
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
-import { headReadMs } from "@bramleymoor/proxy/requestage";
+import { ageOfRequest } from "@bramleymoor/proxy/requestage";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
 import { Subject } from "rxjs";
@@ -260,12 +260,8 @@
         recordStatement,
         agents,
         lagMs: () => lag.lagMs(clock()),
-        ageOf: req => ({
-            peerMs: 0,
-            acceptMs: frontend.acceptWaitMs(req),
-            unreadMs: lag.unreadMs(clock()),
-            headMs: headReadMs(req),
-        }),
+        ageOf: req =>
+            ageOfRequest(req, { acceptMs: frontend.acceptWaitMs(req), unreadMs: lag.unreadMs(clock()) }),
         countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
         peers: new PeerForwarder({
--- a/packages/proxy/src/requestage.ts
+++ b/packages/proxy/src/requestage.ts
@@ -18,9 +18,14 @@
 export const totalAgeMs = ({ peerMs, acceptMs, unreadMs, headMs }: RequestAge): number =>
     peerMs + Math.max(acceptMs, unreadMs) + headMs;
 
-/** Returns how long a request's head took to arrive, in milliseconds; called when the head is complete. */
-export const headReadMs = ({ socket }: IncomingMessage): number =>
-    (socket as { readonly parser?: HeadParser }).parser?.duration?.() ?? 0;
+/** Returns the age of a request of a caller; called when its head is complete. Times are in milliseconds. */
+export const ageOfRequest = (
+    { socket }: IncomingMessage,
+    { acceptMs, unreadMs }: Pick<RequestAge, "acceptMs" | "unreadMs">,
+): RequestAge => {
+    const { parser } = socket as { readonly parser?: HeadParser };
+    return { peerMs: 0, acceptMs, unreadMs, headMs: parser?.duration?.() ?? 0 };
+};
 
 /** Part of Node's parser that its own time-outs of request heads use; not in its documentation or types. */
 interface HeadParser {
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -13,7 +13,7 @@
 import type { RelayResult } from "./relay.js";
 import { findClass, parseCallHeaders, parseTarget, type CallHeaders, type CallTarget } from "./request.js";
 import type { CallServerOptions, LocalRoute, ServiceRoute } from "./services.js";
-import { headReadMs, totalAgeMs, type RequestAge } from "./requestage.js";
+import { ageOfRequest, totalAgeMs, type RequestAge } from "./requestage.js";
 import { outcomeOfRelay, CallExecution, type CallExecutionOptions } from "./execution.js";
 import type { Timer } from "./timers.js";
 import { CallTiming } from "./timing.js";
@@ -49,12 +49,7 @@
         this.#options = options;
         this.#req = req;
         this.#res = res;
-        this.#age = {
-            peerMs: 0,
-            acceptMs: options.acceptWaitMs(req),
-            unreadMs: options.unreadMs(),
-            headMs: headReadMs(req),
-        };
+        this.#age = ageOfRequest(req, { acceptMs: options.acceptWaitMs(req), unreadMs: options.unreadMs() });
         this.#arrivedAt = options.clock() - totalAgeMs(this.#age);
         this.#timing = new CallTiming(this.#arrivedAt);
     }
--- a/packages/proxy/test/callerdisconnect.test.ts
+++ b/packages/proxy/test/callerdisconnect.test.ts
@@ -32,7 +32,7 @@
     await runShortTurns(8, () => proxy.records.length + proxy.unread >= heads.length);
     await callers.terminate();
     assert.deepEqual(backends[0]?.counts.runs, {});
-    assert.equal(proxy.records.length + proxy.unread, heads.length);
+    assert.equal(proxy.records.length, heads.length);
 });
 
 test("a pipelined call whose caller disconnects before its connection is accepted reaches no server", async t => {
@@ -42,6 +42,7 @@
     callers.leaveUnnoticed(300);
     await runShortTurns(8, () => proxy.records.length + 2 * proxy.unread >= 2 * texts.length);
     await callers.terminate();
+    assert.equal(proxy.records.length, 2 * texts.length);
     assert.deepEqual(backends[0]?.counts.runs, {});
 });
 
--- a/packages/proxy/test/intake.test.ts
+++ b/packages/proxy/test/intake.test.ts
@@ -63,19 +63,34 @@
 test("while connections keep coming, those that wait are served too", async () => {
     const it = new TestIntake();
     await it.acceptInTurns(100, 5);
-    assert.ok(it.served.length >= 20, `${it.served.length} served`);
+    assert.ok(it.served.length > 50, `${it.served.length} served`);
 });
 
-test("a connection has waited since the last turn that accepted none", async () => {
+test("a connection accepted in each turn may have waited since the last turn without one", async () => {
+    const it = new TestIntake();
+    const sockets = await it.acceptInTurns(3, 10);
+    await nextTurn();
+    assert.deepEqual(it.served.length, 3);
+    assert.deepEqual(
+        sockets.map(socket => it.intake.waitMs(socket)),
+        [0, 30, 30],
+    );
+    await nextTurn();
+    await nextTurn();
+    assert.equal(it.intake.waitMs(it.accept()), 0, "after a turn that accepted none");
+});
+
+test("all requests that are read directly after a connection was accepted waited for it, later ones didn't", async () => {
     const it = new TestIntake();
     const [, socket] = await it.acceptInTurns(2, 40);
     assert.ok(socket);
     await nextTurn();
     assert.equal(it.intake.waitMs(socket), 80);
     await nextTurn();
+    assert.equal(it.intake.waitMs(socket), 80, "read in the turn after");
     assert.equal(it.intake.waitMs(socket), 80, "pipelined");
     await drainPendingInput();
-    assert.equal(it.intake.waitMs(socket), 0, "later requests haven't waited");
+    assert.equal(it.intake.waitMs(socket), 0);
 });
 
 test("a connection that can't be served in time is closed unread", async () => {
@@ -110,9 +125,9 @@
 };
 
 test("connections that wait unread get their responses", async t => {
-    const port = await startServer(t, 2);
+    const port = await startServer(t, 1);
     let received = 0;
-    const sockets = Array.from({ length: 40 }, () => {
+    const sockets = Array.from({ length: 100 }, () => {
         const socket = connect(port, "127.0.0.1", () => socket.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n"));
         socket.once("data", () => received++);
         return socket;
