--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,118 +1,112 @@
-/** A client stops reading a long answer for two seconds, in which the route's timeout passes. */
+/** One malformed answer to a look-up, while orders are at work on kept connections; another kind for each entry process. */
 
 import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { createServer } from "node:net";
 import { dirname } from "node:path";
-import { pipeline, Readable } from "node:stream";
 import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { Connection, requestText } from "../lib/client.mjs";
-import { Server } from "../lib/server.mjs";
+import { plainAnswer, Server } from "../lib/server.mjs";
 import { configure, hasTrouble, register, rule, runCase } from "../lib/world.mjs";
 
-const timeoutS = 1;
-const clientDeadlineMs = 8_000;
-const pauseMs = 2_000;
-const maxDownloads = 64;
-const downloadsAtOnce = 8;
-const stepBytes = 8_000;
-/** Downloads are this much shorter and longer than what the buffers hold. */
-const shorterBytes = 40_000;
-const longerBytes = 200_000;
-const pieceBytes = 65_536;
-/** Length of the answer to the look-up behind a download. */
-const nextBytes = 64_000;
-/** Longer than what the buffers between an entry process and a client hold. */
-const measuringBytes = 24_000_000;
+const orderMs = 800;
+const keptConnections = 10;
+/** Of the rule: closed without an answer more often than this. */
+const allowedLost = 3;
 
-const bodyOf = (id, bytes) => Buffer.alloc(bytes, `${id} `);
+const sound = { name: "sound", status: "200 OK", header: "" };
+/** Bytes that are no response of HTTP: no such status, no such header name, and a name that JavaScript objects treat apart. */
+const malformed = [
+    { name: "status 000", status: "000 OK", header: "" },
+    { name: "header name with a space", status: "200 OK", header: "X Trace: 1\r\n" },
+    { name: "header __proto__", status: "200 OK", header: "__proto__: 1\r\n" },
+];
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (world, record) => {
-    /** Length of the answer to each request, and whether it is sent in chunks. */
-    const shapes = new Map();
-    const answer = async (req, res, id) => {
-        const { bytes, chunked } = shapes.get(id);
-        if (!chunked) {
-            res.setHeader("Content-Length", bytes);
-        }
-        res.writeHead(200);
-        const body = bodyOf(id, bytes);
-        const pieces = Array.from({ length: Math.ceil(bytes / pieceBytes) }, (_, i) =>
-            body.subarray(i * pieceBytes, (i + 1) * pieceBytes),
-        );
-        pipeline(Readable.from(pieces), res, () => undefined);
-    };
-    const server = await new Server("i-a", answer, 64).start();
-    world.onEnd(() => server.close());
-    register(world.store, "i-a", "exports", server.address, 64);
-    configure(world.store, 1, [rule("exports", "/exports/", "download", timeoutS)]);
-    await world.startEntries(2);
-    const [entry] = world.entries;
-
-    const send = (connection, id, bytes, chunked) => {
-        shapes.set(id, { bytes, chunked });
-        connection.socket.write(requestText("GET", `/exports/${id}`, id, clientDeadlineMs));
-    };
-    /** Sends downloads at the same time, each with a look-up pipelined behind it. */
-    const download = async (name, sizes, pauses) => {
-        const all = sizes.map((bytes, i) => {
-            const connection = new Connection(entry.host, entry.port);
-            const id = `${name}-${i}`;
-            const chunked = i % 2 === 1;
-            send(connection, id, bytes, chunked);
-            send(connection, `${id}-next`, nextBytes, false);
-            if (pauses) {
-                connection.socket.pause();
+/** A server that answers look-ups at once, the one with the path /lookups/N/ with the N-th of the malformed answers if it is faulty. */
+const startLookupServer = async (world, record, id) => {
+    const server = createServer(socket => {
+        let input = "";
+        socket.on("error", () => undefined);
+        socket.on("data", data => {
+            input += data.toString("latin1");
+            for (let end = input.indexOf("\r\n\r\n"); end >= 0; end = input.indexOf("\r\n\r\n")) {
+                const head = input.slice(0, end);
+                input = input.slice(end + 4);
+                socket.write(answerTo(head));
             }
-            return { id, bytes, chunked, connection };
         });
-        if (pauses) {
-            await delay(pauseMs);
-            all.forEach(it => it.connection.socket.resume());
+    });
+    const answerTo = head => {
+        if (head.startsWith("GET /healthz ")) {
+            return `HTTP/1.1 200 OK\r\nX-Instance-Id: ${id}\r\nX-Server-Load: 0,0,8,100\r\nContent-Length: 0\r\n\r\n`;
         }
-        await Promise.race([Promise.all(all.map(it => it.connection.wait(2))), delay(3_000)]);
-        all.forEach(it => it.connection.socket.destroy());
-        return all;
+        const [, kind] = /^GET \/lookups\/(\d) /.exec(head);
+        const [, requestId] = /^x-request-id: (.*)$/im.exec(head);
+        const { name, status, header } = hasTrouble ? malformed[kind] : sound;
+        record.write(`${requestId}: ran at ${id}, answer: ${name}`);
+        return (
+            `HTTP/1.1 ${status}\r\nX-Request-Id: ${requestId}\r\nX-Server-Signature: s-${requestId}\r\n${header}` +
+            `X-Server-Load: 0,0,8,100\r\nContent-Length: 5\r\n\r\nboard`
+        );
     };
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    world.onEnd(() => server.close());
+    register(world.store, id, "lookups", `127.0.0.1:${server.address().port}`);
+};
 
-    // How much of an answer the buffers between the entry process and a client hold depends on the system.
-    const measured = await download("measure", [measuringBytes, measuringBytes, measuringBytes], true);
-    const buffered = measured.filter((_, i) => i % 2 === 0).map(it => it.connection.incompleteBytes);
-    record.write(`clients that don't read are sent ${buffered.join(", ")} bytes`);
-    const sizes = [];
-    for (
-        let bytes = Math.min(...buffered) - shorterBytes;
-        bytes < Math.max(...buffered) + longerBytes && sizes.length < maxDownloads;
-        bytes += stepBytes
-    ) {
-        sizes.push(bytes);
-    }
+await runCase(dirname(fileURLToPath(import.meta.url)), async (world, record) => {
+    const work = (req, res, id) => plainAnswer(id.startsWith("first") ? 20 : orderMs, body)(req, res);
+    const body = Buffer.from("ordered");
+    const orders = await new Server("i-orders", work, 32).start();
+    world.onEnd(() => orders.close());
+    register(world.store, "i-orders", "orders", orders.address, 32);
+    await startLookupServer(world, record, "i-lookups");
+    configure(world.store, 1, [
+        rule("orders", "/orders/", "non_idempotent"),
+        rule("lookups", "/lookups/", "idempotent"),
+    ]);
+    await world.startEntries(malformed.length);
 
     const breaches = [];
-    const all = [];
-    for (let at = 0; at < sizes.length; at += downloadsAtOnce) {
-        const some = sizes.slice(at, at + downloadsAtOnce);
-        all.push(...(await download(`export-${at / downloadsAtOnce}`, some, hasTrouble)));
-    }
-    for (const { id, bytes, chunked, connection } of all) {
-        const { answers, ended, incompleteBytes } = connection;
-        const [first, second] = answers;
-        const whole = first !== undefined && first.body.equals(bodyOf(id, bytes));
+    for (const [kind, entry] of world.entries.entries()) {
+        const { host, port } = entry;
+        const kept = Array.from({ length: keptConnections }, () => new Connection(host, port));
+        for (const [i, connection] of kept.entries()) {
+            connection.socket.write(
+                requestText("POST", "/orders/new", `first-${kind}-${i}`, 3_000, "an order"),
+            );
+            await connection.wait(1);
+            record.write(`first-${kind}-${i}: status ${connection.answers[0]?.status}`);
+        }
+        kept.forEach((it, i) =>
+            it.socket.write(requestText("POST", "/orders/new", `order-${kind}-${i}`, 3_000, "an order")),
+        );
+        await delay(orderMs / 4);
+        const lookup = new Connection(host, port);
+        lookup.socket.write(requestText("GET", `/lookups/${kind}`, `lookup-${kind}`, 2_000));
+        await Promise.all([...kept.map(it => it.wait(2)), lookup.wait(1)]);
+        await delay(100);
+
         record.write(
-            `${id}: ${bytes} bytes ${chunked ? "in chunks" : "with a length"}; ` +
-                (first
-                    ? `status ${first.status}, signature ${first.headers["x-server-signature"]}, ended by its ${first.end} ` +
-                      `after ${first.body.length} bytes, ${whole ? "whole" : "NOT the server's body"}`
-                    : `no complete answer, ${incompleteBytes} bytes of one`) +
-                `; ${second ? `next: status ${second.status}` : "no next answer"}; connection ${ended ?? "open"}`,
+            `lookup-${kind}: status ${lookup.answers[0]?.status}, connection ${lookup.ended ?? "open"}`,
         );
-        if (first?.status === 200 && first.headers["x-server-signature"] && first.end !== "reset" && !whole) {
-            const at = first.body.indexOf("HTTP/1.1 ");
+        let lost = 0;
+        for (const [i, { answers, ended }] of kept.entries()) {
+            const id = `order-${kind}-${i}`;
+            const runs = orders.runs.filter(it => it === id).length;
+            lost += runs > 0 && !answers[1] ? 1 : 0;
+            record.write(`${id}: ran ${runs}, status ${answers[1]?.status}, connection ${ended ?? "open"}`);
+        }
+        record.write(`entry process ${host}: ${entry.ended}`);
+        if (entry.ended !== "running") {
+            world.logTail(entry, 9).forEach(it => record.write(`its log: ${it}`));
+        }
+        if (lost > allowedLost) {
             breaches.push(
-                `MIXED ${id}: a success with ${first.body.length} bytes that aren't the server's ${bytes}` +
-                    (at < 0
-                        ? ""
-                        : `; from byte ${at} on they are the answer to the next request: ` +
-                          JSON.stringify(first.body.subarray(at).toString("latin1").slice(0, 60))),
+                `LOST at ${host}, after ${malformed[kind].name}: ${lost} orders at work at a sound server, their kept ` +
+                    `connections closed without an answer; the process: ${entry.ended}`,
             );
         }
     }
