--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -17,7 +17,7 @@
 const servers = 5;
 const slowServers = 2;
 /** Each gets requests only once: later on, it sends fewer of them to the servers that are slow. */
-const entryProcesses = 8;
+const entryProcesses = 5;
 const clientsAtOnce = 12;
 /** The mean length of a download in the site file. */
 const answerBytes = 90_000;
@@ -28,7 +28,9 @@
 await runCase(dirname(fileURLToPath(import.meta.url)), async (world, record) => {
     /** Every second client's answers are sent in chunks. */
     const isChunked = id => Number(id.split("-")[1]) % 2 === 1;
-    const answerAfter = ms => async (req, res, id) => {
+    let hasTurnedSlow = false;
+    const answerOf = turnsSlow => async (req, res, id) => {
+        const ms = turnsSlow && hasTurnedSlow ? slowFactor * workMs : workMs;
         await delay(ms);
         record.write(`${id}: has run, in ${ms} ms`);
         if (!isChunked(id)) {
@@ -38,9 +40,9 @@
         res.end(bodyOf(id, answerBytes));
     };
     for (let i = 0; i < servers; i++) {
-        const isSlow = hasTrouble && i < slowServers;
+        const answer = answerOf(i < slowServers);
         const id = `i-${i}`;
-        const server = await new Server(id, answerAfter(isSlow ? slowFactor * workMs : workMs), 16).start();
+        const server = await new Server(id, answer, 16).start();
         world.onEnd(() => server.close());
         register(world.store, id, "exports", server.address, 16);
     }
@@ -89,6 +91,7 @@
             }
         }
     };
+    hasTurnedSlow = hasTrouble;
     for (const [i, entry] of world.entries.entries()) {
         const clients = Array.from({ length: clientsAtOnce }, (_, k) => i * clientsAtOnce + k);
         await Promise.all(clients.map(it => runClient(entry, it)));
