--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -20,6 +20,9 @@
 const clientsAtOnce = 12;
 /** The mean length of a download in the site file, whose other requests have answers of up to 30,000 bytes. */
 const answerBytes = 90_000;
+/** Share of the requests that has to be served for the case to say anything; two servers of five are slow, and hold up others. */
+const leastServed = 0.95;
+const leastServedWhileSlow = 0.2;
 const routes = ["/lookups/", "/exports/"];
 
 const bodyOf = (id, bytes) => Buffer.alloc(bytes, `${id} `);
@@ -101,6 +104,7 @@
     }
     const requests = 3 * clientsAtOnce * entryProcesses;
     record.write(`${successes} of ${requests} answers are successes`);
-    requireThat(successes > requests / 2, "a success for most requests");
+    const share = hasTrouble ? leastServedWhileSlow : leastServed;
+    requireThat(successes >= requests * share, "enough successes to judge");
     return breaches;
 });
