A malformed response of a server no longer ends the entry process

Cause: Node's parser accepts such heads and its writer refuses them. Relay wrote the head in a listener for "end", where nothing catches what is thrown; a header named __proto__ or constructor made headersDistinct throw in the listener for "response", of requests and of probes. Change: proxy/heads.ts decides what a head of HTTP is; Exchange and HttpProbeClient count a malformed response as lost, before anything reads it. What is thrown while a response is examined, a peer's datagram applied or a request handled ends only that one, with a log line. Event 8013 names the reason.

--- a/packages/gateway/src/auxiliaryservers.ts
+++ b/packages/gateway/src/auxiliaryservers.ts
@@ -17,17 +17,23 @@
     readonly entryVmsFor: (host: string, domain: string) => readonly EntryVm[];
     /** Returns how long callers may cache the response to an address query, in milliseconds. */
     readonly addressTtlMs: () => number;
+    /** Called for each error that isn't the caller's. */
+    readonly onInternalError: (doing: string, err: unknown) => void;
 }
 
 /** Serves readiness, addresses and metrics, each on its own port. */
 export class AuxiliaryServers {
     readonly #options: AuxiliaryServersOptions;
-    readonly #ready = new SimpleHttpServer((req, res) => this.#serveReadiness(req, res));
-    readonly #addresses = new SimpleHttpServer((req, res) => this.#serveAddresses(req, res));
-    readonly #metrics = new SimpleHttpServer((_, res) => void this.#serveMetrics(res));
+    readonly #ready: SimpleHttpServer;
+    readonly #addresses: SimpleHttpServer;
+    readonly #metrics: SimpleHttpServer;
 
     constructor(options: AuxiliaryServersOptions) {
         this.#options = options;
+        const { onInternalError } = options;
+        this.#ready = new SimpleHttpServer((req, res) => this.#serveReadiness(req, res), onInternalError);
+        this.#addresses = new SimpleHttpServer((req, res) => this.#serveAddresses(req, res), onInternalError);
+        this.#metrics = new SimpleHttpServer((_, res) => this.#serveMetrics(res), onInternalError);
     }
 
     async listen({ ready, directory, metrics }: GatewaySettings): Promise<void> {
--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { SlotResult } from "@bramleymoor/balance/types";
+import { distinctHeaders } from "@bramleymoor/proxy/heads";
 import type { WireFormat } from "./wireformat.js";
 
 /**
@@ -26,7 +27,7 @@
         return { kind: "lost" };
     }
     const reason = wire.refusal(status, res.headers);
-    const statement = wire.statement(status, res.headersDistinct);
+    const statement = wire.statement(status, distinctHeaders(res.rawHeaders));
     if (reason) {
         if (echoedId === undefined) {
             closeConnection();
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import type { SlotResult } from "@bramleymoor/balance/types";
 import { discardResponse } from "@bramleymoor/proxy/discard";
+import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
 import type { KeepAliveAgent } from "./agent.js";
 
 /** A request to send. */
@@ -70,7 +71,11 @@
                 reject(error);
             };
             this.#req.on("response", res => {
-                this.#handleResponse(res, outgoing, resolve);
+                try {
+                    this.#handleResponse(res, outgoing, resolve);
+                } catch (err) {
+                    this.abort({ kind: "lost" }, `the response couldn't be examined: ${String(err)}`);
+                }
                 this.#settled = true;
             });
         });
@@ -102,8 +107,8 @@
     }
 
     /** Aborts the exchange and closes the connection. */
-    abort(result: SlotResult): void {
-        this.#fail(new SendError(result, "aborted"));
+    abort(result: SlotResult, detail = "aborted"): void {
+        this.#fail(new SendError(result, detail));
         this.#req.destroy();
     }
 
@@ -134,6 +139,11 @@
         outgoing: OutgoingRequest,
         resolve: (res: IncomingMessage) => void,
     ): void {
+        const problem = findResponseHeadProblem(res);
+        if (problem !== undefined) {
+            this.abort({ kind: "lost" }, `malformed response: ${problem}`);
+            return;
+        }
         const failure = outgoing.examine(res, () => (this.#req.shouldKeepAlive = false));
         if (!failure) {
             resolve(res);
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -379,6 +379,7 @@
                         fingerprint: this.#fingerprintOf(body),
                         server: slot.server,
                         afterMs: clock() - startedAt,
+                        reason: err.detail,
                     });
                 }
                 return await settle(err.result);
--- a/packages/gateway/src/forwardoptions.ts
+++ b/packages/gateway/src/forwardoptions.ts
@@ -13,7 +13,7 @@
 import type { PeerForwarder } from "./peerforward.js";
 import type { WireFormat } from "./wireformat.js";
 
-/** A send whose connection the server ended without a response. */
+/** A send that got no response that can be relayed. */
 export interface LostSend {
     readonly requestId: string;
     /** Identifies the request among attempts that carry the same one. */
@@ -21,6 +21,7 @@
     readonly server: ServerEntry;
     /** Time from the send to the end of the connection, in milliseconds. */
     readonly afterMs: number;
+    readonly reason: string;
 }
 
 /** Dependencies that all requests share. */
@@ -64,7 +65,7 @@
     readonly extraHeaders: (req: IncomingMessage) => readonly string[];
     /** Keeps requests from servers that end under them. */
     readonly crashGuard: CrashGuard;
-    /** Called for each send whose connection the server ended without a response. */
+    /** Called for each send that got no response that can be relayed. */
     readonly onSendLost: (send: LostSend) => void;
     /** Called once at the end of each request. */
     readonly onDone: (record: ForwardRecord) => void;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -8,15 +8,17 @@
 import { Intake } from "@bramleymoor/proxy/intake";
 import { OrderedResponse } from "@bramleymoor/proxy/orderedresponse";
 import { ReadPauses } from "@bramleymoor/proxy/readpauses";
-import { rawErrorResponse } from "@bramleymoor/proxy/responses";
+import { rawErrorResponse, toCallError } from "@bramleymoor/proxy/responses";
 import { sendError } from "./errorresponse.js";
 
 /** Dependencies of a `FrontendServer`. */
 export interface FrontendOptions {
-    /** Handles one request to its end; never rejects. */
+    /** Handles one request to its end. */
     readonly serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
     /** Called for each request that can't be parsed. */
     readonly onMalformed: (reason: string, peer: string) => void;
+    /** Called for each error that isn't the caller's or a server's. */
+    readonly onInternalError: (doing: string, err: unknown) => void;
     /** Called for each connection that is served, with the milliseconds that it may have waited. */
     readonly onServed: (waitMs: number) => void;
     /** Called for each connection that is closed unread, with the milliseconds that it has waited. */
@@ -36,13 +38,15 @@
     readonly #running = new Set<Promise<void>>();
     readonly #serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
     readonly #onMalformed: (reason: string, peer: string) => void;
+    readonly #onInternalError: (doing: string, err: unknown) => void;
     readonly #closing = new WeakSet<Socket>();
     #maxHeadBytes = maxParserHeadBytes;
     #draining = false;
 
-    constructor({ serve, onMalformed, onServed, onUnread, clock }: FrontendOptions) {
+    constructor({ serve, onMalformed, onInternalError, onServed, onUnread, clock }: FrontendOptions) {
         this.#serve = serve;
         this.#onMalformed = onMalformed;
+        this.#onInternalError = onInternalError;
         this.#readPauses = new ReadPauses(clock);
         this.#server = createServer({
             IncomingMessage,
@@ -149,10 +153,19 @@
             sendError(res, error, ["Connection", "close"]);
             return;
         }
-        const work = this.#serve(req, res).finally(() => this.#running.delete(work));
+        const work = this.#run(req, res).finally(() => this.#running.delete(work));
         this.#running.add(work);
     }
 
+    async #run(req: IncomingMessage, res: OrderedResponse): Promise<void> {
+        try {
+            await this.#serve(req, res);
+        } catch (err) {
+            this.#onInternalError("handling a request", err);
+            sendError(res, toCallError(err), this.extraHeaders(req));
+        }
+    }
+
     #responseClosed(socket: Socket): void {
         const remaining = (this.#pendingResponses.get(socket) ?? 1) - 1;
         if (remaining > 0) {
@@ -187,8 +200,23 @@
 export class SimpleHttpServer {
     readonly #server: Server;
 
-    constructor(handler: (req: IncomingMessage, res: ServerResponse) => void) {
-        this.#server = createServer({ noDelay: true }, handler);
+    /**
+     * @param handler handles a request
+     * @param onInternalError called with what it throws; the request then gets no response
+     */
+    constructor(
+        handler: (req: IncomingMessage, res: ServerResponse) => void | Promise<void>,
+        onInternalError: (doing: string, err: unknown) => void,
+    ) {
+        const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+            try {
+                await handler(req, res);
+            } catch (err) {
+                onInternalError(`handling ${req.url}`, err);
+                res.destroy();
+            }
+        };
+        this.#server = createServer({ noDelay: true }, (req, res) => void handle(req, res));
         this.#server.keepAliveTimeout = simpleServerKeepAliveMs;
     }
 
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -237,6 +237,7 @@
             isReady: () => this.#state === "serving",
             entryVmsFor: (host, domain) => this.#partitioner.entryVmsFor(host, domain),
             addressTtlMs: () => this.#settings.addressTtlMs,
+            onInternalError: (doing, err) => this.#reportInternalError(doing, err),
         });
     }
 
@@ -355,6 +356,7 @@
         const frontend: FrontendServer = new FrontendServer({
             serve: (req, res) => new ForwardTask(options, req, res).run(),
             onMalformed: (reason, address) => this.#events.emit("request-malformed", { address, reason }),
+            onInternalError: (doing, err) => this.#reportInternalError(doing, err),
             onServed: waitMs => this.#metrics.recordAcceptWait(waitMs),
             onUnread: waitMs => this.#events.emit("connection-unread", { waitMs: Math.round(waitMs) }),
             clock: monotonicMs,
@@ -484,11 +486,15 @@
     /** Watches a background task: if one fails, the error is rethrown, so that the process ends and is restarted. */
     #runTask(doing: string, task: Promise<void>): void {
         task.catch((err: unknown) => {
-            const reason = err instanceof Error ? String(err.stack) : String(err);
-            this.#events.emit("internal-error", { doing, reason });
+            this.#reportInternalError(doing, err);
             throw err;
         });
     }
+
+    #reportInternalError(doing: string, err: unknown): void {
+        const reason = err instanceof Error ? String(err.stack) : String(err);
+        this.#events.emit("internal-error", { doing, reason });
+    }
 }
 
 const createAgents = (observer?: ConnectionObserver): ForwardOptions["agents"] => {
--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -154,6 +154,14 @@
             this.#handlers.onRejected(from, "the datagram can't be parsed");
             return;
         }
+        try {
+            this.#handle(envelope, from);
+        } catch (err) {
+            this.#handlers.onRejected(from, `the ${envelope.kind} message can't be applied: ${String(err)}`);
+        }
+    }
+
+    #handle(envelope: Envelope, from: string): void {
         switch (envelope.kind) {
             case "gossip":
                 this.#handlers.onGossip(envelope.body as GossipMessage).then(
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -1,10 +1,11 @@
 /** Probes backend servers for their load just before a request is sent to one of them. */
 
-import { request } from "node:http";
+import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { ServerStatement } from "@bramleymoor/balance/statement";
 import type { LoadReport } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
 import { discardResponse } from "@bramleymoor/proxy/discard";
+import { distinctHeaders, findResponseHeadProblem } from "@bramleymoor/proxy/heads";
 import { startTimeout } from "@bramleymoor/proxy/timers";
 import type { KeepAliveAgent } from "./agent.js";
 import { splitAddress } from "./exchange.js";
@@ -86,29 +87,35 @@
                 resolve(response);
             };
             req.on("response", res => {
-                if (this.#wire.isFromServer(res.headers)) {
-                    // An extra response to an earlier request; what follows on this connection can't be attributed.
+                const response = this.#examine(req, res, server);
+                if (response) {
+                    discardResponse(res);
+                    done(response);
+                } else {
+                    // What follows on this connection can't be attributed.
                     req.destroy();
-                    return;
                 }
-                if (this.#wire.refusal(res.statusCode ?? 0, res.headers)) {
-                    // It has no id, so a copy of it couldn't be told from a refusal of the next request.
-                    req.shouldKeepAlive = false;
-                }
-                discardResponse(res);
-                const statement = this.#wire.statement(res.statusCode ?? 0, res.headersDistinct);
-                const { serverId: id, load: report } = statement;
-                done({
-                    report,
-                    statement,
-                    misdirected: id !== undefined && id !== server.id,
-                });
             });
             req.on("error", err => done(req.reusedSocket && !isTimeout(err) ? "closed" : undefined));
             req.on("close", () => done(undefined));
             req.end();
         });
     }
+
+    /** Returns what a server has responded to a probe; undefined if the response is malformed or one to an earlier request. */
+    #examine(req: ClientRequest, res: IncomingMessage, server: ServerEntry): ProbeResponse | undefined {
+        const { rawHeaders, headers, statusCode: status = 0 } = res;
+        if (findResponseHeadProblem(res) !== undefined || this.#wire.isFromServer(headers)) {
+            return undefined;
+        }
+        if (this.#wire.refusal(status, headers)) {
+            // It has no id, so a copy of it couldn't be told from a refusal of the next request.
+            req.shouldKeepAlive = false;
+        }
+        const statement = this.#wire.statement(status, distinctHeaders(rawHeaders));
+        const { serverId: id, load: report } = statement;
+        return { report, statement, misdirected: id !== undefined && id !== server.id };
+    }
 }
 
 class ProbeTimeoutError extends Error {}
--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -70,14 +70,15 @@
         }
     }
 
-    /** Logs a send whose connection the server ended without a response. */
-    reportLostSend({ requestId, fingerprint, server, afterMs }: LostSend): void {
+    /** Logs a send that got no response that can be relayed. */
+    reportLostSend({ requestId, fingerprint, server, afterMs, reason }: LostSend): void {
         this.#options.events.emit("send-lost", {
             requestId,
             fingerprint,
             server: server.id,
             service: server.service,
             afterMs: Math.round(afterMs),
+            reason,
         });
     }
 
--- a/packages/gateway/src/wireformat.ts
+++ b/packages/gateway/src/wireformat.ts
@@ -1,14 +1,12 @@
 /** The platform's HTTP conventions between callers, entry VMs and backend servers, as far as the gateway uses them. */
 
-import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import type { IncomingHttpHeaders } from "node:http";
 import type { ServerStatement } from "@bramleymoor/balance/statement";
+import type { DistinctHeaders } from "@bramleymoor/proxy/heads";
 
 /** Why a server refused a request without running it. */
 export type ServerRefusal = "full" | "leaving" | "other-incarnation";
 
-/** All values of each header, by its name in lower case. */
-export type DistinctHeaders = IncomingMessage["headersDistinct"];
-
 /** Reads and writes the platform's headers and small messages. */
 export interface WireFormat {
     /** Names, in lower case, of the headers that the gateway sets itself and never forwards. */
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -1,5 +1,6 @@
 /** Starts a frontend in front of backend servers whose responses each test writes byte by byte. */
 
+import assert from "node:assert/strict";
 import { createServer, connect, type AddressInfo, type Socket } from "node:net";
 import type { TestContext } from "node:test";
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
@@ -280,6 +281,7 @@
     const frontend = new FrontendServer({
         serve: (req, res) => new ForwardTask(options, req, res).run(),
         onMalformed: () => undefined,
+        onInternalError: (doing, err) => assert.fail(`${doing}: ${String(err)}`),
         onServed: () => undefined,
         onUnread: () => unread++,
         clock,
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -359,13 +359,14 @@
     "send-lost": defineEvent(
         8013,
         "info",
-        "Backend server {server} of {service} ended its connection {afterMs} ms after request {requestId} was sent to it, without a response; fingerprint {fingerprint}.",
+        "No response to relay from backend server {server} of {service} to request {requestId}, {afterMs} ms after it was sent: {reason}; fingerprint {fingerprint}.",
         {
             server: "string",
             service: "string",
             requestId: "string",
             fingerprint: "string",
             afterMs: "number",
+            reason: "string",
         },
     ),
     "server-ended-under-request": defineEvent(
