Malformed requests get 400, and no failure keeps a slot

Callers saw: after some requests with a tab in the path or a space in a header's name, all requests of other callers for the service got 503 until a restart. Cause: Node's parser accepts such heads, its client refuses to write them; new Exchange threw between the slot's grant and the part that settles it. Change: the frontend answers 400 to a head that can't be written. SlotLease settles a slot once, and ForwardTask releases it in finally; a slot granted in the turn in which the wait for it is aborted is given back. An unexpected error after the send aborts its exchange.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -29,6 +29,7 @@
 import { Relay, type RelayResult } from "./relay.js";
 import { fingerprintOf, forwardedHeaders } from "./requesthead.js";
 import { requestTimes, type RequestTimes } from "./requesttimes.js";
+import { SlotLease } from "./slotlease.js";
 
 /** The outcome of a relayed response, or the result of a failed send after which the request may be retried. */
 type SentResult = "answered" | "body-broken" | "caller-gone" | SlotResult;
@@ -251,26 +252,23 @@
     ): Promise<{ readonly slot: Slot; readonly result: SentResult } | undefined> {
         const { crashGuard, countRequest } = this.#options;
         const isTrial = await this.#abortable(crashGuard.admit(() => this.#fingerprintOf(body)));
+        let lease: SlotLease | undefined;
         try {
-            const slot = await this.#acquireSlot(dispatcher, request);
-            if (!slot) {
+            lease = await this.#acquireSlot(dispatcher, request);
+            if (!lease) {
                 return undefined;
             }
+            await this.#readDisconnect(0);
             if (!isTrial && crashGuard.isQuarantined(() => this.#fingerprintOf(body))) {
-                dispatcher.settle(slot, { kind: "cancelled" });
                 return undefined;
             }
-            try {
-                this.#requireTimeToServe(times);
-            } catch (err) {
-                dispatcher.settle(slot, { kind: "cancelled" });
-                throw err;
-            }
+            this.#requireTimeToServe(times);
             if (request.tried.length === 0) {
                 countRequest(this.#service);
             }
-            return { slot, result: await this.#send(dispatcher, slot, body, requestId) };
+            return { slot: lease.slot, result: await this.#send(dispatcher, lease, body, requestId) };
         } finally {
+            lease?.release();
             if (isTrial) {
                 crashGuard.endTrial(this.#fingerprintOf(body));
             }
@@ -284,23 +282,25 @@
     }
 
     /** Waits for a slot; returns undefined if this entry VM loses its links to the servers meanwhile. */
-    async #acquireSlot(dispatcher: Dispatcher, request: Request): Promise<Slot | undefined> {
+    async #acquireSlot(dispatcher: Dispatcher, request: Request): Promise<SlotLease | undefined> {
         const startedAt = this.#options.clock();
-        const acquiring = dispatcher.acquireSlot(request);
-        const acquired = await this.#abortable(acquiring, () => dispatcher.withdraw(request));
+        const acquiring = dispatcher.acquireSlot(request).then(acquired => {
+            const slot = slotOrThrow(acquired);
+            return slot && new SlotLease(slot, dispatcher);
+        });
+        const lease = await this.#abortable(acquiring, () => {
+            dispatcher.withdraw(request);
+            // A slot that was granted in the same turn.
+            acquiring.then(
+                it => it?.release(),
+                () => undefined,
+            );
+        });
         this.#queueMs += this.#options.clock() - startedAt;
-        const slot = slotOrThrow(acquired);
-        if (!slot) {
-            return undefined;
+        if (lease) {
+            this.#loadSnapshot = lease.slot.load;
         }
-        this.#loadSnapshot = slot.load;
-        try {
-            await this.#readDisconnect(0);
-        } catch (err) {
-            dispatcher.settle(slot, { kind: "cancelled" });
-            throw err;
-        }
-        return slot;
+        return lease;
     }
 
     /**
@@ -321,18 +321,19 @@
      */
     async #send(
         dispatcher: Dispatcher,
-        slot: Slot,
+        lease: SlotLease,
         body: RequestBody,
         requestId: string,
     ): Promise<SentResult> {
         const { clock, crashGuard } = this.#options;
+        const { slot } = lease;
         const startedAt = clock();
         this.#lastSentAt = startedAt;
         let statement: ServerStatement | undefined;
         const exchange = this.#openExchange(slot, body, requestId, it => (statement = it));
         this.#exchange = exchange;
         const settle = async (result: SlotResult): Promise<SlotResult> => {
-            dispatcher.settle(slot, result);
+            lease.settle(result);
             const end = sendEndOf(result);
             if (exchange.sent || end !== "abandoned") {
                 const { server } = slot;
@@ -387,8 +388,12 @@
             if (exchange.sent) {
                 this.#sent.add(slot);
             }
-            const callerGone = err instanceof CallError && err.kind === "caller-gone";
-            await settle({ kind: callerGone ? "cancelled" : "timeout" });
+            if (!(err instanceof CallError)) {
+                exchange.abort({ kind: "lost" });
+                await settle({ kind: "lost" });
+                throw err;
+            }
+            await settle({ kind: err.kind === "caller-gone" ? "cancelled" : "timeout" });
             throw err;
         } finally {
             linksLost.unsubscribe();
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -5,6 +5,7 @@
 import type { ClientLimits } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { ConnectionTracker } from "@bramleymoor/proxy/connections";
+import { findRequestHeadProblem } from "@bramleymoor/proxy/heads";
 import { Intake } from "@bramleymoor/proxy/intake";
 import { OrderedResponse } from "@bramleymoor/proxy/orderedresponse";
 import { ReadPauses } from "@bramleymoor/proxy/readpauses";
@@ -180,6 +181,11 @@
         if (encoding !== undefined && encoding.toLowerCase() !== "chunked") {
             return new CallError("bad-request", "The only transfer encoding understood is chunked.");
         }
+        const problem = findRequestHeadProblem(req);
+        if (problem !== undefined) {
+            this.#onMalformed(problem, req.socket.remoteAddress ?? "");
+            return new CallError("bad-request", `Malformed request: ${problem}.`);
+        }
         const bytes = req.rawHeaders.reduce((sum, it) => sum + it.length + headerOverheadBytes, 0);
         return bytes > this.#maxHeadBytes ? new CallError("head-too-large") : undefined;
     }
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -172,13 +172,13 @@
 /**
  * Starts a frontend in front of backend servers.
  *
- * @param idleClock returns the milliseconds by which the idle time of connections to servers is measured
+ * @param options `idleClock` returns the milliseconds by which the idle time of connections to servers is measured
  */
 export const startFrontend = async (
     t: TestContext,
     servers: readonly RawServer[],
     changes: Partial<Route> = {},
-    { idleClock = monotonicMs } = {},
+    { idleClock = monotonicMs, wire = testWire } = {},
 ): Promise<TestFrontend> => {
     const clock = monotonicMs;
     const config: RouteConfig = {
@@ -196,7 +196,7 @@
         pooled: new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock: idleClock }),
         unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: 500, clock: idleClock }),
     };
-    const probeClient = new HttpProbeClient(testWire, agents.pooled);
+    const probeClient = new HttpProbeClient(wire, agents.pooled);
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
     const applyServers = (): void => {
         const known = servers.map(({ entry }) => ({ entry, lapsed: false }));
@@ -240,7 +240,7 @@
     const lag = new EventLoopLag(clock() + lagPeriodMs);
     let lastId = 0;
     const options: ForwardOptions = {
-        wire: testWire,
+        wire,
         clock,
         timers: new TimerSet(clock, 5),
         turns: new TurnBudget({ isCrowded: () => frontend.isCrowded, clock }),
@@ -266,7 +266,7 @@
         countAhead: req => frontend.countAhead(req),
         extraHeaders: req => frontend.extraHeaders(req),
         peers: new PeerForwarder({
-            wire: testWire,
+            wire,
             isCutOff: () => false,
             helpers: () => [],
             agents,
