proxy: malformed heads and trailers cost one call, not a slot or the process

Callers saw (own interface, by test): a response with the status 000 or a spoiled header name ended as "internal" and kept its slot for ever; a trailer or a request's header whose name isn't a token ended the process, as rxjs rethrows what a subscriber throws. Change: the checks of heads.ts at both edges; a trailer that can't be written is left out; a send that throws settles its slot.

--- a/packages/proxy/src/attempt.ts
+++ b/packages/proxy/src/attempt.ts
@@ -124,12 +124,15 @@
             dispatcher.settle(slot, { kind: "cancelled" }, clock());
             return;
         }
-        const slotRequest = new SlotRequest(
-            slot,
-            client.send(this.#options.buildRequest(slot)),
-            dispatcher,
-            clock,
-        );
+        let exchange: Exchange;
+        try {
+            exchange = client.send(this.#options.buildRequest(slot));
+        } catch (err) {
+            dispatcher.settle(slot, { kind: "cancelled" }, clock());
+            this.#handleRefusal(err);
+            return;
+        }
+        const slotRequest = new SlotRequest(slot, exchange, dispatcher, clock);
         this.#running.add(slotRequest);
         slotRequest.exchange.head.then(
             response => this.#handleResponse(slotRequest, response),
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -7,6 +7,7 @@
 import type { SlotResult } from "@bramleymoor/dispatch/types";
 import { responseHeaders } from "@bramleymoor/protocol/headers";
 import { discardResponse } from "./discard.js";
+import { findResponseHeadProblem } from "./heads.js";
 import type { RequestBody } from "./body.js";
 import type { TimerSet } from "./timers.js";
 
@@ -163,8 +164,8 @@
             );
             return;
         }
-        if (!isFramed(res, method)) {
-            this.#responded = false;
+        if (!isFramed(res, method) || findResponseHeadProblem(res) !== undefined) {
+            this.#fail(new SendError({ kind: "lost" }));
             this.#req.destroy();
             return;
         }
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -1,6 +1,7 @@
 /** Filters headers that are forwarded, in raw form: arrays of alternating names and values. */
 
 import { responseHeaders, callHeaders } from "@bramleymoor/protocol/headers";
+import { findHeaderProblem } from "./heads.js";
 
 const hopByHopHeaders = [
     "connection",
@@ -99,12 +100,15 @@
         noHeaders,
     );
 
-/** Returns the trailers that are forwarded, as pairs of name and value. */
+/** Returns the trailers that are forwarded, as pairs of name and value; those that can't be written are left out. */
 export const forwardedTrailers = (raw: readonly string[]): [string, string][] => {
     const kept = removeHeaders(raw, strippedTrailers, noHeaders);
     const pairs: [string, string][] = [];
     for (let i = 0; i + 1 < kept.length; i += 2) {
-        pairs.push([kept[i] ?? "", kept[i + 1] ?? ""]);
+        const pair: [string, string] = [kept[i] ?? "", kept[i + 1] ?? ""];
+        if (findHeaderProblem(pair) === undefined) {
+            pairs.push(pair);
+        }
     }
     return pairs;
 };
--- a/packages/proxy/src/heads.ts
+++ b/packages/proxy/src/heads.ts
@@ -23,8 +23,12 @@
         ? "the request target has a space or a control character"
         : findHeaderProblem(rawHeaders);
 
-/** @param raw names and values alternating */
-const findHeaderProblem = (raw: readonly string[]): string | undefined => {
+/**
+ * Returns why headers can't be written; undefined if they can.
+ *
+ * @param raw names and values alternating
+ */
+export const findHeaderProblem = (raw: readonly string[]): string | undefined => {
     for (let i = 0; i + 1 < raw.length; i += 2) {
         if (!tokenPattern.test(raw[i] ?? "")) {
             return "the name of a header isn't a token";
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -8,6 +8,7 @@
 import { sendError, sendJson, toCallError, rawErrorResponse } from "./responses.js";
 import { BackendClient } from "./backend.js";
 import { ConnectionTracker } from "./connections.js";
+import { findRequestHeadProblem } from "./heads.js";
 import { Intake } from "./intake.js";
 import { OrderedResponse } from "./orderedresponse.js";
 import { ReadPauses } from "./readpauses.js";
@@ -189,9 +190,11 @@
         return `The request has more than ${maxHeaderCount} headers.`;
     }
     const encoding = req.headers["transfer-encoding"];
-    return encoding === undefined || encoding.toLowerCase() === "chunked"
-        ? undefined
-        : "The only transfer encoding understood is chunked.";
+    if (encoding !== undefined && encoding.toLowerCase() !== "chunked") {
+        return "The only transfer encoding understood is chunked.";
+    }
+    const problem = findRequestHeadProblem(req);
+    return problem === undefined ? undefined : `Malformed request: ${problem}.`;
 };
 
 const parseAddressesTarget = (method: string | undefined, url: string): string => {
