An aborted response never looks whole, and a long one waits for its turn

Cause: the response was paused while it waited for its turn. The timeout aborted the exchange; Node then drops what a paused response holds and lets it end as complete, which Relay took for the server's end. Change: a response that ends after its exchange was aborted or reset is broken. The head of a streamed response is written when its turn comes; until then an error or a retry can take its place, and the connection stays open.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -47,6 +47,7 @@
     #socket: Socket | undefined = undefined;
     #connected = false;
     #wasReset = false;
+    #aborted = false;
     /** Whether `head` has been settled. */
     #settled = false;
     #fail: (error: SendError) => void = () => undefined;
@@ -101,14 +102,18 @@
         return this.#connected;
     }
 
-    /** Whether the connection was reset, in which case a response without a declared length is incomplete. */
-    get wasReset(): boolean {
-        return this.#wasReset;
+    /**
+     * Whether the response was cut off, by a reset of its connection or by `abort`. Node then lets a response end that it has
+     * received but not handed out, so that its end proves nothing.
+     */
+    get isBroken(): boolean {
+        return this.#wasReset || this.#aborted;
     }
 
     /** Aborts the exchange and closes the connection. */
     abort(result: SlotResult, detail = "aborted"): void {
         this.#fail(new SendError(result, detail));
+        this.#aborted = true;
         this.#req.destroy();
     }
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -403,7 +403,7 @@
     }
 
     async #relay(exchange: Exchange, res: IncomingMessage, abort: () => void): Promise<RelayResult> {
-        const relay = new Relay(res, this.#res, () => exchange.wasReset);
+        const relay = new Relay(res, this.#res, () => exchange.isBroken);
         const result = await this.#abortable(
             relay.run(() => this.#options.extraHeaders(this.#req)),
             abort,
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
+import { whenInTurn } from "@bramleymoor/proxy/orderedresponse";
 
 /** How a relay ended. */
 export type RelayResult =
@@ -16,13 +17,13 @@
 export class Relay {
     readonly #from: IncomingMessage;
     readonly #to: ServerResponse;
-    readonly #wasReset: () => boolean;
+    readonly #isBroken: () => boolean;
 
-    /** @param wasReset returns whether the server's connection was reset */
-    constructor(from: IncomingMessage, to: ServerResponse, wasReset: () => boolean) {
+    /** @param isBroken returns whether the server's response was cut off */
+    constructor(from: IncomingMessage, to: ServerResponse, isBroken: () => boolean) {
         this.#from = from;
         this.#to = to;
-        this.#wasReset = wasReset;
+        this.#isBroken = isBroken;
     }
 
     /**
@@ -41,7 +42,7 @@
         return new Promise(resolve => {
             this.#from.on("data", (chunk: Buffer) => chunks.push(chunk));
             this.#from.on("end", () => {
-                if (!this.#from.complete || this.#wasReset()) {
+                if (!this.#from.complete || this.#isBroken()) {
                     resolve("broken-before-start");
                     return;
                 }
@@ -55,9 +56,19 @@
         });
     }
 
-    #relayStreamed(extraHeaders: () => readonly string[]): Promise<RelayResult> {
+    /** A response whose turn hasn't come can still be replaced by an error, so its head waits for that. */
+    async #relayStreamed(extraHeaders: () => readonly string[]): Promise<RelayResult> {
         const from = this.#from;
         const to = this.#to;
+        if (!to.socket) {
+            await whenInTurn(to);
+        }
+        if (to.destroyed) {
+            return "caller-gone";
+        }
+        if (this.#isBroken() || (from.destroyed && !from.complete)) {
+            return "broken-before-start";
+        }
         if (!isFramed(from)) {
             // The end of such a response can't be told from a lost connection, so the caller must get it in the same
             // form. Chunked encoding would make a truncated response look complete.
@@ -80,7 +91,7 @@
             });
             to.on("drain", () => from.resume());
             from.on("end", () => {
-                if (!from.complete || this.#wasReset()) {
+                if (!from.complete || this.#isBroken()) {
                     onBroken();
                     return;
                 }
--- a/packages/proxy/src/orderedresponse.ts
+++ b/packages/proxy/src/orderedresponse.ts
@@ -80,5 +80,16 @@
     }
 }
 
+/** Resolves when it is a response's turn on its connection, or that has closed. */
+export const whenInTurn = (res: ServerResponse): Promise<void> =>
+    new Promise(resolve => {
+        if (res.socket || res.destroyed) {
+            resolve();
+            return;
+        }
+        res.once("socket", () => resolve());
+        res.once("close", () => resolve());
+    });
+
 const byteLength = (chunk: unknown): number =>
     typeof chunk === "string" || chunk instanceof Uint8Array ? Buffer.byteLength(chunk) : 0;
