A server that a peer's complete list lacks is removed

Cause: a restarted entry VM answers a peer's question with all registered servers, as an update from offset 0. That has no removals; ServerCache.apply moved its position past their records and kept the servers. Change: an update from offset 0 is complete, and what it lacks is removed, as applyLatest did for the same data from the store.

--- a/packages/discovery/src/servers.ts
+++ b/packages/discovery/src/servers.ts
@@ -14,7 +14,10 @@
     readonly entry?: ServerEntry | undefined;
 }
 
-/** Every change from offset `from` up to offset `to`, exclusive. */
+/**
+ * Every change from offset `from` up to offset `to`, exclusive. One from offset 0 on is complete: it may lack removals, but has
+ * all servers that are registered at `to`.
+ */
 export interface ServerUpdate {
     /** Era of the store; absent if it is the receiver's. An update that begins a new era is complete. */
     readonly era?: number | undefined;
@@ -101,9 +104,10 @@
             return this.apply({ era, from: 0, to, changes: entries }, asOf);
         }
         const keys = new Set(page.records.map(it => it.key));
-        const dropped = [...this.#entries.keys()].filter(id => !keys.has(id));
-        const removals = dropped.map(id => ({ offset: page.end - 1, id, entry: undefined }));
-        const changes = [...page.records.flatMap(it => this.#toChange(it)), ...removals];
+        const changes = [
+            ...page.records.flatMap(it => this.#toChange(it)),
+            ...this.#removalsOfOthers(keys, to),
+        ];
         return this.apply({ era, from: this.#position ?? 0, to, changes }, asOf);
     }
 
@@ -129,7 +133,8 @@
         if (update.to >= position) {
             this.#advanceAsOf(asOf);
         }
-        const applied = update.changes.filter(it => it.offset >= position && this.#apply(it, asOf));
+        const changes = [...update.changes, ...this.#impliedRemovals(update)];
+        const applied = changes.filter(it => it.offset >= position && this.#apply(it, asOf));
         this.#position = Math.max(position, update.to);
         this.#keepRecentChanges(applied, update);
         return { era, from: position, to: this.#position, changes: applied };
@@ -174,6 +179,17 @@
         }
     }
 
+    /** Returns the removals that a complete update doesn't name. */
+    #impliedRemovals({ from, to, changes }: ServerUpdate): readonly ServerChange[] {
+        return from === 0 ? this.#removalsOfOthers(new Set(changes.map(it => it.id)), to) : [];
+    }
+
+    /** Returns removals of all servers but those with the given ids, which are all that is registered at an offset. */
+    #removalsOfOthers(ids: ReadonlySet<string>, to: number): readonly ServerChange[] {
+        const others = [...this.#entries.keys()].filter(id => !ids.has(id));
+        return others.map(id => ({ offset: to - 1, id, entry: undefined }));
+    }
+
     #remove(id: string, entry: ServerEntry, now: number): void {
         this.#entries.delete(id);
         this.#removedAt.set(incarnationKey(entry), now);
--- a/packages/discovery/test/servers.test.ts
+++ b/packages/discovery/test/servers.test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
 import type { ServerEntry } from "@bramleymoor/model/route";
 import { serverEntry as entry } from "@bramleymoor/testkit/builders";
-import type { KeyedRecord } from "../src/log.js";
+import type { KeyedPage, KeyedRecord } from "../src/log.js";
 import { ServerCache } from "../src/servers.js";
 
 const put = (offset: number, value: ServerEntry): KeyedRecord => ({
@@ -123,3 +124,80 @@
     reader.applyRecords({ records: [invalid, put(6, entry("s2"))], end: 7 }, 100);
     assert.deepEqual(ids(reader), ["s1", "s2"]);
 });
+
+// Guards against servers that were removed before the sender of a complete update had started, and stayed in use for ever.
+test("a server that a complete update of a peer lacks is removed", () => {
+    const reader = newCache();
+    reader.applyLatest({ records: [put(0, entry("s1")), put(1, entry("s2"))], end: 2 }, 0);
+    const restarted = newCache();
+    restarted.applyLatest({ records: [put(0, entry("s1")), put(3, entry("s3"))], end: 4 }, 500);
+    const update = restarted.fullUpdate();
+    assert.ok(update);
+    const applied = reader.apply(update, 500);
+    assert.deepEqual(ids(reader), ["s1", "s3"]);
+    assert.deepEqual(
+        applied.changes.filter(it => !it.entry).map(it => it.id),
+        ["s2"],
+    );
+});
+
+test("a complete update that is older than what is known removes nothing", () => {
+    const reader = newCache();
+    const peer = newCache();
+    const update = peer.applyLatest({ records: [put(0, entry("s1"))], end: 1 }, 0);
+    reader.applyLatest({ records: [put(0, entry("s1"))], end: 1 }, 0);
+    reader.applyRecords({ records: [put(1, entry("s2"))], end: 2 }, 500);
+    reader.apply(update, 600);
+    assert.deepEqual(ids(reader), ["s1", "s2"]);
+});
+
+test("a server that a complete update lacks after an outage of the store is lapsed until it may be registered again", () => {
+    const reader = newCache();
+    reader.applyLatest({ records: [put(0, entry("s1")), put(1, entry("s2"))], end: 2 }, 0);
+    reader.apply({ from: 0, to: 4, changes: [{ offset: 0, id: "s1", entry: entry("s1") }] }, 20_000);
+    assert.deepEqual(
+        reader.servers().map(it => [it.entry.id, it.lapsed]),
+        [
+            ["s1", false],
+            ["s2", true],
+        ],
+    );
+    reader.expire(23_000);
+    assert.deepEqual(ids(reader), ["s1"]);
+});
+
+const arbitraryWrites = fc.array(fc.record({ server: fc.nat(4), isRemoval: fc.boolean() }), {
+    maxLength: 30,
+});
+
+// Guards against any order of reads and restarts after which two caches at one position hold different servers.
+test("whenever a cache restarts, those that ask it come to what the store holds", () => {
+    fc.assert(
+        fc.property(arbitraryWrites, fc.nat(30), fc.nat(30), (writes, readTo, startAt) => {
+            const log = writes.map(({ server, isRemoval }, offset) =>
+                isRemoval
+                    ? drop(offset, `s${server}`)
+                    : put(offset, entry(`s${server}`, { slots: offset + 1 })),
+            );
+            const latest = (end: number): KeyedPage => {
+                const newest = new Map(log.slice(0, end).map(it => [it.key, it]));
+                return { records: [...newest.values()].filter(it => it.value), end };
+            };
+            const [first, second] = [readTo, startAt]
+                .map(it => Math.min(it, log.length))
+                .sort((a, b) => a - b);
+            const cache = newCache();
+            cache.applyLatest(latest(first ?? 0), 0);
+            const restarted = newCache();
+            restarted.applyLatest(latest(second ?? 0), 1_000);
+            const update = restarted.changesSince(first ?? 0) ?? restarted.fullUpdate();
+            assert.ok(update);
+            cache.apply(update, 1_000);
+            assert.deepEqual([...ids(cache)].sort(), [...ids(restarted)].sort());
+            cache.applyRecords({ records: log.slice(second), end: log.length }, 2_000);
+            const registered = latest(log.length).records.map(it => it.key);
+            assert.deepEqual([...ids(cache)].sort(), registered.sort());
+        }),
+        { numRuns: 500 },
+    );
+});
