--- a/packages/proxy/src/relay.ts
+++ b/packages/proxy/src/relay.ts
@@ -170,7 +170,7 @@
 }
 
 /** Breaks a caller's connection so that it detects the truncation; in HTTP/1.0, a normal close would end the body. */
-const breakConnection = (to: ServerResponse): void => {
+export const breakConnection = (to: ServerResponse): void => {
     if (to.req.httpVersion === "1.0") {
         to.socket?.resetAndDestroy();
     }
