Later signals no longer cut a planned stop short

Cause: GatewayNode.stop returned at once while it was stopping, and the program exits when it returns. Change: all calls return the one promise of the stop. Not changed: the own interface's programme, whose guide says that a second SIGTERM ends it.

--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -87,6 +87,8 @@
     #lastId = 0;
     #appliedRevision = -1;
     #state: "starting" | "serving" | "stopping" = "starting";
+    /** Resolves when the node has stopped; undefined until it is asked to. */
+    #stopped: Promise<void> | undefined = undefined;
 
     constructor(settings: GatewaySettings, platform: PlatformAdapter, events: EventLog) {
         this.#settings = settings;
@@ -285,12 +287,15 @@
 
     /**
      * Shuts down gracefully: immediately reports not ready and leaves the address lists, keeps serving callers that
-     * still use an older address list, then drains the connections and closes everything when the grace period ends.
+     * still use an older address list, then drains the connections and closes everything when the grace period ends. Later
+     * calls change nothing, and resolve when the first one does.
      */
-    async stop(signal: string): Promise<void> {
-        if (this.#state === "stopping") {
-            return;
-        }
+    stop(signal: string): Promise<void> {
+        this.#stopped ??= this.#stop(signal);
+        return this.#stopped;
+    }
+
+    async #stop(signal: string): Promise<void> {
         this.#state = "stopping";
         const { shutdownGraceMs, addressTtlMs } = this.#settings;
         this.#events.emit("stop-asked", { signal });
