A stop closes connections that always have requests pending; none runs behind a response that closes

Callers saw: in a planned stop, connections with several pending requests were used until the process ended, and what was at work then was cut (LOST). Requests pipelined behind a malformed one ran, though its response closed the connection, which tells callers that they weren't read. Cause: while draining, a response closed its connection only if no other request was pending; nothing recorded that a refused head's response closes it. Change: the frontend keeps the last request of each closing connection. While draining, the first response makes the latest pending request the last one; later requests are read and ignored.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -34,13 +34,14 @@
     readonly #connections = new ConnectionTracker();
     readonly #intake: Intake;
     readonly #readPauses: ReadPauses;
-    /** Number of requests per connection whose response isn't complete yet. */
-    readonly #pendingResponses = new Map<Socket, number>();
+    /** Requests per connection whose response isn't complete yet, in order. */
+    readonly #pending = new Map<Socket, Map<OrderedResponse, IncomingMessage>>();
     readonly #running = new Set<Promise<void>>();
     readonly #serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
     readonly #onMalformed: (reason: string, peer: string) => void;
     readonly #onInternalError: (doing: string, err: unknown) => void;
-    readonly #closing = new WeakSet<Socket>();
+    /** The request of each connection whose response closes it; later ones are ignored. */
+    readonly #last = new WeakMap<Socket, IncomingMessage>();
     #maxHeadBytes = maxParserHeadBytes;
     #draining = false;
 
@@ -97,7 +98,7 @@
 
     /** Returns the number of pending requests on a request's connection that are to be answered before it. */
     countAhead({ socket }: IncomingMessage): number {
-        return Math.max(0, (this.#pendingResponses.get(socket) ?? 0) - 1);
+        return Math.max(0, (this.#pending.get(socket)?.size ?? 0) - 1);
     }
 
     /** Applies the limits of a newer configuration. */
@@ -113,15 +114,18 @@
     }
 
     /**
-     * Returns the headers to add to the response to `req`. While draining, the last pending response of a connection
-     * closes it; earlier ones leave it open for those that follow.
+     * Returns the headers to add to the response to `req`. While draining, the first response of a connection decides that the
+     * latest pending one closes it, so that one whose caller always has requests pending is closed too.
      */
     extraHeaders(req: IncomingMessage): readonly string[] {
-        if (!this.#draining || (this.#pendingResponses.get(req.socket) ?? 0) > 1) {
-            return [];
+        const { socket } = req;
+        if (this.#draining && !this.#last.has(socket)) {
+            const [res, latest] = [...(this.#pending.get(socket) ?? [])].at(-1) ?? [];
+            if (latest && !res?.headersSent) {
+                this.#last.set(socket, latest);
+            }
         }
-        this.#closing.add(req.socket);
-        return ["Connection", "close"];
+        return this.#last.get(socket) === req ? connectionClose : [];
     }
 
     /** Starts draining: from now on each connection is closed with its last pending response. */
@@ -137,7 +141,8 @@
 
     #handle(req: IncomingMessage, res: OrderedResponse): void {
         const { socket } = req;
-        if (this.#closing.has(socket)) {
+        if (this.#last.has(socket)) {
+            req.resume();
             return;
         }
         const admission = this.#connections.admit(socket, res);
@@ -147,11 +152,11 @@
         if (admission === "ignore") {
             return;
         }
-        this.#pendingResponses.set(socket, (this.#pendingResponses.get(socket) ?? 0) + 1);
-        res.once("close", () => this.#responseClosed(socket));
+        this.#addPending(req, res);
         const error = admission === "refuse" ? tooManyPending() : this.#validateHead(req);
         if (error) {
-            sendError(res, error, ["Connection", "close"]);
+            this.#last.set(socket, req);
+            sendError(res, error, connectionClose);
             return;
         }
         const work = this.#run(req, res).finally(() => this.#running.delete(work));
@@ -167,13 +172,17 @@
         }
     }
 
-    #responseClosed(socket: Socket): void {
-        const remaining = (this.#pendingResponses.get(socket) ?? 1) - 1;
-        if (remaining > 0) {
-            this.#pendingResponses.set(socket, remaining);
-        } else {
-            this.#pendingResponses.delete(socket);
-        }
+    #addPending(req: IncomingMessage, res: OrderedResponse): void {
+        const { socket } = req;
+        const pending = this.#pending.get(socket) ?? new Map<OrderedResponse, IncomingMessage>();
+        pending.set(res, req);
+        this.#pending.set(socket, pending);
+        res.once("close", () => {
+            pending.delete(res);
+            if (pending.size === 0) {
+                this.#pending.delete(socket);
+            }
+        });
     }
 
     #validateHead(req: IncomingMessage): CallError | undefined {
@@ -193,7 +202,7 @@
     #handleClientError(err: NodeJS.ErrnoException, socket: Socket): void {
         const code = err.code ?? "unknown";
         this.#onMalformed(code, socket.remoteAddress ?? "");
-        if (!socket.writable || code === "ECONNRESET" || this.#pendingResponses.has(socket)) {
+        if (!socket.writable || code === "ECONNRESET" || this.#pending.has(socket)) {
             socket.destroy();
             return;
         }
@@ -247,6 +256,8 @@
         });
     });
 
+const connectionClose: readonly string[] = ["Connection", "close"];
+
 const tooManyPending = (): CallError =>
     new CallError("overloaded", "Too many requests are pending on the connection.", pipelinedRetryMs);
 
