A connection is closed once its caller has closed its side too

Callers saw: a caller that sent another request while it was receiving the last response of a connection got a reset, and a part of the response (LOST). Cause: Node closes the socket when the response has been written to it; input that arrives afterwards makes the operating system reset the connection and discard what hasn't been delivered. Change: ConnectionTracker ends this side only, and reads on until the caller has closed the other, for 2 s at most; requests that arrive then are ignored.

--- a/packages/gateway/test/plannedstop.test.ts
+++ b/packages/gateway/test/plannedstop.test.ts
@@ -72,3 +72,26 @@
     assert.match(result.text, /^HTTP\/1\.1 200 [^]*HTTP\/1\.1 400 /);
     assert.equal(result.end, "closed");
 });
+
+// Guards against a reset by the operating system, which discards what the caller hasn't received yet.
+test("a caller that sends further requests while it receives the last response of a connection gets it whole", async t => {
+    const body = "x".repeat(3_000_000);
+    const server = await startRawServer(t, "s1", ({ socket, id }) => socket.write(responseText(id, body)));
+    const { port, frontend } = await startFrontend(t, [server], { timeoutMs: 5_000 });
+    frontend.beginDrain();
+    const connection = openConnection(port);
+    const closed = once(connection.socket, "close");
+    connection.socket.write(requestText("a"));
+    connection.socket.pause();
+    for (let i = 0; i < 10; i++) {
+        await delay(50);
+        connection.socket.write(requestText(`late${i}`));
+        connection.socket.resume();
+        await delay(1);
+        connection.socket.pause();
+    }
+    connection.socket.resume();
+    await closed;
+    assert.equal(connection.text.slice(connection.text.indexOf("\r\n\r\n") + 4).length, body.length);
+    assert.equal(server.requests.length, 1);
+});
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -47,6 +47,7 @@
             this.#open.delete(socket);
             pending.forEach(closeQueued);
         });
+        socket.destroySoon = () => closeGracefully(socket);
     }
 
     /**
@@ -58,7 +59,7 @@
         if (!connection) {
             return "serve";
         }
-        if (connection.refused) {
+        if (connection.refused || socket.writableEnded) {
             this.#ignore(socket, connection);
             return "ignore";
         }
@@ -132,6 +133,20 @@
     }
 }
 
+/**
+ * Closes a connection once the caller has closed its side too. Node's own `destroySoon`, which its HTTP server calls after the last
+ * response, closes it when that has been written: input that arrives afterwards makes the operating system reset the
+ * connection and discard what the caller hasn't received yet.
+ */
+const closeGracefully = (socket: Socket): void => {
+    if (socket.destroyed || socket.writableEnded) {
+        return;
+    }
+    socket.end();
+    const timer = setTimeout(() => socket.destroy(), lingerMs);
+    socket.once("close", () => clearTimeout(timer));
+};
+
 /**
  * Closes a response that waits for its turn on a connection that has closed. Node closes only the one whose turn it is, so
  * the others' requests would continue without a caller.
@@ -143,6 +158,8 @@
     }
 };
 
+/** Many round trips to a caller, which usually closes its side at once. */
+const lingerMs = 2_000;
 /** Maximum number of pending requests on one connection. */
 const maxPipelinedRequests = 32;
 /** Bytes of responses waiting for their turn, on all connections, above which pipelined requests are refused. */
