All times of a planned stop count from its signal, and late requests are refused

Left alone, the process stayed for 8.1 s of a grace of 6. Cause: the announcement took up to half of the grace, and the drain then got the whole of it; nothing looked at the time that a request had left. Change: StopPlan. From the drain on, a request whose deadline is after the end gets 503 "stopping"; one that waits for a server a second before the end too.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -115,6 +115,9 @@
         const body = new RequestBody(this.#req, this.#options.maxBodyBytes());
         const times = requestTimes(route, this.#age, wire.deadlineMs(this.#req.headers), this.#readAt);
         this.#requireTimeToServe(times);
+        if (this.#options.stopPlan()?.admits(times.deadlineAt, this.#readAt) === false) {
+            throw new CallError("stopping", "", stoppingRetryMs);
+        }
         this.#deadlineTimer = this.#options.timers.schedule(times.deadlineAt + responseGraceMs, () =>
             this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
         );
@@ -134,6 +137,9 @@
         };
         const read = { route, body, times };
         for (let unreachableServers = 0; ;) {
+            if (this.#options.stopPlan()?.allowsSend(clock()) === false) {
+                throw new CallError("stopping", "", stoppingRetryMs);
+            }
             if (this.#options.peers.isNeeded) {
                 return await this.#forwardToPeers(read);
             }
@@ -564,6 +570,8 @@
 const minLateRetryMs = 150;
 /** Time after which a peer that has room is likely to be known. */
 const noLinksRetryMs = 300;
+/** The caller goes to another entry VM, which is ready. */
+const stoppingRetryMs = 0;
 /** With less time than this to the deadline a retry is unlikely to succeed. */
 const minRetryMs = 60;
 /** A configuration with the missing service is being distributed, which takes at most 2 s. */
--- a/packages/gateway/src/forwardoptions.ts
+++ b/packages/gateway/src/forwardoptions.ts
@@ -11,6 +11,7 @@
 import type { Dispatcher, RecordStatement } from "./dispatcher.js";
 import type { ForwardRecord } from "./outcomes.js";
 import type { PeerForwarder } from "./peerforward.js";
+import type { StopPlan } from "./stopplan.js";
 import type { WireFormat } from "./wireformat.js";
 
 /** A send that got no response that can be relayed. */
@@ -51,6 +52,8 @@
     readonly peers: PeerForwarder;
     /** Emits when this entry VM has lost its links to the servers. */
     readonly linksLost: Observable<void>;
+    /** Returns the times of the planned stop; undefined before it. */
+    readonly stopPlan: () => StopPlan | undefined;
     /** Connections to servers: pooled ones, and new ones for requests that must not risk a stale connection. */
     readonly agents: Readonly<Record<"pooled" | "unpooled", KeepAliveAgent>>;
     /** Returns how long input has recently waited unread in accepted connections, in milliseconds. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -36,6 +36,7 @@
 import { RequestReporter } from "./reporter.js";
 import { ServiceDispatchers } from "./servicedispatchers.js";
 import type { GatewaySettings } from "./settings.js";
+import { StopPlan } from "./stopplan.js";
 import { StoreView, type StoreAdapter } from "./storeview.js";
 import { TrafficPartitioner } from "./trafficpartitioner.js";
 import type { WireFormat } from "./wireformat.js";
@@ -87,6 +88,7 @@
     #lastId = 0;
     #appliedRevision = -1;
     #state: "starting" | "serving" | "stopping" = "starting";
+    #stopPlan: StopPlan | undefined = undefined;
     /** Resolves when the node has stopped; undefined until it is asked to. */
     #stopped: Promise<void> | undefined = undefined;
 
@@ -297,22 +299,30 @@
 
     async #stop(signal: string): Promise<void> {
         this.#state = "stopping";
-        const { shutdownGraceMs, addressTtlMs } = this.#settings;
+        const plan = new StopPlan(monotonicMs(), this.#settings);
+        this.#stopPlan = plan;
         this.#events.emit("stop-asked", { signal });
         this.#membership.leave(monotonicMs());
         this.#statements.release(monotonicMs());
         this.#frontend.beginDrain();
         this.#peerFrontend.beginDrain();
-        await delay(Math.min(addressTtlMs + leavePropagationMs, shutdownGraceMs / 2), this.#closed.signal);
+        await delay(plan.drainAt - monotonicMs(), this.#closed.signal);
         const finished = new AbortController();
         const finishing = Promise.all([this.#frontend.drain(), this.#peerFrontend.drain()]).finally(() =>
             finished.abort(),
         );
-        await Promise.race([finishing, delay(shutdownGraceMs - exitReserveMs, finished.signal)]);
+        await Promise.race([finishing, this.#waitForEnd(plan, finished.signal)]);
         this.#close();
         this.#events.emit("stopped", { cut: this.#frontend.inFlight + this.#peerFrontend.inFlight });
     }
 
+    /** Resolves at the end of the grace period, before which requests that still wait for a server are refused. */
+    async #waitForEnd(plan: StopPlan, finished: AbortSignal): Promise<void> {
+        await delay(plan.lastSendAt - monotonicMs(), finished);
+        this.#dispatchers.releaseWaiting();
+        await delay(plan.endsAt - monotonicMs(), finished);
+    }
+
     #close(): void {
         this.#closed.abort();
         this.#auxiliaryServers.close();
@@ -413,6 +423,7 @@
             recordStatement: this.#recordStatement,
             agents: this.#agents,
             linksLost: this.#reach.lost,
+            stopPlan: () => this.#stopPlan,
             lagMs: () => this.#lag.lagMs(monotonicMs()),
             crashGuard: this.#crashes,
             onSendLost: send => this.#reporter.reportLostSend(send),
@@ -544,10 +555,6 @@
 const timerPeriodMs = 10;
 /** About the time from the start of the process until it is ready. */
 const notReadyRetryMs = 300;
-/** Time for the other entry VMs to learn by gossip that this one is leaving. */
-const leavePropagationMs = 500;
-/** Part of the grace period that is reserved for writing the last log lines and exiting. */
-const exitReserveMs = 400;
 /** An entry VM that is later than this has no room for requests of peers. */
 const maxLagForPeersMs = 100;
 /** Requests of peers that are in flight at the same time, per processor core. */
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -274,6 +274,7 @@
             clock,
         }),
         linksLost: new Subject(),
+        stopPlan: () => undefined,
         crashGuard: crashes,
         onSendLost: () => undefined,
         onDone: record => records.push(record),
