A server's own 503 isn't passed on as a promise that the request hasn't run

Cause: examineServerResponse believed the status; only the server's explicit statement says that a request hasn't run. Change: such a response to a non-idempotent request counts as lost, and its caller gets 502. Idempotent ones are retried or relayed as before.

--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -3,11 +3,13 @@
 import type { IncomingMessage } from "node:http";
 import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { SlotResult } from "@bramleymoor/balance/types";
+import type { RouteKind } from "@bramleymoor/model/route";
 import { distinctHeaders } from "@bramleymoor/proxy/heads";
 import type { WireFormat } from "./wireformat.js";
 
 /**
- * Examines the response of a backend server to a request.
+ * Examines the response of a backend server to a request. A status that promises callers that a request hasn't run isn't relayed
+ * for a non-idempotent one unless the server states just that: by itself, a failure with such a status may have run.
  *
  * @param closeConnection closes the connection after the response; called for a refusal without an id, as a copy of it couldn't
  *     be told from a refusal of the next request
@@ -17,7 +19,7 @@
 export const examineServerResponse = (
     res: IncomingMessage,
     closeConnection: () => void,
-    requestId: string,
+    { requestId, kind }: { readonly requestId: string; readonly kind: RouteKind },
     wire: WireFormat,
     onStatement: (statement: ServerStatement, source: StatementSource) => void,
 ): SlotResult | undefined => {
@@ -41,7 +43,7 @@
         return { kind: "lost" };
     }
     onStatement(statement, "response");
-    return undefined;
+    return kind === "non-idempotent" && wire.notRunStatuses.has(status) ? { kind: "lost" } : undefined;
 };
 
 /** Examines the response of a peer to a request that it was sent for a caller; undefined if it is a server's. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -156,7 +156,7 @@
             discardResponse(res, () => this.finish());
             this.#fail(new SendError(failure, `status ${res.statusCode}`));
         } else {
-            this.abort(failure);
+            this.abort(failure, `status ${res.statusCode} isn't one to relay`);
         }
     }
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -449,6 +449,7 @@
         const { wire, clock, agents, recordStatement } = this.#options;
         const remainingMs = Math.max(1, Math.floor(slot.request.deadlineAt - clock()));
         const added = wire.requestHeaders(remainingMs, slot.server.id);
+        const sent = { requestId, kind: slot.request.kind };
         return new Exchange({
             address: slot.server.address,
             agent: this.#mayReuseConnection(slot) ? agents.pooled : agents.unpooled,
@@ -458,7 +459,7 @@
             latestConnectAt: clock() + connectTimeoutMs,
             clock,
             examine: (res, closeConnection) =>
-                examineServerResponse(res, closeConnection, requestId, wire, (statement, source) => {
+                examineServerResponse(res, closeConnection, sent, wire, (statement, source) => {
                     onStatement(statement);
                     recordStatement(slot.server, statement, source);
                 }),
--- a/packages/gateway/src/wireformat.ts
+++ b/packages/gateway/src/wireformat.ts
@@ -13,6 +13,8 @@
     readonly reservedHeaders: ReadonlySet<string>;
     /** Names, in lower case, of the headers that tell callers' accounts apart. */
     readonly accountHeaders: readonly string[];
+    /** Statuses that promise callers that a request has not run and will not run. */
+    readonly notRunStatuses: ReadonlySet<number>;
     /** Returns the id of a caller's attempt; undefined if there is none. */
     requestId(headers: IncomingHttpHeaders): string | undefined;
     /** Returns how long the caller will wait, in milliseconds; undefined if it doesn't say. */
--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -330,3 +330,17 @@
     }
     assert.equal(new Set(server.requests.map(it => it.socket)).size, 1);
 });
+
+for (const status of [408, 421, 429, 503]) {
+    // Guards against a promise that a request hasn't run, made by a failure of a server that doesn't state it.
+    test(`a non-idempotent request that its server fails with ${status} isn't reported as not run`, async t => {
+        const server = await startRawServer(t, "s1", ({ socket, id }) =>
+            socket.write(responseText(id, "failed").replace("200 OK", `${status} Failed`)),
+        );
+        const { port } = await startFrontend(t, [server], { kind: "non-idempotent" });
+        const result = await sendRaw(port, requestText("a", { method: "POST", body: "b" }));
+        assert.match(result.text, /^HTTP\/1\.1 502 /);
+        assert.doesNotMatch(result.text, /t-signed/);
+        assert.equal(server.requests.length, 1);
+    });
+}
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -33,6 +33,7 @@
 export const testWire: WireFormat = {
     reservedHeaders: new Set(["t-deadline", "t-server"]),
     accountHeaders: ["t-account"],
+    notRunStatuses: new Set([408, 421, 429, 503]),
     requestId: headers => text(headers["t-id"]),
     deadlineMs: headers => (headers["t-deadline"] === undefined ? undefined : Number(headers["t-deadline"])),
     deadlineHeaders: deadlineMs => ["t-deadline", String(deadlineMs)],
