Requests behind a long response that breaks off are answered, or reach no server

Cause: such an answer was streamed whatever was pending behind it, and more was passed on while it was. Change: beside other requests on its connection a long answer is buffered (1 MiB each, 24 MiB in all) and replaced by an error if it breaks off. A request that is sent while an answer is being streamed on its connection waits for its end, and isn't passed on if it breaks off.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -122,6 +122,8 @@
             this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
         );
         await this.#waitForTurn(times);
+        // A response that breaks off closes the connection, so that what follows it on the connection may get no response.
+        await this.#abortable(this.#options.endOfStreamAhead(this.#req));
         await this.#abortable(body.buffer());
         await this.#readDisconnect(this.#age.acceptMs);
         const elapsedMs = this.#options.elapsedMs(route, times.givenMs);
@@ -409,10 +411,10 @@
     }
 
     async #relay(exchange: Exchange, res: IncomingMessage, abort: () => void): Promise<RelayResult> {
-        const { responseBuffers } = this.#options;
+        const { isPipelined, responseBuffers } = this.#options;
         const relay = new Relay(res, this.#res, {
             isBroken: () => exchange.isBroken,
-            isPipelined: false,
+            isPipelined: isPipelined(this.#req),
             buffers: responseBuffers,
         });
         const result = await this.#abortable(
