Logs say what each send of a failed request ended with, and what was seen of its receiver

The log couldn't tell the hypotheses apart: it named servers, no peers, and the last result only. Change: Sends records each send's receiver, result and evidence (the status, whether the response names this request, a peer's own word); the line of a failed request (8011) has them. No change of behaviour.

--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -7,6 +7,14 @@
 import { distinctHeaders } from "@bramleymoor/proxy/heads";
 import type { WireFormat } from "./wireformat.js";
 
+/** A response that isn't relayed. */
+export interface Unrelayed {
+    /** How the send ended. */
+    readonly result: SlotResult;
+    /** What was seen that shows it, for the log. */
+    readonly evidence: string;
+}
+
 /**
  * Examines the response of a backend server to a request. A status that promises callers that a request hasn't run isn't relayed
  * for a non-idempotent one unless the server states just that: by itself, a failure with such a status may have run.
@@ -22,11 +30,12 @@
     { requestId, kind }: { readonly requestId: string; readonly kind: RouteKind },
     wire: WireFormat,
     onStatement: (statement: ServerStatement, source: StatementSource) => void,
-): SlotResult | undefined => {
+): Unrelayed | undefined => {
     const status = res.statusCode ?? 0;
     const echoedId = wire.requestId(res.headers);
+    const lost = (evidence: string): Unrelayed => ({ result: { kind: "lost" }, evidence });
     if (echoedId !== undefined && echoedId !== requestId) {
-        return { kind: "lost" };
+        return lost(`status ${status} for another request`);
     }
     const reason = wire.refusal(status, res.headers);
     const statement = wire.statement(status, distinctHeaders(res.rawHeaders));
@@ -37,27 +46,31 @@
         if (reason !== "other-incarnation") {
             onStatement(statement, "refusal");
         }
-        return { kind: "refused", reason };
+        const evidence = `status ${status} that names ${echoedId === undefined ? "no" : "this"} request`;
+        return { result: { kind: "refused", reason }, evidence };
     }
     if (echoedId === undefined || !wire.isFromServer(res.headers)) {
-        return { kind: "lost" };
+        return lost(`status ${status} without the server's marks`);
     }
     onStatement(statement, "response");
-    return kind === "non-idempotent" && wire.notRunStatuses.has(status) ? { kind: "lost" } : undefined;
+    return kind === "non-idempotent" && wire.notRunStatuses.has(status)
+        ? lost(`status ${status} without the statement that the request hasn't run`)
+        : undefined;
 };
 
 /** Examines the response of a peer to a request that it was sent for a caller; undefined if it is a server's. */
-export const examinePeerResponse = (res: IncomingMessage, wire: WireFormat): SlotResult | undefined => {
+export const examinePeerResponse = (res: IncomingMessage, wire: WireFormat): Unrelayed | undefined => {
     if (wire.isFromServer(res.headers)) {
         return undefined;
     }
+    const evidence = `status ${res.statusCode} of the peer itself`;
     switch (res.statusCode) {
         case httpServiceUnavailable:
-            return { kind: "refused", reason: "full" };
+            return { result: { kind: "refused", reason: "full" }, evidence };
         case httpGatewayTimeout:
-            return { kind: "timeout" };
+            return { result: { kind: "timeout" }, evidence };
         default:
-            return { kind: "lost" };
+            return { result: { kind: "lost" }, evidence };
     }
 };
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,6 +6,7 @@
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
 import type { KeepAliveAgent } from "./agent.js";
+import type { Unrelayed } from "./examine.js";
 
 /** A request to send. */
 export interface OutgoingRequest {
@@ -21,7 +22,7 @@
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
     /** Returns how the send ended if its response isn't one to relay; `closeConnection` closes the connection after it. */
-    readonly examine: (res: IncomingMessage, closeConnection: () => void) => SlotResult | undefined;
+    readonly examine: (res: IncomingMessage, closeConnection: () => void) => Unrelayed | undefined;
     /** Writes the body and ends the request. */
     readonly writeBody: (req: ClientRequest) => void;
 }
@@ -149,14 +150,14 @@
             this.abort({ kind: "lost" }, `malformed response: ${problem}`);
             return;
         }
-        const failure = outgoing.examine(res, () => (this.#req.shouldKeepAlive = false));
-        if (!failure) {
+        const unrelayed = outgoing.examine(res, () => (this.#req.shouldKeepAlive = false));
+        if (!unrelayed) {
             resolve(res);
-        } else if (failure.kind === "refused") {
+        } else if (unrelayed.result.kind === "refused") {
             discardResponse(res, () => this.finish());
-            this.#fail(new SendError(failure, `status ${res.statusCode}`));
+            this.#fail(new SendError(unrelayed.result, unrelayed.evidence));
         } else {
-            this.abort(failure, `status ${res.statusCode} isn't one to relay`);
+            this.abort(unrelayed.result, unrelayed.evidence);
         }
     }
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -17,7 +17,6 @@
 import { Exchange, SendError } from "./exchange.js";
 import {
     errorFor,
-    isNotRun,
     sendEndOf,
     slotResultOfRelay,
     outcomeOfRelay,
@@ -29,6 +28,7 @@
 import { Relay, type RelayResult } from "./relay.js";
 import { fingerprintOf, forwardedHeaders } from "./requesthead.js";
 import { requestTimes, type RequestTimes } from "./requesttimes.js";
+import { isNotRun, Sends } from "./sends.js";
 import { SlotLease } from "./slotlease.js";
 
 /** The outcome of a relayed response, or the result of a failed send after which the request may be retried. */
@@ -52,6 +52,7 @@
     readonly #ahead: number;
     /** Slots that count as attempts, in order; several may be of the same server. */
     readonly #sent = new Set<Slot>();
+    readonly #sends = new Sends();
     #route: Route | undefined = undefined;
     #service = "";
     #fingerprint: string | undefined = undefined;
@@ -209,7 +210,7 @@
         const startedAt = clock();
         // The peer applies the route's timeout itself, from the request's age on.
         const remainingMs = Math.max(1, Math.floor(read.times.callerDeadlineAt - startedAt));
-        const exchange = peers.open(
+        const opened = peers.open(
             {
                 method: this.#req.method ?? "GET",
                 target: this.#req.url ?? "/",
@@ -225,9 +226,11 @@
             },
             tried,
         );
-        if (!exchange) {
+        if (!opened) {
             throw new CallError("no-links", "", noLinksRetryMs);
         }
+        const { exchange, peer } = opened;
+        const send = this.#sends.begin(peer, () => exchange.sent);
         this.#lastSentAt = startedAt;
         this.#exchange = exchange;
         const connectTimer = this.#scheduleConnectTimeout(exchange, startedAt);
@@ -236,13 +239,17 @@
             const peerRes = await this.#abortable(exchange.head, abort);
             this.#serverMs = clock() - startedAt;
             const relayResult = await this.#relay(exchange, peerRes, abort);
+            const answered: SlotResult = { kind: "answered", status: peerRes.statusCode ?? 0 };
+            send.end(relayResult === "complete" ? answered : slotResultOfRelay[relayResult]);
             return relayResult === "broken-before-start" ? { kind: "lost" } : outcomeOfRelay[relayResult];
         } catch (err) {
             if (err instanceof SendError) {
+                send.end(err.result, err.detail);
                 return err.result;
             }
             throw err;
         } finally {
+            send.end({ kind: this.#callerGone ? "cancelled" : "timeout" });
             this.#exchange = undefined;
             this.#options.timers.cancel(connectTimer);
         }
@@ -340,8 +347,10 @@
         let statement: ServerStatement | undefined;
         const exchange = this.#openExchange(slot, body, requestId, it => (statement = it));
         this.#exchange = exchange;
-        const settle = async (result: SlotResult): Promise<SlotResult> => {
+        const send = this.#sends.begin(slot.server.id, () => exchange.sent);
+        const settle = async (result: SlotResult, evidence = ""): Promise<SlotResult> => {
             lease.settle(result);
+            send.end(result, evidence);
             const end = sendEndOf(result);
             if (exchange.sent || end !== "abandoned") {
                 const { server } = slot;
@@ -391,7 +400,7 @@
                         reason: err.detail,
                     });
                 }
-                return await settle(err.result);
+                return await settle(err.result, err.detail);
             }
             if (exchange.sent) {
                 this.#sent.add(slot);
@@ -551,6 +560,7 @@
             outcome,
             status: this.#res.headersSent ? this.#res.statusCode : 0,
             servers: [...this.#sent].map(({ server }) => server.id),
+            sends: this.#sends.describe(),
             queueMs: this.#queueMs,
             serverMs: this.#serverMs,
             totalMs: this.#options.clock() - this.#readAt + totalAgeMs(this.#age),
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -21,6 +21,8 @@
     readonly status: number;
     /** Incarnations of the servers that it was sent to, in order. */
     readonly servers: readonly string[];
+    /** What each send to a server or peer ended with. */
+    readonly sends: string;
     readonly queueMs: number;
     readonly serverMs: number;
     /** From the request's arrival, in milliseconds; see `RequestAge`. */
@@ -68,9 +70,6 @@
     }
 };
 
-/** Returns whether a send ended in a way that guarantees that the request did not run. */
-export const isNotRun = ({ kind }: SlotResult): boolean => kind === "refused" || kind === "unreachable";
-
 /** Returns how a send ended, as far as it says something of the server. */
 export const sendEndOf = (result: SlotResult): SendEnd => {
     switch (result.kind) {
--- a/packages/gateway/src/peerforward.ts
+++ b/packages/gateway/src/peerforward.ts
@@ -52,7 +52,10 @@
      *
      * @param tried names of the peers that it has been sent to, to which the chosen one is added
      */
-    open(request: PeerRequest, tried: Set<string>): Exchange | undefined {
+    open(
+        request: PeerRequest,
+        tried: Set<string>,
+    ): { readonly exchange: Exchange; readonly peer: string } | undefined {
         const { wire, agents, clock } = this.#options;
         const peer = this.#choose(tried);
         if (!peer) {
@@ -68,7 +71,7 @@
         });
         this.#count(peer.id, 1);
         void exchange.closed.then(() => this.#count(peer.id, -1));
-        return exchange;
+        return { exchange, peer: peer.id };
     }
 
     /** Returns the less busy of two random peers. */
--- a/packages/gateway/src/reporter.ts
+++ b/packages/gateway/src/reporter.ts
@@ -64,6 +64,7 @@
                 headMs: Math.round(record.age.headMs),
                 peerMs: Math.round(record.age.peerMs),
                 ahead: record.ahead,
+                sends: record.sends,
                 sinceSendMs: Math.round(record.sinceSendMs),
                 detail,
             });
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -309,7 +309,7 @@
     "request-failed": defineEvent(
         8011,
         "info",
-        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late, its head read in {headMs} ms, at a peer for {peerMs} ms, {ahead} ahead of it on the connection; last sent {sinceSendMs} ms before its end; configuration {version}. {detail}",
+        "Request {requestId} for {route} ended as {outcome} with {status} after {totalMs} ms ({queueMs} ms queued, {waiting} waiting); sent to [{servers}], chosen by load [{load}] reported {loadAgeMs} ms ago; read up to {lagMs} ms late, its connection accepted up to {acceptMs} ms late, its head read in {headMs} ms, at a peer for {peerMs} ms, {ahead} ahead of it on the connection; last sent {sinceSendMs} ms before its end; sends [{sends}]; configuration {version}. {detail}",
         {
             load: "string",
             loadAgeMs: "number",
@@ -330,6 +330,7 @@
             peerMs: "number",
             ahead: "number",
             sinceSendMs: "number",
+            sends: "string",
             detail: "string",
         },
     ),
