A promise that a request hasn't run needs the proof of each of its sends

An error that claims "not run" was corrected by earlier sends' results only; that none was in progress when it was thrown followed from where the code throws. Cause: "not run" was what remained when nothing spoke against it. Change: Sends keeps for each send whether it is proved not to have made the request run (refused, or nothing was sent); 408, 421, 429 and 503 are sent only if all are, one in progress included. Replaces two fields of ForwardTask.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -63,10 +63,6 @@
     #serverMs = 0;
     #lastSentAt: number | undefined = undefined;
     #loadSnapshot: LoadSnapshot | undefined = undefined;
-    /** The send in progress. */
-    #exchange: Exchange | undefined = undefined;
-    /** Result of the last send after which the request may have run. */
-    #uncertainResult: SlotResult | undefined = undefined;
 
     constructor(options: ForwardOptions, req: IncomingMessage, res: ServerResponse) {
         this.#options = options;
@@ -120,7 +116,7 @@
             throw new CallError("stopping", "", stoppingRetryMs);
         }
         this.#deadlineTimer = this.#options.timers.schedule(times.deadlineAt + responseGraceMs, () =>
-            this.#abortWait(new CallError(this.#isSent ? "deadline-sent" : "deadline-queued")),
+            this.#abortWait(new CallError(this.#sends.doubt ? "deadline-sent" : "deadline-queued")),
         );
         await this.#waitForTurn(times);
         // A response that breaks off closes the connection, so that what follows it on the connection may get no response.
@@ -159,7 +155,6 @@
                 continue;
             }
             this.#sent.add(slot);
-            this.#uncertainResult = isNotRun(result) ? this.#uncertainResult : result;
             if (this.#options.peers.isNeeded && this.#mayResend(read, result)) {
                 continue;
             }
@@ -198,7 +193,6 @@
             if (typeof result === "string") {
                 return result;
             }
-            this.#uncertainResult = isNotRun(result) ? this.#uncertainResult : result;
             if (tried.size >= maxPeers || !this.#mayResend(read, result)) {
                 throw errorFor(result);
             }
@@ -232,7 +226,6 @@
         const { exchange, peer } = opened;
         const send = this.#sends.begin(peer, () => exchange.sent);
         this.#lastSentAt = startedAt;
-        this.#exchange = exchange;
         const connectTimer = this.#scheduleConnectTimeout(exchange, startedAt);
         const abort = (): void => this.#abortExchange(exchange, read.route.kind);
         try {
@@ -250,7 +243,6 @@
             throw err;
         } finally {
             send.end({ kind: this.#callerGone ? "cancelled" : "timeout" });
-            this.#exchange = undefined;
             this.#options.timers.cancel(connectTimer);
         }
     }
@@ -346,7 +338,6 @@
         this.#lastSentAt = startedAt;
         let statement: ServerStatement | undefined;
         const exchange = this.#openExchange(slot, body, requestId, it => (statement = it));
-        this.#exchange = exchange;
         const send = this.#sends.begin(slot.server.id, () => exchange.sent);
         const settle = async (result: SlotResult, evidence = ""): Promise<SlotResult> => {
             lease.settle(result);
@@ -414,7 +405,6 @@
             throw err;
         } finally {
             linksLost.unsubscribe();
-            this.#exchange = undefined;
             this.#options.timers.cancel(connectTimer);
         }
     }
@@ -442,18 +432,14 @@
         });
     }
 
-    /** Whether a server may have received the request and has not reported that it didn't run it. */
-    get #isSent(): boolean {
-        return this.#uncertainResult !== undefined || (this.#exchange?.sent ?? false);
-    }
-
     /**
-     * Returns the error to report. One that claims "not run" for a request that may have run is replaced by the error
-     * of the send after which it may have run.
+     * Returns the error to report. One that claims "not run" needs the proof of every send; without it, it is replaced by the
+     * error of the send that leaves the doubt.
      */
     #correctNotRun(error: CallError): CallError {
         const claimsNotRun = error.info.ran === "not run" && error.kind !== "caller-gone";
-        return claimsNotRun && this.#uncertainResult ? errorFor(this.#uncertainResult) : error;
+        const { doubt } = this.#sends;
+        return claimsNotRun && doubt ? errorFor(doubt) : error;
     }
 
     #openExchange(
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,4 +1,4 @@
-/** What became of each send of one request. */
+/** What became of each send of one request, and whether that proves that the request hasn't run. */
 
 import type { SlotResult } from "@bramleymoor/balance/types";
 
@@ -18,9 +18,12 @@
         this.#isSent = isSent;
     }
 
-    /** How it ended; undefined while it is in progress. */
-    get result(): SlotResult | undefined {
-        return this.#result;
+    /** Why the request may have run; undefined if it is proved that this send didn't make it run. */
+    get doubt(): SlotResult | undefined {
+        if (this.#result) {
+            return isNotRun(this.#result) ? undefined : this.#result;
+        }
+        return this.#isSent() ? { kind: "lost" } : undefined;
     }
 
     /**
@@ -53,6 +56,11 @@
         return send;
     }
 
+    /** Why the request may have run, by the last send that leaves a doubt; undefined if it is proved that it hasn't run. */
+    get doubt(): SlotResult | undefined {
+        return this.#sends.map(it => it.doubt).findLast(it => it !== undefined);
+    }
+
     /** Returns what each send ended with, for the log. */
     describe(): string {
         return this.#sends.map(it => it.describe()).join("; ");
