A peer's status proves nothing: its refusal states that the request hasn't run, and a server's own failure isn't passed on through it

An entry VM without links to the servers has a peer serve its requests. A server's own 408, 421, 429 or 503 that the peer passes on, as those before do, reached the caller of an order as a promise; so did any 503 without a signature, whoever answers at the peer's address. Cause: the class of: a status that promises to callers was taken for the statement of the one that sent it. Looked for elsewhere: the own interface asks for bm-refused and bm-ran. Change: the entry VM's own errors carry bm-ran, as those of the own interface do; a peer's 503 is a refusal only with it, and a signed failure with one of the four statuses is lost for a non-idempotent request, as it is from a server. During an upgrade refusals of peers of earlier versions end as 502.

--- a/packages/gateway/src/errorresponse.ts
+++ b/packages/gateway/src/errorresponse.ts
@@ -2,6 +2,7 @@
 
 import type { ServerResponse } from "node:http";
 import type { CallError } from "@bramleymoor/protocol/errors";
+import { responseHeaders } from "@bramleymoor/protocol/headers";
 import { errorBody } from "@bramleymoor/proxy/responses";
 
 /** Sends the response for an error, unless the caller has disconnected or a response has already started. */
@@ -11,6 +12,7 @@
     }
     const text = JSON.stringify(errorBody(error));
     const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(text))];
+    headers.push(responseHeaders.ran, error.info.ran);
     if (error.retryAfterMs !== undefined) {
         headers.push("Retry-After", (error.retryAfterMs / msPerSecond).toFixed(2));
     }
--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -4,6 +4,8 @@
 import type { ServerStatement, StatementSource } from "@bramleymoor/balance/statement";
 import type { SlotResult } from "@bramleymoor/balance/types";
 import type { RouteKind } from "@bramleymoor/model/route";
+import type { ExecutionState } from "@bramleymoor/protocol/errors";
+import { responseHeaders } from "@bramleymoor/protocol/headers";
 import { distinctHeaders } from "@bramleymoor/proxy/heads";
 import type { WireFormat } from "./wireformat.js";
 
@@ -33,7 +35,6 @@
 ): Unrelayed | undefined => {
     const status = res.statusCode ?? 0;
     const echoedId = wire.requestId(res.headers);
-    const lost = (evidence: string): Unrelayed => ({ result: { kind: "lost" }, evidence });
     if (echoedId !== undefined && echoedId !== requestId) {
         return lost(`status ${status} for another request`);
     }
@@ -53,26 +54,41 @@
         return lost(`status ${status} without the server's marks`);
     }
     onStatement(statement, "response");
-    return kind === "non-idempotent" && wire.notRunStatuses.has(status)
-        ? lost(`status ${status} without the statement that the request hasn't run`)
-        : undefined;
+    return withoutFalsePromise(status, kind, wire);
 };
 
-/** Examines the response of a peer to a request that it was sent for a caller; undefined if it is a server's. */
-export const examinePeerResponse = (res: IncomingMessage, wire: WireFormat): Unrelayed | undefined => {
+/**
+ * Examines the response of a peer to a request that it was sent for a caller; undefined if it is one of a server that is to be
+ * relayed. A peer's word proves that the request hasn't run only if it states just that; a peer of an earlier version may pass on
+ * a server's own failure that promises it by its status alone.
+ */
+export const examinePeerResponse = (
+    res: IncomingMessage,
+    kind: RouteKind,
+    wire: WireFormat,
+): Unrelayed | undefined => {
+    const status = res.statusCode ?? 0;
     if (wire.isFromServer(res.headers)) {
-        return undefined;
+        return withoutFalsePromise(status, kind, wire);
     }
-    const evidence = `status ${res.statusCode} of the peer itself`;
-    switch (res.statusCode) {
-        case httpServiceUnavailable:
-            return { result: { kind: "refused", reason: "full" }, evidence };
-        case httpGatewayTimeout:
-            return { result: { kind: "timeout" }, evidence };
-        default:
-            return { result: { kind: "lost" }, evidence };
+    const statement = res.headers[responseHeaders.ran];
+    const evidence = `status ${status} of the peer itself, which states: ${String(statement)}`;
+    if (status === httpGatewayTimeout) {
+        return { result: { kind: "timeout" }, evidence };
     }
+    return status === httpServiceUnavailable && statement === notRun
+        ? { result: { kind: "refused", reason: "full" }, evidence }
+        : { result: { kind: "lost" }, evidence };
 };
 
+/** Returns how a send ended whose response claims by its status alone that the request hasn't run; undefined for any other. */
+const withoutFalsePromise = (status: number, kind: RouteKind, wire: WireFormat): Unrelayed | undefined =>
+    kind === "non-idempotent" && wire.notRunStatuses.has(status)
+        ? lost(`status ${status} without the statement that the request hasn't run`)
+        : undefined;
+
+const lost = (evidence: string): Unrelayed => ({ result: { kind: "lost" }, evidence });
+
+const notRun: ExecutionState = "not run";
 const httpServiceUnavailable = 503;
 const httpGatewayTimeout = 504;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -215,7 +215,7 @@
                     ...peerAgeHeaders(startedAt - read.times.arrivedAt),
                 ],
                 latestConnectAt: startedAt + connectTimeoutMs,
-                mayReuseConnection: read.route.kind !== "non-idempotent",
+                kind: read.route.kind,
                 writeBody: req => read.body.writeTo(req),
             },
             tried,
--- a/packages/gateway/src/peerforward.ts
+++ b/packages/gateway/src/peerforward.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage } from "node:http";
 import { isAddress } from "@bramleymoor/model/address";
+import type { RouteKind } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { KeepAliveAgent } from "./agent.js";
 import { examinePeerResponse } from "./examine.js";
@@ -13,8 +14,8 @@
     OutgoingRequest,
     "method" | "target" | "headers" | "latestConnectAt" | "writeBody"
 > & {
-    /** Whether it may be sent on a connection that the peer may have dropped. */
-    readonly mayReuseConnection: boolean;
+    /** What may be repeated; one that may not isn't sent on a connection that the peer may have dropped. */
+    readonly kind: RouteKind;
 };
 
 /** Dependencies of a `PeerForwarder`. */
@@ -65,9 +66,9 @@
         const exchange = new Exchange({
             ...request,
             address: peer.peerAddress,
-            agent: request.mayReuseConnection ? agents.pooled : agents.unpooled,
+            agent: request.kind === "non-idempotent" ? agents.unpooled : agents.pooled,
             clock,
-            examine: res => examinePeerResponse(res, wire),
+            examine: res => examinePeerResponse(res, request.kind, wire),
         });
         this.#count(peer.id, 1);
         void exchange.closed.then(() => this.#count(peer.id, -1));
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -4,6 +4,7 @@
 import { createServer, connect, type AddressInfo, type Socket } from "node:net";
 import type { TestContext } from "node:test";
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
+import type { EntryVm } from "@bramleymoor/model/vm";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { ageOfRequest } from "@bramleymoor/proxy/requestage";
@@ -174,13 +175,22 @@
 /**
  * Starts a frontend in front of backend servers.
  *
- * @param options `idleClock` returns the milliseconds by which the idle time of connections to servers is measured
+ * @param options `idleClock` returns the milliseconds by which the idle time of connections to servers is measured;
+ *     with `helpers` the entry VM has lost its links to the servers, and these peers help it
  */
 export const startFrontend = async (
     t: TestContext,
     servers: readonly RawServer[],
     changes: Partial<Route> = {},
-    { idleClock = monotonicMs, wire = testWire } = {},
+    {
+        idleClock = monotonicMs,
+        wire = testWire,
+        helpers = [],
+    }: {
+        readonly idleClock?: () => number;
+        readonly wire?: WireFormat;
+        readonly helpers?: readonly EntryVm[];
+    } = {},
 ): Promise<TestFrontend> => {
     const clock = monotonicMs;
     const config: RouteConfig = {
@@ -269,8 +279,8 @@
         extraHeaders: req => frontend.extraHeaders(req),
         peers: new PeerForwarder({
             wire,
-            isCutOff: () => false,
-            helpers: () => [],
+            isCutOff: () => helpers.length > 0,
+            helpers: () => helpers,
             agents,
             random: () => 0,
             clock,
