What others send is bounded by what it costs in memory and in a turn of the event loop

What callers saw (the other operators' report, and trials from outside): a server, or a caller, that sends chunks of one byte ended the entry process with all that it was doing, in 2 to 5 s; interim answers, chunk extensions or bodies without end kept the other callers waiting for 0.4 to 2.6 s. Cause: limits count payload bytes, and the cost is elsewhere. A kept chunk costs about a hundred bytes beside its own; Node reads up to 2 MB of one connection in a turn, and each chunk, head or interim response in it runs code; interim responses, the answers of the store and the bodies of requests that had been answered had no bound. Change: the package input. A response that waits for its turn is taken up to 64 KiB (was 16), as it may now come in several pieces.

--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -1,7 +1,9 @@
 /** An HTTP agent that pools idle connections to backend servers and closes those that receive unsolicited data. */
 
-import { Agent, type ClientRequest } from "node:http";
-import { createConnection, type NetConnectOpts, type Socket } from "node:net";
+import type { ClientRequest } from "node:http";
+import type { NetConnectOpts, Socket } from "node:net";
+import { PacedAgent } from "@bramleymoor/input/pacedagent";
+import type { ReadPacer } from "@bramleymoor/input/pacer";
 
 /** Observes the connections of an agent; addresses are "IP:port". */
 export interface ConnectionObserver {
@@ -22,22 +24,24 @@
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
     readonly observer?: ConnectionObserver;
+    /** Reads the connections. */
+    readonly pacer: ReadPacer;
 }
 
 /** A keep-alive agent that tracks how long each of its connections has been idle. */
-export class KeepAliveAgent extends Agent {
+export class KeepAliveAgent extends PacedAgent {
     readonly #settings: KeepAliveSettings;
     readonly #addresses = new WeakMap<Socket, string>();
     readonly #idle = new WeakMap<Socket, { readonly destroy: () => void; readonly since: number }>();
 
     constructor(settings: KeepAliveSettings) {
-        super({ keepAlive: true, scheduling: "lifo", noDelay: true });
+        super({ keepAlive: true, scheduling: "lifo", noDelay: true }, settings.pacer);
         this.#settings = settings;
     }
 
     /** Called by Node to open a connection. */
     override createConnection(options: NetConnectOpts, onCreated: () => void): Socket {
-        const socket = createConnection(options, onCreated);
+        const socket = super.createConnection(options, onCreated);
         const { observer, clock } = this.#settings;
         if (observer && "host" in options) {
             this.#observe(socket, `${options.host}:${options.port}`, observer, clock());
--- a/packages/gateway/src/auxiliaryservers.ts
+++ b/packages/gateway/src/auxiliaryservers.ts
@@ -1,10 +1,11 @@
 /** The HTTP servers for readiness checks, address queries and metrics. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ReadPacer } from "@bramleymoor/input/pacer";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { CallMetrics } from "@bramleymoor/observe/metrics";
 import { hostOf } from "@bramleymoor/routing/table";
-import { SimpleHttpServer } from "./frontend.js";
+import { SimpleHttpServer, type SimpleHandler } from "./frontend.js";
 import type { GatewaySettings } from "./settings.js";
 import type { WireFormat } from "./wireformat.js";
 
@@ -17,6 +18,8 @@
     readonly entryVmsFor: (host: string, domain: string) => readonly EntryVm[];
     /** Returns how long callers may cache the response to an address query, in milliseconds. */
     readonly addressTtlMs: () => number;
+    /** Reads the connections. */
+    readonly pacer: ReadPacer;
     /** Called for each error that isn't the caller's. */
     readonly onInternalError: (doing: string, err: unknown) => void;
 }
@@ -30,10 +33,12 @@
 
     constructor(options: AuxiliaryServersOptions) {
         this.#options = options;
-        const { onInternalError } = options;
-        this.#ready = new SimpleHttpServer((req, res) => this.#serveReadiness(req, res), onInternalError);
-        this.#addresses = new SimpleHttpServer((req, res) => this.#serveAddresses(req, res), onInternalError);
-        this.#metrics = new SimpleHttpServer((_, res) => this.#serveMetrics(res), onInternalError);
+        const { onInternalError, pacer } = options;
+        const create = (handler: SimpleHandler): SimpleHttpServer =>
+            new SimpleHttpServer(handler, onInternalError, pacer);
+        this.#ready = create((req, res) => this.#serveReadiness(req, res));
+        this.#addresses = create((req, res) => this.#serveAddresses(req, res));
+        this.#metrics = create((_, res) => this.#serveMetrics(res));
     }
 
     async listen({ ready, directory, metrics }: GatewaySettings): Promise<void> {
--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -1,14 +1,15 @@
 /** A caller's request body: buffered if it is small, so that a retry can send it again, otherwise streamed once. */
 
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { ByteCollector } from "@bramleymoor/input/collector";
+import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
 import { CallError } from "@bramleymoor/protocol/errors";
 
 /** The body of one request. */
 export class RequestBody {
     readonly #req: IncomingMessage;
     readonly #limit: number;
-    readonly #chunks: Buffer[] = [];
-    #bufferedBytes = 0;
+    readonly #buffer = new ByteCollector();
     #complete = false;
     #streamed = false;
 
@@ -20,7 +21,7 @@
 
     /** What has been buffered: the whole body, or the beginning of one that is too large. */
     get buffered(): readonly Buffer[] {
-        return this.#chunks;
+        return this.#buffer.blocks;
     }
 
     /** Whether the body can be sent, or sent again. */
@@ -58,14 +59,40 @@
 
     /** Writes the body to a request to a backend server. */
     writeTo(serverReq: ClientRequest): void {
-        this.#chunks.forEach(chunk => serverReq.write(chunk));
+        this.#buffer.blocks.forEach(it => serverReq.write(it));
         if (this.#complete) {
             serverReq.end();
             return;
         }
         this.#streamed = true;
         this.#req.on("aborted", () => serverReq.destroy());
-        this.#req.pipe(serverReq);
+        this.#copyTo(serverReq);
+    }
+
+    /** Copies the rest of the body; one that is longer than the configuration allows ends the request to the server. */
+    #copyTo(serverReq: ClientRequest): void {
+        const req = this.#req;
+        const writer = new GatheredWriter(serverReq, () => req.pause());
+        let bytes = this.#buffer.bytes;
+        const onData = (chunk: Buffer): void => {
+            bytes += chunk.length;
+            if (bytes > this.#limit) {
+                serverReq.destroy(new CallError("body-too-large"));
+            } else {
+                writer.write(chunk);
+            }
+        };
+        const onEnd = (): void => {
+            writer.flush();
+            serverReq.end();
+        };
+        const onDrain = (): void => void req.resume();
+        req.on("data", onData).on("end", onEnd);
+        serverReq.on("drain", onDrain);
+        serverReq.once("close", () => {
+            req.off("data", onData).off("end", onEnd);
+        });
+        req.resume();
     }
 
     /** Resolves when the body is complete, or when more of it has arrived than is buffered. */
@@ -76,12 +103,11 @@
                 req.off("data", onData).off("end", onEnd).off("close", onClose);
             };
             const onData = (chunk: Buffer): void => {
-                this.#chunks.push(chunk);
-                this.#bufferedBytes += chunk.length;
-                if (this.#bufferedBytes > this.#limit) {
+                this.#buffer.append(chunk);
+                if (this.#buffer.bytes > this.#limit) {
                     removeListeners();
                     reject(new CallError("body-too-large"));
-                } else if (this.#bufferedBytes > maxBufferedBytes) {
+                } else if (this.#buffer.bytes > maxBufferedBytes) {
                     removeListeners();
                     req.pause();
                     resolve();
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,6 +2,7 @@
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { limitInterimResponses } from "@bramleymoor/input/interim";
 import type { SlotResult } from "@bramleymoor/balance/types";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
@@ -82,6 +83,7 @@
             });
         });
         this.closed = new Promise(resolve => this.#req.once("close", resolve));
+        limitInterimResponses(this.#req, () => this.abort({ kind: "lost" }, "too many interim responses"));
         this.#req.on("error", err => this.#handleConnectionLoss(err.message));
         this.#req.on("close", () => {
             this.#socket?.off("error", this.#handleSocketError);
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -2,13 +2,16 @@
 
 import { createServer, IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Server as NetServer, Socket } from "node:net";
+import type { ReadPacer } from "@bramleymoor/input/pacer";
 import type { ClientLimits } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { ConnectionTracker } from "@bramleymoor/proxy/connections";
+import { discardRequest } from "@bramleymoor/proxy/discard";
 import { findRequestHeadProblem } from "@bramleymoor/proxy/heads";
 import { Intake } from "@bramleymoor/proxy/intake";
 import { OrderedResponse } from "@bramleymoor/proxy/orderedresponse";
 import { ReadPauses } from "@bramleymoor/proxy/readpauses";
+import { hasBody } from "@bramleymoor/proxy/request";
 import { rawErrorResponse, toCallError } from "@bramleymoor/proxy/responses";
 import { sendError } from "./errorresponse.js";
 
@@ -24,6 +27,8 @@
     readonly onServed: (waitMs: number) => void;
     /** Called for each connection that is closed unread, with the milliseconds that it has waited. */
     readonly onUnread: (waitMs: number) => void;
+    /** Reads the connections. */
+    readonly pacer: ReadPacer;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
 }
@@ -43,9 +48,10 @@
     /** The request of each connection whose response closes it; later ones are ignored. */
     readonly #last = new WeakMap<Socket, IncomingMessage>();
     #maxHeadBytes = maxParserHeadBytes;
+    #maxBodyBytes = 0;
     #draining = false;
 
-    constructor({ serve, onMalformed, onInternalError, onServed, onUnread, clock }: FrontendOptions) {
+    constructor({ serve, onMalformed, onInternalError, onServed, onUnread, pacer, clock }: FrontendOptions) {
         this.#serve = serve;
         this.#onMalformed = onMalformed;
         this.#onInternalError = onInternalError;
@@ -59,6 +65,7 @@
             noDelay: true,
         });
         this.#server.maxHeadersCount = 0;
+        pacer.attachTo(this.#server);
         this.#server.on("connection", (socket: Socket) => {
             this.#readPauses.track(socket);
             onServed(this.#intake.waitMs(socket));
@@ -121,6 +128,7 @@
     /** Applies the limits of a newer configuration. */
     setLimits(limits: ClientLimits): void {
         this.#maxHeadBytes = limits.maxHeaderBytes;
+        this.#maxBodyBytes = limits.maxBodyBytes;
         this.#server.headersTimeout = limits.headerTimeoutMs;
         this.#server.keepAliveTimeout = limits.idleTimeoutMs;
     }
@@ -159,14 +167,12 @@
     #handle(req: IncomingMessage, res: OrderedResponse): void {
         const { socket } = req;
         if (this.#last.has(socket)) {
-            req.resume();
+            discardRequest(req, this.#maxBodyBytes);
             return;
         }
         const admission = this.#connections.admit(socket, res);
-        if (admission !== "serve") {
-            req.resume();
-        }
         if (admission === "ignore") {
+            discardRequest(req, this.#maxBodyBytes);
             return;
         }
         this.#addPending(req, res);
@@ -174,6 +180,7 @@
         if (error) {
             this.#last.set(socket, req);
             sendError(res, error, connectionClose);
+            discardRequest(req, this.#maxBodyBytes);
             return;
         }
         const work = this.#run(req, res).finally(() => this.#running.delete(work));
@@ -186,6 +193,8 @@
         } catch (err) {
             this.#onInternalError("handling a request", err);
             sendError(res, toCallError(err), this.extraHeaders(req));
+        } finally {
+            discardRequest(req, this.#maxBodyBytes);
         }
     }
 
@@ -228,6 +237,9 @@
     }
 }
 
+/** Handles a request of a `SimpleHttpServer`. */
+export type SimpleHandler = (req: IncomingMessage, res: ServerResponse) => void | Promise<void>;
+
 /** An HTTP server with a single request handler, such as the one for readiness. */
 export class SimpleHttpServer {
     readonly #server: Server;
@@ -235,13 +247,17 @@
     /**
      * @param handler handles a request
      * @param onInternalError called with what it throws; the request then gets no response
+     * @param pacer reads the connections
      */
     constructor(
-        handler: (req: IncomingMessage, res: ServerResponse) => void | Promise<void>,
+        handler: SimpleHandler,
         onInternalError: (doing: string, err: unknown) => void,
+        pacer: ReadPacer,
     ) {
         const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
             try {
+                // No request here needs a body, and one may have no end.
+                res.shouldKeepAlive &&= !hasBody(req);
                 await handler(req, res);
             } catch (err) {
                 onInternalError(`handling ${req.url}`, err);
@@ -250,6 +266,7 @@
         };
         this.#server = createServer({ noDelay: true }, (req, res) => void handle(req, res));
         this.#server.keepAliveTimeout = simpleServerKeepAliveMs;
+        pacer.attachTo(this.#server);
     }
 
     /** Starts listening and returns the port; port 0 lets the operating system choose one. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -2,6 +2,7 @@
 
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage } from "node:http";
+import { ReadPacer } from "@bramleymoor/input/pacer";
 import type { Membership } from "@bramleymoor/membership/membership";
 import type { Route, ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
@@ -57,6 +58,8 @@
     readonly #platform: PlatformAdapter;
     readonly #events: EventLog;
     readonly #metrics = new CallMetrics(false);
+    /** Reads all connections but those to the store. */
+    readonly #pacer = new ReadPacer(monotonicMs);
     readonly #incarnation = randomBytes(incarnationBytes).toString("base64url");
     readonly #storeView: StoreView;
     readonly #peerSocket: PeerSocket;
@@ -67,7 +70,7 @@
     /** Connections to backend servers. */
     readonly #agents: ForwardOptions["agents"];
     /** Connections to peers, for requests. */
-    readonly #peerAgents = createAgents();
+    readonly #peerAgents = createAgents(this.#pacer);
     readonly #probeClient: HttpProbeClient;
     /** Probes on new connections. */
     readonly #linkProbeClient: HttpProbeClient;
@@ -137,7 +140,7 @@
             this.#dispatchers.releaseWaiting();
             this.#agents.pooled.closeIdle();
         });
-        this.#agents = createAgents(this.#reach.connections);
+        this.#agents = createAgents(this.#pacer, this.#reach.connections);
         this.#probeClient = new HttpProbeClient(platform.wire, this.#agents.pooled);
         this.#linkProbeClient = new HttpProbeClient(platform.wire, this.#agents.unpooled);
         this.#dispatchers = new ServiceDispatchers({
@@ -242,6 +245,7 @@
             isReady: () => this.#state === "serving",
             entryVmsFor: (host, domain) => this.#partitioner.entryVmsFor(host, domain),
             addressTtlMs: () => this.#settings.addressTtlMs,
+            pacer: this.#pacer,
             onInternalError: (doing, err) => this.#reportInternalError(doing, err),
         });
     }
@@ -375,6 +379,7 @@
             onInternalError: (doing, err) => this.#reportInternalError(doing, err),
             onServed: waitMs => this.#metrics.recordAcceptWait(waitMs),
             onUnread: waitMs => this.#events.emit("connection-unread", { waitMs: Math.round(waitMs) }),
+            pacer: this.#pacer,
             clock: monotonicMs,
         });
         const options = optionsFor(frontend);
@@ -515,8 +520,9 @@
     }
 }
 
-const createAgents = (observer?: ConnectionObserver): ForwardOptions["agents"] => {
-    const settings = { marginMs: keepAliveMarginMs, clock: monotonicMs, ...(observer ? { observer } : {}) };
+const createAgents = (pacer: ReadPacer, observer?: ConnectionObserver): ForwardOptions["agents"] => {
+    const shared = { marginMs: keepAliveMarginMs, clock: monotonicMs, pacer };
+    const settings = observer ? { ...shared, observer } : shared;
     return {
         pooled: new KeepAliveAgent({ ...settings, idleMs: keepAliveIdleMs }),
         unpooled: new KeepAliveAgent({ ...settings, idleMs: 0 }),
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -1,6 +1,7 @@
 /** Probes backend servers for their load just before a request is sent to one of them. */
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
+import { limitInterimResponses } from "@bramleymoor/input/interim";
 import type { ServerStatement } from "@bramleymoor/balance/statement";
 import type { LoadReport } from "@bramleymoor/balance/types";
 import type { ServerEntry } from "@bramleymoor/model/route";
@@ -96,6 +97,7 @@
                     req.destroy();
                 }
             });
+            limitInterimResponses(req, () => req.destroy());
             req.on("error", err => done(req.reusedSocket && !isTimeout(err) ? "closed" : undefined));
             req.on("close", () => done(undefined));
             req.end();
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -1,6 +1,8 @@
 /** Relays a server's response to the caller: buffered if it is small, otherwise streamed. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { ByteCollector } from "@bramleymoor/input/collector";
+import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { whenInTurn } from "@bramleymoor/proxy/orderedresponse";
 import { breakConnection } from "@bramleymoor/proxy/relay";
@@ -86,17 +88,17 @@
         mayBuffer: (bytes: number) => boolean,
     ): Promise<RelayResult> {
         const from = this.#from;
-        const chunks: Buffer[] = [];
+        const body = new ByteCollector();
         return new Promise((resolve, reject) => {
             const removeListeners = (): void => {
                 from.off("data", onData).off("end", onEnd).off("error", onBroken).off("close", onBroken);
             };
             const onData = (chunk: Buffer): void => {
-                chunks.push(chunk);
+                body.append(chunk);
                 if (!mayBuffer(chunk.length)) {
                     removeListeners();
                     from.pause();
-                    this.#relayStreamed(extraHeaders, chunks).then(resolve, reject);
+                    this.#relayStreamed(extraHeaders, body.blocks).then(resolve, reject);
                 }
             };
             const onEnd = (): void => {
@@ -105,7 +107,7 @@
                     return;
                 }
                 this.#writeHead(extraHeaders);
-                this.#to.end(Buffer.concat(chunks));
+                this.#to.end(body.toBuffer());
                 resolve(this.#to.destroyed ? "caller-gone" : "complete");
             };
             const onBroken = (): void => resolve("broken-before-start");
@@ -143,11 +145,8 @@
                 breakConnection(to);
                 resolve("broken");
             };
-            from.on("data", (chunk: Buffer) => {
-                if (!to.write(chunk)) {
-                    from.pause();
-                }
-            });
+            const writer = new GatheredWriter(to, () => from.pause());
+            from.on("data", (chunk: Buffer) => writer.write(chunk));
             from.resume();
             to.on("drain", () => from.resume());
             from.on("end", () => {
@@ -155,6 +154,7 @@
                     onBroken();
                     return;
                 }
+                writer.flush();
                 to.end(() => resolve("complete"));
             });
             from.on("error", onBroken);
--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ReadPacer } from "@bramleymoor/input/pacer";
 import { KeepAliveAgent } from "../src/agent.js";
 import { Exchange, SendError } from "../src/exchange.js";
 import { responseText, startRawServer } from "./setup.js";
@@ -15,7 +16,7 @@
 
 test("a connection that is established after a pause of the process carries no request with an outdated deadline", async t => {
     const server = await startRawServer(t, "s1", ({ socket, id }) => socket.write(responseText(id, "ok")));
-    const agent = new KeepAliveAgent({ idleMs: 0, marginMs: 0, clock });
+    const agent = new KeepAliveAgent({ idleMs: 0, marginMs: 0, clock, pacer: new ReadPacer(clock) });
     t.after(() => agent.destroy());
     const exchange = new Exchange({
         address: server.entry.address,
--- a/packages/gateway/test/pause.test.ts
+++ b/packages/gateway/test/pause.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ReadPacer } from "@bramleymoor/input/pacer";
 import { KeepAliveAgent } from "../src/agent.js";
 import { HttpProbeClient } from "../src/probeclient.js";
 import { requestText, responseText, sendRaw, startFrontend, startRawServer, testWire } from "./setup.js";
@@ -19,7 +20,7 @@
             pause(500);
         },
     });
-    const agent = new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock });
+    const agent = new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock, pacer: new ReadPacer(clock) });
     t.after(() => agent.destroy());
     const client = new HttpProbeClient(testWire, agent);
     assert.ok(await client.probe(server.entry, "/health", () => undefined));
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { createServer, connect, type AddressInfo, type Socket } from "node:net";
 import type { TestContext } from "node:test";
+import { ReadPacer } from "@bramleymoor/input/pacer";
 import type { Route, RouteConfig, ServerEntry } from "@bramleymoor/model/route";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import { CallError } from "@bramleymoor/protocol/errors";
@@ -204,9 +205,10 @@
         routes: [route(changes)],
         services: new Map([["svc", { name: "svc", healthPath: "/health", maxConnections: 100 }]]),
     };
+    const pacer = new ReadPacer(clock);
     const agents = {
-        pooled: new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock: idleClock }),
-        unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: 500, clock: idleClock }),
+        pooled: new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock: idleClock, pacer }),
+        unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: 500, clock: idleClock, pacer }),
     };
     const probeClient = new HttpProbeClient(wire, agents.pooled);
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
@@ -300,8 +302,10 @@
         onInternalError: (doing, err) => assert.fail(`${doing}: ${String(err)}`),
         onServed: () => undefined,
         onUnread: () => unread++,
+        pacer,
         clock,
     });
+    frontend.setLimits(config.limits);
     const port = await frontend.listen(0, "127.0.0.1");
     const timer = setInterval(() => {
         lag.recordRun(clock(), clock() + lagPeriodMs);
--- /dev/null
+++ b/packages/input/src/pacer.ts
@@ -0,0 +1,216 @@
+/**
+ * Bounds what the input of one connection may cost in one turn of the event loop, whatever it consists of: small chunks, interim
+ * responses, pipelined requests. A turn that reads one connection for long delays all others.
+ */
+
+import type { Server, Socket } from "node:net";
+
+/** A connection whose input is handed on piece by piece. */
+interface PacedConnection {
+    readonly socket: Socket;
+    /** Hands on input to the connection's readers; returns whether they want more. */
+    readonly deliver: (chunk: unknown) => boolean;
+    /** Input that waits. */
+    held: Uint8Array | undefined;
+    /** Hands on the end of the input, which has arrived behind what is held. */
+    deliverEnd: (() => void) | undefined;
+    /** Size of the next piece, in bytes; small for a connection whose bytes are expensive. */
+    pieceBytes: number;
+    /** The turn that `spentMs` is of. */
+    turn: number;
+    /** Time that its input has cost in that turn, in milliseconds. */
+    spentMs: number;
+    isQueued: boolean;
+}
+
+/** Reads the connections of a process fairly. */
+export class ReadPacer {
+    readonly #clock: () => number;
+    /** Connections with held input that want to be read, the first to be read first; each has its own immediate. */
+    readonly #queue: PacedConnection[] = [];
+    /** Number of the present turn. */
+    #turn = 0;
+    /** Time that input has cost in the present turn before any was held, in milliseconds. */
+    #spentMs = 0;
+    /** Whether a change of the turn is scheduled. */
+    #changesTurn = false;
+    /** When held input was first read in the present turn; undefined if none has been. */
+    #heldSince: number | undefined = undefined;
+
+    /** @param clock returns monotonic milliseconds */
+    constructor(clock: () => number) {
+        this.#clock = clock;
+    }
+
+    /** Paces all connections that an HTTP server will accept; to be called before it listens. */
+    attachTo(server: Server): void {
+        server.on("connection", (socket: Socket) => {
+            this.attach(socket);
+            // Without a listener Node's HTTP server has its parser read the connection, past the stream.
+            socket.on("data", () => undefined);
+        });
+    }
+
+    /** Paces one connection; to be called before anything has been read from it. */
+    attach(socket: Socket): void {
+        const push = socket.push.bind(socket);
+        const read = socket._read.bind(socket);
+        const connection: PacedConnection = {
+            socket,
+            deliver: push,
+            held: undefined,
+            deliverEnd: undefined,
+            pieceBytes: firstPieceBytes,
+            turn: this.#turn,
+            spentMs: 0,
+            isQueued: false,
+        };
+        socket.push = (chunk: unknown) => this.#receive(connection, chunk);
+        socket._read = size => {
+            if (connection.held) {
+                this.#enqueue(connection);
+            } else {
+                read(size);
+            }
+        };
+    }
+
+    /** Hands on input, or holds it; returns whether more may be read from the connection. */
+    #receive(connection: PacedConnection, chunk: unknown): boolean {
+        if (!(chunk instanceof Uint8Array)) {
+            if (!connection.held) {
+                return connection.deliver(chunk);
+            }
+            connection.deliverEnd = () => connection.deliver(chunk);
+            return false;
+        }
+        if (connection.held) {
+            connection.held = Buffer.concat([connection.held, chunk]);
+            return false;
+        }
+        if (chunk.length <= unpacedBytes) {
+            return connection.deliver(chunk);
+        }
+        if (this.#mustWait(connection)) {
+            connection.held = chunk;
+            this.#enqueue(connection);
+            return false;
+        }
+        return this.#deliverPieces(connection, chunk);
+    }
+
+    /** Hands on input until it has cost the connection's share of the turn, and holds the rest. */
+    #deliverPieces(connection: PacedConnection, chunk: Uint8Array): boolean {
+        let wantsMore = true;
+        for (let at = 0; at < chunk.length && !connection.socket.destroyed;) {
+            if (at > 0 && this.#mustWait(connection)) {
+                connection.held = chunk.subarray(at);
+                return false;
+            }
+            const piece = chunk.subarray(at, at + connection.pieceBytes);
+            wantsMore = this.#deliverPiece(connection, piece);
+            at += piece.length;
+        }
+        return wantsMore;
+    }
+
+    #deliverPiece(connection: PacedConnection, piece: Uint8Array): boolean {
+        const startedAt = this.#clock();
+        const wantsMore = connection.deliver(piece);
+        const ms = this.#clock() - startedAt;
+        this.#spend(connection, ms);
+        if (ms > maxPieceMs) {
+            connection.pieceBytes = Math.max(minPieceBytes, Math.floor(connection.pieceBytes / 2));
+        } else if (ms < maxPieceMs / 4 && piece.length === connection.pieceBytes) {
+            connection.pieceBytes = Math.min(maxPieceBytes, connection.pieceBytes * 2);
+        }
+        return wantsMore;
+    }
+
+    #spend(connection: PacedConnection, ms: number): void {
+        if (connection.turn !== this.#turn) {
+            connection.turn = this.#turn;
+            connection.spentMs = 0;
+        }
+        connection.spentMs += ms;
+        this.#spentMs += ms;
+        this.#scheduleTurn();
+    }
+
+    /** Whether a connection has to queue: it has had its share of the turn, is known to be expensive, or the turn is used up. */
+    #mustWait(connection: PacedConnection): boolean {
+        const spentMs = connection.turn === this.#turn ? connection.spentMs : 0;
+        return (
+            spentMs >= maxConnectionMs ||
+            connection.pieceBytes <= expensivePieceBytes ||
+            this.#spentMs >= maxTurnMs
+        );
+    }
+
+    #enqueue(connection: PacedConnection): void {
+        if (!connection.isQueued) {
+            connection.isQueued = true;
+            this.#queue.push(connection);
+            setImmediate(() => this.#readNext());
+        }
+    }
+
+    #scheduleTurn(): void {
+        if (!this.#changesTurn) {
+            this.#changesTurn = true;
+            setImmediate(() => {
+                this.#changesTurn = false;
+                this.#turn++;
+                this.#spentMs = 0;
+                this.#heldSince = undefined;
+            });
+        }
+    }
+
+    /** Reads the first connection that waits, unless those before it have used up the turn: with what their reading led to. */
+    #readNext(): void {
+        const now = this.#clock();
+        this.#heldSince ??= now;
+        this.#scheduleTurn();
+        if (now - this.#heldSince >= maxHeldMs) {
+            setImmediate(() => this.#readNext());
+            return;
+        }
+        const connection = this.#queue.shift();
+        if (connection) {
+            connection.isQueued = false;
+            this.#deliverHeld(connection);
+        }
+    }
+
+    #deliverHeld(connection: PacedConnection): void {
+        const { held, socket, deliverEnd } = connection;
+        if (!held || socket.destroyed) {
+            return;
+        }
+        const piece = held.subarray(0, connection.pieceBytes);
+        connection.held = piece.length < held.length ? held.subarray(piece.length) : undefined;
+        this.#deliverPiece(connection, piece);
+        if (!connection.held) {
+            deliverEnd?.();
+        }
+    }
+}
+
+/** Input of up to this many bytes is handed on at once: reading it costs little, whatever it consists of. */
+const unpacedBytes = 512;
+/** A typical head, or the beginning of a body. */
+const firstPieceBytes = 4 * 1024;
+/** Size of the pieces at which a connection's bytes are known to be expensive. */
+const expensivePieceBytes = firstPieceBytes / 4;
+const minPieceBytes = 256;
+/** Node reads at most this many bytes at a time. */
+const maxPieceBytes = 64 * 1024;
+/** Time that one piece should cost, in milliseconds. */
+const maxPieceMs = 1;
+/** Time that one connection may use of a turn before it queues, in milliseconds. */
+const maxConnectionMs = 2;
+/** Time that all connections may use of a turn before any more input queues, in milliseconds. */
+const maxTurnMs = 5;
+/** Time that queued input may use of a turn, in milliseconds. */
+const maxHeldMs = 5;
--- a/packages/proxy/src/orderedresponse.ts
+++ b/packages/proxy/src/orderedresponse.ts
@@ -32,7 +32,7 @@
             return write();
         }
         this.#hold(write, chunk);
-        this.#needsDrain ||= this.#heldBytes >= this.writableHighWaterMark;
+        this.#needsDrain ||= this.#heldBytes >= maxHeldBytes;
         return !this.#needsDrain;
     }
 
@@ -91,5 +91,8 @@
         res.once("close", () => resolve());
     });
 
+/** Bytes that a response takes before its turn comes; a server's connection isn't kept waiting for less. */
+const maxHeldBytes = 64 * 1024;
+
 const byteLength = (chunk: unknown): number =>
     typeof chunk === "string" || chunk instanceof Uint8Array ? Buffer.byteLength(chunk) : 0;
