The own interface bounds what others send by the same means

Change: calls, servers, load probes, peers, operators and the platform are read by ReadPacer; more than 32 interim responses end an exchange; whole bodies are read by one function with a bound, the caller's address answer included, which had none; messages of peers need a length, as what is kept of chunks isn't bounded by the limit of 4 MiB; the rest of a body that has been answered is read up to 1 MiB.

--- a/packages/caller/src/exchange.ts
+++ b/packages/caller/src/exchange.ts
@@ -1,6 +1,7 @@
 /** A single HTTP exchange with an entry VM. */
 
 import { request, type Agent, type IncomingMessage } from "node:http";
+import { readBody } from "@bramleymoor/input/readbody";
 
 /** An exchange that failed without a response. */
 export class ExchangeError extends Error {
@@ -72,13 +73,13 @@
 export const readJson = async (
     res: IncomingMessage,
 ): Promise<{ readonly status: number; readonly json: unknown }> => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of res as AsyncIterable<Buffer>) {
-        chunks.push(chunk);
-    }
-    return { status: res.statusCode ?? 0, json: parseJson(Buffer.concat(chunks).toString()) };
+    const body = await readBody(res, maxJsonBytes);
+    return { status: res.statusCode ?? 0, json: parseJson(body.toString()) };
 };
 
+/** Far above an address list or an error. */
+const maxJsonBytes = 1024 * 1024;
+
 const parseJson = (text: string): unknown => {
     try {
         return JSON.parse(text);
--- a/packages/cli/src/entryvms.ts
+++ b/packages/cli/src/entryvms.ts
@@ -1,6 +1,7 @@
 /** Client of the entry VMs' operators' ports. */
 
 import { request, type IncomingMessage } from "node:http";
+import { readBody } from "@bramleymoor/input/readbody";
 import * as z from "zod";
 import { CliError } from "./exit.js";
 import type { Settings } from "./settings.js";
@@ -120,7 +121,7 @@
         const noResponse = { address, value: undefined, status: 0 };
         try {
             const res = await sendRequest(address, path, this.#key);
-            const text = await readBody(res);
+            const text = (await readBody(res, maxResponseBytes)).toString("utf8");
             const status = res.statusCode ?? 0;
             if (status !== httpOk) {
                 return { ...noResponse, status, failure: describeStatus(status, text) };
@@ -166,20 +167,6 @@
         req.end();
     });
 
-const readBody = async (res: IncomingMessage): Promise<string> => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of res as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > maxResponseBytes) {
-            res.destroy();
-            throw new Error(`response larger than ${maxResponseBytes} bytes`);
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-};
-
 const describeStatus = (status: number, text: string): string =>
     status === httpUnauthorized ? "refuses the key" : `HTTP status ${status}: ${text.slice(0, 200)}`;
 
--- a/packages/entry/src/bramleymoord.ts
+++ b/packages/entry/src/bramleymoord.ts
@@ -4,6 +4,8 @@
  * process at once.
  */
 
+import { PacedAgent } from "@bramleymoor/input/pacedagent";
+import { ReadPacer } from "@bramleymoor/input/pacer";
 import { EventLog } from "@bramleymoor/observe/event-log";
 import { reportFailedStart, startExitCodes } from "@bramleymoor/observe/start-failure";
 import { HttpPlatform } from "@bramleymoor/platform/http";
@@ -33,7 +35,7 @@
 const createPlatform = (settings: Settings, events: EventLog): Platform => {
     const { url } = settings.platform;
     if (url !== undefined) {
-        return new HttpPlatform(url);
+        return new HttpPlatform(url, new PacedAgent({ keepAlive: true }, new ReadPacer(monotonicMs)));
     }
     events.emit("platform-embedded", {});
     return new MemoryPlatform({ now: monotonicMs });
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -5,6 +5,7 @@
 import { Follower } from "@bramleymoor/config/follower";
 import type { PeerMessage } from "@bramleymoor/dispatch/sharing";
 import { SeededRandom, type Random } from "@bramleymoor/dispatch/random";
+import { ReadPacer } from "@bramleymoor/input/pacer";
 import { Membership, membershipDefaults } from "@bramleymoor/membership/membership";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { EventLog } from "@bramleymoor/observe/event-log";
@@ -64,6 +65,8 @@
     readonly #settings: Settings;
     readonly #events: EventLog;
     readonly #metrics = new CallMetrics();
+    /** Reads all connections but those of calls and to the platform. */
+    readonly #pacer = new ReadPacer(monotonicMs);
     readonly #reporter: EventReporter;
     readonly #platform: Platform;
     readonly #incarnation = randomBytes(incarnationBytes).toString("base64url");
@@ -105,10 +108,11 @@
             maxStoredBodyBytes: onceMaxBodyBytes,
             maxTotalStoredBytes: onceMaxTotalBytes,
         });
-        this.#peerClient = new PeerClient(key, peerTimeoutMs);
+        this.#peerClient = new PeerClient(key, peerTimeoutMs, this.#pacer);
         this.#probeSender = new ProbeSender(
             probeDefaults.probeTimeoutMs,
             monotonicMs,
+            this.#pacer,
             (service, serverMs, bytes) => this.#reporter.recordProbe(service, serverMs, bytes),
         );
         this.#services = this.#createServices();
@@ -121,6 +125,7 @@
         this.#peerServer = new PeerServer(
             () => this.#peerService,
             key,
+            this.#pacer,
             address => events.emit("peer-refused", { address, reason: "missing or wrong shared key" }),
         );
         const inspector = new NodeInspector({
@@ -136,7 +141,7 @@
                 (this.#platform.bytes ?? 0),
             clock: monotonicMs,
         });
-        this.#operatorsServer = new OperatorsServer(inspector, key);
+        this.#operatorsServer = new OperatorsServer(inspector, key, this.#pacer);
     }
 
     /** The members that this node knows, itself included. */
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -3,6 +3,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { DispatchView } from "@bramleymoor/dispatch/types";
+import type { ReadPacer } from "@bramleymoor/input/pacer";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import type { SharedKey } from "./sharedkey.js";
 
@@ -56,12 +57,14 @@
     readonly #key: SharedKey;
     readonly #server: Server;
 
-    constructor(api: OperatorsApi, key: SharedKey) {
+    /** @param pacer reads the connections */
+    constructor(api: OperatorsApi, key: SharedKey, pacer: ReadPacer) {
         this.#api = api;
         this.#key = key;
         this.#server = createServer({ headersTimeout: headerTimeoutMs }, (req, res) => {
             void this.#handle(req, res);
         });
+        pacer.attachTo(this.#server);
     }
 
     /** Starts to listen; resolves to the port and rejects if it can't be bound. */
--- a/packages/entry/src/peerclient.ts
+++ b/packages/entry/src/peerclient.ts
@@ -1,6 +1,10 @@
 /** Client of the peers' ports of other entry VMs. */
 
-import { Agent, request, type IncomingMessage } from "node:http";
+import { request, type Agent, type IncomingMessage } from "node:http";
+import { limitInterimResponses } from "@bramleymoor/input/interim";
+import { PacedAgent } from "@bramleymoor/input/pacedagent";
+import type { ReadPacer } from "@bramleymoor/input/pacer";
+import { readBody } from "@bramleymoor/input/readbody";
 import type { ConfigRequest, ConfigResponse } from "@bramleymoor/config/peers";
 import type { GossipMessage, GossipReply } from "@bramleymoor/membership/messages";
 import type { AddressResponse } from "@bramleymoor/protocol/messages";
@@ -25,12 +29,17 @@
 export class PeerClient {
     readonly #key: SharedKey;
     readonly #timeoutMs: number;
-    readonly #agent = new Agent({ keepAlive: true, maxSockets: connectionsPerPeer, timeout: idleTimeoutMs });
+    readonly #agent: Agent;
     readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
     #bytes = 0;
 
-    /** @param timeoutMs timeout of each call, in milliseconds */
-    constructor(key: SharedKey, timeoutMs: number) {
+    /**
+     * @param timeoutMs timeout of each call, in milliseconds
+     * @param pacer reads the connections
+     */
+    constructor(key: SharedKey, timeoutMs: number, pacer: ReadPacer) {
+        const options = { keepAlive: true, maxSockets: connectionsPerPeer, timeout: idleTimeoutMs };
+        this.#agent = new PacedAgent(options, pacer);
         this.#key = key;
         this.#timeoutMs = timeoutMs;
     }
@@ -105,28 +114,16 @@
         const res = await new Promise<IncomingMessage>((resolve, reject) => {
             const options = { method: init.method ?? "GET", headers, agent: this.#agent };
             const req = request(url, signal ? { ...options, signal } : options, resolve);
+            limitInterimResponses(req, () => req.destroy(new Error("too many interim responses")));
             req.on("error", reject);
             req.end(body);
         });
-        const content = await readAll(res);
+        const content = await readBody(res, maxMessageBytes);
         this.#bytes += statusLineBytes + rawHeaderBytes(res.rawHeaders) + content.length;
         return new Response(content, { status: res.statusCode ?? 500 });
     }
 }
 
-const readAll = async (res: IncomingMessage): Promise<Buffer<ArrayBuffer>> => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of res as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        if (size > maxMessageBytes) {
-            throw new RangeError(`response of a peer exceeds ${maxMessageBytes} bytes`);
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-};
-
 const rawHeaderBytes = (rawHeaders: readonly string[]): number =>
     rawHeaders.reduce((sum, text) => sum + text.length + 2, 2);
 
--- a/packages/entry/src/peerserver.ts
+++ b/packages/entry/src/peerserver.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { configRequestSchema, type ConfigRequest, type ConfigResponse } from "@bramleymoor/config/peers";
 import { gossipMessageSchema, type GossipMessage, type GossipReply } from "@bramleymoor/membership/messages";
+import type { ReadPacer } from "@bramleymoor/input/pacer";
 import type { AddressResponse } from "@bramleymoor/protocol/messages";
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
@@ -67,9 +68,15 @@
     /**
      * @param service returns the procedures; undefined while the process is starting
      * @param key the key that every request must carry
+     * @param pacer reads the connections
      * @param onRefused called with the remote address of each request without the key
      */
-    constructor(service: () => PeerService | undefined, key: SharedKey, onRefused: (from: string) => void) {
+    constructor(
+        service: () => PeerService | undefined,
+        key: SharedKey,
+        pacer: ReadPacer,
+        onRefused: (from: string) => void,
+    ) {
         let handler: ReturnType<typeof createHTTPHandler> | undefined = undefined;
         const handleRequest = (req: IncomingMessage, res: ServerResponse): void => {
             if (!key.accepts(req.headers.authorization)) {
@@ -77,6 +84,11 @@
                 res.writeHead(401, { connection: "close" }).end();
                 return;
             }
+            if (req.headers["transfer-encoding"] !== undefined) {
+                // Peers send messages with a length; what is kept of chunks costs far more than the bytes that are counted.
+                res.writeHead(411, { connection: "close" }).end();
+                return;
+            }
             const current = service();
             if (!current) {
                 res.writeHead(503).end();
@@ -91,6 +103,7 @@
             handleRequest,
         );
         this.#server.on("connection", (socket: Socket) => this.#trackSocket(socket));
+        pacer.attachTo(this.#server);
     }
 
     /** Starts to listen; resolves to the port and rejects if it can't be bound. */
--- a/packages/entry/src/probesender.ts
+++ b/packages/entry/src/probesender.ts
@@ -1,6 +1,10 @@
 /** Sends the probes that the services' probers select. */
 
-import { Agent, request, type IncomingMessage } from "node:http";
+import { request, type Agent, type IncomingMessage } from "node:http";
+import { limitInterimResponses } from "@bramleymoor/input/interim";
+import { PacedAgent } from "@bramleymoor/input/pacedagent";
+import type { ReadPacer } from "@bramleymoor/input/pacer";
+import { readBody } from "@bramleymoor/input/readbody";
 import { probeDefaults } from "@bramleymoor/probing/budget";
 import type { ServiceLoadView } from "@bramleymoor/probing/prober";
 import { loadReportSchema, type LoadReport } from "@bramleymoor/protocol/messages";
@@ -24,7 +28,7 @@
 
 /** Probes the load endpoints of backend servers over HTTP. */
 export class ProbeSender {
-    readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    readonly #agent: Agent;
     readonly #timeoutMs: number;
     readonly #clock: () => number;
     readonly #onProbe: (service: string, serverMs: number, bytes: number) => void;
@@ -32,13 +36,16 @@
     /**
      * @param timeoutMs timeout of each probe, in milliseconds
      * @param clock monotonic milliseconds
+     * @param pacer reads the connections
      * @param onProbe called with the service and the cost of each probe: charged server time and estimated bytes
      */
     constructor(
         timeoutMs: number,
         clock: () => number,
+        pacer: ReadPacer,
         onProbe: (service: string, serverMs: number, bytes: number) => void,
     ) {
+        this.#agent = new PacedAgent({ keepAlive: true, maxSockets: 1 }, pacer);
         this.#timeoutMs = timeoutMs;
         this.#clock = clock;
         this.#onProbe = onProbe;
@@ -91,16 +98,10 @@
     async #read(address: string, signal: AbortSignal): Promise<string> {
         const res = await new Promise<IncomingMessage>((resolve, reject) => {
             const req = request(`http://${address}${loadPath}`, { agent: this.#agent, signal }, resolve);
+            limitInterimResponses(req, () => req.destroy(new Error("too many interim responses")));
             req.on("error", reject);
             req.end();
         });
-        let text = "";
-        for await (const chunk of res as AsyncIterable<Buffer>) {
-            text += chunk.toString("latin1");
-            if (text.length > maxReportBytes) {
-                throw new RangeError(`load report exceeds ${maxReportBytes} bytes`);
-            }
-        }
-        return text;
+        return (await readBody(res, maxReportBytes)).toString("latin1");
     }
 }
--- a/packages/entry/test/operators.test.ts
+++ b/packages/entry/test/operators.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ReadPacer } from "@bramleymoor/input/pacer";
 import { OperatorsServer, type OperatorsApi } from "../src/operators.js";
 import { SharedKey } from "../src/sharedkey.js";
 
@@ -15,7 +16,7 @@
         histograms: unexpected,
     };
     const key = new SharedKey("k".repeat(SharedKey.minLength));
-    const server = new OperatorsServer(api, key);
+    const server = new OperatorsServer(api, key, new ReadPacer(() => performance.now()));
     const port = await server.listen(0, "127.0.0.1");
     t.after(() => server.close());
     for (const [name, status] of [
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -1,6 +1,8 @@
 /** Client of the platform over HTTP; docs/PROTOCOL-PLATFORM.md describes the protocol. */
 
 import { Agent, request, type ClientRequest, type IncomingMessage } from "node:http";
+import { limitInterimResponses } from "@bramleymoor/input/interim";
+import { BodyTooLongError, readBody } from "@bramleymoor/input/readbody";
 import * as z from "zod";
 import { PlatformError, type LogBatch, type LogService } from "./log.js";
 import type { ListedVm, VmList } from "./vmlist.js";
@@ -58,11 +60,16 @@
 /** Log service and VM list at a base URL such as "http://10.0.0.5:9400". */
 export class HttpPlatform implements LogService, VmList {
     readonly #base: URL;
-    readonly #agent = new Agent({ keepAlive: true });
+    readonly #agent: Agent;
     #cached: CachedList = { vms: [], tag: undefined };
     #bytes = 0;
 
-    constructor(baseUrl: string) {
+    /**
+     * @param baseUrl such as "http://10.0.0.5:9400"
+     * @param agent opens the connections
+     */
+    constructor(baseUrl: string, agent = new Agent({ keepAlive: true })) {
+        this.#agent = agent;
         this.#base = new URL(baseUrl);
         if (this.#base.protocol !== "http:") {
             throw new TypeError(`the platform's URL must begin with http://, got ${baseUrl}`);
@@ -125,7 +132,7 @@
         const signal = call.signal ? AbortSignal.any([call.signal, timeout]) : timeout;
         try {
             const res = await this.#send(call, signal);
-            const text = await readAll(res);
+            const text = (await readBody(res, maxResponseBytes)).toString("utf8");
             this.#bytes += 2 * headBytes + call.path.length + (call.body?.length ?? 0) + text.length;
             const unchanged = res.statusCode === httpNotModified && call.cachedTag !== undefined;
             if (!unchanged) {
@@ -133,7 +140,7 @@
             }
             return { text, unchanged, tag: res.headers.etag };
         } catch (err) {
-            throw err instanceof PlatformError ? err : new PlatformError("unavailable", String(err));
+            throw toPlatformError(err);
         }
     }
 
@@ -143,6 +150,7 @@
         return new Promise((resolve, reject) => {
             const options = { method: call.method, agent: this.#agent, signal, headers };
             const req: ClientRequest = request(url, options);
+            limitInterimResponses(req, () => req.destroy(new Error("too many interim responses")));
             req.on("response", resolve);
             req.on("error", reject);
             req.end(call.body);
@@ -152,18 +160,11 @@
 
 const recordsPath = (stream: string): string => `/v1/streams/${encodeURIComponent(stream)}/records`;
 
-const readAll = async (res: IncomingMessage): Promise<string> => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of res as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > maxResponseBytes) {
-            res.destroy();
-            throw new PlatformError("bad response", `more than ${maxResponseBytes} bytes`);
-        }
-        chunks.push(chunk);
+const toPlatformError = (err: unknown): PlatformError => {
+    if (err instanceof PlatformError) {
+        return err;
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return new PlatformError(err instanceof BodyTooLongError ? "bad response" : "unavailable", String(err));
 };
 
 const checkStatus = (status: number, text: string): void => {
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -3,7 +3,10 @@
  * may have reached the server: nothing is written before the connection is established.
  */
 
-import { Agent, request, type ClientRequest, type IncomingMessage } from "node:http";
+import { request, type Agent, type ClientRequest, type IncomingMessage } from "node:http";
+import { limitInterimResponses } from "@bramleymoor/input/interim";
+import { PacedAgent } from "@bramleymoor/input/pacedagent";
+import type { ReadPacer } from "@bramleymoor/input/pacer";
 import type { SlotResult } from "@bramleymoor/dispatch/types";
 import { responseHeaders } from "@bramleymoor/protocol/headers";
 import { discardResponse } from "./discard.js";
@@ -46,12 +49,13 @@
     readonly #idempotentAgent: Agent;
     readonly #nonIdempotentAgent: Agent;
 
-    constructor(options: BackendClientOptions, timers: TimerSet, clock: () => number) {
+    /** @param pacer reads the connections */
+    constructor(options: BackendClientOptions, timers: TimerSet, pacer: ReadPacer, clock: () => number) {
         this.#options = options;
         this.#timers = timers;
         this.#clock = clock;
-        this.#idempotentAgent = createAgent(options.maxConnections, options.idleMs);
-        this.#nonIdempotentAgent = createAgent(options.maxConnections, options.nonIdempotentIdleMs);
+        this.#idempotentAgent = createAgent(options.maxConnections, options.idleMs, pacer);
+        this.#nonIdempotentAgent = createAgent(options.maxConnections, options.nonIdempotentIdleMs, pacer);
     }
 
     /** Sends a request. */
@@ -79,8 +83,8 @@
     }
 }
 
-const createAgent = (maxSockets: number, timeout: number): Agent =>
-    new Agent({ keepAlive: timeout > 0, maxSockets, timeout, scheduling: "lifo" });
+const createAgent = (maxSockets: number, timeout: number, pacer: ReadPacer): Agent =>
+    new PacedAgent({ keepAlive: timeout > 0, maxSockets, timeout, scheduling: "lifo" }, pacer);
 
 /** Thrown when a request gets no response that can be relayed. */
 export class SendError extends Error {
@@ -116,6 +120,7 @@
             this.#fail = reject;
             req.on("response", res => this.#handleResponse(res, out.method, resolve));
         });
+        limitInterimResponses(req, () => this.abort({ kind: "lost" }));
         req.on("error", () => this.#handleClose());
         req.on("close", () => this.#handleClose());
         req.once("socket", socket => {
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -2,6 +2,8 @@
 
 import { createHash, type Hash } from "node:crypto";
 import type { ClientRequest, IncomingMessage, ServerResponse } from "node:http";
+import { ByteCollector } from "@bramleymoor/input/collector";
+import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { hasBody } from "./request.js";
 import { forwardedTrailers } from "./headers.js";
@@ -79,15 +81,17 @@
         this.#sendContinue();
         this.#started = true;
         const req = this.#req;
+        const writer = new GatheredWriter(out, () => req.pause());
         req.on("data", (chunk: Buffer) => {
             this.#hash?.update(chunk);
-            if (!out.destroyed && !out.write(chunk)) {
-                req.pause();
-            }
+            writer.write(chunk);
         });
         out.on("close", () => req.resume());
         out.on("drain", () => req.resume());
-        req.on("end", () => this.#finish(out));
+        req.on("end", () => {
+            writer.flush();
+            this.#finish(out);
+        });
     }
 
     #finish(out: ClientRequest): void {
@@ -119,8 +123,8 @@
     }
 
     async #readAll(): Promise<Buffer> {
-        const chunks: Buffer[] = [];
-        await this.#read(chunk => chunks.push(chunk));
-        return chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks);
+        const body = new ByteCollector();
+        await this.#read(chunk => body.append(chunk));
+        return body.toBuffer();
     }
 }
--- a/packages/proxy/src/relay.ts
+++ b/packages/proxy/src/relay.ts
@@ -1,6 +1,8 @@
 /** Streams a response to a caller with backpressure. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { ByteCollector } from "@bramleymoor/input/collector";
+import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
 import { forwardedTrailers } from "./headers.js";
 import type { Timer, TimerSet } from "./timers.js";
 
@@ -10,8 +12,7 @@
 /** Captures a small response body for the at-most-once table. */
 export class BodyCapture {
     readonly #maxBytes: number;
-    #chunks: Buffer[] | undefined = [];
-    #bytes = 0;
+    #body: ByteCollector | undefined = new ByteCollector();
 
     constructor(maxBytes: number) {
         this.#maxBytes = maxBytes;
@@ -19,22 +20,21 @@
 
     /** The captured body; undefined if it is too large. */
     get body(): Uint8Array | undefined {
-        return this.#chunks && Buffer.concat(this.#chunks);
+        return this.#body?.toBuffer();
     }
 
     /** Whether the body so far is within the limit. */
     get isComplete(): boolean {
-        return this.#chunks !== undefined;
+        return this.#body !== undefined;
     }
 
     /** Appends a chunk; returns false once the body exceeds the limit. */
     add(chunk: Buffer): boolean {
-        this.#bytes += chunk.length;
-        if (this.#bytes > this.#maxBytes) {
-            this.#chunks = undefined;
+        this.#body?.append(chunk);
+        if (this.#body && this.#body.bytes > this.#maxBytes) {
+            this.#body = undefined;
         }
-        this.#chunks?.push(chunk);
-        return this.#chunks !== undefined;
+        return this.#body !== undefined;
     }
 }
 
@@ -53,6 +53,7 @@
     readonly #capture: BodyCapture | undefined;
     readonly #limit: StallLimit;
     readonly #stallTimer: Timer;
+    readonly #writer: GatheredWriter;
     #resolve: (result: RelayResult) => void = () => undefined;
     #bytes = 0;
 
@@ -67,6 +68,7 @@
         this.#to = to;
         this.#capture = capture;
         this.#limit = limit;
+        this.#writer = new GatheredWriter(to, () => this.#pause());
         this.#stallTimer = limit.timers.schedule(limit.clock() + limit.stallMs, () => this.#handleBreak());
     }
 
@@ -121,9 +123,7 @@
             }
             return;
         }
-        if (!this.#to.write(chunk)) {
-            this.#pause();
-        }
+        this.#writer.write(chunk);
     }
 
     #resetStallTimer(): void {
@@ -149,6 +149,7 @@
         if (this.#from.rawTrailers.length > 0 && this.#to.chunkedEncoding) {
             this.#to.addTrailers(forwardedTrailers(this.#from.rawTrailers));
         }
+        this.#writer.flush();
         this.#to.end();
         this.#resolve("complete");
     }
--- a/packages/proxy/src/server.ts
+++ b/packages/proxy/src/server.ts
@@ -3,11 +3,13 @@
 import { createServer, IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { ReadPacer } from "@bramleymoor/input/pacer";
 import { addressesPathPrefix, callPathPrefix } from "@bramleymoor/protocol/headers";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { sendError, sendJson, toCallError, rawErrorResponse } from "./responses.js";
 import { BackendClient } from "./backend.js";
 import { ConnectionTracker } from "./connections.js";
+import { discardRequest } from "./discard.js";
 import { findRequestHeadProblem } from "./heads.js";
 import { Intake } from "./intake.js";
 import { OrderedResponse } from "./orderedresponse.js";
@@ -34,11 +36,12 @@
     constructor(options: CallServerOptions, limits: Partial<CallLimits> = {}) {
         this.#limits = { ...defaultLimits, ...limits };
         const timers = new TimerSet(options.clock, timerPeriodMs);
+        const pacer = new ReadPacer(options.clock);
         this.#readPauses = new ReadPauses(options.clock);
         this.#options = {
             ...options,
             timers,
-            client: new BackendClient(this.#limits, timers, options.clock),
+            client: new BackendClient(this.#limits, timers, pacer, options.clock),
             retryBudgets: new RetryBudgets(),
             extraHeaders: () => (this.#stopping ? connectionClose : noHeaders),
             nextId: () => ++this.#lastId,
@@ -46,6 +49,7 @@
                 Math.max(this.#intake.waitMs(socket), this.#readPauses.waitMs(socket)),
         };
         this.#server = this.#createServer();
+        pacer.attachTo(this.#server);
         this.#intake = Intake.attach(this.#server, {
             onAccepted: socket => this.#connections.track(socket),
             onUnread: waitMs => options.observer.connectionUnread(waitMs),
@@ -116,7 +120,7 @@
     #handleRequest(req: IncomingMessage, res: OrderedResponse): void {
         const admission = this.#connections.admit(req.socket, res);
         if (admission !== "serve") {
-            req.resume();
+            discardRequest(req, maxRestBytes);
         }
         if (admission === "refuse") {
             sendError(res, new CallError("not-decided", tooManyPending, pipelinedRetryMs), connectionClose);
@@ -127,6 +131,7 @@
         const problem = findHeadProblem(req);
         if (problem !== undefined) {
             sendError(res, new CallError("bad-request", problem), connectionClose);
+            discardRequest(req, maxRestBytes);
             return;
         }
         const work = this.#route(req, res);
@@ -136,10 +141,14 @@
 
     async #route(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const url = req.url ?? "";
-        if (url.startsWith(callPathPrefix)) {
-            await new CallTask(this.#options, req, res).run();
-        } else {
-            await this.#handleAddresses(req, res, url);
+        try {
+            if (url.startsWith(callPathPrefix)) {
+                await new CallTask(this.#options, req, res).run();
+            } else {
+                await this.#handleAddresses(req, res, url);
+            }
+        } finally {
+            discardRequest(req, maxRestBytes);
         }
     }
 
@@ -172,6 +181,8 @@
 }
 
 const timerPeriodMs = 10;
+/** Of a request that has been answered, the longest rest that is read so that its connection can be used again, in bytes. */
+const maxRestBytes = 1024 * 1024;
 const maxHeaderCount = 200;
 const maxCheckIntervalMs = 5000;
 const noHeaders: readonly string[] = [];
