A caller that sends requests behind one that closes its connection isn't read for ever

What callers saw: 8 connections that send pipelined requests without end ended the entry process within 4 s (heap). Cause: requests behind one whose response closes the connection are ignored, but Node keeps each until the responses before it have been sent. The bound of 32 ignored ones (ConnectionTracker) wasn't reached on the gateway, whose frontend ignored them earlier; and reading went on when any of their bodies was discarded. Change: all ways to ignore a request count, and the connection stays paused.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -167,6 +167,7 @@
     #handle(req: IncomingMessage, res: OrderedResponse): void {
         const { socket } = req;
         if (this.#last.has(socket)) {
+            this.#connections.ignore(socket);
             discardRequest(req, this.#maxBodyBytes);
             return;
         }
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -60,7 +60,7 @@
             return "serve";
         }
         if (connection.refused || socket.writableEnded) {
-            this.#ignore(socket, connection);
+            this.ignore(socket);
             return "ignore";
         }
         this.#addResponse(connection, response);
@@ -69,6 +69,19 @@
         return connection.refused ? "refuse" : "serve";
     }
 
+    /**
+     * Records a request that follows one whose response closes the connection. A caller that keeps sending such requests isn't read
+     * any more, as Node keeps each of them until the responses before it have been sent.
+     */
+    ignore(socket: Socket): void {
+        const connection = this.#open.get(socket);
+        if (connection && ++connection.ignored === maxPipelinedRequests) {
+            const stopReading = (): void => void socket.pause();
+            socket.on("resume", stopReading);
+            stopReading();
+        }
+    }
+
     /** Returns the connection's latest response, if it hasn't been sent completely. */
     unfinishedResponse(socket: Duplex): OrderedResponse | undefined {
         const response = this.#open.get(socket)?.response;
@@ -110,14 +123,6 @@
         });
     }
 
-    /** Stops reading from a caller that keeps sending requests without reading the response that closes its connection. */
-    #ignore(socket: Socket, connection: Connection): void {
-        connection.ignored++;
-        if (connection.ignored >= maxPipelinedRequests) {
-            socket.pause();
-        }
-    }
-
     /** Closes connections that were idle at the previous check and have received nothing since, but for those that wait. */
     closeIdle(isWaiting: (socket: Socket) => boolean): void {
         for (const [socket, connection] of this.#open) {
