Decoding datagrams of peers is bounded by what they decompress to

Cause: the limit was per datagram, and the cost adds up. distinctHeaders copied all values of a header for each further one.

--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -157,18 +157,21 @@
                 this.#reach.recordProbe(server, isAlive, sentAt);
             },
         });
-        this.#peerSocket = new PeerSocket({
-            onGossip: message => this.#membership.receive(message, monotonicMs()),
-            onDiscovery: (message, from) =>
-                this.#storeView.receive(message, from, this.#lag.lagMs(monotonicMs())),
-            onLimits: message => {
-                const now = monotonicMs();
-                this.#statements.receive(message, this.#lag.lagMs(now), now);
+        this.#peerSocket = new PeerSocket(
+            {
+                onGossip: message => this.#membership.receive(message, monotonicMs()),
+                onDiscovery: (message, from) =>
+                    this.#storeView.receive(message, from, this.#lag.lagMs(monotonicMs())),
+                onLimits: message => {
+                    const now = monotonicMs();
+                    this.#statements.receive(message, this.#lag.lagMs(now), now);
+                },
+                onCrashes: message => this.#crashes.receive(message, this.#lag.lagMs(monotonicMs())),
+                onReach: message => this.#reach.receive(message, this.#lag.lagMs(monotonicMs())),
+                onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
             },
-            onCrashes: message => this.#crashes.receive(message, this.#lag.lagMs(monotonicMs())),
-            onReach: message => this.#reach.receive(message, this.#lag.lagMs(monotonicMs())),
-            onRejected: (address, reason) => events.emit("peer-refused", { address, reason }),
-        });
+            monotonicMs,
+        );
         this.#members = new MemberTracker(settings.id, settings.seeds.length > 0, events);
         this.#membership = this.#createMembership();
         this.#demand = new DemandExchange({
--- a/packages/gateway/src/peersocket.ts
+++ b/packages/gateway/src/peersocket.ts
@@ -44,12 +44,19 @@
     readonly #socket: Socket = createSocket("udp4");
     readonly #handlers: PeerHandlers;
     readonly #pendingReplies = new Map<number, (reply: GossipReply) => void>();
+    readonly #clock: () => number;
     #lastNumber = 0;
     #bytes = 0;
+    /** Bytes of messages that may be decoded now, and when they were last counted. */
+    #decodable = maxDecodableBytes;
+    #countedAt: number;
     #closed = false;
 
-    constructor(handlers: PeerHandlers) {
+    /** @param clock returns monotonic milliseconds */
+    constructor(handlers: PeerHandlers, clock: () => number) {
         this.#handlers = handlers;
+        this.#clock = clock;
+        this.#countedAt = clock();
         this.#socket.on("message", (data, { address, port }) => this.#receive(data, `${address}:${port}`));
         this.#socket.on("error", err => handlers.onRejected("", err.message));
     }
@@ -149,7 +156,15 @@
 
     #receive(data: Buffer, from: string): void {
         this.#bytes += data.length;
-        const envelope = decode(data);
+        const plain = this.#inflate(data);
+        if (!plain) {
+            this.#handlers.onRejected(
+                from,
+                "the datagram can't be decompressed, or more has arrived than is decoded",
+            );
+            return;
+        }
+        const envelope = parse(plain);
         if (!envelope) {
             this.#handlers.onRejected(from, "the datagram can't be parsed");
             return;
@@ -161,6 +176,17 @@
         }
     }
 
+    /** Returns the text of a datagram, up to the bytes that may be decoded now: decoding them costs far more than receiving. */
+    #inflate(data: Buffer): Buffer | undefined {
+        const now = this.#clock();
+        const gained = (now - this.#countedAt) * decodedBytesPerMs;
+        this.#decodable = Math.min(maxDecodableBytes, this.#decodable + gained);
+        this.#countedAt = now;
+        const plain = inflate(data, Math.min(maxDecodedBytes, Math.floor(this.#decodable)));
+        this.#decodable -= plain?.length ?? Math.min(this.#decodable, failedInflateBytes);
+        return plain;
+    }
+
     #handle(envelope: Envelope, from: string): void {
         switch (envelope.kind) {
             case "gossip":
@@ -203,21 +229,39 @@
     return plain.length <= maxPlainBytes ? plain : deflateSync(plain, { level: deflateLevel });
 };
 
-const decode = (data: Buffer): Envelope | undefined => {
+/** Returns the text of a datagram; undefined if it isn't compressed as it should be, or is longer than `maxBytes`. */
+const inflate = (data: Buffer, maxBytes: number): Buffer | undefined => {
     try {
         const isPlain = data[0] === "{".charCodeAt(0);
-        const plain = isPlain ? data : inflateSync(data, { maxOutputLength: maxInflatedBytes });
+        if (isPlain) {
+            return data.length <= maxBytes ? data : undefined;
+        }
+        return inflateSync(data, { maxOutputLength: Math.max(1, maxBytes) });
+    } catch {
+        // Not deflated, or too long; the caller reports it.
+        return undefined;
+    }
+};
+
+const parse = (plain: Buffer): Envelope | undefined => {
+    try {
         return envelopeSchema.safeParse(JSON.parse(plain.toString())).data;
     } catch {
-        // Neither JSON nor deflated JSON; the caller reports it.
+        // Not JSON; the caller reports it.
         return undefined;
     }
 };
 
 /** The fastest level: similar records shrink to a fifth at any level. */
 const deflateLevel = 1;
-/** Maximum decompressed size in bytes, far above the records of a thousand backend servers. */
-const maxInflatedBytes = 4 * 1024 * 1024;
+/** Longest decompressed message in bytes, far above the records of a thousand backend servers. */
+const maxDecodedBytes = 4 * 1024 * 1024;
+/** Bytes of messages that are decoded at once: two of the longest. */
+const maxDecodableBytes = 2 * maxDecodedBytes;
+/** Bytes of messages that are decoded in the long run, in bytes per millisecond. */
+const decodedBytesPerMs = 8 * 1024;
+/** As which a datagram counts that can't be decompressed. */
+const failedInflateBytes = 64 * 1024;
 
 /** Longer than any wait for the reply to a ping. */
 const replyTimeoutMs = 2_000;
--- a/packages/gateway/test/gossip.test.ts
+++ b/packages/gateway/test/gossip.test.ts
@@ -40,17 +40,20 @@
         state: "alive",
         load: 0,
     };
-    const socket = new PeerSocket({
-        onGossip: message => {
-            setImmediate(() => peer.onReplied());
-            return peer.membership.receive(message, monotonicMs());
+    const socket = new PeerSocket(
+        {
+            onGossip: message => {
+                setImmediate(() => peer.onReplied());
+                return peer.membership.receive(message, monotonicMs());
+            },
+            onDiscovery: () => undefined,
+            onLimits: () => undefined,
+            onCrashes: () => undefined,
+            onReach: () => undefined,
+            onRejected: () => undefined,
         },
-        onDiscovery: () => undefined,
-        onLimits: () => undefined,
-        onCrashes: () => undefined,
-        onReach: () => undefined,
-        onRejected: () => undefined,
-    });
+        monotonicMs,
+    );
     await socket.listen(port, "127.0.0.1");
     const settings = {
         ...membershipDefaults,
--- a/packages/gateway/test/peersocket.test.ts
+++ b/packages/gateway/test/peersocket.test.ts
@@ -1,19 +1,25 @@
 import assert from "node:assert/strict";
 import { randomBytes } from "node:crypto";
+import { createSocket } from "node:dgram";
 import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { deflateSync } from "node:zlib";
 import type { DiscoveryMessage } from "@bramleymoor/discovery/messages";
 import { PeerSocket } from "../src/peersocket.js";
 
-const startSocket = async (rejected: string[] = []): Promise<PeerSocket> => {
-    const socket = new PeerSocket({
-        onGossip: () => Promise.reject(new Error("not used here")),
-        onDiscovery: () => undefined,
-        onLimits: () => undefined,
-        onCrashes: () => undefined,
-        onReach: () => undefined,
-        onRejected: address => rejected.push(address),
-    });
-    await socket.listen(0, "127.0.0.1");
+const startSocket = async (rejected: string[] = [], port = 0): Promise<PeerSocket> => {
+    const socket = new PeerSocket(
+        {
+            onGossip: () => Promise.reject(new Error("not used here")),
+            onDiscovery: () => undefined,
+            onLimits: () => undefined,
+            onCrashes: () => undefined,
+            onReach: () => undefined,
+            onRejected: address => rejected.push(address),
+        },
+        () => performance.now(),
+    );
+    await socket.listen(port, "127.0.0.1");
     return socket;
 };
 
@@ -40,3 +46,26 @@
     socket.sendDiscovery(invalid, { topic: "configuration", ageMs: 0, to: 1 });
     assert.deepEqual(rejected, invalid);
 });
+
+// Guards against a peer whose small datagrams keep the event loop from all callers.
+test("datagrams that are far longer when decompressed leave the event loop its turns", async t => {
+    const sender = createSocket("udp4");
+    await new Promise<void>(resolve => sender.bind(0, "127.0.0.1", resolve));
+    const { port } = sender.address();
+    await new Promise<void>(resolve => sender.close(resolve));
+    const rejected: string[] = [];
+    const socket = await startSocket(rejected, port);
+    t.after(() => socket.close());
+    const text = `{"kind":"gossip","n":1,"body":{"v":[${"1,".repeat(1_900_000)}1]}}`;
+    const datagram = deflateSync(text);
+    const from = createSocket("udp4");
+    t.after(() => from.close());
+    const before = performance.eventLoopUtilization();
+    for (let i = 0; i < 40; i++) {
+        await new Promise(resolve => from.send(datagram, port, "127.0.0.1", resolve));
+    }
+    await delay(1_000);
+    const { active } = performance.eventLoopUtilization(before);
+    assert.ok(rejected.length > 15, `${rejected.length} datagrams have arrived`);
+    assert.ok(active < 300, `${rejected.length} datagrams took ${active} ms`);
+});
--- a/packages/proxy/src/heads.ts
+++ b/packages/proxy/src/heads.ts
@@ -50,7 +50,9 @@
     const headers = new Map<string, string[]>();
     for (let i = 0; i + 1 < raw.length; i += 2) {
         const name = (raw[i] ?? "").toLowerCase();
-        headers.set(name, [...(headers.get(name) ?? []), raw[i + 1] ?? ""]);
+        const values = headers.get(name) ?? [];
+        values.push(raw[i + 1] ?? "");
+        headers.set(name, values);
     }
     return Object.fromEntries(headers);
 };
