A connection on which more has arrived behind a response isn't used again

Input that waits to be handed on could arrive behind a response that ends with a piece, and be taken for the response to the next request on the connection; its id protects a request, but not the connection of a probe. Change: PacedAgent keeps no connection with held input. Measured: packages/input/test/input.test.ts: the new test fails without the check and passes with it.

--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -56,7 +56,7 @@
             this.#settings.observer?.onResponse(address);
         }
         const idleMs = this.#keepAliveMs(socket);
-        if (idleMs <= 0) {
+        if (idleMs <= 0 || this.holdsInput(socket)) {
             return false;
         }
         const destroy = (): void => {
--- a/packages/input/src/pacedagent.ts
+++ b/packages/input/src/pacedagent.ts
@@ -19,4 +19,15 @@
         this.#pacer.attach(socket);
         return socket;
     }
+
+    /** Called by Node when a response is complete; returning false closes the connection. */
+    override keepSocketAlive(socket: Socket): boolean {
+        // Node's type lacks the result.
+        return !this.holdsInput(socket) && (super.keepSocketAlive(socket) as unknown) === true;
+    }
+
+    /** Whether more has arrived behind a complete response, which would be taken for the next one. */
+    protected holdsInput(socket: Socket): boolean {
+        return this.#pacer.holdsInput(socket);
+    }
 }
--- a/packages/input/src/pacer.ts
+++ b/packages/input/src/pacer.ts
@@ -26,6 +26,7 @@
 /** Reads the connections of a process fairly. */
 export class ReadPacer {
     readonly #clock: () => number;
+    readonly #connections = new WeakMap<Socket, PacedConnection>();
     /** Connections with held input that want to be read, the first to be read first; each has its own immediate. */
     readonly #queue: PacedConnection[] = [];
     /** Number of the present turn. */
@@ -65,6 +66,7 @@
             spentMs: 0,
             isQueued: false,
         };
+        this.#connections.set(socket, connection);
         socket.push = (chunk: unknown) => this.#receive(connection, chunk);
         socket._read = size => {
             if (connection.held) {
@@ -75,6 +77,11 @@
         };
     }
 
+    /** Whether input of a connection has arrived that hasn't been handed on. */
+    holdsInput(socket: Socket): boolean {
+        return this.#connections.get(socket)?.held !== undefined;
+    }
+
     /** Hands on input, or holds it; returns whether more may be read from the connection. */
     #receive(connection: PacedConnection, chunk: unknown): boolean {
         if (!(chunk instanceof Uint8Array)) {
--- a/packages/input/test/input.test.ts
+++ b/packages/input/test/input.test.ts
@@ -8,6 +8,7 @@
 import { ByteCollector } from "../src/collector.js";
 import { GatheredWriter } from "../src/gatheredwriter.js";
 import { limitInterimResponses } from "../src/interim.js";
+import { PacedAgent } from "../src/pacedagent.js";
 import { ReadPacer } from "../src/pacer.js";
 import { BodyTooLongError, readBody } from "../src/readbody.js";
 
@@ -213,3 +214,42 @@
         assert.equal(await res.text(), body);
     }
 });
+
+/** Size of the first piece of input that is handed on. */
+const firstPieceBytes = 4_096;
+
+// Guards against bytes behind a response that are handed on later, as the response to the next request.
+test("a connection on which more has arrived behind a response isn't used again", async t => {
+    // Each piece seems to use up its turn.
+    let now = 0;
+    const pacer = new ReadPacer(() => (now += 3));
+    const agent = new PacedAgent({ keepAlive: true }, pacer);
+    t.after(() => agent.destroy());
+    let connections = 0;
+    const server = createNetServer(socket => {
+        connections++;
+        socket.on("error", () => undefined);
+        socket.on("data", () => {
+            const head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+            // The first piece ends with the response.
+            const response = `${head}${firstPieceBytes - head.length - 8}\r\n\r\n`.padEnd(
+                firstPieceBytes,
+                "x",
+            );
+            socket.write(response.repeat(4));
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.after(() => server.close());
+    const { port } = server.address() as AddressInfo;
+    for (let i = 1; i <= 3; i++) {
+        const res = await new Promise<IncomingMessage>((resolve, reject) => {
+            const req = request({ host: "127.0.0.1", port, agent }, resolve);
+            req.on("error", reject);
+            req.end();
+        });
+        await new Promise(resolve => res.resume().on("close", resolve));
+        await delay(5);
+        assert.equal(connections, i);
+    }
+});
