Pacing costs sound connections less

Cause (by reading; the comparison of plays follows): a second listener on each connection of callers, an immediate in each turn that reads more than 512 bytes, a copy of each body, a log text for answered requests. Change: time is counted in periods of 10 ms, which need no immediate; the listener that takes a connection from the parser goes again; the first chunk of a body is kept as it is; a connection whose pieces had shrunk recovers by small reads too; the text of sends is made for failed requests only.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -546,7 +546,7 @@
             outcome,
             status: this.#res.headersSent ? this.#res.statusCode : 0,
             servers: [...this.#sent].map(({ server }) => server.id),
-            sends: this.#sends.describe(),
+            sends: outcome === "answered" ? "" : this.#sends.describe(),
             queueMs: this.#queueMs,
             serverMs: this.#serverMs,
             totalMs: this.#options.clock() - this.#readAt + totalAgeMs(this.#age),
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/outcomes.ts
@@ -21,7 +21,7 @@
     readonly status: number;
     /** Incarnations of the servers that it was sent to, in order. */
     readonly servers: readonly string[];
-    /** What each send to a server or peer ended with. */
+    /** What each send to a server or peer ended with; empty if the outcome is "answered". */
     readonly sends: string;
     readonly queueMs: number;
     readonly serverMs: number;
--- a/packages/input/src/collector.ts
+++ b/packages/input/src/collector.ts
@@ -20,8 +20,9 @@
 
     /** Adds a chunk behind the others. */
     append(chunk: Buffer): void {
+        const isFirst = this.#bytes === 0;
         this.#bytes += chunk.length;
-        if (chunk.length >= maxBlockBytes) {
+        if (isFirst || chunk.length >= maxBlockBytes) {
             this.#closeBlock();
             this.#blocks.push(chunk);
             return;
@@ -71,5 +72,5 @@
 }
 
 const minBlockBytes = 128;
-/** Chunks of at least this many bytes are kept as they are. */
+/** The first chunk, and those of at least this many bytes, are kept as they are. */
 const maxBlockBytes = 16 * 1024;
--- a/packages/input/src/pacer.ts
+++ b/packages/input/src/pacer.ts
@@ -16,9 +16,9 @@
     deliverEnd: (() => void) | undefined;
     /** Size of the next piece, in bytes; small for a connection whose bytes are expensive. */
     pieceBytes: number;
-    /** The turn that `spentMs` is of. */
-    turn: number;
-    /** Time that its input has cost in that turn, in milliseconds. */
+    /** Number of the period that `spentMs` is of. */
+    period: number;
+    /** Time that its input has cost in that period, in milliseconds. */
     spentMs: number;
     isQueued: boolean;
 }
@@ -29,13 +29,12 @@
     readonly #connections = new WeakMap<Socket, PacedConnection>();
     /** Connections with held input that want to be read, the first to be read first; each has its own immediate. */
     readonly #queue: PacedConnection[] = [];
-    /** Number of the present turn. */
-    #turn = 0;
-    /** Time that input has cost in the present turn before any was held, in milliseconds. */
+    /** Number of the present period, and when it began. */
+    #period = 0;
+    #periodSince = -Infinity;
+    /** Time that input has cost in the present period before any was held, in milliseconds. */
     #spentMs = 0;
-    /** Whether a change of the turn is scheduled. */
-    #changesTurn = false;
-    /** When held input was first read in the present turn; undefined if none has been. */
+    /** When held input was first read in the present turn of the event loop; undefined if none has been. */
     #heldSince: number | undefined = undefined;
 
     /** @param clock returns monotonic milliseconds */
@@ -47,8 +46,9 @@
     attachTo(server: Server): void {
         server.on("connection", (socket: Socket) => {
             this.attach(socket);
-            // Without a listener Node's HTTP server has its parser read the connection, past the stream.
-            socket.on("data", () => undefined);
+            // Node's HTTP server has its parser read the connection, past the stream, until there is a listener.
+            const listener = (): void => undefined;
+            socket.on("data", listener).off("data", listener);
         });
     }
 
@@ -62,7 +62,7 @@
             held: undefined,
             deliverEnd: undefined,
             pieceBytes: firstPieceBytes,
-            turn: this.#turn,
+            period: -1,
             spentMs: 0,
             isQueued: false,
         };
@@ -98,6 +98,7 @@
         if (chunk.length <= unpacedBytes) {
             return connection.deliver(chunk);
         }
+        this.#startPeriod(this.#clock());
         if (this.#mustWait(connection)) {
             connection.held = chunk;
             this.#enqueue(connection);
@@ -126,31 +127,34 @@
         const wantsMore = connection.deliver(piece);
         const ms = this.#clock() - startedAt;
         this.#spend(connection, ms);
-        if (ms > maxPieceMs) {
-            connection.pieceBytes = Math.max(minPieceBytes, Math.floor(connection.pieceBytes / 2));
-        } else if (ms < maxPieceMs / 4 && piece.length === connection.pieceBytes) {
-            connection.pieceBytes = Math.min(maxPieceBytes, connection.pieceBytes * 2);
-        }
+        adaptPiece(connection, piece.length, ms);
         return wantsMore;
     }
 
     #spend(connection: PacedConnection, ms: number): void {
-        if (connection.turn !== this.#turn) {
-            connection.turn = this.#turn;
+        if (connection.period !== this.#period) {
+            connection.period = this.#period;
             connection.spentMs = 0;
         }
         connection.spentMs += ms;
         this.#spentMs += ms;
-        this.#scheduleTurn();
     }
 
-    /** Whether a connection has to queue: it has had its share of the turn, is known to be expensive, or the turn is used up. */
+    #startPeriod(now: number): void {
+        if (now - this.#periodSince >= periodMs) {
+            this.#periodSince = now;
+            this.#period++;
+            this.#spentMs = 0;
+        }
+    }
+
+    /** Whether a connection has to queue: it has had its share of the period, is known to be expensive, or the period is used up. */
     #mustWait(connection: PacedConnection): boolean {
-        const spentMs = connection.turn === this.#turn ? connection.spentMs : 0;
+        const spentMs = connection.period === this.#period ? connection.spentMs : 0;
         return (
             spentMs >= maxConnectionMs ||
             connection.pieceBytes <= expensivePieceBytes ||
-            this.#spentMs >= maxTurnMs
+            this.#spentMs >= maxPeriodMs
         );
     }
 
@@ -162,23 +166,13 @@
         }
     }
 
-    #scheduleTurn(): void {
-        if (!this.#changesTurn) {
-            this.#changesTurn = true;
-            setImmediate(() => {
-                this.#changesTurn = false;
-                this.#turn++;
-                this.#spentMs = 0;
-                this.#heldSince = undefined;
-            });
-        }
-    }
-
     /** Reads the first connection that waits, unless those before it have used up the turn: with what their reading led to. */
     #readNext(): void {
         const now = this.#clock();
-        this.#heldSince ??= now;
-        this.#scheduleTurn();
+        if (this.#heldSince === undefined) {
+            this.#heldSince = now;
+            setImmediate(() => (this.#heldSince = undefined));
+        }
         if (now - this.#heldSince >= maxHeldMs) {
             setImmediate(() => this.#readNext());
             return;
@@ -204,6 +198,18 @@
     }
 }
 
+/** Halves the pieces of a connection whose input is expensive, and doubles them again when it is cheap. */
+const adaptPiece = (connection: PacedConnection, bytes: number, ms: number): void => {
+    const { pieceBytes } = connection;
+    if (ms > maxPieceMs) {
+        connection.pieceBytes = Math.max(minPieceBytes, Math.floor(pieceBytes / 2));
+    } else if (bytes === pieceBytes && ms < maxPieceMs / 4) {
+        connection.pieceBytes = Math.min(maxPieceBytes, pieceBytes * 2);
+    } else if (bytes < pieceBytes && ms < maxPieceMs / 2) {
+        connection.pieceBytes = Math.max(pieceBytes, Math.min(firstPieceBytes, pieceBytes * 2));
+    }
+};
+
 /** Input of up to this many bytes is handed on at once: reading it costs little, whatever it consists of. */
 const unpacedBytes = 512;
 /** A typical head, or the beginning of a body. */
@@ -215,9 +221,11 @@
 const maxPieceBytes = 64 * 1024;
 /** Time that one piece should cost, in milliseconds. */
 const maxPieceMs = 1;
-/** Time that one connection may use of a turn before it queues, in milliseconds. */
+/** Period in which time is counted that input costs as it arrives, in milliseconds; longer than most turns of the event loop. */
+const periodMs = 10;
+/** Time that one connection may use of a period before it queues, in milliseconds. */
 const maxConnectionMs = 2;
-/** Time that all connections may use of a turn before any more input queues, in milliseconds. */
-const maxTurnMs = 5;
-/** Time that queued input may use of a turn, in milliseconds. */
+/** Time that all connections may use of a period before any more input queues, in milliseconds. */
+const maxPeriodMs = 5;
+/** Time that queued input may use of a turn of the event loop, in milliseconds. */
 const maxHeldMs = 5;
