--- a/packages/entry/src/peerclient.ts
+++ b/packages/entry/src/peerclient.ts
@@ -1,11 +1,11 @@
 /** Client of the peers' ports of other entry VMs. */
 
 import { request, type Agent, type IncomingMessage } from "node:http";
+import type { ConfigRequest, ConfigResponse } from "@bramleymoor/config/peers";
 import { limitInterimResponses } from "@bramleymoor/input/interim";
 import { PacedAgent } from "@bramleymoor/input/pacedagent";
 import type { ReadPacer } from "@bramleymoor/input/pacer";
 import { readBody } from "@bramleymoor/input/readbody";
-import type { ConfigRequest, ConfigResponse } from "@bramleymoor/config/peers";
 import type { GossipMessage, GossipReply } from "@bramleymoor/membership/messages";
 import type { AddressResponse } from "@bramleymoor/protocol/messages";
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
--- a/packages/entry/src/peerserver.ts
+++ b/packages/entry/src/peerserver.ts
@@ -3,8 +3,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { configRequestSchema, type ConfigRequest, type ConfigResponse } from "@bramleymoor/config/peers";
-import { gossipMessageSchema, type GossipMessage, type GossipReply } from "@bramleymoor/membership/messages";
 import type { ReadPacer } from "@bramleymoor/input/pacer";
+import { gossipMessageSchema, type GossipMessage, type GossipReply } from "@bramleymoor/membership/messages";
 import type { AddressResponse } from "@bramleymoor/protocol/messages";
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -86,12 +86,9 @@
             writer.flush();
             serverReq.end();
         };
-        const onDrain = (): void => void req.resume();
         req.on("data", onData).on("end", onEnd);
-        serverReq.on("drain", onDrain);
-        serverReq.once("close", () => {
-            req.off("data", onData).off("end", onEnd);
-        });
+        serverReq.on("drain", () => req.resume());
+        serverReq.once("close", () => req.off("data", onData).off("end", onEnd));
         req.resume();
     }
 
--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -72,7 +72,7 @@
         return withoutFalsePromise(status, kind, wire);
     }
     const statement = res.headers[responseHeaders.ran];
-    const evidence = `status ${status} of the peer itself, which states: ${String(statement)}`;
+    const evidence = `status ${status} of the peer itself, which states: ${String(statement ?? "nothing")}`;
     if (status === httpGatewayTimeout) {
         return { result: { kind: "timeout" }, evidence };
     }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,8 +2,8 @@
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { limitInterimResponses } from "@bramleymoor/input/interim";
 import type { SlotResult } from "@bramleymoor/balance/types";
+import { limitInterimResponses } from "@bramleymoor/input/interim";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
 import type { KeepAliveAgent } from "./agent.js";
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -1,9 +1,9 @@
 /** Probes backend servers for their load just before a request is sent to one of them. */
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
-import { limitInterimResponses } from "@bramleymoor/input/interim";
 import type { ServerStatement } from "@bramleymoor/balance/statement";
 import type { LoadReport } from "@bramleymoor/balance/types";
+import { limitInterimResponses } from "@bramleymoor/input/interim";
 import type { ServerEntry } from "@bramleymoor/model/route";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { distinctHeaders, findResponseHeadProblem } from "@bramleymoor/proxy/heads";
--- a/packages/input/src/pacer.ts
+++ b/packages/input/src/pacer.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds what the input of one connection may cost in one turn of the event loop, whatever it consists of: small chunks, interim
- * responses, pipelined requests. A turn that reads one connection for long delays all others.
+ * Bounds what the input of a connection may cost before others are read, whatever it consists of: small chunks, interim
+ * responses, pipelined requests. A turn of the event loop that reads one connection for long delays all others.
  */
 
 import type { Server, Socket } from "node:net";
@@ -107,7 +107,7 @@
         return this.#deliverPieces(connection, chunk);
     }
 
-    /** Hands on input until it has cost the connection's share of the turn, and holds the rest. */
+    /** Hands on input until it has cost the connection's share of the period, and holds the rest. */
     #deliverPieces(connection: PacedConnection, chunk: Uint8Array): boolean {
         let wantsMore = true;
         for (let at = 0; at < chunk.length && !connection.socket.destroyed;) {
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -4,10 +4,10 @@
  */
 
 import { request, type Agent, type ClientRequest, type IncomingMessage } from "node:http";
+import type { SlotResult } from "@bramleymoor/dispatch/types";
 import { limitInterimResponses } from "@bramleymoor/input/interim";
 import { PacedAgent } from "@bramleymoor/input/pacedagent";
 import type { ReadPacer } from "@bramleymoor/input/pacer";
-import type { SlotResult } from "@bramleymoor/dispatch/types";
 import { responseHeaders } from "@bramleymoor/protocol/headers";
 import { discardResponse } from "./discard.js";
 import { findResponseHeadProblem } from "./heads.js";
