Logs say what a refused or lost send's connection had carried before

A copy of an earlier refusal looked the same as a true one. Now it says how many requests the connection had carried, and whether this one was among them, which tells the hypotheses of the incident apart. Nothing is decided by it yet.

--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -4,6 +4,7 @@
 import type { NetConnectOpts, Socket } from "node:net";
 import { PacedAgent } from "@bramleymoor/input/pacedagent";
 import type { ReadPacer } from "@bramleymoor/input/pacer";
+import { CarriedIds } from "./carriedids.js";
 
 /** Observes the connections of an agent; addresses are "IP:port". */
 export interface ConnectionObserver {
@@ -33,6 +34,7 @@
     readonly #settings: KeepAliveSettings;
     readonly #addresses = new WeakMap<Socket, string>();
     readonly #idle = new WeakMap<Socket, { readonly destroy: () => void; readonly since: number }>();
+    readonly #carried = new WeakMap<Socket, CarriedIds>();
 
     constructor(settings: KeepAliveSettings) {
         super({ keepAlive: true, scheduling: "lifo", noDelay: true }, settings.pacer);
@@ -82,6 +84,17 @@
         super.reuseSocket(socket, req);
     }
 
+    /** Returns the ids of the requests that a connection has carried; the caller adds those that it sends. */
+    carriedBy(socket: Socket): CarriedIds {
+        const known = this.#carried.get(socket);
+        if (known) {
+            return known;
+        }
+        const ids = new CarriedIds();
+        this.#carried.set(socket, ids);
+        return ids;
+    }
+
     /** Closes the connections that are idle. */
     closeIdle(): void {
         Object.values(this.freeSockets).forEach(sockets => sockets?.forEach(it => it.destroy()));
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -14,6 +14,7 @@
     /** "IP:port" of the receiver. */
     readonly address: string;
     readonly agent: KeepAliveAgent;
+    readonly requestId: string;
     readonly method: string;
     readonly target: string;
     /** Names and values alternating, framing included. */
@@ -50,6 +51,8 @@
     #connected = false;
     #wasReset = false;
     #aborted = false;
+    /** What the connection had carried before; undefined until the request is written. */
+    #carriedBefore: { readonly count: number; readonly isAgain: boolean } | undefined = undefined;
     /** Whether `head` has been settled. */
     #settled = false;
     #fail: (error: SendError) => void = () => undefined;
@@ -90,13 +93,13 @@
             this.#handleConnectionLoss("connection closed before the response");
         });
         this.#req.once("socket", socket => {
+            this.#socket = socket;
+            socket.prependListener("error", this.#handleSocketError);
             if (socket.connecting) {
                 socket.once("connect", () => this.#handleConnect(outgoing));
             } else {
                 this.#handleConnect(outgoing);
             }
-            this.#socket = socket;
-            socket.prependListener("error", this.#handleSocketError);
         });
     }
 
@@ -139,9 +142,24 @@
             return;
         }
         this.#connected = true;
+        this.#recordCarried(outgoing);
         outgoing.writeBody(this.#req);
     }
 
+    #recordCarried({ agent, requestId }: OutgoingRequest): void {
+        if (this.#socket) {
+            const carried = agent.carriedBy(this.#socket);
+            this.#carriedBefore = { count: carried.size, isAgain: carried.has(requestId) };
+            carried.add(requestId);
+        }
+    }
+
+    /** Returns what a response's connection had carried, for the log: copies of the responses to that may arrive on it. */
+    #describeConnection(): string {
+        const { count, isAgain } = this.#carriedBefore ?? { count: 0, isAgain: false };
+        return `on a connection that had carried ${count} requests${isAgain ? ", this one among them" : ""}`;
+    }
+
     #handleResponse(
         res: IncomingMessage,
         outgoing: OutgoingRequest,
@@ -155,11 +173,14 @@
         const unrelayed = outgoing.examine(res, () => (this.#req.shouldKeepAlive = false));
         if (!unrelayed) {
             resolve(res);
-        } else if (unrelayed.result.kind === "refused") {
+            return;
+        }
+        const evidence = `${unrelayed.evidence}, ${this.#describeConnection()}`;
+        if (unrelayed.result.kind === "refused") {
             discardResponse(res, () => this.finish());
-            this.#fail(new SendError(unrelayed.result, unrelayed.evidence));
+            this.#fail(new SendError(unrelayed.result, evidence));
         } else {
-            this.abort(unrelayed.result, unrelayed.evidence);
+            this.abort(unrelayed.result, evidence);
         }
     }
 
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -140,7 +140,7 @@
                 throw new CallError("stopping", "", stoppingRetryMs);
             }
             if (this.#options.peers.isNeeded) {
-                return await this.#forwardToPeers(read);
+                return await this.#forwardToPeers(read, requestId);
             }
             const sent = await this.#sendOnce(dispatcher, request, read, requestId);
             if (!sent) {
@@ -186,10 +186,10 @@
     }
 
     /** Has a peer that reaches the servers serve the request. */
-    async #forwardToPeers(read: ReadRequest): Promise<ForwardOutcome> {
+    async #forwardToPeers(read: ReadRequest, requestId: string): Promise<ForwardOutcome> {
         const tried = new Set<string>();
         for (;;) {
-            const result = await this.#sendToPeer(read, tried);
+            const result = await this.#sendToPeer(read, requestId, tried);
             if (typeof result === "string") {
                 return result;
             }
@@ -199,13 +199,14 @@
         }
     }
 
-    async #sendToPeer(read: ReadRequest, tried: Set<string>): Promise<SentResult> {
+    async #sendToPeer(read: ReadRequest, requestId: string, tried: Set<string>): Promise<SentResult> {
         const { wire, clock, peers } = this.#options;
         const startedAt = clock();
         // The peer applies the route's timeout itself, from the request's age on.
         const remainingMs = Math.max(1, Math.floor(read.times.callerDeadlineAt - startedAt));
         const opened = peers.open(
             {
+                requestId,
                 method: this.#req.method ?? "GET",
                 target: this.#req.url ?? "/",
                 headers: [
@@ -455,6 +456,7 @@
         return new Exchange({
             address: slot.server.address,
             agent: this.#mayReuseConnection(slot) ? agents.pooled : agents.unpooled,
+            requestId,
             method: this.#req.method ?? "GET",
             target: this.#req.url ?? "/",
             headers: [...forwardedHeaders(this.#req, wire), ...body.framingHeaders(), ...added],
--- a/packages/gateway/src/peerforward.ts
+++ b/packages/gateway/src/peerforward.ts
@@ -12,7 +12,7 @@
 /** A request to send to a peer. */
 export type PeerRequest = Pick<
     OutgoingRequest,
-    "method" | "target" | "headers" | "latestConnectAt" | "writeBody"
+    "requestId" | "method" | "target" | "headers" | "latestConnectAt" | "writeBody"
 > & {
     /** What may be repeated; one that may not isn't sent on a connection that the peer may have dropped. */
     readonly kind: RouteKind;
--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -21,6 +21,7 @@
     const exchange = new Exchange({
         address: server.entry.address,
         agent,
+        requestId: "a",
         method: "GET",
         target: "/x",
         headers: ["Host", "h.example", "t-id", "a", "t-deadline", "300"],
