A connection carries no two requests with the same id

Callers: an order was refused as not run and had run, and its caller's next try ran it again (REFUSED, TWICE); an idempotent request got the copy of an earlier failure where the server gave this send another response (MIXED).

Cause: a response was matched to a send by the request's id. Servers may send a response again, late, on the same connection, and the same id may be under way there again: its caller has come back after a refusal, the retry goes to another incarnation at the same address (only the incarnation was remembered, not the connection), or a peer passes such a request on. Then the id tells whose response it is among requests, not among sends.

Change: each connection knows the ids that it has carried (32 KiB of them; then it isn't reused), and carries none twice: such a send uses a new connection. So a response that names the request proves by its connection that it is this send's. A retry at a server that was tried may use a pooled connection that hasn't carried it, which was never so.

--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -58,7 +58,7 @@
             this.#settings.observer?.onResponse(address);
         }
         const idleMs = this.#keepAliveMs(socket);
-        if (idleMs <= 0 || this.holdsInput(socket)) {
+        if (idleMs <= 0 || this.holdsInput(socket) || this.carriedBy(socket).isFull) {
             return false;
         }
         const destroy = (): void => {
@@ -102,11 +102,21 @@
 
     /** Returns whether the connection that the next request to `address` reuses was in use within the last `ms`. */
     wasUsedWithin(address: string, ms: number): boolean {
-        const socket = this.freeSockets[`${address}:`]?.findLast(it => !it.destroyed);
+        const socket = this.#nextSocket(address);
         const idle = socket && this.#idle.get(socket);
         return idle !== undefined && this.#settings.clock() - idle.since <= ms;
     }
 
+    /** Returns whether the connection that the next request to `address` reuses has carried one with this id. */
+    hasCarried(address: string, requestId: string): boolean {
+        const socket = this.#nextSocket(address);
+        return socket !== undefined && this.carriedBy(socket).has(requestId);
+    }
+
+    #nextSocket(address: string): Socket | undefined {
+        return this.freeSockets[`${address}:`]?.findLast(it => !it.destroyed);
+    }
+
     #observe(socket: Socket, address: string, observer: ConnectionObserver, startedAt: number): void {
         this.#addresses.set(socket, address);
         let isOpen = false;
--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -9,6 +9,12 @@
 import { distinctHeaders } from "@bramleymoor/proxy/heads";
 import type { WireFormat } from "./wireformat.js";
 
+/** A request that was sent. */
+export interface SentRequest {
+    readonly requestId: string;
+    readonly kind: RouteKind;
+}
+
 /** A response that isn't relayed. */
 export interface Unrelayed {
     /** How the send ended. */
@@ -18,7 +24,8 @@
 }
 
 /**
- * Examines the response of a backend server to a request. A status that promises callers that a request hasn't run isn't relayed
+ * Examines the response of a backend server to a request. Servers may send a response again, late, on the same connection. One
+ * that names this request is proved to be this send's by its connection, which has carried no other with this id. A status that promises callers that a request hasn't run isn't relayed
  * for a non-idempotent one unless the server states just that: by itself, a failure with such a status may have run.
  *
  * @param closeConnection closes the connection after the response; called for a refusal without an id, as a copy of it couldn't
@@ -29,7 +36,7 @@
 export const examineServerResponse = (
     res: IncomingMessage,
     closeConnection: () => void,
-    { requestId, kind }: { readonly requestId: string; readonly kind: RouteKind },
+    { requestId, kind }: SentRequest,
     wire: WireFormat,
     onStatement: (statement: ServerStatement, source: StatementSource) => void,
 ): Unrelayed | undefined => {
@@ -64,7 +71,7 @@
  */
 export const examinePeerResponse = (
     res: IncomingMessage,
-    kind: RouteKind,
+    { kind }: SentRequest,
     wire: WireFormat,
 ): Unrelayed | undefined => {
     const status = res.statusCode ?? 0;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -13,6 +13,7 @@
 export interface OutgoingRequest {
     /** "IP:port" of the receiver. */
     readonly address: string;
+    /** Its next connection to `address` must not have carried a request with this id; see `KeepAliveAgent.hasCarried`. */
     readonly agent: KeepAliveAgent;
     readonly requestId: string;
     readonly method: string;
@@ -51,8 +52,8 @@
     #connected = false;
     #wasReset = false;
     #aborted = false;
-    /** What the connection had carried before; undefined until the request is written. */
-    #carriedBefore: { readonly count: number; readonly isAgain: boolean } | undefined = undefined;
+    /** Number of requests that the connection had carried before. */
+    #carriedBefore = 0;
     /** Whether `head` has been settled. */
     #settled = false;
     #fail: (error: SendError) => void = () => undefined;
@@ -141,23 +142,26 @@
             this.abort({ kind: "unreachable" });
             return;
         }
+        if (!this.#claimConnection(outgoing)) {
+            this.abort({ kind: "unreachable" }, "the connection has carried a request with this id");
+            return;
+        }
         this.#connected = true;
-        this.#recordCarried(outgoing);
         outgoing.writeBody(this.#req);
     }
 
-    #recordCarried({ agent, requestId }: OutgoingRequest): void {
-        if (this.#socket) {
-            const carried = agent.carriedBy(this.#socket);
-            this.#carriedBefore = { count: carried.size, isAgain: carried.has(requestId) };
-            carried.add(requestId);
+    /**
+     * Records that the connection carries the request; returns false if it has carried one with the same id. A copy of the
+     * response to that couldn't be told from the response to this one.
+     */
+    #claimConnection({ agent, requestId }: OutgoingRequest): boolean {
+        const carried = this.#socket && agent.carriedBy(this.#socket);
+        if (!carried || carried.has(requestId)) {
+            return false;
         }
-    }
-
-    /** Returns what a response's connection had carried, for the log: copies of the responses to that may arrive on it. */
-    #describeConnection(): string {
-        const { count, isAgain } = this.#carriedBefore ?? { count: 0, isAgain: false };
-        return `on a connection that had carried ${count} requests${isAgain ? ", this one among them" : ""}`;
+        this.#carriedBefore = carried.size;
+        carried.add(requestId);
+        return true;
     }
 
     #handleResponse(
@@ -175,7 +179,7 @@
             resolve(res);
             return;
         }
-        const evidence = `${unrelayed.evidence}, ${this.#describeConnection()}`;
+        const evidence = `${unrelayed.evidence}, on a connection that had carried ${this.#carriedBefore} others`;
         if (unrelayed.result.kind === "refused") {
             discardResponse(res, () => this.finish());
             this.#fail(new SendError(unrelayed.result, evidence));
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -455,7 +455,7 @@
         const sent = { requestId, kind: slot.request.kind };
         return new Exchange({
             address: slot.server.address,
-            agent: this.#mayReuseConnection(slot) ? agents.pooled : agents.unpooled,
+            agent: this.#mayReuseConnection(slot, requestId) ? agents.pooled : agents.unpooled,
             requestId,
             method: this.#req.method ?? "GET",
             target: this.#req.url ?? "/",
@@ -472,15 +472,15 @@
     }
 
     /**
-     * Returns whether the request may use a pooled connection. One that has carried it before may hold a copy of the earlier
-     * response, which has the same id. The server may have dropped one that has been idle, and a request lost on it may have
-     * run. One that has just carried a response, usually to a probe, is alive.
+     * Returns whether the request may use a pooled connection. One that has carried its id may hold a copy of the response to
+     * that send. The server may have dropped one that has been idle, and a request lost on it may have run. One that has just
+     * carried a response, usually to a probe, is alive.
      */
-    #mayReuseConnection({ request, server }: Slot): boolean {
+    #mayReuseConnection({ request, server }: Slot, requestId: string): boolean {
+        const { pooled } = this.#options.agents;
         return (
-            !request.tried.includes(server.id) &&
-            (request.kind !== "non-idempotent" ||
-                this.#options.agents.pooled.wasUsedWithin(server.address, maxIdleMs))
+            !pooled.hasCarried(server.address, requestId) &&
+            (request.kind !== "non-idempotent" || pooled.wasUsedWithin(server.address, maxIdleMs))
         );
     }
 
--- a/packages/gateway/src/peerforward.ts
+++ b/packages/gateway/src/peerforward.ts
@@ -57,7 +57,7 @@
         request: PeerRequest,
         tried: Set<string>,
     ): { readonly exchange: Exchange; readonly peer: string } | undefined {
-        const { wire, agents, clock } = this.#options;
+        const { wire, clock } = this.#options;
         const peer = this.#choose(tried);
         if (!peer) {
             return undefined;
@@ -66,15 +66,20 @@
         const exchange = new Exchange({
             ...request,
             address: peer.peerAddress,
-            agent: request.kind === "non-idempotent" ? agents.unpooled : agents.pooled,
+            agent: this.#agentFor(peer.peerAddress, request),
             clock,
-            examine: res => examinePeerResponse(res, request.kind, wire),
+            examine: res => examinePeerResponse(res, request, wire),
         });
         this.#count(peer.id, 1);
         void exchange.closed.then(() => this.#count(peer.id, -1));
         return { exchange, peer: peer.id };
     }
 
+    #agentFor(address: string, { kind, requestId }: PeerRequest): KeepAliveAgent {
+        const { pooled, unpooled } = this.#options.agents;
+        return kind === "non-idempotent" || pooled.hasCarried(address, requestId) ? unpooled : pooled;
+    }
+
     /** Returns the less busy of two random peers. */
     #choose(tried: ReadonlySet<string>): EntryVm | undefined {
         const { helpers, random } = this.#options;
--- /dev/null
+++ b/packages/gateway/test/copies.test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import type { EntryVm } from "@bramleymoor/model/vm";
+import {
+    requestText,
+    responseText,
+    sendRaw,
+    startFrontend,
+    startRawServer,
+    type RawServer,
+} from "./setup.js";
+
+const status = (bytes: string): number => Number(/^HTTP\/1\.1 (\d+)/.exec(bytes)?.[1] ?? 0);
+
+const refusal = (id: string): string =>
+    `HTTP/1.1 503 Busy\r\nt-id: ${id}\r\nt-not-run: 1\r\nContent-Length: 0\r\n\r\n`;
+
+const failure = (id: string): string =>
+    `HTTP/1.1 500 Failed\r\nt-id: ${id}\r\nt-signed: 1\r\nContent-Length: 0\r\n\r\n`;
+
+/** Time from the copy of an earlier response to the response itself, in milliseconds. */
+const runMs = 30;
+
+/**
+ * Starts a server that responds to the first request with an id by `first`, and runs the others. Where one of these comes on
+ * the connection of the first, it repeats `first` before its own response.
+ */
+const startRepeatingServer = async (
+    t: TestContext,
+    name: string,
+    first: (id: string) => string,
+): Promise<RawServer> => {
+    const firstSockets = new Map<string, Socket>();
+    return await startRawServer(t, name, ({ socket, id }) => {
+        const firstSocket = firstSockets.get(id);
+        if (!firstSocket) {
+            firstSockets.set(id, socket);
+            socket.write(first(id));
+            return;
+        }
+        if (socket === firstSocket) {
+            socket.write(first(id));
+        }
+        setTimeout(() => socket.write(responseText(id, "ran")), runMs);
+    });
+};
+
+/** Returns a peer that serves requests by the responses of a raw server. */
+const helperAt = (peer: RawServer): EntryVm => ({
+    id: "vm-2",
+    incarnation: "b",
+    place: { region: "r", domain: "a" },
+    callerAddress: "127.0.0.1:1",
+    peerAddress: peer.entry.address,
+    state: "alive",
+    load: 0,
+});
+
+const order = (id: string): string =>
+    requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" });
+
+// Guards against REFUSED and TWICE: the copy of a refusal bears the id of the request that is under way again.
+test("a copy of a refusal isn't a refusal of the same request that its caller sends again", async t => {
+    const server = await startRepeatingServer(t, "s1", refusal);
+    const { port } = await startFrontend(
+        t,
+        [server],
+        { kind: "non-idempotent", maxAttempts: 1 },
+        { idleClock: () => 0 },
+    );
+    await sendRaw(port, requestText("warm-up"));
+    for (const id of ["a", "b", "c"]) {
+        const first = await sendRaw(port, order(id));
+        assert.equal(status(first.text), 503, id);
+        const again = await sendRaw(port, order(id));
+        assert.match(again.text, /ran$/, `${id} ran, and its caller got ${status(again.text)}`);
+    }
+});
+
+// Guards against MIXED: a failure that the server gave to an earlier send is passed on for one that it answered with success.
+test("a copy of a failure isn't the response to the same request that its caller sends again", async t => {
+    const server = await startRepeatingServer(t, "s1", failure);
+    const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+    for (const id of ["a", "b", "c"]) {
+        const first = await sendRaw(port, requestText(id));
+        assert.equal(status(first.text), 500, id);
+        const again = await sendRaw(port, requestText(id));
+        assert.match(again.text, /ran$/, id);
+    }
+});
+
+// Guards against REFUSED and TWICE: an incarnation that another one has replaced is tried at the same address.
+test("a copy of a refusal isn't a refusal of the retry at another incarnation with the same address", async t => {
+    const old = await startRepeatingServer(t, "s1", refusal);
+    const replacing: RawServer = { ...old, entry: { ...old.entry, id: "s2" } };
+    const { port } = await startFrontend(
+        t,
+        [old, replacing],
+        { kind: "non-idempotent", maxAttempts: 3 },
+        { idleClock: () => 0 },
+    );
+    for (const id of ["a", "b", "c"]) {
+        const { text } = await sendRaw(port, order(id));
+        assert.match(text, /ran$/, id);
+        assert.equal(old.requests.filter(it => it.id === id).length, 2, `${id} was sent more than twice`);
+    }
+});
+
+test("a copy of a failure isn't a peer's response to the same request that its caller sends again", async t => {
+    const peer = await startRepeatingServer(t, "peer", failure);
+    const { port } = await startFrontend(t, [], { maxAttempts: 1 }, { helpers: [helperAt(peer)] });
+    for (const id of ["a", "b", "c"]) {
+        const first = await sendRaw(port, requestText(id));
+        assert.equal(status(first.text), 500, id);
+        const again = await sendRaw(port, requestText(id));
+        assert.match(again.text, /ran$/, id);
+    }
+});
