A response of a server that a peer passes on is relayed only if it names the request

What a peer passes on of a server was relayed whatever request it named. Callers would get another request's response if a peer mixed two up; no run has shown one that does.

The test (a peer's response that names another request isn't relayed) got 200 before, and gets 502 now.

--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -71,12 +71,14 @@
  */
 export const examinePeerResponse = (
     res: IncomingMessage,
-    { kind }: SentRequest,
+    { requestId, kind }: SentRequest,
     wire: WireFormat,
 ): Unrelayed | undefined => {
     const status = res.statusCode ?? 0;
     if (wire.isFromServer(res.headers)) {
-        return withoutFalsePromise(status, kind, wire);
+        return wire.requestId(res.headers) === requestId
+            ? withoutFalsePromise(status, kind, wire)
+            : lost(`status ${status} of a server, not for this request`);
     }
     const statement = res.headers[responseHeaders.ran];
     const evidence = `status ${status} of the peer itself, which states: ${String(statement ?? "nothing")}`;
--- a/packages/gateway/test/copies.test.ts
+++ b/packages/gateway/test/copies.test.ts
@@ -117,3 +117,12 @@
         assert.match(again.text, /ran$/, id);
     }
 });
+
+test("a peer's response that names another request isn't relayed", async t => {
+    const peer = await startRawServer(t, "peer", ({ socket }) =>
+        socket.write(responseText("other", "other's")),
+    );
+    const { port } = await startFrontend(t, [], { maxAttempts: 1 }, { helpers: [helperAt(peer)] });
+    const { text } = await sendRaw(port, requestText("a"));
+    assert.equal(status(text), 502);
+});
