A refusal that names no request proves something only on a new connection

Callers: 503 for a request that ran, if a refusal without an id arrived on a connection that had been used before.

Cause: such a refusal was taken for one of the request in progress wherever it came, and only its connection was closed afterwards, so that copies of it couldn't meet another request. But nothing ties it to this send.

Change: a response that names no request is lost unless its connection has carried nothing before, neither a request nor a probe. The price: a true refusal without an id on a connection that has been used gives a non-idempotent request 502 in the place of a retry. The servers' protocol has them name the request.

The test (a refusal without an id on a connection that has carried another request isn't a promise) got 503 before.

--- a/packages/gateway/src/examine.ts
+++ b/packages/gateway/src/examine.ts
@@ -15,6 +15,14 @@
     readonly kind: RouteKind;
 }
 
+/** The connection that a response arrives on. */
+export interface ResponseConnection {
+    /** Whether it has carried no request and no probe before. */
+    readonly isNew: boolean;
+    /** Closes it once the response has been read. */
+    readonly closeAfterResponse: () => void;
+}
+
 /** A response that isn't relayed. */
 export interface Unrelayed {
     /** How the send ended. */
@@ -24,18 +32,20 @@
 }
 
 /**
- * Examines the response of a backend server to a request. Servers may send a response again, late, on the same connection. One
- * that names this request is proved to be this send's by its connection, which has carried no other with this id. A status that promises callers that a request hasn't run isn't relayed
- * for a non-idempotent one unless the server states just that: by itself, a failure with such a status may have run.
+ * Examines the response of a backend server to a request. Servers may send a response again, late, on the same connection, and a
+ * faulty one may send what is no response at all. A response is proved to be this send's if it names the request, as its
+ * connection has carried no other with this id, or if its connection has carried nothing else.
+ *
+ * A status that promises callers that a request hasn't run isn't relayed for a non-idempotent one unless the server states just
+ * that: by itself, a failure with such a status may have run.
  *
- * @param closeConnection closes the connection after the response; called for a refusal without an id, as a copy of it couldn't
- *     be told from a refusal of the next request
+ * @param connection the connection that the request was sent on
  * @param onStatement called with what the server says of itself
  * @returns undefined if the response is to be relayed
  */
 export const examineServerResponse = (
     res: IncomingMessage,
-    closeConnection: () => void,
+    connection: ResponseConnection,
     { requestId, kind }: SentRequest,
     wire: WireFormat,
     onStatement: (statement: ServerStatement, source: StatementSource) => void,
@@ -45,12 +55,16 @@
     if (echoedId !== undefined && echoedId !== requestId) {
         return lost(`status ${status} for another request`);
     }
+    if (echoedId === undefined) {
+        if (!connection.isNew) {
+            return lost(`status ${status} that names no request`);
+        }
+        // A copy of it couldn't be told from the response to the next request.
+        connection.closeAfterResponse();
+    }
     const reason = wire.refusal(status, res.headers);
     const statement = wire.statement(status, distinctHeaders(res.rawHeaders));
     if (reason) {
-        if (echoedId === undefined) {
-            closeConnection();
-        }
         if (reason !== "other-incarnation") {
             onStatement(statement, "refusal");
         }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,7 +7,7 @@
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
 import type { KeepAliveAgent } from "./agent.js";
-import type { Unrelayed } from "./examine.js";
+import type { ResponseConnection, Unrelayed } from "./examine.js";
 
 /** A request to send. */
 export interface OutgoingRequest {
@@ -24,8 +24,8 @@
     readonly latestConnectAt: number;
     /** Returns monotonic milliseconds. */
     readonly clock: () => number;
-    /** Returns how the send ended if its response isn't one to relay; `closeConnection` closes the connection after it. */
-    readonly examine: (res: IncomingMessage, closeConnection: () => void) => Unrelayed | undefined;
+    /** Returns how the send ended if its response isn't one to relay. */
+    readonly examine: (res: IncomingMessage, connection: ResponseConnection) => Unrelayed | undefined;
     /** Writes the body and ends the request. */
     readonly writeBody: (req: ClientRequest) => void;
 }
@@ -174,7 +174,10 @@
             this.abort({ kind: "lost" }, `malformed response: ${problem}`);
             return;
         }
-        const unrelayed = outgoing.examine(res, () => (this.#req.shouldKeepAlive = false));
+        const unrelayed = outgoing.examine(res, {
+            isNew: !this.#req.reusedSocket,
+            closeAfterResponse: () => (this.#req.shouldKeepAlive = false),
+        });
         if (!unrelayed) {
             resolve(res);
             return;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -462,8 +462,8 @@
             headers: [...forwardedHeaders(this.#req, wire), ...body.framingHeaders(), ...added],
             latestConnectAt: clock() + connectTimeoutMs,
             clock,
-            examine: (res, closeConnection) =>
-                examineServerResponse(res, closeConnection, sent, wire, (statement, source) => {
+            examine: (res, connection) =>
+                examineServerResponse(res, connection, sent, wire, (statement, source) => {
                     onStatement(statement);
                     recordStatement(slot.server, statement, source);
                 }),
--- a/packages/gateway/test/copies.test.ts
+++ b/packages/gateway/test/copies.test.ts
@@ -57,6 +57,11 @@
     load: 0,
 });
 
+/** A refusal that names no request. */
+const unnamedRefusal = "HTTP/1.1 503 Busy\r\nt-not-run: 1\r\nContent-Length: 0\r\n\r\n";
+
+const closing = (id: string): string => requestText(id, { extra: "Connection: close\r\n" });
+
 const order = (id: string): string =>
     requestText(id, { method: "POST", body: "x", extra: "Connection: close\r\n" });
 
@@ -126,3 +131,17 @@
     const { text } = await sendRaw(port, requestText("a"));
     assert.equal(status(text), 502);
 });
+
+// Guards against REFUSED: such a refusal was believed if it was the first without an id on its connection.
+test("a refusal without an id on a connection that has carried another request isn't a promise", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id, indexOnConnection }) => {
+        if (indexOnConnection > 0) {
+            socket.write(unnamedRefusal);
+        }
+        setTimeout(() => socket.write(responseText(id, "ran")), runMs);
+    });
+    const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+    await sendRaw(port, closing("first"));
+    const { text } = await sendRaw(port, closing("next"));
+    assert.doesNotMatch(text, /^HTTP\/1\.1 503/);
+});
