A connection on which input behind a complete response was dropped isn't used again

Cause: Node stops reading a connection when a response on it is complete, also while that waits for its turn at its caller. What arrives behind it is dropped unseen. A refusal there wasn't seen, so its connection stayed in use, and a copy of it was believed for the next request. A part of a copy is dropped in the same way, and the rest would precede the next response.

Change: the pacer, through which all input goes, notes what nobody reads; `holdsInput` then keeps the connection from being used again.

--- a/packages/gateway/test/copies.test.ts
+++ b/packages/gateway/test/copies.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import type { EntryVm } from "@bramleymoor/model/vm";
 import {
     requestText,
@@ -145,3 +146,29 @@
     const { text } = await sendRaw(port, closing("next"));
     assert.doesNotMatch(text, /^HTTP\/1\.1 503/);
 });
+
+// Guards against REFUSED: bytes behind a response that waits for its turn at the caller are discarded, and its connection is reused.
+test("a copy of a refusal without an id isn't one of the next request if its original came behind a complete response", async t => {
+    // The caller's pipelined response waits beyond what is buffered of it, but has arrived in full.
+    const long = "l".repeat(1024 * 1024 + 40_000);
+    let longSocket: Socket | undefined;
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        if (id === "slow") {
+            setTimeout(() => socket.write(responseText(id, "slow")), 600);
+        } else if (id === "long") {
+            longSocket = socket;
+            socket.write(responseText(id, long));
+            setTimeout(() => socket.write(unnamedRefusal), 300);
+        } else {
+            if (socket === longSocket) {
+                socket.write(unnamedRefusal);
+            }
+            setTimeout(() => socket.write(responseText(id, "ran")), runMs);
+        }
+    });
+    const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+    await sendRaw(port, requestText("slow") + requestText("long"));
+    await delay(20);
+    const { text } = await sendRaw(port, closing("next"));
+    assert.match(text, /ran$/);
+});
--- a/packages/input/src/pacer.ts
+++ b/packages/input/src/pacer.ts
@@ -21,6 +21,8 @@
     /** Time that its input has cost in that period, in milliseconds. */
     spentMs: number;
     isQueued: boolean;
+    /** Whether input has been handed on that nobody read. */
+    hasUnread: boolean;
 }
 
 /** Reads the connections of a process fairly. */
@@ -65,6 +67,7 @@
             period: -1,
             spentMs: 0,
             isQueued: false,
+            hasUnread: false,
         };
         this.#connections.set(socket, connection);
         socket.push = (chunk: unknown) => this.#receive(connection, chunk);
@@ -77,9 +80,13 @@
         };
     }
 
-    /** Whether input of a connection has arrived that hasn't been handed on. */
+    /**
+     * Whether input of a connection has arrived that nobody has read. Node stops reading a connection once a response on it is
+     * complete, also if that waits to be read itself, and drops what follows.
+     */
     holdsInput(socket: Socket): boolean {
-        return this.#connections.get(socket)?.held !== undefined;
+        const connection = this.#connections.get(socket);
+        return connection !== undefined && (connection.held !== undefined || connection.hasUnread);
     }
 
     /** Hands on input, or holds it; returns whether more may be read from the connection. */
@@ -91,6 +98,7 @@
             connection.deliverEnd = () => connection.deliver(chunk);
             return false;
         }
+        connection.hasUnread ||= connection.socket.listenerCount("data") === 0;
         if (connection.held) {
             connection.held = Buffer.concat([connection.held, chunk]);
             return false;
