An idle connection that a copy has closed carries no request

Cause: a response that arrives on an idle connection closes it with `destroy`. Node takes it from the pool at its close event, behind the other input of the turn, and until then gives the last idle connection to a request without looking at it. `hasCarried` and `wasUsedWithin` looked at another one than was used.

Change: the connection is taken from the pool at once.

The test (a request isn't lost on an idle connection that a copy has closed in the same turn) failed before.

--- a/packages/gateway/src/agent.ts
+++ b/packages/gateway/src/agent.ts
@@ -63,6 +63,8 @@
         }
         const destroy = (): void => {
             socket.destroy();
+            // Node itself takes it from the pool at its close event only, and may have a request use it until then.
+            socket.emit("agentRemove");
         };
         socket.setTimeout(idleMs);
         socket.on("data", destroy);
--- a/packages/gateway/test/copies.test.ts
+++ b/packages/gateway/test/copies.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
-import type { Socket } from "node:net";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { buffer } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import type { EntryVm } from "@bramleymoor/model/vm";
@@ -172,3 +174,21 @@
     const { text } = await sendRaw(port, closing("next"));
     assert.match(text, /ran$/);
 });
+
+test("a request isn't lost on an idle connection that a copy has closed in the same turn", async t => {
+    let newest: Socket | undefined;
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        socket.setNoDelay(true);
+        newest = id === "b" ? socket : newest;
+        setTimeout(() => socket.write(responseText(id, "ran")), id === "b" ? 2 * runMs : runMs);
+    });
+    const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+    await Promise.all([sendRaw(port, closing("a")), sendRaw(port, closing("b"))]);
+    const caller = connect(port, "127.0.0.1");
+    await once(caller, "connect");
+    await delay(20);
+    newest?.write(responseText("b", "ran"));
+    caller.write(closing("next"));
+    const bytes = await buffer(caller);
+    assert.match(bytes.toString(), /ran$/);
+});
