A test of long responses without a length waits for their bytes, not for 100 ms

Trace: its server ended or reset the connection 100 ms after it had written 1.5 MB, all in one process.

Now the server ends once the caller has the whole body, which also shows that it is streamed; both ends are checked with the body's length. It fails without the reset in `Relay`.

--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { requestText, responseText, sendRaw, startFrontend, startRawServer } from "./setup.js";
 
@@ -62,14 +62,30 @@
 });
 
 test("a response without a length that is too long to be buffered is streamed, and the caller's connection is reset if it is", async t => {
-    const server = await startRawServer(t, "s1", ({ socket, id }) => {
-        socket.write(`HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n\r\n${long.repeat(15)}`);
-        setTimeout(() => (id === "whole" ? socket.end() : socket.resetAndDestroy()), 100);
-    });
+    const bodyBytes = 15 * long.length;
+    const server = await startRawServer(t, "s1", ({ socket, id }) =>
+        socket.write(`HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n\r\n${long.repeat(15)}`),
+    );
     const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
-    const whole = await sendRaw(port, requestText("whole"));
-    assert.deepEqual([body(whole.text).length, whole.end], [15 * long.length, "closed"]);
-    assert.equal((await sendRaw(port, requestText("cut"))).end, "reset");
+    /** Has the server end its response only once the caller has all of it: from then on only the end is on its way. */
+    const send = (id: string, end: (socket: Socket) => void): Promise<readonly [number, string]> =>
+        new Promise((resolve, reject) => {
+            const socket = connect(port, "127.0.0.1", () => socket.write(requestText(id)));
+            let text = "";
+            socket.on("data", chunk => {
+                text += chunk.toString("latin1");
+                if (text.startsWith("HTTP/1.1 200 ") && body(text).length === bodyBytes) {
+                    const [request] = server.requests.slice(-1);
+                    assert.ok(request);
+                    end(request.socket);
+                }
+            });
+            socket.on("error", () => resolve([body(text).length, "reset"]));
+            socket.on("close", () => resolve([body(text).length, "closed"]));
+            socket.setTimeout(10_000, () => reject(new Error(`${text.length} bytes, then nothing`)));
+        });
+    assert.deepEqual(await send("whole", it => it.end()), [bodyBytes, "closed"]);
+    assert.deepEqual(await send("cut", it => it.resetAndDestroy()), [bodyBytes, "reset"]);
 });
 
 for (const [name, response] of [
