A reset directly behind a response without a length no longer looks like its end

Cause: libuv reports the end of a stream for a reset if it has read less than it asked for and the connection has hung up by then; `Exchange.isBroken` saw only errors. Plain Node shows the same.

Change: when the connection of such a response ends, an empty line is written to it, which servers ignore behind a request. A write fails after a reset, and only after one. The response counts as whole once the write has succeeded.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -8,6 +8,7 @@
 import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
 import type { KeepAliveAgent } from "./agent.js";
 import type { ResponseConnection, Unrelayed } from "./examine.js";
+import { isFramed } from "./relay.js";
 
 /** A request to send. */
 export interface OutgoingRequest {
@@ -50,6 +51,8 @@
     readonly #req: ClientRequest;
     #socket: Socket | undefined = undefined;
     #connected = false;
+    /** Resolves to whether the connection ended in order; undefined until it has ended, or if that doesn't matter. */
+    #endedInOrder: Promise<boolean> | undefined = undefined;
     #wasReset = false;
     #aborted = false;
     /** Number of requests that the connection had carried before. */
@@ -117,6 +120,11 @@
         return this.#wasReset || this.#aborted;
     }
 
+    /** Resolves to whether the connection of a response that ends with it has ended in order, and not by a reset. */
+    async hasEndedInOrder(): Promise<boolean> {
+        return (await this.#endedInOrder) !== false && !this.isBroken;
+    }
+
     /** Aborts the exchange and closes the connection. */
     abort(result: SlotResult, detail = "aborted"): void {
         this.#fail(new SendError(result, detail));
@@ -174,6 +182,9 @@
             this.abort({ kind: "lost" }, `malformed response: ${problem}`);
             return;
         }
+        if (outgoing.method !== "HEAD" && !isFramed(res)) {
+            this.#watchEnd();
+        }
         const unrelayed = outgoing.examine(res, {
             isNew: !this.#req.reusedSocket,
             closeAfterResponse: () => (this.#req.shouldKeepAlive = false),
@@ -191,6 +202,28 @@
         }
     }
 
+    /**
+     * Has a write show whether the connection ends in order. Node reports an end for a reset, too, if it hadn't read all that
+     * arrived before; a write fails then. Servers ignore an empty line behind a request (RFC 9112, section 2.2). What is
+     * left of the request would show it as well.
+     */
+    #watchEnd(): void {
+        const socket = this.#socket;
+        if (!socket || !this.#req.writableFinished) {
+            return;
+        }
+        socket.allowHalfOpen = true;
+        socket.prependOnceListener("end", () => {
+            this.#endedInOrder = new Promise(resolve => {
+                socket.write("\r\n", err => {
+                    // The write itself may lead to a reset, from a receiver that has gone.
+                    socket.off("error", this.#handleSocketError);
+                    resolve(!err);
+                });
+            });
+        });
+    }
+
     #handleConnectionLoss(detail: string): void {
         if (this.#settled) {
             return;
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -414,6 +414,7 @@
         const { isPipelined, responseBuffers } = this.#options;
         const relay = new Relay(res, this.#res, {
             isBroken: () => exchange.isBroken,
+            hasEndedInOrder: () => exchange.hasEndedInOrder(),
             isPipelined: isPipelined(this.#req),
             buffers: responseBuffers,
         });
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -21,6 +21,8 @@
 export interface RelayOptions {
     /** Returns whether the server's response was cut off. */
     readonly isBroken: () => boolean;
+    /** Resolves to whether the connection of a response that ends with it has ended in order. */
+    readonly hasEndedInOrder: () => Promise<boolean>;
     /** Whether other requests are pending on the caller's connection, which a response that breaks off midway closes. */
     readonly isPipelined: boolean;
     /** Bytes that may be buffered of long responses. */
@@ -102,10 +104,10 @@
                 }
             };
             const onEnd = (): void => {
-                if (!from.complete || this.#options.isBroken()) {
-                    resolve("broken-before-start");
-                    return;
-                }
+                removeListeners();
+                this.#whenWhole(onWhole, onBroken);
+            };
+            const onWhole = (): void => {
                 this.#writeHead(extraHeaders);
                 this.#to.end(body.toBuffer());
                 resolve(this.#to.destroyed ? "caller-gone" : "complete");
@@ -149,14 +151,11 @@
             from.on("data", (chunk: Buffer) => writer.write(chunk));
             from.resume();
             to.on("drain", () => from.resume());
-            from.on("end", () => {
-                if (!from.complete || this.#options.isBroken()) {
-                    onBroken();
-                    return;
-                }
+            const onWhole = (): void => {
                 writer.flush();
                 to.end(() => resolve("complete"));
-            });
+            };
+            from.on("end", () => this.#whenWhole(onWhole, onBroken));
             from.on("error", onBroken);
             from.on("close", () => {
                 if (!from.complete) {
@@ -171,6 +170,18 @@
         });
     }
 
+    /** Calls one of the functions at the end of the response: at once, unless its connection has to show whether it is whole. */
+    #whenWhole(onWhole: () => void, onBroken: () => void): void {
+        const { isBroken, hasEndedInOrder } = this.#options;
+        if (!this.#from.complete || isBroken()) {
+            onBroken();
+        } else if (isFramed(this.#from)) {
+            onWhole();
+        } else {
+            void hasEndedInOrder().then(isInOrder => (isInOrder ? onWhole() : onBroken()));
+        }
+    }
+
     #headers(extraHeaders: () => readonly string[]): string[] {
         const { rawHeaders, headers } = this.#from;
         return [...endToEndHeaders(rawHeaders, headers.connection, noHeaderNames), ...extraHeaders()];
@@ -182,7 +193,7 @@
     Number(headers["content-length"] ?? Infinity);
 
 /** Returns whether a response's framing marks its end; otherwise it ends when the connection closes. */
-const isFramed = ({ headers, statusCode = 0 }: IncomingMessage): boolean =>
+export const isFramed = ({ headers, statusCode = 0 }: IncomingMessage): boolean =>
     headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined ||
     bodilessStatuses.has(statusCode);
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { requestText, responseText, sendRaw, startFrontend, startRawServer } from "./setup.js";
@@ -88,6 +89,36 @@
     assert.deepEqual(await send("cut", it => it.resetAndDestroy()), [bodyBytes, "reset"]);
 });
 
+for (const bytes of [5, 60_000]) {
+    // Guards against the end that Node reports for a reset, if the bytes before it are still unread.
+    test(`a response of ${bytes} bytes without a length whose connection is reset directly behind them doesn't look complete`, async t => {
+        const server = await startRawServer(t, "s1", ({ socket, id }) => {
+            socket.write(`HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n\r\n${long.slice(0, bytes)}`);
+            socket.resetAndDestroy();
+        });
+        const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+        assert.equal(status((await sendRaw(port, requestText("a"))).text), 502);
+    });
+}
+
+test("a response without a length whose server has gone when its slow caller reads its end is whole", async t => {
+    const bodyBytes = 80 * long.length;
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        const text = `HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n\r\n${long.repeat(80)}`;
+        socket.end(text, () => socket.destroy());
+    });
+    const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+    const socket = connect(port, "127.0.0.1", () => socket.write(requestText("a")));
+    let received = "";
+    socket.on("data", chunk => {
+        received += chunk.toString("latin1");
+        socket.pause();
+        setTimeout(() => socket.resume(), 3);
+    });
+    const [hadError] = (await once(socket, "close")) as [boolean];
+    assert.deepEqual([body(received).length, hadError], [bodyBytes, false]);
+});
+
 for (const [name, response] of [
     ["without a length", `HTTP/1.1 200 OK\r\nt-id: a\r\nt-signed: 1\r\n\r\nhello`],
     ["of status 204", `HTTP/1.1 204 No Content\r\nt-id: a\r\nt-signed: 1\r\n\r\n`],
