A copy that is cut within a line doesn't give its status to the response behind it

Callers: a success for a run that had failed, a failure for one that had succeeded (MIXED), and 503 for an order that ran (REFUSED; with further attempts TWICE). No request has to come back with its id for that.

Cause: a server sends the beginning of a response too many as a request is under way. If it ends within the status line or a header's value, the status line of the response behind it completes that line, and the parser takes both for one head: the copy's status, with the id and the signature of the true response.

Change: a head with a status line within its reason phrase or a header's value is malformed, on each link on which responses are checked (servers, peers, probes, the own interface). The send counts as lost. A cut elsewhere is an error of the parser.

The three tests (a copy that is cut within ... doesn't give its status to the response behind it) got 503 before, and get 502 now.

--- a/packages/gateway/test/copies.test.ts
+++ b/packages/gateway/test/copies.test.ts
@@ -192,3 +192,22 @@
     const bytes = await buffer(caller);
     assert.match(bytes.toString(), /ran$/);
 });
+
+const cutCopies: Readonly<Record<string, string>> = {
+    "its status line": "HTTP/1.1 503 ",
+    "its reason phrase": "HTTP/1.1 503 Bu",
+    "a header's value": "HTTP/1.1 503 Busy\r\nt-not-run: ",
+};
+
+for (const [where, cut] of Object.entries(cutCopies)) {
+    // Guards against REFUSED and MIXED: the status of the copy, with the headers of the response behind it.
+    test(`a copy that is cut within ${where} doesn't give its status to the response behind it`, async t => {
+        const server = await startRawServer(t, "s1", ({ socket, id, indexOnConnection }) =>
+            socket.write(`${indexOnConnection > 0 ? cut : ""}${responseText(id, "ran")}`),
+        );
+        const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+        await sendRaw(port, closing("first"));
+        const { text } = await sendRaw(port, closing("next"));
+        assert.equal(status(text), 502);
+    });
+}
--- a/packages/proxy/src/heads.ts
+++ b/packages/proxy/src/heads.ts
@@ -5,14 +5,22 @@
 /** All values of each header, by its name in lower case. */
 export type DistinctHeaders = Readonly<Record<string, readonly string[] | undefined>>;
 
-/** Returns why a response's head isn't one of HTTP, though Node's parser accepts it; undefined if it is. */
+/**
+ * Returns why a response's head isn't one of HTTP, though Node's parser accepts it; undefined if it is. A head that is cut short
+ * within a line is completed by the status line of the response behind it, and would give its status to that one's headers.
+ */
 export const findResponseHeadProblem = ({
     statusCode = 0,
+    statusMessage = "",
     rawHeaders,
-}: Pick<IncomingMessage, "statusCode" | "rawHeaders">): string | undefined =>
-    statusCode < minFinalStatus || statusCode > maxStatus
-        ? `the status ${statusCode} doesn't exist`
+}: Pick<IncomingMessage, "statusCode" | "statusMessage" | "rawHeaders">): string | undefined => {
+    if (statusCode < minFinalStatus || statusCode > maxStatus) {
+        return `the status ${statusCode} doesn't exist`;
+    }
+    return holdsStatusLine(statusMessage) || rawHeaders.some(holdsStatusLine)
+        ? "it holds the status line of another response"
         : findHeaderProblem(rawHeaders);
+};
 
 /** Returns why a request's head isn't one of HTTP, though Node's parser accepts it; undefined if it is. */
 export const findRequestHeadProblem = ({
@@ -57,6 +65,9 @@
     return Object.fromEntries(headers);
 };
 
+const holdsStatusLine = (text: string): boolean => text.includes("HTTP/") && statusLinePattern.test(text);
+
+const statusLinePattern = /HTTP\/\d\.\d \d{3}/;
 /** RFC 9110, section 5.6.2. */
 const tokenPattern = /^[\w!#$%&'*+.^`|~-]+$/;
 /** Responses with a lower status precede the final one; Node reports those separately. */
