A copy of a request's response that arrives in a probe's place isn't the probe's response

Probes share pooled connections with requests. A late copy of a request's refusal was taken for the response to the next probe, with its statements: a server that had asked for no requests for a time, or named a limit, seemed to say so again, and its load was the earlier one's. A copy of a request's success made the probe count as unanswered, so that a sound server counted as ended and as failing.

A response on a reused connection that names a request, or bears a server's mark, isn't a probe's. It says nothing of the server either: the connection is closed and the probe is sent once more, on a new connection.

--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -141,8 +141,9 @@
             this.#agents.pooled.closeIdle();
         });
         this.#agents = createAgents(this.#pacer, this.#reach.connections);
-        this.#probeClient = new HttpProbeClient(platform.wire, this.#agents.pooled);
-        this.#linkProbeClient = new HttpProbeClient(platform.wire, this.#agents.unpooled);
+        this.#probeClient = new HttpProbeClient(platform.wire, this.#agents);
+        const { unpooled } = this.#agents;
+        this.#linkProbeClient = new HttpProbeClient(platform.wire, { pooled: unpooled, unpooled });
         this.#dispatchers = new ServiceDispatchers({
             probeClient: this.#probeClient,
             clock: monotonicMs,
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -10,6 +10,7 @@
 import { startTimeout } from "@bramleymoor/proxy/timers";
 import type { KeepAliveAgent } from "./agent.js";
 import { splitAddress } from "./exchange.js";
+import type { ForwardOptions } from "./forwardoptions.js";
 import type { WireFormat } from "./wireformat.js";
 
 /** A server's response to a probe. */
@@ -32,17 +33,26 @@
     probe(server: ServerEntry, healthPath: string, onResend: () => void): Promise<ProbeResponse | undefined>;
 }
 
+/** What became of a probe; undefined if the server didn't respond. */
+type ProbeResult =
+    | ProbeResponse
+    /** The server had closed the reused connection. */
+    | "closed"
+    /** The reused connection carried something that isn't the response to the probe. */
+    | "other-response"
+    | undefined;
+
 /** Probes servers over HTTP, with at most one probe in flight per server. */
 export class HttpProbeClient implements ProbeClient {
     readonly #wire: WireFormat;
-    readonly #agent: KeepAliveAgent;
+    readonly #agents: ForwardOptions["agents"];
     readonly #pending = new Map<string, Promise<ProbeResponse | undefined>>();
     #probesSent = 0;
 
-    /** @param agent connections to use; shared with requests that may be retried, as they go to the same servers */
-    constructor(wire: WireFormat, agent: KeepAliveAgent) {
+    /** @param agents connections to use; the pooled ones are shared with requests, as they go to the same servers */
+    constructor(wire: WireFormat, agents: ForwardOptions["agents"]) {
         this.#wire = wire;
-        this.#agent = agent;
+        this.#agents = agents;
     }
 
     /** Number of probes sent so far. */
@@ -63,29 +73,31 @@
         return response;
     }
 
-    /** Sends a probe, and sends it once more if the server had closed the reused connection. */
+    /** Sends a probe, and sends it once more if the reused connection told nothing of the server. */
     async #probeWithRetry(
         server: ServerEntry,
         path: string,
         onResend: () => void,
     ): Promise<ProbeResponse | undefined> {
-        const first = await this.#sendProbe(server, path);
-        if (first !== "closed") {
+        const { pooled, unpooled } = this.#agents;
+        const first = await this.#sendProbe(server, path, pooled);
+        if (typeof first !== "string") {
             return first;
         }
         onResend();
-        return withoutClosed(await this.#sendProbe(server, path));
+        const second = await this.#sendProbe(server, path, first === "closed" ? pooled : unpooled);
+        return typeof second === "string" ? undefined : second;
     }
 
-    #sendProbe(server: ServerEntry, path: string): Promise<ProbeResponse | "closed" | undefined> {
+    #sendProbe(server: ServerEntry, path: string, agent: KeepAliveAgent): Promise<ProbeResult> {
         this.#probesSent++;
         const { host, port } = splitAddress(server.address);
         return new Promise(resolve => {
-            const req = request({ host, port, path, agent: this.#agent });
+            const req = request({ host, port, path, agent });
             const cancelTimeout = startTimeout(probeTimeoutMs, () => req.destroy(new ProbeTimeoutError()));
-            const done = (response: ProbeResponse | "closed" | undefined): void => {
+            const done = (result: ProbeResult): void => {
                 cancelTimeout();
-                resolve(response);
+                resolve(result);
             };
             req.on("response", res => {
                 const response = this.#examine(req, res, server);
@@ -93,6 +105,7 @@
                     discardResponse(res);
                     done(response);
                 } else {
+                    done(req.reusedSocket ? "other-response" : undefined);
                     // What follows on this connection can't be attributed.
                     req.destroy();
                 }
@@ -104,10 +117,11 @@
         });
     }
 
-    /** Returns what a server has responded to a probe; undefined if the response is malformed or one to an earlier request. */
+    /** Returns what a server has responded to a probe; undefined if the response is malformed or one to a request. */
     #examine(req: ClientRequest, res: IncomingMessage, server: ServerEntry): ProbeResponse | undefined {
         const { rawHeaders, headers, statusCode: status = 0 } = res;
-        if (findResponseHeadProblem(res) !== undefined || this.#wire.isFromServer(headers)) {
+        const isOfRequest = this.#wire.requestId(headers) !== undefined || this.#wire.isFromServer(headers);
+        if (findResponseHeadProblem(res) !== undefined || isOfRequest) {
             return undefined;
         }
         if (this.#wire.refusal(status, headers)) {
@@ -124,8 +138,5 @@
 
 const isTimeout = (err: Error): boolean => err instanceof ProbeTimeoutError;
 
-const withoutClosed = (response: ProbeResponse | "closed" | undefined): ProbeResponse | undefined =>
-    response === "closed" ? undefined : response;
-
 /** Far above a round trip, so that a timeout indicates a dead server. */
 const probeTimeoutMs = 400;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -210,7 +210,7 @@
         pooled: new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock: idleClock, pacer }),
         unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: 500, clock: idleClock, pacer }),
     };
-    const probeClient = new HttpProbeClient(wire, agents.pooled);
+    const probeClient = new HttpProbeClient(wire, agents);
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
     const applyServers = (): void => {
         const known = servers.map(({ entry }) => ({ entry, lapsed: false }));
