A copy of an earlier probe's response proves nothing of the present

Servers' protocol gives a probe no id. A late copy of a probe's response that arrives in the place of a later probe's on the same connection was taken for it: a request limit that the server had since changed came back, to be told to the peers and to hold until a request's response denied it; and a server that had ended meanwhile could count as alive, so that the request that it had ended under wasn't counted.

A probe's response that equals an earlier one on its connection may be a copy. It still counts as an answer, and its load as an estimate, but no statement and no proof of life rests on it: the earlier one's statements are known already. Whether a server has ended that left a request unanswered is found out on a new connection, where nothing but the probe's own response can arrive.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -124,7 +124,7 @@
     /** Probes a server that may have ended, unless the budget is used up; resolves when the result has been recorded. */
     async checkServer(server: ServerEntry): Promise<void> {
         if (this.#pendingProbes.has(incarnationKey(server)) || this.#probeBudget.tryTake(this.#clock())) {
-            await this.#probe(server);
+            await this.#probe(server, true);
             this.#dispatchWaiting();
         }
     }
@@ -189,7 +189,7 @@
             tryTake: ({ key }) => this.#pendingProbes.has(key) || this.#probeBudget.tryTake(this.#clock()),
             probe: ({ entry }) => {
                 probes++;
-                return this.#probe(entry);
+                return this.#probe(entry, false);
             },
             isDecided: () =>
                 !this.#waiting.has(reservation.request) ||
@@ -207,33 +207,39 @@
     }
 
     /** Probes a server and records the result once, however many requests wait for it. */
-    #probe(server: ServerEntry): Promise<void> {
+    #probe(server: ServerEntry, onNewConnection: boolean): Promise<void> {
         const key = incarnationKey(server);
         const pending = this.#pendingProbes.get(key);
         if (pending) {
             this.#usage.record("shared");
             return pending;
         }
-        const result = this.#sendProbe(server).finally(() => this.#pendingProbes.delete(key));
+        const result = this.#sendProbe(server, onNewConnection).finally(() =>
+            this.#pendingProbes.delete(key),
+        );
         this.#pendingProbes.set(key, result);
         this.#usage.recordSent(server.id, this.#pendingProbes.size);
         return result;
     }
 
-    async #sendProbe(server: ServerEntry): Promise<void> {
+    async #sendProbe(server: ServerEntry, onNewConnection: boolean): Promise<void> {
         const startedAt = this.#clock();
         this.#balancer.recordProbeSent(server);
-        const response = await this.#probeClient.probe(server, this.#settings.healthPath, () =>
-            this.#probeBudget.recordUnplanned(),
-        );
+        const response = await this.#probeClient.probe(server, this.#settings.healthPath, {
+            onNewConnection,
+            onResend: () => this.#probeBudget.recordUnplanned(),
+        });
         this.#usage.record(response ? "answered" : "unanswered");
-        const isAlive = response !== undefined && !response.misdirected;
-        this.#recordProbe(server, isAlive, startedAt);
-        if (!isAlive) {
+        if (!response || response.misdirected) {
+            this.#recordProbe(server, false, startedAt);
             this.#balancer.recordUnansweredProbe(server, this.#clock());
             return;
         }
-        this.#recordStatement(server, response.statement, "probe");
+        if (!response.mayBeCopy) {
+            this.#recordProbe(server, true, startedAt);
+            this.#recordStatement(server, response.statement, "probe");
+        }
+        // The load is only an estimate, to which a little older one does no harm.
         if (response.report) {
             this.#balancer.recordLoad(server, response.report, startedAt, this.#clock());
         } else {
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -142,8 +142,7 @@
         });
         this.#agents = createAgents(this.#pacer, this.#reach.connections);
         this.#probeClient = new HttpProbeClient(platform.wire, this.#agents);
-        const { unpooled } = this.#agents;
-        this.#linkProbeClient = new HttpProbeClient(platform.wire, { pooled: unpooled, unpooled });
+        this.#linkProbeClient = new HttpProbeClient(platform.wire, this.#agents);
         this.#dispatchers = new ServiceDispatchers({
             probeClient: this.#probeClient,
             clock: monotonicMs,
@@ -471,7 +470,10 @@
         if (healthPath === undefined) {
             return false;
         }
-        const response = await this.#linkProbeClient.probe(server, healthPath, () => undefined);
+        const response = await this.#linkProbeClient.probe(server, healthPath, {
+            onNewConnection: true,
+            onResend: () => undefined,
+        });
         return response !== undefined && !response.misdirected;
     }
 
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -11,6 +11,7 @@
 import type { KeepAliveAgent } from "./agent.js";
 import { splitAddress } from "./exchange.js";
 import type { ForwardOptions } from "./forwardoptions.js";
+import { ProbeHistory } from "./probehistory.js";
 import type { WireFormat } from "./wireformat.js";
 
 /** A server's response to a probe. */
@@ -21,16 +22,22 @@
     readonly statement: ServerStatement;
     /** Whether another server incarnation responded at this address. */
     readonly misdirected: boolean;
+    /** Whether it may be a copy of the response to an earlier probe, so that it proves nothing of the present. */
+    readonly mayBeCopy: boolean;
+}
+
+/** How a server is probed. */
+export interface ProbeOptions {
+    /** Whether to use a new connection, on which nothing but the response to the probe can arrive. */
+    readonly onNewConnection: boolean;
+    /** Called if the probe is sent a second time. */
+    readonly onResend: () => void;
 }
 
 /** Probes servers for their load. */
 export interface ProbeClient {
-    /**
-     * Probes one server; resolves to undefined if it doesn't respond.
-     *
-     * @param onResend called if the probe is sent a second time
-     */
-    probe(server: ServerEntry, healthPath: string, onResend: () => void): Promise<ProbeResponse | undefined>;
+    /** Probes one server; resolves to undefined if it doesn't respond. */
+    probe(server: ServerEntry, healthPath: string, options: ProbeOptions): Promise<ProbeResponse | undefined>;
 }
 
 /** What became of a probe; undefined if the server didn't respond. */
@@ -42,10 +49,11 @@
     | "other-response"
     | undefined;
 
-/** Probes servers over HTTP, with at most one probe in flight per server. */
+/** Probes servers over HTTP, with at most one probe in flight per server and kind of connection. */
 export class HttpProbeClient implements ProbeClient {
     readonly #wire: WireFormat;
     readonly #agents: ForwardOptions["agents"];
+    readonly #history = new ProbeHistory();
     readonly #pending = new Map<string, Promise<ProbeResponse | undefined>>();
     #probesSent = 0;
 
@@ -61,15 +69,20 @@
     }
 
     /** Probes one server; resolves to undefined if it doesn't respond. Concurrent callers share one probe. */
-    probe(server: ServerEntry, healthPath: string, onResend: () => void): Promise<ProbeResponse | undefined> {
-        const pending = this.#pending.get(server.id);
+    probe(
+        server: ServerEntry,
+        healthPath: string,
+        options: ProbeOptions,
+    ): Promise<ProbeResponse | undefined> {
+        const key = `${server.id} ${options.onNewConnection}`;
+        const pending = this.#pending.get(key);
         if (pending) {
             return pending;
         }
-        const response = this.#probeWithRetry(server, healthPath, onResend).finally(() =>
-            this.#pending.delete(server.id),
+        const response = this.#probeWithRetry(server, healthPath, options).finally(() =>
+            this.#pending.delete(key),
         );
-        this.#pending.set(server.id, response);
+        this.#pending.set(key, response);
         return response;
     }
 
@@ -77,10 +90,10 @@
     async #probeWithRetry(
         server: ServerEntry,
         path: string,
-        onResend: () => void,
+        { onNewConnection, onResend }: ProbeOptions,
     ): Promise<ProbeResponse | undefined> {
         const { pooled, unpooled } = this.#agents;
-        const first = await this.#sendProbe(server, path, pooled);
+        const first = await this.#sendProbe(server, path, onNewConnection ? unpooled : pooled);
         if (typeof first !== "string") {
             return first;
         }
@@ -124,13 +137,14 @@
         if (findResponseHeadProblem(res) !== undefined || isOfRequest) {
             return undefined;
         }
-        if (this.#wire.refusal(status, headers)) {
-            // It has no id, so a copy of it couldn't be told from a refusal of the next request.
+        const mayBeCopy = this.#history.record(res.socket, res);
+        if (this.#wire.refusal(status, headers) || this.#history.isFull(res.socket)) {
+            // A refusal has no id, so a copy of it couldn't be told from a refusal of the next request.
             req.shouldKeepAlive = false;
         }
         const statement = this.#wire.statement(status, distinctHeaders(rawHeaders));
         const { serverId: id, load: report } = statement;
-        return { report, statement, misdirected: id !== undefined && id !== server.id };
+        return { report, statement, misdirected: id !== undefined && id !== server.id, mayBeCopy };
     }
 }
 
