A copy of a backend server's earlier response isn't the response to the next call

A server that writes a response a second time, late, on the same connection had the copy taken for the response to the next call, as responses were matched by their order alone. Callers got another caller's response, an old failure, or the promise of bm-refused that an order hadn't run which the server was running. An idle connection didn't protect them: a copy that waits unread when the connection is reused is read as the next response.

Each send to a server now bears an id of its own, bm-send-id, which the server repeats in every response, refusals included; the caller's request id doesn't prove it, as a retry repeats that. A response with another id ends the send as lost, and its connection. A call to another entry VM needs no id: Node's HTTP server writes one response to each request, in their order, so that entry VMs of different versions work together.

The tests that need a reused connection have servers that repeat the id; they check what they did before.

--- a/packages/bench/src/loadserver.ts
+++ b/packages/bench/src/loadserver.ts
@@ -10,6 +10,7 @@
 import type { AddressInfo } from "node:net";
 import { formatLoadHeader } from "@bramleymoor/protocol/messages";
 import { responseHeaders, callHeaders, loadPath } from "@bramleymoor/protocol/headers";
+import { repeatSendId } from "@bramleymoor/testkit/backend";
 import { delay } from "./clock.js";
 import { BodyPattern } from "./loadpattern.js";
 
@@ -32,6 +33,7 @@
     }
 
     async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        repeatSendId(req, res);
         const url = new URL(req.url ?? "/", "http://load");
         if (url.pathname === loadPath) {
             res.end(
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -23,6 +23,8 @@
     retryBudget: "bm-retry-budget",
     /** Set when an entry VM forwards a call to another entry VM, which never forwards it again. */
     forwarded: "bm-forwarded",
+    /** Set by an entry VM, new for each send to a backend server, which repeats it in its response. */
+    sendId: "bm-send-id",
 } as const;
 
 /** Response headers. */
@@ -39,6 +41,8 @@
     refused: "bm-refused",
     /** Set on a stored response that the at-most-once table replays. */
     replayed: "bm-replayed",
+    /** Id of the send that a backend server responds to, as it received it; proves whose response it is. */
+    sendId: "bm-send-id",
 } as const;
 
 /** Path prefix of calls: /v1/call/SERVICE/PATH. */
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -12,6 +12,7 @@
 import { discardResponse } from "./discard.js";
 import { findResponseHeadProblem } from "./heads.js";
 import type { RequestBody } from "./body.js";
+import { isResponseTo, sendIdHeaders, SendIds } from "./sendid.js";
 import type { TimerSet } from "./timers.js";
 
 /** Options of a BackendClient. */
@@ -37,6 +38,8 @@
     readonly body: RequestBody;
     /** Uses only a recently used or a new connection, as the request can't be retried if a stale one breaks. */
     readonly nonIdempotent: boolean;
+    /** Whether the receiver is another entry VM, whose HTTP server writes one response to each request, in their order. */
+    readonly toPeer: boolean;
     /** Called immediately before the first byte is written. */
     readonly onSending: () => void;
 }
@@ -48,6 +51,7 @@
     readonly #clock: () => number;
     readonly #idempotentAgent: Agent;
     readonly #nonIdempotentAgent: Agent;
+    readonly #sendIds = new SendIds();
 
     /** @param pacer reads the connections */
     constructor(options: BackendClientOptions, timers: TimerSet, pacer: ReadPacer, clock: () => number) {
@@ -60,15 +64,22 @@
 
     /** Sends a request. */
     send(out: OutgoingRequest): Exchange {
+        const sendId = out.toPeer ? undefined : this.#sendIds.next();
         const req = request({
             host: out.host,
             port: out.port,
             method: out.method,
             path: out.path,
             agent: out.nonIdempotent ? this.#nonIdempotentAgent : this.#idempotentAgent,
-            headers: [...out.headers, ...out.body.framingHeaders(), "Host", `${out.host}:${out.port}`],
+            headers: [
+                ...out.headers,
+                ...(sendId === undefined ? [] : sendIdHeaders(sendId)),
+                ...out.body.framingHeaders(),
+                "Host",
+                `${out.host}:${out.port}`,
+            ],
         });
-        const exchange = new Exchange(req, out);
+        const exchange = new Exchange(req, out, sendId);
         const timer = this.#timers.schedule(this.#clock() + this.#options.connectTimeoutMs, () =>
             exchange.abort({ kind: "connect-failed" }),
         );
@@ -110,12 +121,15 @@
     /** Called when the connection is established and when the exchange fails. */
     onConnected: () => void = () => undefined;
     readonly #req: ClientRequest;
+    readonly #sendId: string | undefined;
     #connected = false;
     #responded = false;
     #fail: (error: SendError) => void = () => undefined;
 
-    constructor(req: ClientRequest, out: OutgoingRequest) {
+    /** @param sendId id that the response has to repeat; undefined if its order on the connection proves whose it is */
+    constructor(req: ClientRequest, out: OutgoingRequest, sendId: string | undefined) {
         this.#req = req;
+        this.#sendId = sendId;
         this.head = new Promise((resolve, reject) => {
             this.#fail = reject;
             req.on("response", res => this.#handleResponse(res, out.method, resolve));
@@ -161,6 +175,10 @@
 
     #handleResponse(res: IncomingMessage, method: string, resolve: (res: IncomingMessage) => void): void {
         this.#responded = true;
+        if (this.#sendId !== undefined && !isResponseTo(res, this.#req, this.#sendId)) {
+            this.abort({ kind: "lost" });
+            return;
+        }
         const refused = res.headers[responseHeaders.refused];
         if (refused !== undefined) {
             discardResponse(res);
--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -184,6 +184,7 @@
             headers: out,
             body: this.#body,
             nonIdempotent: run !== undefined,
+            toPeer: false,
             onSending: () => this.#sending(),
         };
     }
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -25,6 +25,7 @@
     callHeaders.depth,
     callHeaders.forwarded,
     callHeaders.retryBudget,
+    callHeaders.sendId,
     callHeaders.ticket,
 ]);
 
@@ -41,6 +42,7 @@
     responseHeaders.ran,
     responseHeaders.refused,
     responseHeaders.replayed,
+    responseHeaders.sendId,
 ]);
 
 const strippedPeerResponseHeaders: ReadonlySet<string> = new Set(hopByHopHeaders);
--- a/packages/proxy/src/peerforward.ts
+++ b/packages/proxy/src/peerforward.ts
@@ -122,6 +122,7 @@
             headers,
             body: this.#body,
             nonIdempotent: false,
+            toPeer: true,
             onSending: () => this.#execution.start(),
         };
     }
--- a/packages/proxy/test/conformance.test.ts
+++ b/packages/proxy/test/conformance.test.ts
@@ -2,6 +2,7 @@
 import { Agent, createServer, get, request, type RequestListener } from "node:http";
 import { connect, createServer as createNetServer, type AddressInfo, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { repeatSendId } from "@bramleymoor/testkit/backend";
 import {
     sendRequest,
     sendOrder,
@@ -19,7 +20,10 @@
     listener: RequestListener,
     options: Partial<TestProxyOptions> = {},
 ): Promise<TestProxy> => {
-    const server = createServer(listener);
+    const server = createServer((req, res) => {
+        repeatSendId(req, res);
+        listener(req, res);
+    });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const proxy = await startProxy({ ports: [(server.address() as AddressInfo).port], ...options });
     t.after(async () => {
--- a/packages/proxy/test/extraresponse.test.ts
+++ b/packages/proxy/test/extraresponse.test.ts
@@ -8,9 +8,10 @@
     let requests = 0;
     const server = createServer(socket => {
         socket.on("error", () => undefined);
-        socket.on("data", () => {
+        socket.on("data", chunk => {
             const body = `answer ${++requests}`;
-            const response = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+            const sendId = /bm-send-id: \S+\r\n/.exec(chunk.toString("latin1"))?.[0] ?? "";
+            const response = `HTTP/1.1 200 OK\r\n${sendId}Content-Length: ${body.length}\r\n\r\n${body}`;
             socket.write(response);
             setTimeout(() => socket.write(response), 20);
         });
--- a/packages/proxy/test/faults.test.ts
+++ b/packages/proxy/test/faults.test.ts
@@ -136,14 +136,15 @@
         let responded = false;
         connections++;
         socket.on("error", () => undefined);
-        socket.on("data", () => {
+        socket.on("data", chunk => {
             if (responded) {
                 socket.resetAndDestroy();
                 return;
             }
             responded = true;
             runs++;
-            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            const sendId = /bm-send-id: \S+\r\n/.exec(chunk.toString("latin1"))?.[0] ?? "";
+            socket.write(`HTTP/1.1 200 OK\r\n${sendId}Content-Length: 2\r\n\r\nok`);
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/packages/testkit/src/backend.ts
+++ b/packages/testkit/src/backend.ts
@@ -41,6 +41,8 @@
     chunkPauseMs: number;
     /** Whether responses have the bm-load header. */
     reportsLoad: boolean;
+    /** Whether responses repeat the id of the send. */
+    repeatsSendId: boolean;
     /** Keep-alive timeout of an idle connection, in milliseconds; read at startup only. */
     idleMs: number;
 }
@@ -76,6 +78,7 @@
     answerText: undefined,
     chunkPauseMs: 0,
     reportsLoad: true,
+    repeatsSendId: true,
     idleMs: 5000,
 };
 
@@ -150,6 +153,9 @@
     }
 
     async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        if (this.behavior.repeatsSendId) {
+            repeatSendId(req, res);
+        }
         if (req.url === loadPath) {
             this.#probes++;
             sendResponse(res, 200, [], JSON.stringify(this.#loadReport()));
@@ -313,6 +319,14 @@
         res.once("close", done);
     });
 
+/** Repeats the id of the send in the response, which proves whose response it is. */
+export const repeatSendId = (req: IncomingMessage, res: ServerResponse): void => {
+    const id = req.headers[callHeaders.sendId];
+    if (id !== undefined) {
+        res.setHeader(responseHeaders.sendId, id);
+    }
+};
+
 const sendResponse = (
     res: ServerResponse,
     status: number,
