A copy of an earlier load report isn't the response to the next load query

A load report that a server wrote a second time was taken for the response to the next query on the connection, and each true report from then on for that to the query after it: the load, the request limit and a server's leaving were those of a query before, for as long as the connection lasted.

Load queries bear a send's id like calls do. A response with another one ends the query without a report, and its connection; of a server that doesn't repeat the id, each connection carries one query.

--- a/packages/entry/src/probesender.ts
+++ b/packages/entry/src/probesender.ts
@@ -8,7 +8,8 @@
 import { probeDefaults } from "@bramleymoor/probing/budget";
 import type { ServiceLoadView } from "@bramleymoor/probing/prober";
 import { loadReportSchema, type LoadReport } from "@bramleymoor/protocol/messages";
-import { loadPath } from "@bramleymoor/protocol/headers";
+import { callHeaders, loadPath } from "@bramleymoor/protocol/headers";
+import { isResponseTo, SendIds } from "@bramleymoor/proxy/sendid";
 import { startTimeout } from "@bramleymoor/proxy/timers";
 import type { HostedService } from "./hostedservice.js";
 
@@ -29,6 +30,7 @@
 /** Probes the load endpoints of backend servers over HTTP. */
 export class ProbeSender {
     readonly #agent: Agent;
+    readonly #sendIds = new SendIds();
     readonly #timeoutMs: number;
     readonly #clock: () => number;
     readonly #onProbe: (service: string, serverMs: number, bytes: number) => void;
@@ -97,7 +99,16 @@
 
     async #read(address: string, signal: AbortSignal): Promise<string> {
         const res = await new Promise<IncomingMessage>((resolve, reject) => {
-            const req = request(`http://${address}${loadPath}`, { agent: this.#agent, signal }, resolve);
+            const id = this.#sendIds.next();
+            const options = { agent: this.#agent, signal, headers: { [callHeaders.sendId]: id } };
+            const req = request(`http://${address}${loadPath}`, options);
+            req.on("response", it => {
+                if (isResponseTo(it, req, id)) {
+                    resolve(it);
+                } else {
+                    req.destroy(new Error("the response to another send"));
+                }
+            });
             limitInterimResponses(req, () => req.destroy(new Error("too many interim responses")));
             req.on("error", reject);
             req.end();
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -8,11 +8,11 @@
 import { limitInterimResponses } from "@bramleymoor/input/interim";
 import { PacedAgent } from "@bramleymoor/input/pacedagent";
 import type { ReadPacer } from "@bramleymoor/input/pacer";
-import { responseHeaders } from "@bramleymoor/protocol/headers";
+import { callHeaders, responseHeaders } from "@bramleymoor/protocol/headers";
 import { discardResponse } from "./discard.js";
 import { findResponseHeadProblem } from "./heads.js";
 import type { RequestBody } from "./body.js";
-import { isResponseTo, sendIdHeaders, SendIds } from "./sendid.js";
+import { isResponseTo, SendIds } from "./sendid.js";
 import type { TimerSet } from "./timers.js";
 
 /** Options of a BackendClient. */
@@ -73,7 +73,7 @@
             agent: out.nonIdempotent ? this.#nonIdempotentAgent : this.#idempotentAgent,
             headers: [
                 ...out.headers,
-                ...(sendId === undefined ? [] : sendIdHeaders(sendId)),
+                ...(sendId === undefined ? [] : [callHeaders.sendId, sendId]),
                 ...out.body.framingHeaders(),
                 "Host",
                 `${out.host}:${out.port}`,
--- a/packages/proxy/src/sendid.ts
+++ b/packages/proxy/src/sendid.ts
@@ -1,7 +1,7 @@
 /** Matches the responses of backend servers with the sends that they respond to. */
 
 import type { ClientRequest, IncomingMessage } from "node:http";
-import { callHeaders, responseHeaders } from "@bramleymoor/protocol/headers";
+import { responseHeaders } from "@bramleymoor/protocol/headers";
 
 /** Numbers the sends of one client; a connection never carries the same id twice. */
 export class SendIds {
@@ -13,9 +13,6 @@
     }
 }
 
-/** Returns the headers of a send; names and values alternating. */
-export const sendIdHeaders = (id: string): readonly string[] => [callHeaders.sendId, id];
-
 /**
  * Returns whether a response is that to a send, rather than one that the server repeats to an earlier send on the same connection.
  * If the server doesn't repeat the send's id, nothing but a new connection proves it, and the connection is closed after the response.
