A seeded test of calls and orders behind a server that repeats its responses

Four callers, 160 calls, a fifth of them refused and a third of the responses written a second time within 15 ms.

--- a/packages/proxy/test/responsecopies.test.ts
+++ b/packages/proxy/test/responsecopies.test.ts
@@ -214,3 +214,56 @@
     assert.equal(backends[0]?.counts.refused, 2);
     assert.equal(backends[0]?.counts.connections, 1);
 });
+
+/** Returns a reproducible sequence of numbers of at least 0 and below 1. */
+const createRandom = (seed: number): (() => number) => {
+    let state = seed;
+    return () => {
+        state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+        return state / 2 ** 32;
+    };
+};
+
+test("behind a server that repeats its responses, no call gets another's and no order that ran gets a promise", async t => {
+    const random = createRandom(1);
+    const runs = new Map<string, number>();
+    const { proxy } = await startServer(t, ({ socket, head, echo }) => {
+        const id = /\r\nbm-request-id: (\S+)/.exec(head)?.[1] ?? "";
+        const isRefused = random() < 0.2;
+        if (!isRefused) {
+            runs.set(id, (runs.get(id) ?? 0) + 1);
+        }
+        const text = isRefused
+            ? responseText(echo, "503 Full", "", "bm-refused: shed\r\n")
+            : responseText(echo, "200 OK", `ran ${id}`);
+        setTimeout(() => {
+            socket.write(text);
+            if (random() < 0.3) {
+                setTimeout(() => socket.writable && socket.write(text), random() * 15);
+            }
+        }, random() * 8);
+    });
+    const ticket = proxy.issueTicket();
+    let answered = 0;
+    const sendAll = async (caller: number): Promise<void> => {
+        for (let i = 0; i < 40; i++) {
+            const id = `${caller}-${i}`;
+            const headers = { "bm-request-id": id };
+            const {
+                status,
+                text,
+                headers: received,
+            } = i % 2 === 0
+                ? await sendLookup(proxy, headers)
+                : await sendOrder(proxy, id, { ticket, headers: { ...headers, "bm-retry-budget": "0" } });
+            if (status === 200) {
+                answered++;
+                assert.equal(text, `ran ${id}`);
+            }
+            assert.ok(received["bm-ran"] !== "not run" || !runs.has(id), `${id} ran: ${text}`);
+            assert.ok((runs.get(id) ?? 0) <= 1, `${id} ran ${runs.get(id)} times`);
+        }
+    };
+    await Promise.all([1, 2, 3, 4].map(sendAll));
+    assert.ok(answered > 60, `${answered} answered`);
+});
