--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -10,6 +10,8 @@
 import { startTimeout } from "@bramleymoor/proxy/timers";
 import type { KeepAliveAgent } from "./agent.js";
 import { splitAddress } from "./exchange.js";
+import type { ForwardOptions } from "./forwardoptions.js";
+import { ProbeHistory } from "./probehistory.js";
 import type { WireFormat } from "./wireformat.js";
 
 /** A server's response to a probe. */
@@ -20,29 +22,45 @@
     readonly statement: ServerStatement;
     /** Whether another server incarnation responded at this address. */
     readonly misdirected: boolean;
+    /** Whether it may be a copy of the response to an earlier probe, so that it proves nothing of the present. */
+    readonly mayBeCopy: boolean;
+}
+
+/** How a server is probed. */
+export interface ProbeOptions {
+    /** Whether to use a new connection, on which nothing but the response to the probe can arrive. */
+    readonly onNewConnection: boolean;
+    /** Called if the probe is sent a second time. */
+    readonly onResend: () => void;
 }
 
 /** Probes servers for their load. */
 export interface ProbeClient {
-    /**
-     * Probes one server; resolves to undefined if it doesn't respond.
-     *
-     * @param onResend called if the probe is sent a second time
-     */
-    probe(server: ServerEntry, healthPath: string, onResend: () => void): Promise<ProbeResponse | undefined>;
+    /** Probes one server; resolves to undefined if it doesn't respond. */
+    probe(server: ServerEntry, healthPath: string, options: ProbeOptions): Promise<ProbeResponse | undefined>;
 }
 
-/** Probes servers over HTTP, with at most one probe in flight per server. */
+/** What became of a probe; undefined if the server didn't respond. */
+type ProbeResult =
+    | ProbeResponse
+    /** The server had closed the reused connection. */
+    | "closed"
+    /** The reused connection carried something that isn't the response to the probe. */
+    | "other-response"
+    | undefined;
+
+/** Probes servers over HTTP, with at most one probe in flight per server and kind of connection. */
 export class HttpProbeClient implements ProbeClient {
     readonly #wire: WireFormat;
-    readonly #agent: KeepAliveAgent;
+    readonly #agents: ForwardOptions["agents"];
+    readonly #history = new ProbeHistory();
     readonly #pending = new Map<string, Promise<ProbeResponse | undefined>>();
     #probesSent = 0;
 
-    /** @param agent connections to use; shared with requests that may be retried, as they go to the same servers */
-    constructor(wire: WireFormat, agent: KeepAliveAgent) {
+    /** @param agents connections to use; the pooled ones are shared with requests, as they go to the same servers */
+    constructor(wire: WireFormat, agents: ForwardOptions["agents"]) {
         this.#wire = wire;
-        this.#agent = agent;
+        this.#agents = agents;
     }
 
     /** Number of probes sent so far. */
@@ -51,41 +69,48 @@
     }
 
     /** Probes one server; resolves to undefined if it doesn't respond. Concurrent callers share one probe. */
-    probe(server: ServerEntry, healthPath: string, onResend: () => void): Promise<ProbeResponse | undefined> {
-        const pending = this.#pending.get(server.id);
+    probe(
+        server: ServerEntry,
+        healthPath: string,
+        options: ProbeOptions,
+    ): Promise<ProbeResponse | undefined> {
+        const key = `${server.id} ${options.onNewConnection}`;
+        const pending = this.#pending.get(key);
         if (pending) {
             return pending;
         }
-        const response = this.#probeWithRetry(server, healthPath, onResend).finally(() =>
-            this.#pending.delete(server.id),
+        const response = this.#probeWithRetry(server, healthPath, options).finally(() =>
+            this.#pending.delete(key),
         );
-        this.#pending.set(server.id, response);
+        this.#pending.set(key, response);
         return response;
     }
 
-    /** Sends a probe, and sends it once more if the server had closed the reused connection. */
+    /** Sends a probe, and sends it once more if the reused connection told nothing of the server. */
     async #probeWithRetry(
         server: ServerEntry,
         path: string,
-        onResend: () => void,
+        { onNewConnection, onResend }: ProbeOptions,
     ): Promise<ProbeResponse | undefined> {
-        const first = await this.#sendProbe(server, path);
-        if (first !== "closed") {
+        const { pooled, unpooled } = this.#agents;
+        const first = await this.#sendProbe(server, path, onNewConnection ? unpooled : pooled);
+        if (typeof first !== "string") {
             return first;
         }
         onResend();
-        return withoutClosed(await this.#sendProbe(server, path));
+        const second = await this.#sendProbe(server, path, first === "closed" ? pooled : unpooled);
+        return typeof second === "string" ? undefined : second;
     }
 
-    #sendProbe(server: ServerEntry, path: string): Promise<ProbeResponse | "closed" | undefined> {
+    #sendProbe(server: ServerEntry, path: string, agent: KeepAliveAgent): Promise<ProbeResult> {
         this.#probesSent++;
         const { host, port } = splitAddress(server.address);
         return new Promise(resolve => {
-            const req = request({ host, port, path, agent: this.#agent });
+            const req = request({ host, port, path, agent });
             const cancelTimeout = startTimeout(probeTimeoutMs, () => req.destroy(new ProbeTimeoutError()));
-            const done = (response: ProbeResponse | "closed" | undefined): void => {
+            const done = (result: ProbeResult): void => {
                 cancelTimeout();
-                resolve(response);
+                resolve(result);
             };
             req.on("response", res => {
                 const response = this.#examine(req, res, server);
@@ -93,6 +118,7 @@
                     discardResponse(res);
                     done(response);
                 } else {
+                    done(req.reusedSocket ? "other-response" : undefined);
                     // What follows on this connection can't be attributed.
                     req.destroy();
                 }
@@ -104,19 +130,21 @@
         });
     }
 
-    /** Returns what a server has responded to a probe; undefined if the response is malformed or one to an earlier request. */
+    /** Returns what a server has responded to a probe; undefined if the response is malformed or one to a request. */
     #examine(req: ClientRequest, res: IncomingMessage, server: ServerEntry): ProbeResponse | undefined {
         const { rawHeaders, headers, statusCode: status = 0 } = res;
-        if (findResponseHeadProblem(res) !== undefined || this.#wire.isFromServer(headers)) {
+        const isOfRequest = this.#wire.requestId(headers) !== undefined || this.#wire.isFromServer(headers);
+        if (findResponseHeadProblem(res) !== undefined || isOfRequest) {
             return undefined;
         }
-        if (this.#wire.refusal(status, headers)) {
-            // It has no id, so a copy of it couldn't be told from a refusal of the next request.
+        const mayBeCopy = this.#history.record(res.socket, res);
+        if (this.#wire.refusal(status, headers) || this.#history.isFull(res.socket)) {
+            // A refusal has no id, so a copy of it couldn't be told from a refusal of the next request.
             req.shouldKeepAlive = false;
         }
         const statement = this.#wire.statement(status, distinctHeaders(rawHeaders));
         const { serverId: id, load: report } = statement;
-        return { report, statement, misdirected: id !== undefined && id !== server.id };
+        return { report, statement, misdirected: id !== undefined && id !== server.id, mayBeCopy };
     }
 }
 
@@ -124,8 +152,5 @@
 
 const isTimeout = (err: Error): boolean => err instanceof ProbeTimeoutError;
 
-const withoutClosed = (response: ProbeResponse | "closed" | undefined): ProbeResponse | undefined =>
-    response === "closed" ? undefined : response;
-
 /** Far above a round trip, so that a timeout indicates a dead server. */
 const probeTimeoutMs = 400;
