Probes that decide nothing lasting trust reused connections again

A server that idles answers its probes with the same head each time, so that nothing at all would be recorded of it: a limit that it goes on naming would lapse after a minute, and probes would count against the links of an entry VM but not for them. A late copy can bring back what the server said a moment before, which the next response corrects; nothing that must be true rests on it.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -230,16 +230,13 @@
             onResend: () => this.#probeBudget.recordUnplanned(),
         });
         this.#usage.record(response ? "answered" : "unanswered");
-        if (!response || response.misdirected) {
-            this.#recordProbe(server, false, startedAt);
+        const isAlive = response !== undefined && !response.misdirected;
+        this.#recordProbe(server, isAlive, startedAt);
+        if (!isAlive) {
             this.#balancer.recordUnansweredProbe(server, this.#clock());
             return;
         }
-        if (!response.mayBeCopy) {
-            this.#recordProbe(server, true, startedAt);
-            this.#recordStatement(server, response.statement, "probe");
-        }
-        // The load is only an estimate, to which a little older one does no harm.
+        this.#recordStatement(server, response.statement, "probe");
         if (response.report) {
             this.#balancer.recordLoad(server, response.report, startedAt, this.#clock());
         } else {
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -11,7 +11,6 @@
 import type { KeepAliveAgent } from "./agent.js";
 import { splitAddress } from "./exchange.js";
 import type { ForwardOptions } from "./forwardoptions.js";
-import { ProbeHistory } from "./probehistory.js";
 import type { WireFormat } from "./wireformat.js";
 
 /** A server's response to a probe. */
@@ -22,8 +21,6 @@
     readonly statement: ServerStatement;
     /** Whether another server incarnation responded at this address. */
     readonly misdirected: boolean;
-    /** Whether it may be a copy of the response to an earlier probe, so that it proves nothing of the present. */
-    readonly mayBeCopy: boolean;
 }
 
 /** How a server is probed. */
@@ -53,7 +50,6 @@
 export class HttpProbeClient implements ProbeClient {
     readonly #wire: WireFormat;
     readonly #agents: ForwardOptions["agents"];
-    readonly #history = new ProbeHistory();
     readonly #pending = new Map<string, Promise<ProbeResponse | undefined>>();
     #probesSent = 0;
 
@@ -137,14 +133,13 @@
         if (findResponseHeadProblem(res) !== undefined || isOfRequest) {
             return undefined;
         }
-        const mayBeCopy = this.#history.record(res.socket, res);
-        if (this.#wire.refusal(status, headers) || this.#history.isFull(res.socket)) {
-            // A refusal has no id, so a copy of it couldn't be told from a refusal of the next request.
+        if (this.#wire.refusal(status, headers)) {
+            // It has no id, so a copy of it couldn't be told from a refusal of the next request.
             req.shouldKeepAlive = false;
         }
         const statement = this.#wire.statement(status, distinctHeaders(rawHeaders));
         const { serverId: id, load: report } = statement;
-        return { report, statement, misdirected: id !== undefined && id !== server.id, mayBeCopy };
+        return { report, statement, misdirected: id !== undefined && id !== server.id };
     }
 }
 
