Requests in flight don't wake the process a hundred times a second

Cause: `TimerSet` ran an interval of 10 ms for as long as any request was in flight, to look whether one of its timers was due. Change: it has one system timer for the earliest of its timers. Timers run when they are due or at most a period later, after pending input is read, as before. One that is cancelled leaves a single wake-up behind; none are left when all are cancelled.

--- a/packages/proxy/src/timers.ts
+++ b/packages/proxy/src/timers.ts
@@ -28,15 +28,18 @@
 };
 
 /**
- * Coarse timers that share one interval, so that a call needs no system timer of its own. Runs callbacks at their due
- * times or, while the event loop isn't late, at most `periodMs` later.
+ * Coarse timers that share one system timer, which runs when the earliest of them is due. Runs callbacks at their due times or,
+ * while the event loop isn't late, at most `periodMs` later.
  */
 export class TimerSet {
     readonly #clock: () => number;
     readonly #periodMs: number;
     readonly #timers = new Map<Timer, () => void>();
-    #interval: NodeJS.Timeout | undefined = undefined;
+    #timeout: NodeJS.Timeout | undefined = undefined;
+    /** When `#timeout` is due. */
+    #wakesAt = Infinity;
     #readingInput = false;
+    readonly #onChange = (dueAt: number): void => this.#wakeFor(dueAt);
 
     constructor(clock: () => number, periodMs: number) {
         this.#clock = clock;
@@ -45,26 +48,30 @@
 
     /** Calls `onDue` once at the due time, unless the timer is cancelled first. */
     schedule(dueAt: number, onDue: () => void): Timer {
-        const timer = { dueAt };
+        const timer = new SharedTimer(dueAt, this.#onChange);
         this.#timers.set(timer, onDue);
-        this.#interval ??= setInterval(() => this.#fireDueTimers(), this.#periodMs);
+        this.#wakeFor(dueAt);
         return timer;
     }
 
     /** Cancels a timer. */
     cancel(timer: Timer): void {
         this.#timers.delete(timer);
+        if (this.#timers.size === 0) {
+            this.#sleep();
+        }
     }
 
     #fireDueTimers(): void {
-        if (this.#timers.size === 0) {
-            clearInterval(this.#interval);
-            this.#interval = undefined;
+        this.#sleep();
+        if (this.#readingInput) {
             return;
         }
-        if (!this.#readingInput && this.#dueTimers().length > 0) {
+        if (this.#dueTimers().length > 0) {
             this.#readingInput = true;
             void readPendingInput().then(() => this.#runDueTimers());
+        } else {
+            this.#wakeForEarliest();
         }
     }
 
@@ -75,10 +82,61 @@
                 onDue();
             }
         }
+        this.#wakeForEarliest();
     }
 
     #dueTimers(): readonly (readonly [Timer, () => void])[] {
         const now = this.#clock();
         return [...this.#timers].filter(([timer]) => timer.dueAt <= now);
     }
+
+    #wakeForEarliest(): void {
+        let earliest = Infinity;
+        for (const { dueAt } of this.#timers.keys()) {
+            earliest = Math.min(earliest, dueAt);
+        }
+        this.#wakeFor(earliest);
+    }
+
+    /** Has the system timer run at most a period after `dueAt`. */
+    #wakeFor(dueAt: number): void {
+        if (dueAt + this.#periodMs < this.#wakesAt) {
+            const now = this.#clock();
+            const ms = Math.min(Math.max(this.#periodMs, Math.ceil(dueAt - now)), maxSleepMs);
+            if (now + ms < this.#wakesAt) {
+                clearTimeout(this.#timeout);
+                this.#wakesAt = now + ms;
+                this.#timeout = setTimeout(() => this.#fireDueTimers(), ms);
+            }
+        }
+    }
+
+    #sleep(): void {
+        clearTimeout(this.#timeout);
+        this.#wakesAt = Infinity;
+    }
+}
+
+/** A timer of a `TimerSet`. */
+class SharedTimer implements Timer {
+    #dueAt: number;
+    readonly #onChange: (dueAt: number) => void;
+
+    /** @param onChange called with a new due time */
+    constructor(dueAt: number, onChange: (dueAt: number) => void) {
+        this.#dueAt = dueAt;
+        this.#onChange = onChange;
+    }
+
+    get dueAt(): number {
+        return this.#dueAt;
+    }
+
+    set dueAt(dueAt: number) {
+        this.#dueAt = dueAt;
+        this.#onChange(dueAt);
+    }
 }
+
+/** Shorter than the longest time that a system timer takes. */
+const maxSleepMs = 60_000;
--- a/packages/proxy/test/timers.test.ts
+++ b/packages/proxy/test/timers.test.ts
@@ -62,3 +62,44 @@
     timers.cancel(rescheduled);
     timers.cancel(last);
 });
+
+// Guards against a process that wakes up all the time because requests are in flight, which costs more than the requests.
+test("a timer that isn't due yet wakes the process neither before it is due nor once it is cancelled", async () => {
+    let clockReads = 0;
+    const timers = new TimerSet(() => {
+        clockReads++;
+        return clock();
+    }, 1);
+    const scheduled = clock();
+    const ranAt = new Promise<number>(resolve => timers.schedule(scheduled + 100, () => resolve(clock())));
+    const cancelled = timers.schedule(scheduled + 50, () => undefined);
+    timers.cancel(cancelled);
+    const late = (await ranAt) - scheduled - 100;
+    assert.ok(late >= 0 && late < 80, `${late} ms late`);
+    assert.ok(clockReads <= 10, `${clockReads} reads of the clock`);
+});
+
+test("timers run when they are due in whatever order they are scheduled, and when they are rescheduled", async () => {
+    const timers = new TimerSet(clock, 1);
+    const ran: string[] = [];
+    const start = clock();
+    const rescheduled = timers.schedule(Infinity, () => ran.push("rescheduled"));
+    const postponed = timers.schedule(start + 20, () => ran.push("postponed"));
+    timers.schedule(start + 90, () => ran.push("third"));
+    timers.schedule(start + 30, () => ran.push("first"));
+    rescheduled.dueAt = start + 60;
+    postponed.dueAt = start + 120;
+    await new Promise(resolve => setTimeout(resolve, 250));
+    assert.deepEqual(ran, ["first", "rescheduled", "third", "postponed"]);
+});
+
+test("a timer that is due after years waits, and others run beside it", async () => {
+    const timers = new TimerSet(clock, 1);
+    const ran: string[] = [];
+    const never = timers.schedule(clock() + 1e13, () => ran.push("years"));
+    await new Promise(resolve => setTimeout(resolve, 30));
+    timers.schedule(clock() + 10, () => ran.push("soon"));
+    await new Promise(resolve => setTimeout(resolve, 100));
+    assert.deepEqual(ran, ["soon"]);
+    timers.cancel(never);
+});
