Timers that share a system timer run as soon as before in long turns

Cause: Node counts a system timer from the beginning of the turn, so it may run before the timer that it is for is due, and the next one took a whole period of 10 ms. Change: only a run of timers puts off the next one by a period; a system timer that was early is followed by one for the rest.

--- a/packages/proxy/src/timers.ts
+++ b/packages/proxy/src/timers.ts
@@ -38,6 +38,8 @@
     #timeout: NodeJS.Timeout | undefined = undefined;
     /** When `#timeout` is due. */
     #wakesAt = Infinity;
+    /** When timers were last run. */
+    #ranAt = -Infinity;
     #readingInput = false;
     readonly #onChange = (dueAt: number): void => this.#wakeFor(dueAt);
 
@@ -77,6 +79,7 @@
 
     #runDueTimers(): void {
         this.#readingInput = false;
+        this.#ranAt = this.#clock();
         for (const [timer, onDue] of this.#dueTimers()) {
             if (this.#timers.delete(timer)) {
                 onDue();
@@ -102,11 +105,11 @@
     #wakeFor(dueAt: number): void {
         if (dueAt + this.#periodMs < this.#wakesAt) {
             const now = this.#clock();
-            const ms = Math.min(Math.max(this.#periodMs, Math.ceil(dueAt - now)), maxSleepMs);
-            if (now + ms < this.#wakesAt) {
+            const wakesAt = Math.min(Math.max(dueAt, this.#ranAt + this.#periodMs, now), now + maxSleepMs);
+            if (wakesAt < this.#wakesAt) {
                 clearTimeout(this.#timeout);
-                this.#wakesAt = now + ms;
-                this.#timeout = setTimeout(() => this.#fireDueTimers(), ms);
+                this.#wakesAt = wakesAt;
+                this.#timeout = setTimeout(() => this.#fireDueTimers(), Math.ceil(wakesAt - now));
             }
         }
     }
