Forwarded headers are filtered in one pass

Change: `endToEndHeaders` takes all sets of dropped names at once; the headers of a request went through three passes, those of a response through two.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -173,7 +173,7 @@
 
     #headers(extraHeaders: () => readonly string[]): string[] {
         const { rawHeaders, headers } = this.#from;
-        return [...endToEndHeaders(rawHeaders, headers.connection, noHeaderNames), ...extraHeaders()];
+        return [...endToEndHeaders(rawHeaders, headers.connection), ...extraHeaders()];
     }
 }
 
@@ -188,7 +188,6 @@
     bodilessStatuses.has(statusCode);
 
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-const noHeaderNames: ReadonlySet<string> = new Set();
 
 /** Responses up to this many bytes are buffered and relayed only when they are complete. */
 const maxBufferedBytes = 64 * 1024;
--- a/packages/gateway/src/requesthead.ts
+++ b/packages/gateway/src/requesthead.ts
@@ -11,10 +11,7 @@
 export const forwardedHeaders = (
     { rawHeaders, headers }: IncomingMessage,
     { reservedHeaders }: WireFormat,
-): readonly string[] => {
-    const endToEnd = endToEndHeaders(rawHeaders, headers.connection, rewrittenHeaders);
-    return endToEnd.filter((_, i, all) => !reservedHeaders.has((all[i - (i % 2)] ?? "").toLowerCase()));
-};
+): readonly string[] => endToEndHeaders(rawHeaders, headers.connection, rewrittenHeaders, reservedHeaders);
 
 /** Returns what a request has in common with other attempts that carry the same one; see `fingerprint`. */
 export const fingerprintOf = (
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -56,16 +56,13 @@
     return new Set(names.filter(name => name !== "content-length"));
 };
 
-const removeHeaders = (
-    raw: readonly string[],
-    dropped: ReadonlySet<string>,
-    listed: ReadonlySet<string>,
-): string[] => {
+/** Returns the headers that are in none of the sets. */
+const removeHeaders = (raw: readonly string[], ...dropped: readonly ReadonlySet<string>[]): string[] => {
     const kept: string[] = [];
     for (let i = 0; i + 1 < raw.length; i += 2) {
         const name = raw[i] ?? "";
         const lower = name.toLowerCase();
-        if (!dropped.has(lower) && !listed.has(lower)) {
+        if (!dropped.some(it => it.has(lower))) {
             kept.push(name, raw[i + 1] ?? "");
         }
     }
@@ -92,17 +89,12 @@
 export const endToEndHeaders = (
     raw: readonly string[],
     connection: string | undefined,
-    dropped: ReadonlySet<string>,
-): string[] =>
-    removeHeaders(
-        removeHeaders(raw, strippedPeerResponseHeaders, connectionOptions(connection)),
-        dropped,
-        noHeaders,
-    );
+    ...dropped: readonly ReadonlySet<string>[]
+): string[] => removeHeaders(raw, strippedPeerResponseHeaders, connectionOptions(connection), ...dropped);
 
 /** Returns the trailers that are forwarded, as pairs of name and value; those that can't be written are left out. */
 export const forwardedTrailers = (raw: readonly string[]): [string, string][] => {
-    const kept = removeHeaders(raw, strippedTrailers, noHeaders);
+    const kept = removeHeaders(raw, strippedTrailers);
     const pairs: [string, string][] = [];
     for (let i = 0; i + 1 < kept.length; i += 2) {
         const pair: [string, string] = [kept[i] ?? "", kept[i + 1] ?? ""];
