--- a/packages/proxy/test/timers.test.ts
+++ b/packages/proxy/test/timers.test.ts
@@ -62,3 +62,50 @@
     timers.cancel(rescheduled);
     timers.cancel(last);
 });
+
+// Guards against a process that wakes up all the time because requests are in flight, which costs more than the requests.
+test("a timer that isn't due yet wakes the process neither before it is due nor once it is cancelled", async () => {
+    let clockReads = 0;
+    const timers = new TimerSet(() => {
+        clockReads++;
+        return clock();
+    }, 1);
+    const scheduled = clock();
+    const ranAt = new Promise<number>(resolve => timers.schedule(scheduled + 100, () => resolve(clock())));
+    const cancelled = timers.schedule(scheduled + 50, () => undefined);
+    timers.cancel(cancelled);
+    const late = (await ranAt) - scheduled - 100;
+    assert.ok(late >= 0, `${late} ms late`);
+    assert.ok(clockReads <= 10, `${clockReads} reads of the clock`);
+});
+
+test("a timer runs when it is due though a later one was scheduled before, and when it is rescheduled", async () => {
+    const timers = new TimerSet(clock, 1);
+    const start = clock();
+    const farOff = timers.schedule(start + 60_000, () => undefined);
+    /** Resolves to by how much a timer was late that is scheduled for one time and rescheduled for another. */
+    const lateness = (scheduledFor: number, dueAt: number): Promise<number> =>
+        new Promise(resolve => {
+            timers.schedule(scheduledFor, () => resolve(clock() - dueAt)).dueAt = dueAt;
+        });
+    const late = await Promise.all([
+        lateness(start + 30, start + 30),
+        lateness(start + 20, start + 60),
+        lateness(Infinity, start + 90),
+    ]);
+    assert.ok(
+        late.every(it => it >= 0 && it < 30_000),
+        `${late.join(", ")} ms late`,
+    );
+    timers.cancel(farOff);
+});
+
+test("a timer that is due after years waits, and others run beside it", async () => {
+    const timers = new TimerSet(clock, 1);
+    let hasRun = false;
+    const never = timers.schedule(clock() + 1e13, () => (hasRun = true));
+    await new Promise(resolve => setTimeout(resolve, 30));
+    await new Promise<void>(resolve => timers.schedule(clock() + 10, resolve));
+    assert.equal(hasRun, false);
+    timers.cancel(never);
+});
