--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -13,7 +13,9 @@
 export interface OutgoingRequest {
     /** "IP:port" of the receiver. */
     readonly address: string;
+    /** Its next connection to `address` must not have carried a request with this id; see `KeepAliveAgent.hasCarried`. */
     readonly agent: KeepAliveAgent;
+    readonly requestId: string;
     readonly method: string;
     readonly target: string;
     /** Names and values alternating, framing included. */
@@ -50,6 +52,8 @@
     #connected = false;
     #wasReset = false;
     #aborted = false;
+    /** Number of requests that the connection had carried before. */
+    #carriedBefore = 0;
     /** Whether `head` has been settled. */
     #settled = false;
     #fail: (error: SendError) => void = () => undefined;
@@ -90,13 +94,13 @@
             this.#handleConnectionLoss("connection closed before the response");
         });
         this.#req.once("socket", socket => {
+            this.#socket = socket;
+            socket.prependListener("error", this.#handleSocketError);
             if (socket.connecting) {
                 socket.once("connect", () => this.#handleConnect(outgoing));
             } else {
                 this.#handleConnect(outgoing);
             }
-            this.#socket = socket;
-            socket.prependListener("error", this.#handleSocketError);
         });
     }
 
@@ -138,10 +142,28 @@
             this.abort({ kind: "unreachable" });
             return;
         }
+        if (!this.#claimConnection(outgoing)) {
+            this.abort({ kind: "unreachable" }, "the connection has carried a request with this id");
+            return;
+        }
         this.#connected = true;
         outgoing.writeBody(this.#req);
     }
 
+    /**
+     * Records that the connection carries the request; returns false if it has carried one with the same id. A copy of the
+     * response to that couldn't be told from the response to this one.
+     */
+    #claimConnection({ agent, requestId }: OutgoingRequest): boolean {
+        const carried = this.#socket && agent.carriedBy(this.#socket);
+        if (!carried || carried.has(requestId)) {
+            return false;
+        }
+        this.#carriedBefore = carried.size;
+        carried.add(requestId);
+        return true;
+    }
+
     #handleResponse(
         res: IncomingMessage,
         outgoing: OutgoingRequest,
@@ -155,11 +177,14 @@
         const unrelayed = outgoing.examine(res, () => (this.#req.shouldKeepAlive = false));
         if (!unrelayed) {
             resolve(res);
-        } else if (unrelayed.result.kind === "refused") {
+            return;
+        }
+        const evidence = `${unrelayed.evidence}, on a connection that had carried ${this.#carriedBefore} others`;
+        if (unrelayed.result.kind === "refused") {
             discardResponse(res, () => this.finish());
-            this.#fail(new SendError(unrelayed.result, unrelayed.evidence));
+            this.#fail(new SendError(unrelayed.result, evidence));
         } else {
-            this.abort(unrelayed.result, unrelayed.evidence);
+            this.abort(unrelayed.result, evidence);
         }
     }
 
