Entry VMs that all take themselves for cut off no longer refuse everything

An entry VM whose alive peers have all said that they are cut off no longer counts itself as cut off, and says so. What it knew before is no proof afterwards, so one whose links are lost is judged anew by peers that reach servers. The test fails on the parent.

--- a/packages/reach/src/reach.ts
+++ b/packages/reach/src/reach.ts
@@ -149,7 +149,7 @@
     tick(servers: readonly string[], peers: readonly string[], now: number): ReachActions {
         this.#forget(now);
         const suspects = this.#links.suspects(servers.length, now);
-        this.#judge(suspects);
+        this.#judge(suspects, peers, now);
         const hasProbed = now - suspectedAt(suspects) >= ownProbeMs;
         const isAsking = peers.length > 0 && (this.#isCutOff || hasProbed);
         const isProbing = this.#isCutOff || suspects.length > 0 || this.#links.isUnclear(now);
@@ -176,9 +176,10 @@
         }
     }
 
-    #judge(suspects: readonly UnreachedServer[]): void {
+    #judge(suspects: readonly UnreachedServer[], peers: readonly string[], now: number): void {
         if (this.#isCutOff) {
-            if (this.#successes >= successesToRecover || this.#reachedByPeers.size === 0) {
+            const canBeHelped = this.#reachedByPeers.size > 0 && !peers.every(it => this.isCutOffVm(it, now));
+            if (this.#successes >= successesToRecover || !canBeHelped) {
                 this.#isCutOff = false;
                 this.#links.clear();
                 this.#helpers.clear();
--- a/packages/reach/test/reach.test.ts
+++ b/packages/reach/test/reach.test.ts
@@ -247,6 +247,27 @@
     assert.deepEqual(reach.helpers(910), []);
 });
 
+// Guards against a fleet that refuses all requests for seconds, as each entry VM believes that the others reach the servers.
+test("an entry VM whose peers all say that they are cut off as well no longer counts itself as cut off, and says so", () => {
+    const reach = new Reach({ self: "vm0", random: () => 0 });
+    const servers = ["s0", "s1", "s2"];
+    const peers = ["vm1", "vm2"];
+    servers.forEach(it => reach.recordFailure(it, "silent", 0, 400));
+    reach.receive(answer(servers), true, 0, 500);
+    servers.forEach(it => reach.recordFailure(it, "silent", 510, 900));
+    reach.tick(servers, peers, 910);
+    assert.ok(reach.isCutOff);
+    reach.receive({ type: "state", from: "vm1", cutOff: true }, true, 0, 920);
+    reach.tick(servers, peers, 930);
+    assert.ok(reach.isCutOff, "vm2 may reach servers");
+    reach.receive({ type: "state", from: "vm2", cutOff: true }, true, 0, 940);
+    const { broadcasts } = reach.tick(servers, peers, 950);
+    assert.ok(!reach.isCutOff);
+    assert.deepEqual(broadcasts, [{ type: "state", from: "vm0", cutOff: false }]);
+    reach.tick(servers, peers, 1_000);
+    assert.ok(!reach.isCutOff, "what was known before is no proof any more");
+});
+
 test("questions and messages are bounded, however many servers and entry VMs there are", () => {
     const reach = new Reach({ self: "vm", random: () => 0.5 });
     const servers = Array.from({ length: 500 }, (_, i) => `s${i}`);
