The callers of the planned stop's test have sent before the stop begins

Trace: the test took it that a thread of callers has connected 400 ms after it came online.

Now the event loop is held until all 40 have sent, and 400 ms more, so that the connections do wait when the listener closes: stricter than before.

--- a/packages/gateway/test/plannedstop.test.ts
+++ b/packages/gateway/test/plannedstop.test.ts
@@ -3,7 +3,7 @@
 import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { blockEventLoop, startPatientCallers } from "@bramleymoor/testkit/hastycallers";
+import { PatientCallers } from "@bramleymoor/testkit/hastycallers";
 import { requestText, responseText, sendRaw, startFrontend, startRawServer } from "./setup.js";
 
 test("requests on connections that wait to be accepted when a planned stop closes the listener are answered", async t => {
@@ -11,12 +11,12 @@
     const { port, frontend } = await startFrontend(t, [server], { timeoutMs: 5_000, targetLatencyMs: 4_000 });
     await sendRaw(port, requestText("warm"));
     const texts = Array.from({ length: 40 }, (_, i) => requestText(`r-${i}`));
-    const callers = startPatientCallers(port, texts);
-    await once(callers, "online");
-    blockEventLoop(400);
+    const callers = new PatientCallers(port, texts);
+    await callers.started();
+    callers.sendUnnoticed(400);
     frontend.beginDrain();
     const drained = frontend.drain();
-    const [answered] = (await once(callers, "message")) as [number];
+    const answered = await callers.answered();
     await drained;
     await callers.terminate();
     assert.equal(answered, texts.length);
--- a/packages/testkit/src/hastycallers.ts
+++ b/packages/testkit/src/hastycallers.ts
@@ -1,4 +1,4 @@
-/** Callers that leave at once, and a busy event loop in which nobody notices. */
+/** Callers that leave at once, others that wait, and a busy event loop in which nobody notices. */
 
 import { once } from "node:events";
 import { Worker } from "node:worker_threads";
@@ -47,12 +47,7 @@
      */
     leaveUnnoticed(blockedMs: number): void {
         this.#worker.postMessage("leave");
-        const until = performance.now() + maxWaitMs;
-        for (let left = 0; left < this.#count; left = Atomics.load(this.#left, 0)) {
-            if (Atomics.wait(this.#left, 0, left, until - performance.now()) === "timed-out") {
-                throw new Error(`only ${left} of ${this.#count} callers have left`);
-            }
-        }
+        blockUntilAll(this.#left, this.#count, "callers have left");
         blockEventLoop(blockedMs);
     }
 
@@ -89,22 +84,74 @@
 /** A last resort; on a busy machine a wait may take seconds. */
 const maxWaitMs = 30_000;
 
-/**
- * Starts callers in a thread of their own that connect, send their requests and wait for the responses. The worker posts
- * how many got one once all connections have ended.
- */
-export const startPatientCallers = (port: number, requests: readonly string[]): Worker =>
-    new Worker(patientCallers, { eval: true, workerData: { port, requests } });
+/** Waits for another thread to count to `count`, while the event loop doesn't run. */
+const blockUntilAll = (counter: Int32Array, count: number, what: string): void => {
+    const until = performance.now() + maxWaitMs;
+    for (let reached = 0; reached < count; reached = Atomics.load(counter, 0)) {
+        if (Atomics.wait(counter, 0, reached, until - performance.now()) === "timed-out") {
+            throw new Error(`only ${reached} of ${count} ${what}`);
+        }
+    }
+};
 
 const patientCallers = `
     const { connect } = require("node:net");
-    const { parentPort, workerData } = require("node:worker_threads");
+    const { parentPort, workerData: { port, texts, sent } } = require("node:worker_threads");
     const call = text => new Promise(resolve => {
-        const socket = connect(workerData.port, "127.0.0.1", () => socket.write(text));
+        const socket = connect(port, "127.0.0.1", () => socket.write(text, () => {
+            Atomics.add(sent, 0, 1);
+            Atomics.notify(sent, 0);
+        }));
         let answered = false;
         socket.on("data", chunk => (answered ||= chunk.toString().startsWith("HTTP/1.1 200")));
         socket.on("error", () => undefined);
         socket.on("close", () => resolve(answered));
     });
-    Promise.all(workerData.requests.map(call)).then(all => parentPort.postMessage(all.filter(Boolean).length));
+    parentPort.once("message", () =>
+        Promise.all(texts.map(call)).then(all => parentPort.postMessage(all.filter(Boolean).length)));
 `;
+
+/** Callers in a thread of their own that connect, send their requests and wait for the responses. */
+export class PatientCallers {
+    readonly #worker: Worker;
+    readonly #count: number;
+    /** Number of callers that have sent their request. */
+    readonly #sent = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+
+    /** @param texts a request for each caller */
+    constructor(port: number, texts: readonly string[]) {
+        this.#count = texts.length;
+        this.#worker = new Worker(patientCallers, {
+            eval: true,
+            workerData: { port, texts, sent: this.#sent },
+        });
+    }
+
+    /** Resolves when the thread runs. */
+    async started(): Promise<void> {
+        await once(this.#worker, "online");
+    }
+
+    /**
+     * Lets the callers connect and send; keeps the event loop from running until all have done so, and for `blockedMs`
+     * milliseconds more.
+     *
+     * @throws Error if they have not sent within 30 s
+     */
+    sendUnnoticed(blockedMs: number): void {
+        this.#worker.postMessage("send");
+        blockUntilAll(this.#sent, this.#count, "callers have sent");
+        blockEventLoop(blockedMs);
+    }
+
+    /** Resolves, once all connections have ended, to how many callers got a response with status 200. */
+    async answered(): Promise<number> {
+        const [answered] = (await once(this.#worker, "message")) as [number];
+        return answered;
+    }
+
+    /** Ends the thread. */
+    async terminate(): Promise<void> {
+        await this.#worker.terminate();
+    }
+}
