A reset is told from an end also while the request is being sent, and without a byte

Cause: whether an end may be probed was judged at the response's head, as an empty line in a body under way would do harm. What is left of the request doesn't show the reset, as was claimed.

Change: the write at the end has no bytes. The kernel refuses it after a reset as it does any other, and nothing reaches the server.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -203,24 +203,17 @@
     }
 
     /**
-     * Has a write show whether the connection ends in order. Node reports an end for a reset, too, if it hadn't read all that
-     * arrived before; a write fails then. Servers ignore an empty line behind a request (RFC 9112, section 2.2). What is
-     * left of the request would show it as well.
+     * Has an empty write show whether the connection ends in order. Node reports an end for a reset, too, if it hadn't read all
+     * that arrived before; a write fails then, and one without bytes does no harm otherwise.
      */
     #watchEnd(): void {
         const socket = this.#socket;
-        if (!socket || !this.#req.writableFinished) {
+        if (!socket) {
             return;
         }
         socket.allowHalfOpen = true;
         socket.prependOnceListener("end", () => {
-            this.#endedInOrder = new Promise(resolve => {
-                socket.write("\r\n", err => {
-                    // The write itself may lead to a reset, from a receiver that has gone.
-                    socket.off("error", this.#handleSocketError);
-                    resolve(!err);
-                });
-            });
+            this.#endedInOrder = new Promise(resolve => socket.write("", err => resolve(!err)));
         });
     }
 
