A response whose transfer coding isn't chunked is malformed; one whose Via names an address isn't

Callers: a response with, say, `Transfer-Encoding: gzip`, which ends with its connection, looked whole after a reset, and came without its coding, as that header isn't relayed (four tests got 200 and a last chunk).

Cause: any transfer coding counted as framing; only chunks are. A status line goes on with a space or ends behind its status.

Change: both are checked where all links check heads. Nothing that is sent to a server accepts another coding.

--- a/packages/gateway/test/malformedheads.test.ts
+++ b/packages/gateway/test/malformedheads.test.ts
@@ -91,3 +91,11 @@
         { numRuns: 300, seed: 1 },
     );
 });
+
+test("a server's response that a proxy at an address of three digits has passed on is relayed", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        socket.write(responseText(id, "ok", "Via: HTTP/1.1 192.168.1.5:8080\r\n"));
+    });
+    const { port } = await startFrontend(t, [server]);
+    assert.equal(status((await sendRaw(port, requestText("a"))).text), 200);
+});
--- a/packages/proxy/src/heads.ts
+++ b/packages/proxy/src/heads.ts
@@ -12,11 +12,16 @@
 export const findResponseHeadProblem = ({
     statusCode = 0,
     statusMessage = "",
+    headers,
     rawHeaders,
-}: Pick<IncomingMessage, "statusCode" | "statusMessage" | "rawHeaders">): string | undefined => {
+}: Pick<IncomingMessage, "statusCode" | "statusMessage" | "headers" | "rawHeaders">): string | undefined => {
     if (statusCode < minFinalStatus || statusCode > maxStatus) {
         return `the status ${statusCode} doesn't exist`;
     }
+    if (!["chunked", undefined].includes(headers["transfer-encoding"]?.toLowerCase())) {
+        // Without chunks, it would end with its connection; nothing that was sent to a server accepts another coding.
+        return "its transfer coding isn't chunked";
+    }
     return holdsStatusLine(statusMessage) || rawHeaders.some(holdsStatusLine)
         ? "it holds the status line of another response"
         : findHeaderProblem(rawHeaders);
@@ -67,7 +72,7 @@
 
 const holdsStatusLine = (text: string): boolean => text.includes("HTTP/") && statusLinePattern.test(text);
 
-const statusLinePattern = /HTTP\/\d\.\d \d{3}/;
+const statusLinePattern = /HTTP\/\d\.\d \d{3}(?: |$)/;
 /** RFC 9110, section 5.6.2. */
 const tokenPattern = /^[\w!#$%&'*+.^`|~-]+$/;
 /** Responses with a lower status precede the final one; Node reports those separately. */
