Input behind a response that ends with a piece counts as unread

Cause: whether anybody reads was judged when input arrived, not when each piece of it was handed on.

--- a/packages/input/src/pacer.ts
+++ b/packages/input/src/pacer.ts
@@ -104,13 +104,12 @@
             connection.deliverEnd = () => connection.deliver(chunk);
             return false;
         }
-        connection.hasUnread ||= connection.socket.listenerCount("data") === 0;
         if (connection.held) {
             connection.held = Buffer.concat([connection.held, chunk]);
             return false;
         }
         if (chunk.length <= unpacedBytes) {
-            return connection.deliver(chunk);
+            return handOn(connection, chunk);
         }
         const now = this.#clock();
         this.#startPeriod(now);
@@ -140,7 +139,7 @@
 
     /** Hands on a piece; returns when that was done. */
     #deliverPiece(connection: PacedConnection, piece: Uint8Array, startedAt: number): number {
-        connection.wantsMore = connection.deliver(piece);
+        connection.wantsMore = handOn(connection, piece);
         const now = this.#clock();
         this.#spend(connection, now - startedAt);
         adaptPiece(connection, piece.length, now - startedAt);
@@ -215,6 +214,12 @@
     }
 }
 
+/** Hands on a piece; returns whether more may follow. */
+const handOn = (connection: PacedConnection, piece: Uint8Array): boolean => {
+    connection.hasUnread ||= connection.socket.listenerCount("data") === 0;
+    return connection.deliver(piece);
+};
+
 /** Halves the pieces of a connection whose input is expensive, and doubles them again when it is cheap. */
 const adaptPiece = (connection: PacedConnection, bytes: number, ms: number): void => {
     const { pieceBytes } = connection;
--- a/packages/input/test/unreadinput.test.ts
+++ b/packages/input/test/unreadinput.test.ts
@@ -1,5 +1,3 @@
-/** Findings of a review: input behind a response. */
-
 import assert from "node:assert/strict";
 import { request, type IncomingMessage } from "node:http";
 import { createServer, type AddressInfo } from "node:net";
