Timers run on after one whose callback throws, and a cancelled one wakes nobody

No callback is known that throws in a process that lives on.

Change: the next wake-up is arranged in any case, and only for a timer that is still scheduled.

--- a/packages/proxy/src/timers.ts
+++ b/packages/proxy/src/timers.ts
@@ -41,7 +41,11 @@
     /** When timers were last run. */
     #ranAt = -Infinity;
     #readingInput = false;
-    readonly #onChange = (dueAt: number): void => this.#wakeFor(dueAt);
+    readonly #onChange = (timer: Timer): void => {
+        if (this.#timers.has(timer)) {
+            this.#wakeFor(timer.dueAt);
+        }
+    };
 
     constructor(clock: () => number, periodMs: number) {
         this.#clock = clock;
@@ -80,12 +84,15 @@
     #runDueTimers(): void {
         this.#readingInput = false;
         this.#ranAt = this.#clock();
-        for (const [timer, onDue] of this.#dueTimers()) {
-            if (this.#timers.delete(timer)) {
-                onDue();
+        try {
+            for (const [timer, onDue] of this.#dueTimers()) {
+                if (this.#timers.delete(timer)) {
+                    onDue();
+                }
             }
+        } finally {
+            this.#wakeForEarliest();
         }
-        this.#wakeForEarliest();
     }
 
     #dueTimers(): readonly (readonly [Timer, () => void])[] {
@@ -123,10 +130,10 @@
 /** A timer of a `TimerSet`. */
 class SharedTimer implements Timer {
     #dueAt: number;
-    readonly #onChange: (dueAt: number) => void;
+    readonly #onChange: (timer: Timer) => void;
 
-    /** @param onChange called with a new due time */
-    constructor(dueAt: number, onChange: (dueAt: number) => void) {
+    /** @param onChange called when the due time has changed */
+    constructor(dueAt: number, onChange: (timer: Timer) => void) {
         this.#dueAt = dueAt;
         this.#onChange = onChange;
     }
@@ -137,7 +144,7 @@
 
     set dueAt(dueAt: number) {
         this.#dueAt = dueAt;
-        this.#onChange(dueAt);
+        this.#onChange(this);
     }
 }
 
--- a/packages/proxy/test/timerfailures.test.ts
+++ b/packages/proxy/test/timerfailures.test.ts
@@ -1,5 +1,3 @@
-/** Findings of a review: timers. */
-
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
