--- a/packages/gateway/test/copies.test.ts
+++ b/packages/gateway/test/copies.test.ts
@@ -4,8 +4,8 @@
 import { buffer } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import type { EntryVm } from "@bramleymoor/model/vm";
 import {
+    helperAt,
     requestText,
     responseText,
     sendRaw,
@@ -49,17 +49,6 @@
     });
 };
 
-/** Returns a peer that serves requests by the responses of a raw server. */
-const helperAt = (peer: RawServer): EntryVm => ({
-    id: "vm-2",
-    incarnation: "b",
-    place: { region: "r", domain: "a" },
-    callerAddress: "127.0.0.1:1",
-    peerAddress: peer.entry.address,
-    state: "alive",
-    load: 0,
-});
-
 /** A refusal that names no request. */
 const unnamedRefusal = "HTTP/1.1 503 Busy\r\nt-not-run: 1\r\nContent-Length: 0\r\n\r\n";
 
--- a/packages/gateway/test/peerpromises.test.ts
+++ b/packages/gateway/test/peerpromises.test.ts
@@ -1,23 +1,13 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
-import type { EntryVm } from "@bramleymoor/model/vm";
-import { requestText, sendRaw, startFrontend, startRawServer } from "./setup.js";
+import { helperAt, requestText, sendRaw, startFrontend, startRawServer } from "./setup.js";
 
 const status = (bytes: string): number => Number(/^HTTP\/1\.1 (\d+)/.exec(bytes)?.[1] ?? 0);
 
 /** Sends an order to an entry VM without links to the servers, whose only peer responds with `response`; returns the status. */
 const statusBehind = async (t: TestContext, response: string): Promise<number> => {
     const peer = await startRawServer(t, "peer", ({ socket }) => socket.write(response));
-    const helper: EntryVm = {
-        id: "vm-2",
-        incarnation: "b",
-        place: { region: "r", domain: "a" },
-        callerAddress: "127.0.0.1:1",
-        peerAddress: peer.entry.address,
-        state: "alive",
-        load: 0,
-    };
-    const { port } = await startFrontend(t, [], { kind: "non-idempotent" }, { helpers: [helper] });
+    const { port } = await startFrontend(t, [], { kind: "non-idempotent" }, { helpers: [helperAt(peer)] });
     const result = await sendRaw(port, requestText("a", { method: "POST", body: "x" }));
     assert.equal(peer.requests.length, 1);
     return status(result.text);
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -388,6 +388,17 @@
         socket.on("close", () => done("closed"));
     });
 
+/** Returns a peer that serves requests by the responses of a raw server. */
+export const helperAt = (peer: RawServer): EntryVm => ({
+    id: "vm-2",
+    incarnation: "b",
+    place: { region: "r", domain: "a" },
+    callerAddress: "127.0.0.1:1",
+    peerAddress: peer.entry.address,
+    state: "alive",
+    load: 0,
+});
+
 /** Waits until `condition` holds, checking it in each turn of the event loop. */
 export const waitUntil = async (condition: () => boolean): Promise<void> => {
     while (!condition()) {
