The end of the entry process doesn't make a response without a length look whole

Cause: such an answer ends with its connection, and the operating system closes the connections of a process that has ended like one that was ended in order.

Change: SO_LINGER with 0 s makes it reset them instead. It is set before the first byte of such an answer, and cleared when the operating system has the last one, before the connection is ended. As nothing looks whole any more, an answer is held back for 100 ms only, in which another server can replace it, unless other requests are pending on its connection. Where the call fails (event 8018), a whole answer gets a length and one of over 1 MiB is sent in chunks; a caller of HTTP/1.0 gets 502 for the latter.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -411,12 +411,13 @@
     }
 
     async #relay(exchange: Exchange, res: IncomingMessage, abort: () => void): Promise<RelayResult> {
-        const { isPipelined, responseBuffers } = this.#options;
+        const { isPipelined, responseBuffers, exitReset } = this.#options;
         const relay = new Relay(res, this.#res, {
             isBroken: () => exchange.isBroken,
             hasEndedInOrder: () => exchange.hasEndedInOrder(),
-            isPipelined: isPipelined(this.#req),
+            isPipelined: () => isPipelined(this.#req),
             buffers: responseBuffers,
+            exitReset,
         });
         const result = await this.#abortable(
             relay.run(() => this.#options.extraHeaders(this.#req)),
--- a/packages/gateway/src/forwardoptions.ts
+++ b/packages/gateway/src/forwardoptions.ts
@@ -5,6 +5,7 @@
 import type { RequestAge } from "@bramleymoor/proxy/requestage";
 import type { TimerSet } from "@bramleymoor/proxy/timers";
 import type { TurnBudget } from "@bramleymoor/proxy/turnbudget";
+import type { ExitReset } from "@bramleymoor/reset/exitreset";
 import type { Observable } from "rxjs";
 import type { KeepAliveAgent } from "./agent.js";
 import type { BufferBudget } from "./bufferbudget.js";
@@ -70,6 +71,8 @@
     readonly isPipelined: (req: IncomingMessage) => boolean;
     /** Bytes that may be buffered of long responses. */
     readonly responseBuffers: BufferBudget;
+    /** Has the end of this process reset the connections of responses that end with them. */
+    readonly exitReset: ExitReset;
     /** Resolves when no response before that of a request is being streamed on its connection. */
     readonly endOfStreamAhead: (req: IncomingMessage) => Promise<void>;
     /** Returns the headers that the entry VM adds to a response; called when the response head is written. */
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -14,6 +14,7 @@
 import { ageOfRequest, type RequestAge } from "@bramleymoor/proxy/requestage";
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
+import { LingerReset } from "@bramleymoor/reset/exitreset";
 import { TrafficSplits } from "@bramleymoor/routing/split";
 import { KeepAliveAgent, type ConnectionObserver } from "./agent.js";
 import { AuxiliaryServers } from "./auxiliaryservers.js";
@@ -434,6 +435,7 @@
             linksLost: this.#reach.lost,
             stopPlan: () => this.#stopPlan,
             responseBuffers: new BufferBudget(responseBufferBytes),
+            exitReset: new LingerReset(reason => this.#events.emit("exit-reset-failed", { reason })),
             lagMs: () => this.#lag.lagMs(monotonicMs()),
             crashGuard: this.#crashes,
             onSendLost: send => this.#reporter.reportLostSend(send),
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -6,6 +6,8 @@
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { whenInTurn } from "@bramleymoor/proxy/orderedresponse";
 import { breakConnection } from "@bramleymoor/proxy/relay";
+import { startTimeout } from "@bramleymoor/proxy/timers";
+import type { ExitReset } from "@bramleymoor/reset/exitreset";
 import type { BufferBudget } from "./bufferbudget.js";
 
 /** How a relay ended. */
@@ -23,10 +25,12 @@
     readonly isBroken: () => boolean;
     /** Resolves to whether the connection of a response that ends with it has ended in order. */
     readonly hasEndedInOrder: () => Promise<boolean>;
-    /** Whether other requests are pending on the caller's connection, which a response that breaks off midway closes. */
-    readonly isPipelined: boolean;
+    /** Returns whether other requests are pending on the caller's connection, which a response that breaks off midway closes. */
+    readonly isPipelined: () => boolean;
     /** Bytes that may be buffered of long responses. */
     readonly buffers: BufferBudget;
+    /** Has the end of this process reset the connection of a response that ends with it. */
+    readonly exitReset: ExitReset;
 }
 
 /** Relays one response. */
@@ -34,11 +38,14 @@
     readonly #from: IncomingMessage;
     readonly #to: ServerResponse;
     readonly #options: RelayOptions;
+    /** Whether the end of the caller's connection is all that ends the response. */
+    #endsConnection: boolean;
 
     constructor(from: IncomingMessage, to: ServerResponse, options: RelayOptions) {
         this.#from = from;
         this.#to = to;
         this.#options = options;
+        this.#endsConnection = endsConnection(from, to.req);
     }
 
     /**
@@ -51,7 +58,8 @@
             return await this.#relayBuffered(extraHeaders, () => true);
         }
         const { isPipelined, buffers } = this.#options;
-        if (isFramed(this.#from) && !isPipelined) {
+        const holdMs = isFramed(this.#from) ? undefined : unframedHoldMs;
+        if (holdMs === undefined && !isPipelined() && this.#canStream()) {
             return await this.#relayStreamed(extraHeaders, []);
         }
         let taken = 0;
@@ -61,7 +69,7 @@
             return mayTake;
         };
         try {
-            return await this.#relayBuffered(extraHeaders, mayBuffer);
+            return await this.#relayBuffered(extraHeaders, mayBuffer, holdMs);
         } finally {
             buffers.release(taken);
         }
@@ -71,36 +79,57 @@
      * Writes the head. A response without a length ends with its connection, and can't be told from one whose server has ended
      * midway; so the caller gets it without a length too.
      */
-    #writeHead(extraHeaders: () => readonly string[]): void {
-        if (!isFramed(this.#from)) {
+    #writeHead(extraHeaders: () => readonly string[], framing: readonly string[] = []): void {
+        if (this.#endsConnection) {
             this.#to.useChunkedEncodingByDefault = false;
             this.#to.shouldKeepAlive = false;
         }
-        this.#to.writeHead(this.#from.statusCode ?? 0, this.#headers(extraHeaders));
+        const { rawHeaders, headers, statusCode } = this.#from;
+        const relayed = endToEndHeaders(rawHeaders, headers.connection);
+        this.#to.writeHead(statusCode ?? 0, [...relayed, ...framing, ...extraHeaders()]);
+    }
+
+    /** Prepares the caller's connection for a response that isn't whole; returns false if the response has to be held back. */
+    #canStream(): boolean {
+        const { socket } = this.#to;
+        return !this.#endsConnection || (!!socket && this.#options.exitReset.arm(socket));
     }
 
     /**
-     * Relays a response once it is complete; from the first part on that can't be buffered, it is streamed. One without a length
-     * must not be begun before that: the end of this process would look like its end.
+     * Relays a response once it is complete. Streams it from the first part on that can't be buffered, or when it has been held
+     * back for long enough and no other request is pending on the connection: until then it can be replaced.
      *
      * @param mayBuffer returns whether a part of that many bytes may be buffered
+     * @param holdMs time after which it is streamed if it can be, in milliseconds; undefined if that isn't to be tried
      */
     #relayBuffered(
         extraHeaders: () => readonly string[],
         mayBuffer: (bytes: number) => boolean,
+        holdMs?: number,
     ): Promise<RelayResult> {
         const from = this.#from;
         const body = new ByteCollector();
         return new Promise((resolve, reject) => {
+            const streamIfPossible = (): void => {
+                if (!this.#options.isPipelined() && this.#canStream()) {
+                    stream();
+                }
+            };
+            const stopHolding =
+                holdMs === undefined ? (): void => undefined : startTimeout(holdMs, streamIfPossible);
             const removeListeners = (): void => {
+                stopHolding();
                 from.off("data", onData).off("end", onEnd).off("error", onBroken).off("close", onBroken);
             };
+            const stream = (): void => {
+                removeListeners();
+                from.pause();
+                this.#relayStreamed(extraHeaders, body.blocks).then(resolve, reject);
+            };
             const onData = (chunk: Buffer): void => {
                 body.append(chunk);
                 if (!mayBuffer(chunk.length)) {
-                    removeListeners();
-                    from.pause();
-                    this.#relayStreamed(extraHeaders, body.blocks).then(resolve, reject);
+                    stream();
                 }
             };
             const onEnd = (): void => {
@@ -108,15 +137,37 @@
                 this.#whenWhole(onWhole, onBroken);
             };
             const onWhole = (): void => {
-                this.#writeHead(extraHeaders);
-                this.#to.end(body.toBuffer());
+                void this.#sendWhole(extraHeaders, body.toBuffer());
                 resolve(this.#to.destroyed ? "caller-gone" : "complete");
             };
-            const onBroken = (): void => resolve("broken-before-start");
+            const onBroken = (): void => {
+                stopHolding();
+                resolve("broken-before-start");
+            };
             from.on("data", onData).on("end", onEnd).on("error", onBroken).on("close", onBroken);
         });
     }
 
+    /** Sends a response that is whole, with a length if its end couldn't be told from the end of this process otherwise. */
+    async #sendWhole(extraHeaders: () => readonly string[], body: Buffer): Promise<void> {
+        const to = this.#to;
+        if (!this.#endsConnection) {
+            this.#writeHead(extraHeaders);
+            to.end(body);
+            return;
+        }
+        await whenInTurn(to);
+        if (this.#canStream()) {
+            this.#writeHead(extraHeaders);
+            to.write(body);
+            this.#end();
+        } else if (!to.destroyed) {
+            this.#endsConnection = false;
+            this.#writeHead(extraHeaders, ["Content-Length", String(body.length)]);
+            to.end(body);
+        }
+    }
+
     /**
      * A response whose turn hasn't come can still be replaced by an error, so its head waits for that.
      *
@@ -137,11 +188,18 @@
         if (this.#options.isBroken() || (from.destroyed && !from.complete)) {
             return "broken-before-start";
         }
+        if (!this.#canStream()) {
+            if (to.req.httpVersion === "1.0") {
+                from.destroy();
+                return "broken-before-start";
+            }
+            this.#endsConnection = false;
+        }
         this.#writeHead(extraHeaders);
         begun.forEach(it => to.write(it));
         return new Promise(resolve => {
             const onBroken = (): void => {
-                if (!isFramed(from)) {
+                if (this.#endsConnection) {
                     to.socket?.resetAndDestroy();
                 }
                 breakConnection(to);
@@ -153,7 +211,7 @@
             to.on("drain", () => from.resume());
             const onWhole = (): void => {
                 writer.flush();
-                to.end(() => resolve("complete"));
+                this.#end(() => resolve("complete"));
             };
             from.on("end", () => this.#whenWhole(onWhole, onBroken));
             from.on("error", onBroken);
@@ -170,6 +228,25 @@
         });
     }
 
+    /**
+     * Ends a response that has been written. Where that ends the connection, the operating system first has to have all of it, as
+     * from then on the end of this process looks like the end of the response.
+     */
+    #end(onEnd: () => void = () => undefined): void {
+        const to = this.#to;
+        const { socket } = to;
+        if (!this.#endsConnection || !socket) {
+            to.end(onEnd);
+            return;
+        }
+        socket.write("", err => {
+            if (!err) {
+                this.#options.exitReset.disarm(socket);
+            }
+            to.end(onEnd);
+        });
+    }
+
     /** Calls one of the functions at the end of the response: at once, unless its connection has to show whether it is whole. */
     #whenWhole(onWhole: () => void, onBroken: () => void): void {
         const { isBroken, hasEndedInOrder } = this.#options;
@@ -181,11 +258,6 @@
             void hasEndedInOrder().then(isInOrder => (isInOrder ? onWhole() : onBroken()));
         }
     }
-
-    #headers(extraHeaders: () => readonly string[]): string[] {
-        const { rawHeaders, headers } = this.#from;
-        return [...endToEndHeaders(rawHeaders, headers.connection), ...extraHeaders()];
-    }
 }
 
 /** Returns the length that a response declares, in bytes; Infinity if it declares none. */
@@ -198,9 +270,18 @@
     headers["transfer-encoding"] !== undefined ||
     bodilessStatuses.has(statusCode);
 
+/** Returns whether a response ends with its caller's connection; a caller of HTTP/1.0 doesn't understand chunks. */
+const endsConnection = (res: IncomingMessage, { httpVersion }: IncomingMessage): boolean =>
+    !isFramed(res) || (httpVersion === "1.0" && res.headers["transfer-encoding"] !== undefined);
+
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Responses up to this many bytes are buffered and relayed only when they are complete. */
 const maxBufferedBytes = 64 * 1024;
 /** Responses beside others on their caller's connection, and those without a length, are buffered up to this many bytes. */
 const maxLongBufferedBytes = 1024 * 1024;
+/**
+ * Time for which a response without a length is held back, so that another server can still be tried if its own ends. Most are
+ * whole by then.
+ */
+const unframedHoldMs = 100;
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -405,6 +405,12 @@
             endings: "number",
         },
     ),
+    "exit-reset-failed": defineEvent(
+        8018,
+        "warn",
+        "A connection can't be set to be reset if this process ends under its response: {reason}. Responses without a length are sent with one, or in chunks if they are long.",
+        { reason: "string" },
+    ),
     "internal-error": defineEvent(9001, "error", "Internal error while {doing}: {reason}.", {
         doing: "string",
         reason: "string",
