The end of the own interface's process doesn't make chunks look whole to a caller of HTTP/1.0

What callers saw: a caller of HTTP/1.0 gets a response in chunks without them, ended by its connection. When the entry process was killed midway, it had part of the body and an orderly end.

Change: the own interface's relay sets the connection to be reset as well, and clears that when the operating system has all of the response (`endArmed`, which both relays share). Where the call fails, such a response is held until it is whole, up to 1 MiB, and sent with a length; a longer one is broken off before its head.

To peers and callers of HTTP/1.1 the own interface sends nothing that ends with a connection: it passes over servers' responses without a length.

--- a/packages/bench/src/oncecost.ts
+++ b/packages/bench/src/oncecost.ts
@@ -10,6 +10,7 @@
 import { parseConfig } from "@bramleymoor/model/parser";
 import type { Service } from "@bramleymoor/model/spec";
 import { CallServer } from "@bramleymoor/proxy/server";
+import { LingerReset } from "@bramleymoor/reset/exitreset";
 import { Command } from "commander";
 import { of } from "rxjs";
 import { builtScriptPath, ScriptProcess } from "./child.js";
@@ -180,6 +181,7 @@
                 badRequest: () => undefined,
                 connectionUnread: () => undefined,
             },
+            exitReset: new LingerReset(() => undefined),
         },
         { nonIdempotentIdleMs: idleMs },
     );
--- a/packages/entry/src/node.ts
+++ b/packages/entry/src/node.ts
@@ -18,6 +18,7 @@
 import { delay } from "@bramleymoor/proxy/delay";
 import { EventLoopLag } from "@bramleymoor/proxy/eventlooplag";
 import { CallServer } from "@bramleymoor/proxy/server";
+import { LingerReset } from "@bramleymoor/reset/exitreset";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { monotonicMs, wallClockMs } from "./clock.js";
 import { SharedKey } from "./sharedkey.js";
@@ -262,6 +263,7 @@
             lagMs: () => this.#lag.lagMs(monotonicMs()),
             unreadMs: () => this.#lag.unreadMs(monotonicMs()),
             observer: this.#reporter,
+            exitReset: new LingerReset(reason => this.#events.emit("exit-reset-failed", { reason })),
         };
         return new CallServer(options, { callerConnections: this.#settings.callers["most-connections"] });
     }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -5,9 +5,9 @@
 import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { whenInTurn } from "@bramleymoor/proxy/orderedresponse";
-import { breakConnection } from "@bramleymoor/proxy/relay";
+import { breakConnection, losesChunks } from "@bramleymoor/proxy/relay";
 import { startTimeout } from "@bramleymoor/proxy/timers";
-import type { ExitReset } from "@bramleymoor/reset/exitreset";
+import { endArmed, type ExitReset } from "@bramleymoor/reset/exitreset";
 import type { BufferBudget } from "./bufferbudget.js";
 
 /** How a relay ended. */
@@ -45,7 +45,7 @@
         this.#from = from;
         this.#to = to;
         this.#options = options;
-        this.#endsConnection = endsConnection(from, to.req);
+        this.#endsConnection = !isFramed(from) || losesChunks(from, to.req);
     }
 
     /**
@@ -228,23 +228,13 @@
         });
     }
 
-    /**
-     * Ends a response that has been written. Where that ends the connection, the operating system first has to have all of it, as
-     * from then on the end of this process looks like the end of the response.
-     */
+    /** Ends a response that has been written. */
     #end(onEnd: () => void = () => undefined): void {
-        const to = this.#to;
-        const { socket } = to;
-        if (!this.#endsConnection || !socket) {
-            to.end(onEnd);
-            return;
+        if (this.#endsConnection) {
+            endArmed(this.#to, this.#options.exitReset, onEnd);
+        } else {
+            this.#to.end(onEnd);
         }
-        socket.write("", err => {
-            if (!err) {
-                this.#options.exitReset.disarm(socket);
-            }
-            to.end(onEnd);
-        });
     }
 
     /** Calls one of the functions at the end of the response: at once, unless its connection has to show whether it is whole. */
@@ -270,10 +260,6 @@
     headers["transfer-encoding"] !== undefined ||
     bodilessStatuses.has(statusCode);
 
-/** Returns whether a response ends with its caller's connection; a caller of HTTP/1.0 doesn't understand chunks. */
-const endsConnection = (res: IncomingMessage, { httpVersion }: IncomingMessage): boolean =>
-    !isFramed(res) || (httpVersion === "1.0" && res.headers["transfer-encoding"] !== undefined);
-
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Responses up to this many bytes are buffered and relayed only when they are complete. */
--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -8,6 +8,7 @@
 import { callHeaders } from "@bramleymoor/protocol/headers";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { ExecutionTracker } from "@bramleymoor/protocol/execution";
+import type { ExitReset } from "@bramleymoor/reset/exitreset";
 import { discardResponse } from "./discard.js";
 import type { BackendClient, OutgoingRequest } from "./backend.js";
 import { RequestBody } from "./body.js";
@@ -36,6 +37,8 @@
     readonly extraHeaders: () => readonly string[];
     /** Returns a call id that is unique within the process. */
     readonly nextId: () => number;
+    /** Has the end of this process reset the connections of responses that end with them. */
+    readonly exitReset: ExitReset;
 }
 
 /** A call that has passed all checks that precede the at-most-once table. */
@@ -207,14 +210,14 @@
             throw errorFor(attemptResult.error);
         }
         const { res, run, timing, stallMs } = this.#context;
-        const { clock, timers } = this.#options;
+        const { clock, timers, exitReset } = this.#options;
         const status = attemptResult.response.statusCode ?? 0;
         const headers = forwardedResponseHeaders(
             attemptResult.response.rawHeaders,
             attemptResult.response.headers.connection,
         );
         const capture = run && new BodyCapture(this.#options.onceTable.limits.maxStoredBodyBytes);
-        const relay = new Relay(attemptResult.response, res, capture, { timers, clock, stallMs });
+        const relay = new Relay(attemptResult.response, res, capture, { timers, clock, stallMs }, exitReset);
         const relayResult = await relay.run(status, [...headers, ...this.#options.extraHeaders()]);
         timing.bytesOut = relay.bytes;
         settleSlot(attemptResult.slotRequest, relayResult, status);
--- a/packages/proxy/src/peerforward.ts
+++ b/packages/proxy/src/peerforward.ts
@@ -4,6 +4,7 @@
 import { callHeaders, responseHeaders } from "@bramleymoor/protocol/headers";
 import { CallError, type ExecutionState } from "@bramleymoor/protocol/errors";
 import { ExecutionTracker } from "@bramleymoor/protocol/execution";
+import type { ExitReset } from "@bramleymoor/reset/exitreset";
 import { SendError, type BackendClient, type Exchange, type OutgoingRequest } from "./backend.js";
 import { RequestBody } from "./body.js";
 import { peerResponseHeaders, peerRequestHeaders } from "./headers.js";
@@ -23,6 +24,8 @@
     readonly stallMs: number;
     /** Returns the headers to add to the response. */
     readonly extraHeaders: () => readonly string[];
+    /** Has the end of this process reset the connections of responses that end with them. */
+    readonly exitReset: ExitReset;
 }
 
 /** Forwards one call to another entry VM and relays the response. */
@@ -129,8 +132,8 @@
 
     async #relay(exchange: Exchange, response: IncomingMessage): Promise<RelayResult> {
         const headers = peerResponseHeaders(response.rawHeaders, response.headers.connection);
-        const { res, extraHeaders, ...limit } = this.#options;
-        const relay = new Relay(response, res, undefined, limit);
+        const { res, extraHeaders, exitReset, ...limit } = this.#options;
+        const relay = new Relay(response, res, undefined, limit, exitReset);
         const result = await relay.run(response.statusCode ?? 0, [...headers, ...extraHeaders()]);
         if (result !== "complete") {
             exchange.abort({ kind: "cancelled" });
--- a/packages/proxy/src/relay.ts
+++ b/packages/proxy/src/relay.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteCollector } from "@bramleymoor/input/collector";
 import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
+import { endArmed, type ExitReset } from "@bramleymoor/reset/exitreset";
 import { forwardedTrailers } from "./headers.js";
 import type { Timer, TimerSet } from "./timers.js";
 
@@ -54,20 +55,32 @@
     readonly #limit: StallLimit;
     readonly #stallTimer: Timer;
     readonly #writer: GatheredWriter;
+    readonly #exitReset: ExitReset;
+    /** Whether the end of the caller's connection is all that ends the response. */
+    readonly #endsConnection: boolean;
+    /** The body, while it has to be whole before anything is sent of it; undefined if it is streamed. */
+    #held: ByteCollector | undefined = undefined;
+    #sendHead: (framing: readonly string[]) => void = () => undefined;
     #resolve: (result: RelayResult) => void = () => undefined;
     #bytes = 0;
 
-    /** @param capture if set, reading continues after the caller has disconnected, to store the response */
+    /**
+     * @param capture if set, reading continues after the caller has disconnected, to store the response
+     * @param exitReset has the end of this process reset the connection of a response that ends with it
+     */
     constructor(
         from: IncomingMessage,
         to: ServerResponse,
         capture: BodyCapture | undefined,
         limit: StallLimit,
+        exitReset: ExitReset,
     ) {
         this.#from = from;
         this.#to = to;
         this.#capture = capture;
         this.#limit = limit;
+        this.#exitReset = exitReset;
+        this.#endsConnection = losesChunks(from, to.req);
         this.#writer = new GatheredWriter(to, () => this.#pause());
         this.#stallTimer = limit.timers.schedule(limit.clock() + limit.stallMs, () => this.#handleBreak());
     }
@@ -93,8 +106,16 @@
         return new Promise(resolve => {
             this.#resolve = resolve;
             this.#attachListeners();
-            if (!this.#to.destroyed) {
-                this.#to.writeHead(status, headers);
+            this.#sendHead = framing => {
+                if (!this.#to.destroyed) {
+                    this.#to.writeHead(status, [...headers, ...framing]);
+                }
+            };
+            const { socket } = this.#to;
+            if (this.#endsConnection && !(socket && this.#exitReset.arm(socket))) {
+                this.#held = new ByteCollector();
+            } else {
+                this.#sendHead([]);
             }
             this.#from.on("data", (chunk: Buffer) => this.#copy(chunk));
         });
@@ -123,7 +144,20 @@
             }
             return;
         }
-        this.#writer.write(chunk);
+        if (this.#held) {
+            this.#hold(this.#held, chunk);
+        } else {
+            this.#writer.write(chunk);
+        }
+    }
+
+    /** Keeps a part of a response that has to be whole before it is sent; one that is too long for that is broken off. */
+    #hold(held: ByteCollector, chunk: Buffer): void {
+        held.append(chunk);
+        if (held.bytes > maxHeldBytes) {
+            this.#from.destroy();
+            this.#handleBreak();
+        }
     }
 
     #resetStallTimer(): void {
@@ -150,7 +184,14 @@
             this.#to.addTrailers(forwardedTrailers(this.#from.rawTrailers));
         }
         this.#writer.flush();
-        this.#to.end();
+        if (this.#held) {
+            this.#sendHead(["Content-Length", String(this.#held.bytes)]);
+            this.#to.end(this.#held.toBuffer());
+        } else if (this.#endsConnection) {
+            endArmed(this.#to, this.#exitReset);
+        } else {
+            this.#to.end();
+        }
         this.#resolve("complete");
     }
 
@@ -170,6 +211,10 @@
     }
 }
 
+/** Returns whether a response in chunks ends with its caller's connection instead: one of HTTP/1.0 doesn't understand them. */
+export const losesChunks = ({ headers }: IncomingMessage, { httpVersion }: IncomingMessage): boolean =>
+    httpVersion === "1.0" && headers["transfer-encoding"] !== undefined;
+
 /** Breaks a caller's connection so that it detects the truncation; in HTTP/1.0, a normal close would end the body. */
 export const breakConnection = (to: ServerResponse): void => {
     if (to.req.httpVersion === "1.0") {
@@ -177,3 +222,6 @@
     }
     to.destroy();
 };
+
+/** Bytes up to which a response is held until it is whole, where a connection can't be set to be reset. */
+const maxHeldBytes = 1024 * 1024;
--- a/packages/proxy/src/services.ts
+++ b/packages/proxy/src/services.ts
@@ -5,6 +5,7 @@
 import type { TicketIssuer } from "@bramleymoor/once/tickets";
 import type { OnceTable } from "@bramleymoor/once/table";
 import type { AddressResponse } from "@bramleymoor/protocol/messages";
+import type { ExitReset } from "@bramleymoor/reset/exitreset";
 import type { CallObserver } from "./observer.js";
 
 /** A service that this entry VM dispatches. */
@@ -62,6 +63,8 @@
     /** Returns how long at most input that is read now has waited unread, in milliseconds. */
     readonly unreadMs: () => number;
     readonly observer: CallObserver;
+    /** Has the end of this process reset the connections of responses that end with them. */
+    readonly exitReset: ExitReset;
 }
 
 /** Limits of a CallServer. */
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -237,7 +237,7 @@
     }
 
     async #forwardToPeer(start: (forward: PeerForward) => Promise<RelayResult>): Promise<CallOutcome> {
-        const { client, clock, timers, extraHeaders } = this.#options;
+        const { client, clock, timers, extraHeaders, exitReset } = this.#options;
         const messages = { req: this.#req, res: this.#res };
         const times = { deadlineAt: this.#deadlineAt, stallMs: this.#stallMs };
         const forward = new PeerForward({
@@ -245,6 +245,7 @@
             clock,
             timers,
             extraHeaders,
+            exitReset,
             ...messages,
             ...times,
         });
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -1,5 +1,6 @@
 /** Fixtures for the proxy's tests: a call server with a fake dispatcher, in front of simulated backend servers. */
 
+import assert from "node:assert/strict";
 import { randomBytes } from "node:crypto";
 import type { Agent } from "node:http";
 import { request, type IncomingMessage } from "node:http";
@@ -11,6 +12,7 @@
 import { TicketIssuer } from "@bramleymoor/once/tickets";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { startFakeBackend, type FakeBackend, type BackendBehavior } from "@bramleymoor/testkit/backend";
+import { LingerReset, type ExitReset } from "@bramleymoor/reset/exitreset";
 import { Observable } from "rxjs";
 import type { CallRecord } from "../src/observer.js";
 import { CallServer } from "../src/server.js";
@@ -125,6 +127,7 @@
     readonly ticketLifeMs?: number;
     readonly lagMs?: () => number;
     readonly unreadMs?: () => number;
+    readonly exitReset?: ExitReset;
     /** Caller addresses of the entry VMs that dispatch the service instead of this one. */
     readonly passTo?: () => readonly string[];
 }
@@ -198,6 +201,7 @@
                     badRequest: () => undefined,
                     connectionUnread: () => this.unread++,
                 },
+                exitReset: options.exitReset ?? new LingerReset(reason => assert.fail(reason)),
             },
             options.limits,
         );
--- a/packages/reset/src/exitreset.ts
+++ b/packages/reset/src/exitreset.ts
@@ -1,5 +1,6 @@
 /** Has the end of the process reset connections, so that it isn't taken for the end of their response. */
 
+import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { loadSetLinger, type SetLinger } from "./linger.js";
 
@@ -14,6 +15,24 @@
     disarm(socket: Socket): void;
 }
 
+/**
+ * Ends a response whose connection is armed and ends with it. The operating system first has to have all of the response, as from
+ * then on the end of this process looks like the end of the response.
+ */
+export const endArmed = (
+    res: ServerResponse,
+    exitReset: ExitReset,
+    onEnd: () => void = () => undefined,
+): void => {
+    const { socket } = res;
+    socket?.write("", err => {
+        if (!err) {
+            exitReset.disarm(socket);
+        }
+        res.end(onEnd);
+    });
+};
+
 /** Uses the socket option SO_LINGER with a time of 0. */
 export class LingerReset implements ExitReset {
     readonly #load: () => SetLinger;
