Requests behind a response without a length are answered

Cause: nothing told the end of the answer from the end of its server.

Change: where requests are pending behind such an answer, the server is probed once it has ended the connection, on a new connection (`Dispatcher.confirmAlive`; a probe that was already in flight proves nothing). If it responds, it hasn't ended, and the answer gets a length, or its last chunk if it was too long to be buffered. If not, a buffered answer goes on without a length and closes the connection as before, and a streamed one is broken off.

Left: an answer that comes through a peer still closes its connection, as a cut-off entry VM can't probe servers.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -50,6 +50,8 @@
     readonly #usage: ProbeUsage;
     /** Probes in flight by incarnation key; each resolves when its result has been recorded. */
     readonly #pendingProbes = new Map<string, Promise<void>>();
+    /** Probes of `confirmAlive` in flight by incarnation key. */
+    readonly #confirmations = new Map<string, Promise<boolean>>();
     readonly #waiting = new Map<Request, (result: AcquireResult) => void>();
     #settings: ServiceSettings;
 
@@ -129,6 +131,29 @@
         }
     }
 
+    /**
+     * Resolves to whether a server responds to a probe that is sent from now on, so that it hasn't ended before. The probe is
+     * debited to the budget, which doesn't prevent it.
+     */
+    async confirmAlive(server: ServerEntry): Promise<boolean> {
+        const key = incarnationKey(server);
+        // Probes in flight may have been answered before.
+        await Promise.all([this.#pendingProbes.get(key), this.#confirmations.get(key)]);
+        const confirmation = this.#confirmations.get(key) ?? this.#startConfirmation(key, server);
+        return await confirmation;
+    }
+
+    #startConfirmation(key: string, server: ServerEntry): Promise<boolean> {
+        this.#probeBudget.recordUnplanned();
+        const confirmation = this.#sendProbe(server, true).finally(() => {
+            this.#confirmations.delete(key);
+            this.#dispatchWaiting();
+        });
+        this.#confirmations.set(key, confirmation);
+        this.#usage.recordSent(server.id, this.#pendingProbes.size);
+        return confirmation;
+    }
+
     /** Records that the head of the response to a slot's request has arrived. */
     recordResponseHead(slot: Slot): void {
         this.#balancer.recordResponseHead(slot);
@@ -214,15 +239,16 @@
             this.#usage.record("shared");
             return pending;
         }
-        const result = this.#sendProbe(server, onNewConnection).finally(() =>
-            this.#pendingProbes.delete(key),
-        );
+        const result = this.#sendProbe(server, onNewConnection).then(() => {
+            this.#pendingProbes.delete(key);
+        });
         this.#pendingProbes.set(key, result);
         this.#usage.recordSent(server.id, this.#pendingProbes.size);
         return result;
     }
 
-    async #sendProbe(server: ServerEntry, onNewConnection: boolean): Promise<void> {
+    /** Sends a probe; resolves to whether the server has responded, when that has been recorded. */
+    async #sendProbe(server: ServerEntry, onNewConnection: boolean): Promise<boolean> {
         const startedAt = this.#clock();
         this.#balancer.recordProbeSent(server);
         const response = await this.#probeClient.probe(server, this.#settings.healthPath, {
@@ -234,7 +260,7 @@
         this.#recordProbe(server, isAlive, startedAt);
         if (!isAlive) {
             this.#balancer.recordUnansweredProbe(server, this.#clock());
-            return;
+            return false;
         }
         this.#recordStatement(server, response.statement, "probe");
         if (response.report) {
@@ -242,6 +268,7 @@
         } else {
             this.#balancer.recordResponseWithoutLoad(server);
         }
+        return true;
     }
 
     /**
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -378,7 +378,9 @@
                 discardResponse(serverRes, () => exchange.finish());
                 return await settle(answered);
             }
-            const relayResult = await this.#relay(exchange, serverRes, abort);
+            const relayResult = await this.#relay(exchange, serverRes, abort, () =>
+                dispatcher.confirmAlive(slot.server),
+            );
             await settle(relayResult === "complete" ? answered : slotResultOfRelay[relayResult]);
             return relayResult === "broken-before-start" ? { kind: "lost" } : outcomeOfRelay[relayResult];
         } catch (err) {
@@ -410,14 +412,22 @@
         }
     }
 
-    async #relay(exchange: Exchange, res: IncomingMessage, abort: () => void): Promise<RelayResult> {
-        const { isPipelined, responseBuffers, exitReset } = this.#options;
+    /** @param confirmAlive resolves to whether the server that responds lives; undefined if that can't be found out */
+    async #relay(
+        exchange: Exchange,
+        res: IncomingMessage,
+        abort: () => void,
+        confirmAlive?: () => Promise<boolean>,
+    ): Promise<RelayResult> {
+        const { isPipelined, isFollowed, responseBuffers, exitReset } = this.#options;
         const relay = new Relay(res, this.#res, {
             isBroken: () => exchange.isBroken,
             hasEndedInOrder: () => exchange.hasEndedInOrder(),
             isPipelined: () => isPipelined(this.#req),
+            isFollowed: () => isFollowed(this.#req),
             buffers: responseBuffers,
             exitReset,
+            confirmAlive,
         });
         const result = await this.#abortable(
             relay.run(() => this.#options.extraHeaders(this.#req)),
--- a/packages/gateway/src/forwardoptions.ts
+++ b/packages/gateway/src/forwardoptions.ts
@@ -69,6 +69,8 @@
     readonly countAhead: (req: IncomingMessage) => number;
     /** Whether other requests are pending on a request's connection. */
     readonly isPipelined: (req: IncomingMessage) => boolean;
+    /** Whether later requests are pending on a request's connection. */
+    readonly isFollowed: (req: IncomingMessage) => boolean;
     /** Bytes that may be buffered of long responses. */
     readonly responseBuffers: BufferBudget;
     /** Has the end of this process reset the connections of responses that end with them. */
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -113,6 +113,11 @@
         return (this.#pending.get(socket)?.size ?? 0) > 1;
     }
 
+    /** Whether later requests are pending on a request's connection. */
+    isFollowed(req: IncomingMessage): boolean {
+        return [...(this.#pending.get(req.socket)?.values() ?? [])].at(-1) !== req;
+    }
+
     /** Resolves when no response before that of `req` is being streamed on its connection. */
     async endOfStreamAhead(req: IncomingMessage): Promise<void> {
         for (const [res, earlier] of this.#pending.get(req.socket) ?? []) {
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -540,9 +540,13 @@
 /** Returns what requests need to know of the connections that a frontend accepts. */
 const connectionOptions = (
     frontend: FrontendServer,
-): Pick<ForwardOptions, "countAhead" | "isPipelined" | "endOfStreamAhead" | "extraHeaders"> => ({
+): Pick<
+    ForwardOptions,
+    "countAhead" | "isPipelined" | "isFollowed" | "endOfStreamAhead" | "extraHeaders"
+> => ({
     countAhead: req => frontend.countAhead(req),
     isPipelined: req => frontend.isPipelined(req),
+    isFollowed: req => frontend.isFollowed(req),
     endOfStreamAhead: req => frontend.endOfStreamAhead(req),
     extraHeaders: req => frontend.extraHeaders(req),
 });
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -27,10 +27,17 @@
     readonly hasEndedInOrder: () => Promise<boolean>;
     /** Returns whether other requests are pending on the caller's connection, which a response that breaks off midway closes. */
     readonly isPipelined: () => boolean;
+    /** Returns whether requests behind this one are pending on the caller's connection. */
+    readonly isFollowed: () => boolean;
     /** Bytes that may be buffered of long responses. */
     readonly buffers: BufferBudget;
     /** Has the end of this process reset the connection of a response that ends with it. */
     readonly exitReset: ExitReset;
+    /**
+     * Resolves to whether the server lives on, so that a response that ended with its connection is whole; undefined if that can't
+     * be found out.
+     */
+    readonly confirmAlive: (() => Promise<boolean>) | undefined;
 }
 
 /** Relays one response. */
@@ -137,8 +144,15 @@
                 this.#whenWhole(onWhole, onBroken);
             };
             const onWhole = (): void => {
-                void this.#sendWhole(extraHeaders, body.toBuffer());
-                resolve(this.#to.destroyed ? "caller-gone" : "complete");
+                const send = (mayKeepConnection: boolean): void => {
+                    void this.#sendWhole(extraHeaders, body.toBuffer(), mayKeepConnection);
+                    resolve(this.#to.destroyed ? "caller-gone" : "complete");
+                };
+                if (this.#endsConnection) {
+                    void this.#mayKeepConnection().then(send);
+                } else {
+                    send(true);
+                }
             };
             const onBroken = (): void => {
                 stopHolding();
@@ -148,23 +162,39 @@
         });
     }
 
-    /** Sends a response that is whole, with a length if its end couldn't be told from the end of this process otherwise. */
-    async #sendWhole(extraHeaders: () => readonly string[], body: Buffer): Promise<void> {
+    /**
+     * Resolves to whether a response that has been read to its end may be sent with a length, so that requests behind it on its
+     * connection can be answered too. A server that has ended while it responded may have ended its connection in order.
+     */
+    async #mayKeepConnection(): Promise<boolean> {
+        const { isFollowed, confirmAlive } = this.#options;
+        return isFramed(this.#from) || (isFollowed() && (await confirmAlive?.()) === true);
+    }
+
+    /** Sends a response that is whole, with a length if the end of this process would look like its end otherwise. */
+    async #sendWhole(
+        extraHeaders: () => readonly string[],
+        body: Buffer,
+        mayKeepConnection: boolean,
+    ): Promise<void> {
         const to = this.#to;
-        if (!this.#endsConnection) {
-            this.#writeHead(extraHeaders);
-            to.end(body);
+        if (this.#endsConnection && !mayKeepConnection) {
+            await whenInTurn(to);
+        }
+        if (to.destroyed || to.headersSent) {
             return;
         }
-        await whenInTurn(to);
-        if (this.#canStream()) {
+        if (!this.#endsConnection) {
             this.#writeHead(extraHeaders);
-            to.write(body);
-            this.#end();
-        } else if (!to.destroyed) {
+            to.end(body);
+        } else if (mayKeepConnection || !this.#canStream()) {
             this.#endsConnection = false;
             this.#writeHead(extraHeaders, ["Content-Length", String(body.length)]);
             to.end(body);
+        } else {
+            this.#writeHead(extraHeaders);
+            to.write(body);
+            this.#end();
         }
     }
 
@@ -179,6 +209,7 @@
     ): Promise<RelayResult> {
         const from = this.#from;
         const to = this.#to;
+        const { confirmAlive } = this.#options;
         if (!to.socket) {
             await whenInTurn(to);
         }
@@ -188,7 +219,8 @@
         if (this.#options.isBroken() || (from.destroyed && !from.complete)) {
             return "broken-before-start";
         }
-        if (!this.#canStream()) {
+        const needsProof = this.#endsConnection && this.#keepsConnectionInChunks;
+        if (needsProof || !this.#canStream()) {
             if (to.req.httpVersion === "1.0") {
                 from.destroy();
                 return "broken-before-start";
@@ -209,10 +241,17 @@
             from.on("data", (chunk: Buffer) => writer.write(chunk));
             from.resume();
             to.on("drain", () => from.resume());
-            const onWhole = (): void => {
+            const end = (): void => {
                 writer.flush();
                 this.#end(() => resolve("complete"));
             };
+            const onWhole = (): void => {
+                if (needsProof) {
+                    void confirmAlive?.().then(isAlive => (isAlive ? end() : onBroken()));
+                } else {
+                    end();
+                }
+            };
             from.on("end", () => this.#whenWhole(onWhole, onBroken));
             from.on("error", onBroken);
             from.on("close", () => {
@@ -228,6 +267,17 @@
         });
     }
 
+    /** Whether a response without a length is sent in chunks, as it is pending before others; its end then needs a proof. */
+    get #keepsConnectionInChunks(): boolean {
+        const { isFollowed, confirmAlive } = this.#options;
+        return (
+            !isFramed(this.#from) &&
+            this.#to.req.httpVersion !== "1.0" &&
+            confirmAlive !== undefined &&
+            isFollowed()
+        );
+    }
+
     /** Ends a response that has been written. */
     #end(onEnd: () => void = () => undefined): void {
         if (this.#endsConnection) {
--- a/packages/gateway/test/dispatcher.test.ts
+++ b/packages/gateway/test/dispatcher.test.ts
@@ -207,3 +207,24 @@
     await fixture.advance(10);
     assert.deepEqual([...fixture.pendingProbes.keys()], ["s1"]);
 });
+
+// Guards against a proof that is older than what it is to prove.
+test("a server counts as living only after a response to a probe that was sent since it was asked", async t => {
+    const fixture = new DispatcherFixture(t, "a");
+    const server = entry("a");
+    fixture.now = 1_000;
+    const early = fixture.dispatcher.checkServer(server);
+    const confirmed: string[] = [];
+    for (const name of ["first", "second"]) {
+        void fixture.dispatcher.confirmAlive(server).then(isAlive => confirmed.push(`${name} ${isAlive}`));
+    }
+    await fixture.respond("a", probeResponse(0, 100));
+    await early;
+    assert.deepEqual(confirmed, []);
+    assert.deepEqual([...fixture.pendingProbes.keys()], ["a"]);
+    const third = fixture.dispatcher.confirmAlive(server);
+    await fixture.respond("a", probeResponse(0, 100));
+    assert.deepEqual(confirmed, ["first true", "second true"]);
+    await fixture.respond("a", undefined);
+    assert.equal(await third, false);
+});
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -196,6 +196,81 @@
     });
 }
 
+const unframedHead = (id: string): string => `HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n\r\n`;
+
+// Guards against a response that a server's crash has cut and that looks whole, as 4508e5d brought.
+for (const parts of [1, 20]) {
+    test(`before other requests, a response without a length of ${parts * long.length} bytes isn't given an end if its server has ended`, async t => {
+        let hasEnded = false;
+        const server = await startRawServer(
+            t,
+            "s1",
+            ({ socket, id }) => {
+                if (id !== "a") {
+                    socket.write(responseText(id, `for ${id}`));
+                    return;
+                }
+                socket.write(`${unframedHead(id)}${long.repeat(parts)}`);
+                setTimeout(() => {
+                    hasEnded = true;
+                    socket.end();
+                }, 300);
+            },
+            {
+                answerProbe: socket =>
+                    hasEnded
+                        ? socket.destroy()
+                        : socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+            },
+        );
+        const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
+        const { text, end } = await sendRaw(port, requestText("a") + requestText("b"), 2_000);
+        assert.doesNotMatch(text, /content-length/i);
+        assert.ok(!text.includes("\r\n0\r\n\r\n"), text.slice(-100));
+        assert.notEqual(end, "open");
+    });
+}
+
+// Guards against requests that have run and get no response, as the one before them is too long to be buffered.
+test("requests behind a response without a length that is too long to be buffered are answered", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        if (id === "a") {
+            socket.end(`${unframedHead(id)}${long.repeat(20)}`);
+        } else {
+            socket.write(responseText(id, `for ${id}`));
+        }
+    });
+    const { port } = await startFrontend(t, [server]);
+    const requests = ["a", "b", "c"].map(id => requestText(id)).join("");
+    const { text, end } = await sendRaw(port, requests, 1_000);
+    assert.equal(text.split("x").length - 1, 20 * long.length);
+    assert.ok(text.includes("for b") && text.endsWith("for c"), text.slice(-300));
+    assert.equal(end, "open");
+});
+
+test("a response without a length that no request follows costs no probe", async t => {
+    let probes = 0;
+    const server = await startRawServer(
+        t,
+        "s1",
+        ({ socket, id }) =>
+            id === "a" ? socket.write(responseText(id, "first")) : socket.end(`${unframedHead(id)}hello`),
+        {
+            answerProbe: socket => {
+                probes++;
+                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            },
+        },
+    );
+    const { port } = await startFrontend(t, [server]);
+    await sendRaw(port, requestText("a"));
+    const probesBefore = probes;
+    const { text, end } = await sendRaw(port, requestText("b") + requestText("c"), 1_000);
+    assert.ok(text.endsWith("hello"));
+    assert.equal(end, "closed");
+    assert.ok(probes - probesBefore <= 3, `${probes - probesBefore} probes`);
+});
+
 test("a response that breaks off midway closes the caller's connection", async t => {
     const server = await startRawServer(t, "s1", ({ socket, id }) => {
         const head = `HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\nContent-Length: 200000\r\n\r\n`;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -295,6 +295,7 @@
         responseBuffers: new BufferBudget(4_000_000),
         exitReset,
         isPipelined: req => frontend.isPipelined(req),
+        isFollowed: req => frontend.isFollowed(req),
         endOfStreamAhead: req => frontend.endOfStreamAhead(req),
         crashGuard: crashes,
         onSendLost: () => undefined,
