A response to HEAD without a length keeps its connection; tests of peers and of requests behind

What callers saw: HEAD answered without Content-Length closed the connection, and requests behind it got no answer.

Cause: such a response was taken for one that ends with its connection; it has no body.

Change: `isFramed` asks for the request's method.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -182,7 +182,7 @@
             this.abort({ kind: "lost" }, `malformed response: ${problem}`);
             return;
         }
-        if (outgoing.method !== "HEAD" && !isFramed(res)) {
+        if (!isFramed(res, outgoing.method)) {
             this.#watchEnd();
         }
         const unrelayed = outgoing.examine(res, {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -45,6 +45,7 @@
     readonly #from: IncomingMessage;
     readonly #to: ServerResponse;
     readonly #options: RelayOptions;
+    readonly #isFramed: boolean;
     /** Whether the end of the caller's connection is all that ends the response. */
     #endsConnection: boolean;
 
@@ -52,7 +53,8 @@
         this.#from = from;
         this.#to = to;
         this.#options = options;
-        this.#endsConnection = !isFramed(from) || losesChunks(from, to.req);
+        this.#isFramed = isFramed(from, to.req.method ?? "");
+        this.#endsConnection = !this.#isFramed || losesChunks(from, to.req);
     }
 
     /**
@@ -65,7 +67,7 @@
             return await this.#relayBuffered(extraHeaders, () => true);
         }
         const { isPipelined, buffers } = this.#options;
-        const holdMs = isFramed(this.#from) ? undefined : unframedHoldMs;
+        const holdMs = this.#isFramed ? undefined : unframedHoldMs;
         if (holdMs === undefined && !isPipelined() && this.#canStream()) {
             return await this.#relayStreamed(extraHeaders, []);
         }
@@ -168,7 +170,7 @@
      */
     async #mayKeepConnection(): Promise<boolean> {
         const { isFollowed, confirmAlive } = this.#options;
-        return isFramed(this.#from) || (isFollowed() && (await confirmAlive?.()) === true);
+        return this.#isFramed || (isFollowed() && (await confirmAlive?.()) === true);
     }
 
     /** Sends a response that is whole, with a length if the end of this process would look like its end otherwise. */
@@ -271,7 +273,7 @@
     get #keepsConnectionInChunks(): boolean {
         const { isFollowed, confirmAlive } = this.#options;
         return (
-            !isFramed(this.#from) &&
+            !this.#isFramed &&
             this.#to.req.httpVersion !== "1.0" &&
             confirmAlive !== undefined &&
             isFollowed()
@@ -292,7 +294,7 @@
         const { isBroken, hasEndedInOrder } = this.#options;
         if (!this.#from.complete || isBroken()) {
             onBroken();
-        } else if (isFramed(this.#from)) {
+        } else if (this.#isFramed) {
             onWhole();
         } else {
             void hasEndedInOrder().then(isInOrder => (isInOrder ? onWhole() : onBroken()));
@@ -304,8 +306,13 @@
 const declaredLength = ({ headers }: IncomingMessage): number =>
     Number(headers["content-length"] ?? Infinity);
 
-/** Returns whether a response's framing marks its end; otherwise it ends when the connection closes. */
-export const isFramed = ({ headers, statusCode = 0 }: IncomingMessage): boolean =>
+/**
+ * Returns whether the framing of a response marks its end; otherwise it ends when the connection closes.
+ *
+ * @param method method of the request
+ */
+export const isFramed = ({ headers, statusCode = 0 }: IncomingMessage, method: string): boolean =>
+    method === "HEAD" ||
     headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined ||
     bodilessStatuses.has(statusCode);
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { test } from "node:test";
-import { requestText, responseText, sendRaw, startFrontend, startRawServer } from "./setup.js";
+import { helperAt, requestText, responseText, sendRaw, startFrontend, startRawServer } from "./setup.js";
 
 const status = (bytes: string): number => Number(/^HTTP\/1\.1 (\d+)/.exec(bytes)?.[1] ?? 0);
 const body = (bytes: string): string => bytes.slice(bytes.indexOf("\r\n\r\n") + 4);
@@ -174,10 +174,11 @@
     assert.deepEqual([body(received).length, hadError], [bodyBytes, false]);
 });
 
-for (const [name, response] of [
-    ["without a length", `HTTP/1.1 200 OK\r\nt-id: a\r\nt-signed: 1\r\n\r\nhello`],
-    ["of status 204", `HTTP/1.1 204 No Content\r\nt-id: a\r\nt-signed: 1\r\n\r\n`],
-    ["of status 304", `HTTP/1.1 304 Not Modified\r\nt-id: a\r\nt-signed: 1\r\n\r\n`],
+for (const [name, response, method] of [
+    ["without a length", `HTTP/1.1 200 OK\r\nt-id: a\r\nt-signed: 1\r\n\r\nhello`, "GET"],
+    ["without a length or body, to HEAD,", `HTTP/1.1 200 OK\r\nt-id: a\r\nt-signed: 1\r\n\r\n`, "HEAD"],
+    ["of status 204", `HTTP/1.1 204 No Content\r\nt-id: a\r\nt-signed: 1\r\n\r\n`, "GET"],
+    ["of status 304", `HTTP/1.1 304 Not Modified\r\nt-id: a\r\nt-signed: 1\r\n\r\n`, "GET"],
 ] as const) {
     // Guards against requests that have run and get no response, as one before them on their connection closes it.
     test(`requests that follow one whose response is ${name} on its connection are answered`, async t => {
@@ -189,7 +190,8 @@
             }
         });
         const { port } = await startFrontend(t, [server]);
-        const result = await sendRaw(port, ["a", "b", "c"].map(id => requestText(id)).join(""), 500);
+        const requests = [requestText("a", { method }), requestText("b"), requestText("c")];
+        const result = await sendRaw(port, requests.join(""), 500);
         assert.ok(result.text.includes("for b"), result.text);
         assert.ok(result.text.endsWith("for c"), result.text);
         assert.equal(result.end, "open");
@@ -248,6 +250,31 @@
     assert.equal(end, "open");
 });
 
+// Guards against a response to HEAD that closes its connection, or that is given the length of its missing body.
+test("a response to HEAD without a length is relayed without one and keeps its connection", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id }) =>
+        socket.write(id === "a" ? unframedHead(id) : responseText(id, `for ${id}`)),
+    );
+    const { port } = await startFrontend(t, [server]);
+    const { text, end } = await sendRaw(port, requestText("a", { method: "HEAD" }) + requestText("b"), 500);
+    assert.doesNotMatch(text.slice(0, text.indexOf("\r\n\r\n")), /content-length|connection: close/i);
+    assert.ok(text.endsWith("for b"), text);
+    assert.equal(end, "open");
+});
+
+// Guards against a peer's end that looks like the end of the response that it was relaying.
+for (const bytes of [100, 2_000_000]) {
+    test(`a response of ${bytes} bytes without a length doesn't look complete if the peer that relays it is reset`, async t => {
+        const peer = await startRawServer(t, "peer", ({ socket, id }) => {
+            socket.write(`${unframedHead(id)}${"x".repeat(bytes)}`);
+            setTimeout(() => socket.resetAndDestroy(), 300);
+        });
+        const { port } = await startFrontend(t, [], { maxAttempts: 1 }, { helpers: [helperAt(peer)] });
+        const { text, end } = await sendRaw(port, requestText("a"), 1_000);
+        assert.deepEqual([status(text), end], [200, "reset"]);
+    });
+}
+
 test("a response without a length that no request follows costs no probe", async t => {
     let probes = 0;
     const server = await startRawServer(
