A ready response without a length waits 150 ms at most for the proof that its server lives

What callers would have seen: where requests follow such an answer, it waited for a probe of its server for up to 400 ms, or twice that beside another one, and was replaced by 504 if its route's timeout ended meanwhile. Found by reading, before any landing.

Change: after 150 ms it goes on as if no request followed it, without a length.

Test: with a timeout of 300 ms and a server that shows nothing, it failed before (504).

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteCollector } from "@bramleymoor/input/collector";
 import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
+import { delay } from "@bramleymoor/proxy/delay";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { whenInTurn } from "@bramleymoor/proxy/orderedresponse";
 import { breakConnection, losesChunks } from "@bramleymoor/proxy/relay";
@@ -170,7 +171,10 @@
      */
     async #mayKeepConnection(): Promise<boolean> {
         const { isFollowed, confirmAlive } = this.#options;
-        return this.#isFramed || (isFollowed() && (await confirmAlive?.()) === true);
+        if (this.#isFramed || !isFollowed() || !confirmAlive) {
+            return this.#isFramed;
+        }
+        return await Promise.race([confirmAlive(), delay(maxConfirmMs).then(() => false)]);
     }
 
     /** Sends a response that is whole, with a length if the end of this process would look like its end otherwise. */
@@ -328,3 +332,5 @@
  * whole by then.
  */
 const unframedHoldMs = 100;
+/** Time for which a whole response waits for the proof that its server lives; many round trips between failure domains. */
+const maxConfirmMs = 150;
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -233,6 +233,31 @@
     });
 }
 
+// Guards against a response that is ready and is replaced by a timeout, as the proof that would keep its connection is late.
+test("a response without a length doesn't wait for a server that is slow to show that it lives", async t => {
+    let isSlow = false;
+    const server = await startRawServer(
+        t,
+        "s1",
+        ({ socket, id }) => {
+            if (id === "a") {
+                isSlow = true;
+                setTimeout(() => socket.end(`${unframedHead(id)}hello`), 50);
+            }
+        },
+        {
+            answerProbe: socket => {
+                if (!isSlow) {
+                    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                }
+            },
+        },
+    );
+    const { port } = await startFrontend(t, [server], { timeoutMs: 300, maxAttempts: 1 });
+    const { text } = await sendRaw(port, requestText("a") + requestText("b"), 1_000);
+    assert.match(text, /^HTTP\/1.1 200 [^]*hello$/);
+});
+
 // Guards against requests that have run and get no response, as the one before them is too long to be buffered.
 test("requests behind a response without a length that is too long to be buffered are answered", async t => {
     const server = await startRawServer(t, "s1", ({ socket, id }) => {
