A request behind a response that closes its connection isn't passed on any more

What callers saw: a request that arrived while an answer without a length was streamed on its connection waited for its end, was then passed on, ran, and got no answer (LOST).

Cause: the connection is ended in order after such an answer, and stays open at the caller's side for up to 2 s; only the caller's own end of it counted as its being gone.

Change: before a request is passed on, and when it has its slot, the connection must still take an answer.

Test: "a request that arrives while a response without a length is streamed reaches no server" failed before: it reached one.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -122,7 +122,7 @@
         // A response that breaks off closes the connection, so that what follows it on the connection may get no response.
         await this.#abortable(this.#options.endOfStreamAhead(this.#req));
         await this.#abortable(body.buffer());
-        await this.#readDisconnect(this.#age.acceptMs);
+        await this.#requireConnection(this.#age.acceptMs);
         const elapsedMs = this.#options.elapsedMs(route, times.givenMs);
         let request: Request = {
             id: this.#options.nextId(),
@@ -266,7 +266,7 @@
             if (!lease) {
                 return undefined;
             }
-            await this.#readDisconnect(0);
+            await this.#requireConnection(0);
             if (!isTrial && crashGuard.isQuarantined(() => this.#fingerprintOf(body))) {
                 return undefined;
             }
@@ -312,15 +312,19 @@
     }
 
     /**
-     * Reads the caller's disconnect, if it may lie unread in this process's sockets.
+     * Checks that the request can still be answered. Reads the caller's disconnect first, if it may lie unread in this process's
+     * sockets.
      *
      * @param acceptMs how long the connection waited to be accepted or read
-     * @throws CallError if the caller has disconnected
+     * @throws CallError if the caller has disconnected, or an earlier response has ended the connection
      */
-    async #readDisconnect(acceptMs: number): Promise<void> {
+    async #requireConnection(acceptMs: number): Promise<void> {
         if (mayHideDisconnect({ lagMs: this.#options.lagMs(), acceptMs })) {
             await this.#abortable(drainPendingInput());
         }
+        if (this.#req.socket.writableEnded) {
+            throw new CallError("caller-gone", "An earlier response has ended the connection.");
+        }
     }
 
     /**
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -300,6 +300,35 @@
     });
 }
 
+// Guards against requests that run although the response before them closes their connection.
+test("a request that arrives while a response without a length is streamed reaches no server", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        if (id === "a") {
+            socket.write(`${unframedHead(id)}the beginning`);
+            setTimeout(() => socket.end(", the end"), 400);
+        } else {
+            socket.write(responseText(id, `for ${id}`));
+        }
+    });
+    const { port } = await startFrontend(t, [server]);
+    const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true }, () =>
+        socket.write(requestText("a")),
+    );
+    t.after(() => socket.destroy());
+    let text = "";
+    socket.on("data", chunk => (text += chunk.toString("latin1")));
+    await once(socket, "data");
+    socket.write(requestText("b"));
+    await once(socket, "end");
+    // The caller leaves its side open for a while.
+    await new Promise(resolve => setTimeout(resolve, 200));
+    assert.ok(text.endsWith("the beginning, the end"));
+    assert.deepEqual(
+        server.requests.map(it => it.id),
+        ["a"],
+    );
+});
+
 test("a response without a length that no request follows costs no probe", async t => {
     let probes = 0;
     const server = await startRawServer(
