What follows a response without a length is looked at when its turn has come

What callers saw: where such an answer was whole before it was its turn on the connection, and a request arrived behind it meanwhile, that request was passed on, ran, and got no answer (LOST).

Cause: whether requests follow, so that the connection has to be kept, was decided when the answer was whole.

Change: it is decided when the answer is sent. As its head may then be written after the request has been reported, the report takes the status from the answer.

Tests: "a request that arrives while a response without a length waits for its turn is answered" failed before.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -63,6 +63,8 @@
     #serverMs = 0;
     #lastSentAt: number | undefined = undefined;
     #loadSnapshot: LoadSnapshot | undefined = undefined;
+    /** Status of a complete response, whose head may still wait for its turn. */
+    #relayedStatus: number | undefined = undefined;
 
     constructor(options: ForwardOptions, req: IncomingMessage, res: ServerResponse) {
         this.#options = options;
@@ -438,6 +440,9 @@
             abort,
         );
         exchange.finish();
+        if (result === "complete") {
+            this.#relayedStatus = res.statusCode;
+        }
         return result;
     }
 
@@ -562,7 +567,7 @@
             route: this.#route,
             service: this.#service,
             outcome,
-            status: this.#res.headersSent ? this.#res.statusCode : 0,
+            status: this.#relayedStatus ?? (this.#res.headersSent ? this.#res.statusCode : 0),
             servers: [...this.#sent].map(({ server }) => server.id),
             sends: outcome === "answered" ? "" : this.#sends.describe(),
             queueMs: this.#queueMs,
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -147,15 +147,8 @@
                 this.#whenWhole(onWhole, onBroken);
             };
             const onWhole = (): void => {
-                const send = (mayKeepConnection: boolean): void => {
-                    void this.#sendWhole(extraHeaders, body.toBuffer(), mayKeepConnection);
-                    resolve(this.#to.destroyed ? "caller-gone" : "complete");
-                };
-                if (this.#endsConnection) {
-                    void this.#mayKeepConnection().then(send);
-                } else {
-                    send(true);
-                }
+                void this.#sendWhole(extraHeaders, body.toBuffer());
+                resolve(this.#to.destroyed ? "caller-gone" : "complete");
             };
             const onBroken = (): void => {
                 stopHolding();
@@ -177,23 +170,23 @@
         return await Promise.race([confirmAlive(), delay(maxConfirmMs).then(() => false)]);
     }
 
-    /** Sends a response that is whole, with a length if the end of this process would look like its end otherwise. */
-    async #sendWhole(
-        extraHeaders: () => readonly string[],
-        body: Buffer,
-        mayKeepConnection: boolean,
-    ): Promise<void> {
+    /**
+     * Sends a response that is whole, with a length if the end of this process would look like its end otherwise. One that ends with
+     * its connection waits for its turn: only then is it known whether requests follow that have been passed on.
+     */
+    async #sendWhole(extraHeaders: () => readonly string[], body: Buffer): Promise<void> {
         const to = this.#to;
-        if (this.#endsConnection && !mayKeepConnection) {
-            await whenInTurn(to);
+        if (!this.#endsConnection) {
+            this.#writeHead(extraHeaders);
+            to.end(body);
+            return;
         }
+        await whenInTurn(to);
+        const mayKeepConnection = await this.#mayKeepConnection();
         if (to.destroyed || to.headersSent) {
             return;
         }
-        if (!this.#endsConnection) {
-            this.#writeHead(extraHeaders);
-            to.end(body);
-        } else if (mayKeepConnection || !this.#canStream()) {
+        if (mayKeepConnection || !this.#canStream()) {
             this.#endsConnection = false;
             this.#writeHead(extraHeaders, ["Content-Length", String(body.length)]);
             to.end(body);
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -329,6 +329,27 @@
     );
 });
 
+// Guards against the same where the response before them is whole, but waits for its turn.
+test("a request that arrives while a response without a length waits for its turn is answered", async t => {
+    const server = await startRawServer(t, "s1", ({ socket, id }) => {
+        if (id === "b") {
+            socket.end(`${unframedHead(id)}hello`);
+        } else {
+            setTimeout(() => socket.write(responseText(id, `for ${id}`)), id === "a" ? 300 : 0);
+        }
+    });
+    const { port, records } = await startFrontend(t, [server]);
+    const socket = connect(port, "127.0.0.1", () => socket.write(requestText("a") + requestText("b")));
+    t.after(() => socket.destroy());
+    let text = "";
+    socket.on("data", chunk => (text += chunk.toString("latin1")));
+    await new Promise(resolve => setTimeout(resolve, 150));
+    socket.write(requestText("c"));
+    await new Promise(resolve => setTimeout(resolve, 400));
+    assert.ok(text.endsWith("for c"), text);
+    assert.deepEqual(records.map(it => `${it.requestId} ${it.status}`).sort(), ["a 200", "b 200", "c 200"]);
+});
+
 test("a response without a length that no request follows costs no probe", async t => {
     let probes = 0;
     const server = await startRawServer(
