Whole responses without a length count as buffered until it is their turn

What operators would have seen: memory that grows with answers without a length which are whole and wait behind another on their connection, up to 1 MiB each, beside the limit on buffered bytes.

Change: their bytes are given back when the answer has been handed to its connection.

Test: with a limit of 4 MB, the last two of six such answers of 900 kB are streamed; before, none was.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -49,6 +49,8 @@
     readonly #isFramed: boolean;
     /** Whether the end of the caller's connection is all that ends the response. */
     #endsConnection: boolean;
+    /** Resolves when a whole response has been handed to the caller's connection. */
+    #sent: Promise<void> = Promise.resolve();
 
     constructor(from: IncomingMessage, to: ServerResponse, options: RelayOptions) {
         this.#from = from;
@@ -81,7 +83,7 @@
         try {
             return await this.#relayBuffered(extraHeaders, mayBuffer, holdMs);
         } finally {
-            buffers.release(taken);
+            void this.#sent.finally(() => buffers.release(taken));
         }
     }
 
@@ -147,7 +149,7 @@
                 this.#whenWhole(onWhole, onBroken);
             };
             const onWhole = (): void => {
-                void this.#sendWhole(extraHeaders, body.toBuffer());
+                this.#sent = this.#sendWhole(extraHeaders, body.toBuffer());
                 resolve(this.#to.destroyed ? "caller-gone" : "complete");
             };
             const onBroken = (): void => {
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -2,7 +2,15 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { test } from "node:test";
-import { helperAt, requestText, responseText, sendRaw, startFrontend, startRawServer } from "./setup.js";
+import {
+    helperAt,
+    requestText,
+    responseText,
+    sendRaw,
+    startFrontend,
+    startRawServer,
+    type RequestHandler,
+} from "./setup.js";
 
 const status = (bytes: string): number => Number(/^HTTP\/1\.1 (\d+)/.exec(bytes)?.[1] ?? 0);
 const body = (bytes: string): string => bytes.slice(bytes.indexOf("\r\n\r\n") + 4);
@@ -350,6 +358,31 @@
     assert.deepEqual(records.map(it => `${it.requestId} ${it.status}`).sort(), ["a 200", "b 200", "c 200"]);
 });
 
+// Guards against memory that grows with responses which are whole and wait for their turn.
+test("responses without a length that wait for their turn count as buffered", async t => {
+    const respond: RequestHandler = ({ socket, id }) => {
+        if (id.startsWith("long")) {
+            socket.end(`${unframedHead(id)}${long.repeat(9)}`);
+        } else {
+            setTimeout(() => socket.write(responseText(id, `for ${id}`)), 500);
+        }
+    };
+    const servers = await Promise.all(["s1", "s2"].map(id => startRawServer(t, id, respond)));
+    const { port } = await startFrontend(t, servers);
+    const ids = ["first", ...[1, 2, 3, 4, 5, 6].map(it => `long${it}`), "last"];
+    const socket = connect(port, "127.0.0.1", () => socket.write(ids.map(id => requestText(id)).join("")));
+    t.after(() => socket.destroy());
+    let text = "";
+    socket.on("data", chunk => (text += chunk.toString("latin1")));
+    while (!text.endsWith("for last")) {
+        await once(socket, "data");
+    }
+    assert.equal(text.split("x").length - 1, 6 * 9 * long.length);
+    // Four of them fill the buffers of the test's entry VM, so that the others are streamed.
+    const inChunks = text.split(/\r\ntransfer-encoding: chunked\r\n/i).length - 1;
+    assert.ok(inChunks >= 2, `${inChunks} of 6 in chunks`);
+});
+
 test("a response without a length that no request follows costs no probe", async t => {
     let probes = 0;
     const server = await startRawServer(
