The proof that keeps a connection may take until the deadline of its response

Cause: the proof that the server lives was waited for for 150 ms.

Change: it is waited for until the deadline of the answer's request, or until the probe ends.

Test: "requests behind a response without a length are answered, also if its server takes a while to show that it lives" (300 ms) failed before.

--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -5,6 +5,7 @@
 import type { LoadSnapshot, Request, Slot, SlotResult } from "@bramleymoor/balance/types";
 import type { Route, RouteKind } from "@bramleymoor/model/route";
 import { CallError } from "@bramleymoor/protocol/errors";
+import { delay } from "@bramleymoor/proxy/delay";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { toCallError } from "@bramleymoor/proxy/responses";
 import { totalAgeMs, type RequestAge } from "@bramleymoor/proxy/requestage";
@@ -385,7 +386,7 @@
                 return await settle(answered);
             }
             const relayResult = await this.#relay(exchange, serverRes, abort, () =>
-                dispatcher.confirmAlive(slot.server),
+                this.#confirmAlive(dispatcher, slot),
             );
             await settle(relayResult === "complete" ? answered : slotResultOfRelay[relayResult]);
             return relayResult === "broken-before-start" ? { kind: "lost" } : outcomeOfRelay[relayResult];
@@ -418,6 +419,13 @@
         }
     }
 
+    /** Resolves to whether a slot's server lives, or to false shortly before the request's deadline. */
+    async #confirmAlive(dispatcher: Dispatcher, { server, request }: Slot): Promise<boolean> {
+        const remainingMs = request.deadlineAt - responseTransitMs - this.#options.clock();
+        const expired = delay(Math.max(0, remainingMs)).then(() => false);
+        return await Promise.race([dispatcher.confirmAlive(server), expired]);
+    }
+
     /** @param confirmAlive resolves to whether the server that responds lives; undefined if that can't be found out */
     async #relay(
         exchange: Exchange,
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -3,7 +3,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteCollector } from "@bramleymoor/input/collector";
 import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
-import { delay } from "@bramleymoor/proxy/delay";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { whenInTurn } from "@bramleymoor/proxy/orderedresponse";
 import { breakConnection, losesChunks } from "@bramleymoor/proxy/relay";
@@ -35,8 +34,8 @@
     /** Has the end of this process reset the connection of a response that ends with it. */
     readonly exitReset: ExitReset;
     /**
-     * Resolves to whether the server lives on, so that a response that ended with its connection is whole; undefined if that can't
-     * be found out.
+     * Resolves to whether the server lives on, so that a response that ended with its connection is whole, and at the latest when
+     * the caller has to have the response; undefined if that can't be found out.
      */
     readonly confirmAlive: (() => Promise<boolean>) | undefined;
 }
@@ -169,7 +168,7 @@
         if (this.#isFramed || !isFollowed() || !confirmAlive) {
             return this.#isFramed;
         }
-        return await Promise.race([confirmAlive(), delay(maxConfirmMs).then(() => false)]);
+        return await confirmAlive();
     }
 
     /**
@@ -327,5 +326,3 @@
  * whole by then.
  */
 const unframedHoldMs = 100;
-/** Time for which a whole response waits for the proof that its server lives; many round trips between failure domains. */
-const maxConfirmMs = 150;
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -242,7 +242,7 @@
 }
 
 // Guards against a response that is ready and is replaced by a timeout, as the proof that would keep its connection is late.
-test("a response without a length doesn't wait for a server that is slow to show that it lives", async t => {
+test("a response without a length doesn't wait past its deadline for a server to show that it lives", async t => {
     let isSlow = false;
     const server = await startRawServer(
         t,
@@ -266,6 +266,29 @@
     assert.match(text, /^HTTP\/1.1 200 [^]*hello$/);
 });
 
+// Guards against requests that have run and get no response, as the proof that would keep their connection is late.
+test("requests behind a response without a length are answered, also if its server takes a while to show that it lives", async t => {
+    const server = await startRawServer(
+        t,
+        "s1",
+        ({ socket, id }) => {
+            if (id === "a") {
+                setTimeout(() => socket.end(`${unframedHead(id)}hello`), 50);
+            } else {
+                socket.write(responseText(id, `for ${id}`));
+            }
+        },
+        {
+            answerProbe: socket =>
+                void setTimeout(() => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), 300),
+        },
+    );
+    const { port } = await startFrontend(t, [server]);
+    const { text, end } = await sendRaw(port, requestText("a") + requestText("b"), 1_000);
+    assert.ok(text.endsWith("for b"), text);
+    assert.equal(end, "open");
+});
+
 // Guards against requests that have run and get no response, as the one before them is too long to be buffered.
 test("requests behind a response without a length that is too long to be buffered are answered", async t => {
     const server = await startRawServer(t, "s1", ({ socket, id }) => {
