Gateway's tests don't count time in which their process is kept from the processor

What was seen: beside a load average of 18 to 22, "long responses with a length behind one past its timeout are whole or replaced by errors" failed in 5 of 12 runs ("status 503"), as it had in 7 of 80 when it was traced: callers, entry VM and servers share one process, which was kept from the processor for most of a timeout of 300 ms.

Cause: the entry VM under test counted the time that the machine had given to others as time that its requests had waited.

Change: the entry VM of these tests reads `ProcessClock`, which stands while the process could run and has no processor (Linux: /proc/self/schedstat). A busy event loop counts as before, and no bound or check has changed.

--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -15,6 +15,7 @@
 import { Subject } from "rxjs";
 import { RouteTable } from "@bramleymoor/routing/table";
 import { serverEntry } from "@bramleymoor/testkit/builders";
+import { ProcessClock } from "@bramleymoor/testkit/processclock";
 import { KeepAliveAgent } from "../src/agent.js";
 import { BufferBudget } from "../src/bufferbudget.js";
 import { CrashExchange } from "../src/crashexchange.js";
@@ -172,7 +173,9 @@
 
 const lagPeriodMs = 10;
 
-const monotonicMs = (): number => performance.now();
+/** The tests' callers, entry VM and servers share one process, which others may keep from the processor. */
+const processClock = new ProcessClock();
+const monotonicMs = (): number => processClock.now();
 
 /**
  * Starts a frontend in front of backend servers.
