Without resets, a response without a length is declared whole only if its server lives

Cause: only where requests follow was the server asked whether it lives.

Change: whatever gives such an answer an end asks for that proof (`proveWhole`, once for each answer). Without it, an answer that hasn't been begun counts as lost, so that another server or 502 answers, and one that has been, or that waits for its turn, is broken off. Where resets can be had, which answers get an end, and when, hasn't changed. `relayStreamed` is split in two.

Tests: three of relay.test.ts ("without resets, [...] isn't given an end if its server has ended": 100 kB, 2 MB, and one that waits for its turn) failed before.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -50,6 +50,8 @@
     #endsConnection: boolean;
     /** Resolves when a whole response has been handed to the caller's connection. */
     #sent: Promise<void> = Promise.resolve();
+    /** Result of `#proveWhole`, once that has been asked for. */
+    #proof: Promise<boolean> | undefined = undefined;
 
     constructor(from: IncomingMessage, to: ServerResponse, options: RelayOptions) {
         this.#from = from;
@@ -147,7 +149,7 @@
                 removeListeners();
                 this.#whenWhole(onWhole, onBroken);
             };
-            const onWhole = (): void => {
+            const send = (): void => {
                 this.#sent = this.#sendWhole(extraHeaders, body.toBuffer());
                 resolve(this.#to.destroyed ? "caller-gone" : "complete");
             };
@@ -155,25 +157,30 @@
                 stopHolding();
                 resolve("broken-before-start");
             };
+            const onWhole = (): void => {
+                if (!this.#to.socket || this.#canStream()) {
+                    send();
+                } else {
+                    void this.#proveWhole().then(isWhole => (isWhole ? send() : onBroken()));
+                }
+            };
             from.on("data", onData).on("end", onEnd).on("error", onBroken).on("close", onBroken);
         });
     }
 
     /**
-     * Resolves to whether a response that has been read to its end may be sent with a length, so that requests behind it on its
-     * connection can be answered too. A server that has ended while it responded may have ended its connection in order.
+     * Resolves to whether a response that has been read to its end is whole, so that it may be given a length or a last chunk.
+     * A server that has ended while it responded may have ended its connection in order.
      */
-    async #mayKeepConnection(): Promise<boolean> {
-        const { isFollowed, confirmAlive } = this.#options;
-        if (this.#isFramed || !isFollowed() || !confirmAlive) {
-            return this.#isFramed;
-        }
-        return await confirmAlive();
+    #proveWhole(): Promise<boolean> {
+        const { confirmAlive } = this.#options;
+        this.#proof ??= Promise.resolve(this.#isFramed || (confirmAlive?.() ?? false));
+        return this.#proof;
     }
 
     /**
-     * Sends a response that is whole, with a length if the end of this process would look like its end otherwise. One that ends with
-     * its connection waits for its turn: only then is it known whether requests follow that have been passed on.
+     * Sends a response that has been read to its end. One that ends with its connection waits for its turn: only then is it known
+     * whether requests that have been passed on follow it, for which the connection has to be kept.
      */
     async #sendWhole(extraHeaders: () => readonly string[], body: Buffer): Promise<void> {
         const to = this.#to;
@@ -183,18 +190,20 @@
             return;
         }
         await whenInTurn(to);
-        const mayKeepConnection = await this.#mayKeepConnection();
+        const keepsConnection = (this.#isFramed || this.#options.isFollowed()) && (await this.#proveWhole());
         if (to.destroyed || to.headersSent) {
             return;
         }
-        if (mayKeepConnection || !this.#canStream()) {
+        if (!keepsConnection && this.#canStream()) {
+            this.#writeHead(extraHeaders);
+            to.write(body);
+            this.#end();
+        } else if (await this.#proveWhole()) {
             this.#endsConnection = false;
             this.#writeHead(extraHeaders, ["Content-Length", String(body.length)]);
             to.end(body);
         } else {
-            this.#writeHead(extraHeaders);
-            to.write(body);
-            this.#end();
+            breakConnection(to);
         }
     }
 
@@ -209,7 +218,6 @@
     ): Promise<RelayResult> {
         const from = this.#from;
         const to = this.#to;
-        const { confirmAlive } = this.#options;
         if (!to.socket) {
             await whenInTurn(to);
         }
@@ -219,9 +227,8 @@
         if (this.#options.isBroken() || (from.destroyed && !from.complete)) {
             return "broken-before-start";
         }
-        const needsProof = this.#endsConnection && this.#keepsConnectionInChunks;
-        if (needsProof || !this.#canStream()) {
-            if (to.req.httpVersion === "1.0") {
+        if (this.#endsConnection && (this.#keepsConnection || !this.#canStream())) {
+            if (!this.#allowsChunks) {
                 from.destroy();
                 return "broken-before-start";
             }
@@ -229,6 +236,13 @@
         }
         this.#writeHead(extraHeaders);
         begun.forEach(it => to.write(it));
+        return await this.#copyRest();
+    }
+
+    /** Copies what is still to be read of a response whose head has been written. */
+    #copyRest(): Promise<RelayResult> {
+        const from = this.#from;
+        const to = this.#to;
         return new Promise(resolve => {
             const onBroken = (): void => {
                 if (this.#endsConnection) {
@@ -246,10 +260,10 @@
                 this.#end(() => resolve("complete"));
             };
             const onWhole = (): void => {
-                if (needsProof) {
-                    void confirmAlive?.().then(isAlive => (isAlive ? end() : onBroken()));
-                } else {
+                if (this.#endsConnection || this.#isFramed) {
                     end();
+                } else {
+                    void this.#proveWhole().then(isWhole => (isWhole ? end() : onBroken()));
                 }
             };
             from.on("end", () => this.#whenWhole(onWhole, onBroken));
@@ -267,15 +281,14 @@
         });
     }
 
-    /** Whether a response without a length is sent in chunks, as it is pending before others; its end then needs a proof. */
-    get #keepsConnectionInChunks(): boolean {
-        const { isFollowed, confirmAlive } = this.#options;
-        return (
-            !this.#isFramed &&
-            this.#to.req.httpVersion !== "1.0" &&
-            confirmAlive !== undefined &&
-            isFollowed()
-        );
+    /** Whether a response may be sent in chunks: the caller understands them, and its end can be proved. */
+    get #allowsChunks(): boolean {
+        return this.#to.req.httpVersion !== "1.0" && this.#options.confirmAlive !== undefined;
+    }
+
+    /** Whether the connection is kept for the requests that follow. */
+    get #keepsConnection(): boolean {
+        return this.#allowsChunks && this.#options.isFollowed();
     }
 
     /** Ends a response that has been written. */
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import {
     helperAt,
     requestText,
@@ -9,6 +9,7 @@
     sendRaw,
     startFrontend,
     startRawServer,
+    type RawServer,
     type RequestHandler,
 } from "./setup.js";
 
@@ -79,6 +80,36 @@
     assert.ok(performance.now() - startedAt >= 100);
 });
 
+const unframedHead = (id: string): string => `HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n\r\n`;
+
+/**
+ * Starts a server that ends under its response without a length to "a": in order, and without an answer to probes from then on.
+ *
+ * @param othersMs when it answers other requests
+ */
+const startEndingServer = async (t: TestContext, parts: number, othersMs = 0): Promise<RawServer> => {
+    let hasEnded = false;
+    return await startRawServer(
+        t,
+        "s1",
+        ({ socket, id }) => {
+            if (id !== "a") {
+                setTimeout(() => socket.write(responseText(id, `for ${id}`)), othersMs);
+                return;
+            }
+            socket.write(`${unframedHead(id)}${long.repeat(parts)}`);
+            setTimeout(() => {
+                hasEnded = true;
+                socket.end();
+            }, 300);
+        },
+        {
+            answerProbe: socket =>
+                hasEnded ? socket.destroy() : socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        },
+    );
+};
+
 /** An entry VM whose system call fails. */
 const withoutExitReset = { exitReset: { arm: () => false, disarm: () => undefined } };
 
@@ -113,6 +144,31 @@
     assert.ok(!text.endsWith("0\r\n\r\n"));
 });
 
+// Guards against a response that a server's crash has cut and that is given an end, as resets can't be had.
+for (const parts of [1, 20]) {
+    test(`without resets, a response without a length of ${parts * long.length} bytes isn't given an end if its server has ended`, async t => {
+        const server = await startEndingServer(t, parts);
+        const { port, records } = await startFrontend(t, [server], { maxAttempts: 1 }, withoutExitReset);
+        const { text, end } = await sendRaw(port, requestText("a"), 2_000);
+        if (parts === 1) {
+            assert.equal(status(text), 502, text.slice(0, 200));
+            assert.equal(records[0]?.status, 502);
+        } else {
+            assert.match(text, /transfer-encoding: chunked\r\n/i);
+            assert.ok(!text.includes("\r\n0\r\n\r\n"), text.slice(-100));
+            assert.notEqual(end, "open");
+        }
+    });
+}
+
+test("without resets, a response without a length that waits for its turn isn't given an end if its server has ended", async t => {
+    const server = await startEndingServer(t, 1, 700);
+    const { port } = await startFrontend(t, [server], { maxAttempts: 1 }, withoutExitReset);
+    const { text, end } = await sendRaw(port, requestText("b") + requestText("a"), 2_000);
+    assert.ok(text.endsWith("for b"), text.slice(0, 600));
+    assert.notEqual(end, "open");
+});
+
 // Neither a length that isn't known yet nor chunks can tell the end to a caller of HTTP/1.0.
 test("without resets, a caller of HTTP/1.0 gets a response without a length with one, and an error for one too long for that", async t => {
     const server = await startRawServer(t, "s1", ({ socket, id }) => {
@@ -206,33 +262,10 @@
     });
 }
 
-const unframedHead = (id: string): string => `HTTP/1.1 200 OK\r\nt-id: ${id}\r\nt-signed: 1\r\n\r\n`;
-
 // Guards against a response that a server's crash has cut and that looks whole, as 4508e5d brought.
 for (const parts of [1, 20]) {
     test(`before other requests, a response without a length of ${parts * long.length} bytes isn't given an end if its server has ended`, async t => {
-        let hasEnded = false;
-        const server = await startRawServer(
-            t,
-            "s1",
-            ({ socket, id }) => {
-                if (id !== "a") {
-                    socket.write(responseText(id, `for ${id}`));
-                    return;
-                }
-                socket.write(`${unframedHead(id)}${long.repeat(parts)}`);
-                setTimeout(() => {
-                    hasEnded = true;
-                    socket.end();
-                }, 300);
-            },
-            {
-                answerProbe: socket =>
-                    hasEnded
-                        ? socket.destroy()
-                        : socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
-            },
-        );
+        const server = await startEndingServer(t, parts);
         const { port } = await startFrontend(t, [server], { maxAttempts: 1 });
         const { text, end } = await sendRaw(port, requestText("a") + requestText("b"), 2_000);
         assert.doesNotMatch(text, /content-length/i);
--- a/packages/observe/src/catalogue.ts
+++ b/packages/observe/src/catalogue.ts
@@ -408,7 +408,7 @@
     "exit-reset-failed": defineEvent(
         8018,
         "warn",
-        "A connection can't be set to be reset if this process ends under its response: {reason}. Responses without a length are sent with one, or in chunks if they are long.",
+        "A connection can't be set to be reset if this process ends under its response: {reason}. Responses that end with their connection then get a length, or chunks above 1 MiB, if it can be shown that they are whole, and count as lost if not.",
         { reason: "string" },
     ),
     "internal-error": defineEvent(9001, "error", "Internal error while {doing}: {reason}.", {
