--- a/packages/bench/src/oncecost.ts
+++ b/packages/bench/src/oncecost.ts
@@ -181,7 +181,7 @@
                 badRequest: () => undefined,
                 connectionUnread: () => undefined,
             },
-            exitReset: new LingerReset(() => undefined),
+            exitReset: new LingerReset(reason => process.stderr.write(`${reason}\n`)),
         },
         { nonIdempotentIdleMs: idleMs },
     );
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,6 +6,7 @@
 import { limitInterimResponses } from "@bramleymoor/input/interim";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
+import { hasEndedInOrder } from "@bramleymoor/reset/orderlyend";
 import type { KeepAliveAgent } from "./agent.js";
 import type { ResponseConnection, Unrelayed } from "./examine.js";
 import { isFramed } from "./relay.js";
@@ -202,10 +203,7 @@
         }
     }
 
-    /**
-     * Has an empty write show whether the connection ends in order. Node reports an end for a reset, too, if it hadn't read all
-     * that arrived before; a write fails then, and one without bytes does no harm otherwise.
-     */
+    /** Finds out whether the connection ends in order. */
     #watchEnd(): void {
         const socket = this.#socket;
         if (!socket) {
@@ -213,7 +211,7 @@
         }
         socket.allowHalfOpen = true;
         socket.prependOnceListener("end", () => {
-            this.#endedInOrder = new Promise(resolve => socket.write("", err => resolve(!err)));
+            this.#endedInOrder = hasEndedInOrder(socket);
         });
     }
 
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -12,6 +12,7 @@
 import { TimerSet } from "@bramleymoor/proxy/timers";
 import { TurnBudget } from "@bramleymoor/proxy/turnbudget";
 import { LingerReset, type ExitReset } from "@bramleymoor/reset/exitreset";
+import { hasEndedInOrder } from "@bramleymoor/reset/orderlyend";
 import { Subject } from "rxjs";
 import { RouteTable } from "@bramleymoor/routing/table";
 import { serverEntry } from "@bramleymoor/testkit/builders";
@@ -186,7 +187,8 @@
 /**
  * Starts a frontend in front of backend servers.
  *
- * @param options `clock` returns the entry VM's milliseconds; `idleClock` returns the milliseconds by which the idle time of connections to servers is measured;
+ * @param options `clock` returns the entry VM's milliseconds; `idleClock` returns those by which the idle time of
+ *     connections to servers is measured;
  *     with `helpers` the entry VM has lost its links to the servers, and these peers help it
  */
 export const startFrontend = async (
@@ -403,13 +405,6 @@
         socket.on("end", () => void hasEndedInOrder(socket).then(it => done(it ? "closed" : "reset")));
     });
 
-/**
- * Resolves to whether a connection that allows half-open ones has ended in order, once Node has reported its end. It does so for a
- * reset, too, if it hadn't read all that arrived before; a write fails then.
- */
-export const hasEndedInOrder = (socket: Socket): Promise<boolean> =>
-    new Promise(resolve => socket.write("", err => resolve(!err)));
-
 /** Returns a peer that serves requests by the responses of a raw server. */
 export const helperAt = (peer: RawServer): EntryVm => ({
     id: "vm-2",
--- a/packages/gateway/test/unframedresponse.test.ts
+++ b/packages/gateway/test/unframedresponse.test.ts
@@ -2,7 +2,8 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "node:test";
-import { hasEndedInOrder, requestText, sendRaw, startFrontend, startRawServer } from "./setup.js";
+import { hasEndedInOrder } from "@bramleymoor/reset/orderlyend";
+import { requestText, sendRaw, startFrontend, startRawServer } from "./setup.js";
 
 const status = (text: string): number => Number(text.slice(9, 12));
 
--- a/packages/proxy/test/http10.test.ts
+++ b/packages/proxy/test/http10.test.ts
@@ -9,6 +9,7 @@
 import { fileURLToPath } from "node:url";
 import { callHeaders } from "@bramleymoor/protocol/headers";
 import type { ExitReset } from "@bramleymoor/reset/exitreset";
+import { hasEndedInOrder } from "@bramleymoor/reset/orderlyend";
 import { startProxy, type TestProxy } from "./setup.js";
 
 /** Starts a server that begins a response in chunks with that many bytes, and then calls `next`. */
@@ -48,8 +49,7 @@
         socket.on("data", chunk => (text += chunk.toString("latin1")));
         socket.once("data", onBegun);
         socket.on("error", () => done("reset"));
-        // Node reports an end for a reset behind bytes that were unread; an empty write tells them apart.
-        socket.on("end", () => socket.write("", err => done(err ? "reset" : "closed")));
+        socket.on("end", () => void hasEndedInOrder(socket).then(it => done(it ? "closed" : "reset")));
     });
 
 // Guards against a response in chunks that the end of the entry process makes look whole to a caller of HTTP/1.0.
--- a/packages/reset/src/exitreset.ts
+++ b/packages/reset/src/exitreset.ts
@@ -95,6 +95,6 @@
 
 /** Returns the descriptor of an open socket, which Node keeps on the socket's handle. */
 const fdOf = (socket: Socket): number | undefined => {
-    const { _handle: handle } = socket as unknown as { readonly _handle?: { readonly fd?: unknown } | null };
+    const { _handle: handle } = socket as unknown as { readonly _handle?: { readonly fd?: unknown } };
     return typeof handle?.fd === "number" && handle.fd >= 0 ? handle.fd : undefined;
 };
--- a/packages/reset/src/linger.ts
+++ b/packages/reset/src/linger.ts
@@ -37,9 +37,9 @@
 
 const bindSetLinger = (): SetLinger => {
     const koffi = createRequire(import.meta.url)("koffi") as typeof Koffi;
-    // The symbols of the process itself, whatever C library it is linked against.
     const setsockopt = koffi
-        .load(null) // eslint-disable-line no-restricted-syntax -- koffi's name for the process
+        // koffi's name for the process itself, whose C library is used, whichever it is.
+        .load(null) // eslint-disable-line no-restricted-syntax
         .func("int setsockopt(int fd, int level, int name, const void *value, uint32_t length)") as (
         ...args: readonly unknown[]
     ) => number;
