A response with Trailer and a length no longer ends the entry process

What callers saw: one response with the field Trailer beside a Content-Length ended the entry process with exit code 1. All requests that it was serving were cut, those at sound servers too, and callers were refused until it was back. On the own interface, and where a response in chunks goes to HEAD or to HTTP/1.0, the status was 500; so it was for a sound request with Trailer and no chunks.

Cause: Node's parser accepts the field on every message; its writer throws ERR_HTTP_TRAILER_INVALID on one that isn't in chunks. On the gateway it threw in a promise that nothing waits for, on the own interface also in a listener for "end". The field came with the sound framing of servers that declare trailers, so no byte has to be spoilt for it.

Change: writtenheads.ts writes the heads that are passed on, and leaves Trailer out on a message that isn't in chunks: it can't have trailers. In chunks the field stays.

The tests' callers of HTTP/1.0 wait for the whole response, as those of HTTP/1.1 did.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,6 +6,7 @@
 import { limitInterimResponses } from "@bramleymoor/input/interim";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
+import { writableRequestHeaders } from "@bramleymoor/proxy/writtenheads";
 import { hasEndedInOrder } from "@bramleymoor/reset/orderlyend";
 import type { KeepAliveAgent } from "./agent.js";
 import type { ResponseConnection, Unrelayed } from "./examine.js";
@@ -73,7 +74,7 @@
             method: outgoing.method,
             path: outgoing.target,
             agent: outgoing.agent,
-            headers: outgoing.headers as string[],
+            headers: writableRequestHeaders(outgoing.headers),
             setHost: false,
         });
         this.head = new Promise((resolve, reject) => {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -4,9 +4,11 @@
 import { ByteCollector } from "@bramleymoor/input/collector";
 import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
+import { isBodiless } from "@bramleymoor/proxy/heads";
 import { whenInTurn } from "@bramleymoor/proxy/orderedresponse";
 import { breakConnection, losesChunks } from "@bramleymoor/proxy/relay";
 import { startTimeout } from "@bramleymoor/proxy/timers";
+import { writeResponseHead } from "@bramleymoor/proxy/writtenheads";
 import { endArmed, type ExitReset } from "@bramleymoor/reset/exitreset";
 import type { BufferBudget } from "./bufferbudget.js";
 
@@ -99,7 +101,7 @@
         }
         const { rawHeaders, headers, statusCode } = this.#from;
         const relayed = endToEndHeaders(rawHeaders, headers.connection);
-        this.#to.writeHead(statusCode ?? 0, [...relayed, ...framing, ...extraHeaders()]);
+        writeResponseHead(this.#to, statusCode ?? 0, [...relayed, ...framing, ...extraHeaders()]);
     }
 
     /** Prepares the caller's connection for a response that isn't whole; returns false if the response has to be held back. */
@@ -326,9 +328,7 @@
     method === "HEAD" ||
     headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined ||
-    bodilessStatuses.has(statusCode);
-
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+    isBodiless(statusCode);
 
 /** Responses up to this many bytes are buffered and relayed only when they are complete. */
 const maxBufferedBytes = 64 * 1024;
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -379,7 +379,7 @@
  */
 export const sendRaw = (port: number, text: string, maxSilenceMs = 10_000): Promise<RawResult> =>
     new Promise(resolve => {
-        const count = text.split(" HTTP/1.1\r\n").length - 1;
+        const count = text.split(/ HTTP\/1\.[01]\r\n/).length - 1;
         const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true }, () => socket.write(text));
         let received = "";
         let timer = setTimeout(() => undefined, 0);
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -10,10 +10,11 @@
 import type { ReadPacer } from "@bramleymoor/input/pacer";
 import { callHeaders, responseHeaders } from "@bramleymoor/protocol/headers";
 import { discardResponse } from "./discard.js";
-import { findResponseHeadProblem } from "./heads.js";
+import { findResponseHeadProblem, isBodiless } from "./heads.js";
 import type { RequestBody } from "./body.js";
 import { isResponseTo, SendIds } from "./sendid.js";
 import type { TimerSet } from "./timers.js";
+import { writableRequestHeaders } from "./writtenheads.js";
 
 /** Options of a BackendClient. */
 export interface BackendClientOptions {
@@ -71,13 +72,13 @@
             method: out.method,
             path: out.path,
             agent: out.nonIdempotent ? this.#nonIdempotentAgent : this.#idempotentAgent,
-            headers: [
+            headers: writableRequestHeaders([
                 ...out.headers,
                 ...(sendId === undefined ? [] : [callHeaders.sendId, sendId]),
                 ...out.body.framingHeaders(),
                 "Host",
                 `${out.host}:${out.port}`,
-            ],
+            ]),
         });
         const exchange = new Exchange(req, out, sendId);
         const timer = this.#timers.schedule(this.#clock() + this.#options.connectTimeoutMs, () =>
@@ -208,8 +209,7 @@
     res.headers["content-length"] !== undefined ||
     res.headers["transfer-encoding"] !== undefined ||
     method === "HEAD" ||
-    res.statusCode === 204 ||
-    res.statusCode === 304;
+    isBodiless(res.statusCode ?? 0);
 
 /** Returns the delay in milliseconds that a refusing server asks for. */
 const parseRetryAfter = (res: IncomingMessage): number | undefined => {
--- a/packages/proxy/src/guard.ts
+++ b/packages/proxy/src/guard.ts
@@ -9,6 +9,7 @@
 import { CallError } from "@bramleymoor/protocol/errors";
 import type { CallHeaders } from "./request.js";
 import type { CallServerOptions } from "./services.js";
+import { writeResponseHead } from "./writtenheads.js";
 
 /** Dependencies of an OnceGuard. */
 export type OnceGuardOptions = Pick<CallServerOptions, "ticketIssuer" | "onceTable" | "findIssuer">;
@@ -87,7 +88,7 @@
             throw outcome.error;
         }
         const headers = outcome.headers === "" ? [] : outcome.headers.split("\n");
-        res.writeHead(outcome.status, [...headers, responseHeaders.replayed, "1", ...extra]);
+        writeResponseHead(res, outcome.status, [...headers, responseHeaders.replayed, "1", ...extra]);
         res.end(outcome.body, "latin1");
     }
 }
--- a/packages/proxy/src/heads.ts
+++ b/packages/proxy/src/heads.ts
@@ -70,6 +70,9 @@
     return Object.fromEntries(headers);
 };
 
+/** Whether responses with this status never have a body. */
+export const isBodiless = (status: number): boolean => status === 204 || status === 304;
+
 const holdsStatusLine = (text: string): boolean => text.includes("HTTP/") && statusLinePattern.test(text);
 
 const statusLinePattern = /HTTP\/\d\.\d \d{3}(?: |$)/;
--- a/packages/proxy/src/relay.ts
+++ b/packages/proxy/src/relay.ts
@@ -6,6 +6,7 @@
 import { endArmed, type ExitReset } from "@bramleymoor/reset/exitreset";
 import { forwardedTrailers } from "./headers.js";
 import type { Timer, TimerSet } from "./timers.js";
+import { writeResponseHead } from "./writtenheads.js";
 
 /** How a relay ended; "broken" if the response was truncated or stalled. */
 export type RelayResult = "complete" | "broken" | "caller-gone";
@@ -108,7 +109,7 @@
             this.#attachListeners();
             this.#sendHead = framing => {
                 if (!this.#to.destroyed) {
-                    this.#to.writeHead(status, [...headers, ...framing]);
+                    writeResponseHead(this.#to, status, [...headers, ...framing]);
                 }
             };
             const { socket } = this.#to;
