A file name in a response behind its length no longer ends the entry process

What callers saw: a sound response whose Content-Disposition stands behind its Content-Length and has a byte above 0x7f, as UTF-8 file names do, ended the entry process, and all requests that it was serving were cut. Own interface: status 500. Two bytes of UTF-8 below U+0100 came out as one.

Cause: behind a length, Node's writer takes the value of Content-Disposition for Latin-1, turns it into bytes and decodes these as UTF-8. What is no byte then, or no UTF-8, it refuses (ERR_INVALID_CHAR).

Change: heads that are passed on are written with Content-Length last. The order of fields with different names means nothing.

--- a/packages/proxy/src/writtenheads.ts
+++ b/packages/proxy/src/writtenheads.ts
@@ -25,16 +25,24 @@
 export const writableRequestHeaders = (headers: readonly string[]): string[] =>
     writableHeaders(headers, hasHeader(headers, "transfer-encoding"));
 
-/** Returns headers without `Trailer` on a message that isn't in chunks: it has no trailers, and Node refuses to write the field. */
+/**
+ * Returns headers as Node's writer accepts them and leaves them unchanged:
+ * - without `Trailer` on a message that isn't in chunks, as such a message has no trailers;
+ * - with `Content-Length` last, as Node decodes a `Content-Disposition` behind it, whose bytes may be none that it can write then.
+ */
 const writableHeaders = (headers: readonly string[], isInChunks: boolean): string[] => {
     const written: string[] = [];
+    const lengths: string[] = [];
     for (let i = 0; i + 1 < headers.length; i += 2) {
         const name = headers[i] ?? "";
-        if (isInChunks || !isNamed(name, "trailer")) {
-            written.push(name, headers[i + 1] ?? "");
+        const value = headers[i + 1] ?? "";
+        if (isNamed(name, "content-length")) {
+            lengths.push(name, value);
+        } else if (isInChunks || !isNamed(name, "trailer")) {
+            written.push(name, value);
         }
     }
-    return written;
+    return [...written, ...lengths];
 };
 
 const hasHeader = (headers: readonly string[], lowerCaseName: string): boolean =>
--- a/packages/proxy/test/writtenheads.test.ts
+++ b/packages/proxy/test/writtenheads.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { createServer, type AddressInfo, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { registeredFieldNames } from "@bramleymoor/testkit/fieldnames";
 import { sendOrder, sendRaw, sendRequest, startProxy, type TestProxy } from "./setup.js";
 
 interface Setup {
@@ -12,9 +13,9 @@
 /**
  * Starts a call server before a server that writes the same response to each request.
  *
- * @param response what follows the status line and the send's id
+ * @param response what follows the status line and the send's id, or returns it
  */
-const setUp = async (t: TestContext, response: string): Promise<Setup> => {
+const setUp = async (t: TestContext, response: string | (() => string)): Promise<Setup> => {
     const heads: string[] = [];
     const sockets = new Set<Socket>();
     const server = createServer(socket => {
@@ -24,7 +25,8 @@
             const head = chunk.toString("latin1");
             heads.push(head);
             const id = /bm-send-id: (\S+)/.exec(head)?.[1] ?? "";
-            socket.write(`HTTP/1.1 200 OK\r\nbm-send-id: ${id}\r\n${response}`, "latin1");
+            const rest = typeof response === "string" ? response : response();
+            socket.write(`HTTP/1.1 200 OK\r\nbm-send-id: ${id}\r\n${rest}`, "latin1");
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -112,3 +114,31 @@
         }
     });
 }
+
+// Guards against status 500, and changed bytes: behind a length, Node decodes the value of Content-Disposition.
+test("a response with any registered field and a length is passed on, before and behind the length", async t => {
+    let response = "";
+    const { proxy } = await setUp(t, () => response);
+    const value = Buffer.from('attachment; filename="é日本"').toString("latin1");
+    const framingFields: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
+    for (const name of registeredFieldNames.filter(it => !framingFields.has(it.toLowerCase()))) {
+        const field = `${name}: ${value}\r\n`;
+        for (const head of [`Content-Length: 5\r\n${field}`, `${field}Content-Length: 5\r\n`]) {
+            response = `${head}\r\nhello`;
+            const { status, text, headers } = await sendRequest(proxy.port);
+            assert.deepEqual([status, text], [200, "hello"], name);
+            assert.ok(name !== "Content-Disposition" || headers["content-disposition"] === value);
+        }
+    }
+});
+
+test("a request's Content-Disposition behind its length is passed on unchanged", async t => {
+    const { proxy, heads } = await setUp(t, withLength(""));
+    const field = `Content-Disposition: form-data; name="caf\xe9"\r\n`;
+    const text = await sendRaw(
+        proxy.port,
+        `POST /v1/call/desk/list HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 1\r\n${field}\r\nb`,
+    );
+    assert.match(text, /^HTTP\/1\.1 200 /);
+    assert.ok(heads[0]?.includes(`\r\n${field}`));
+});
