An error in the relay of one response ends that request, not the process

Cause: the gateway's relay wrote whole responses in a promise that nothing waits for, and called what can throw in listeners of streams and in timers; so did the probe client with what it makes of a response. Node ends the process at each of these.

Change: `contained` hands on what a listener throws. Where the request can still be answered, it gets status 500 and its connection to the server is closed; where its response has been promised its turn, or is begun, the caller's connection is broken off and event 9001 says why; a probe counts as unanswered, with the same event. What a receiver's connection throws while a request is written counts as a lost send, as the examination of its response did before. An exchange with a peer is closed, too, instead of left open.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import type { SlotResult } from "@bramleymoor/balance/types";
 import { limitInterimResponses } from "@bramleymoor/input/interim";
+import { contained } from "@bramleymoor/proxy/contained";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { findResponseHeadProblem } from "@bramleymoor/proxy/heads";
 import { writableRequestHeaders } from "@bramleymoor/proxy/writtenheads";
@@ -82,12 +83,12 @@
                 this.#settled = true;
                 reject(error);
             };
+            const onResponse = contained(
+                (res: IncomingMessage) => this.#handleResponse(res, outgoing, resolve),
+                err => this.abort({ kind: "lost" }, `the response couldn't be examined: ${String(err)}`),
+            );
             this.#req.on("response", res => {
-                try {
-                    this.#handleResponse(res, outgoing, resolve);
-                } catch (err) {
-                    this.abort({ kind: "lost" }, `the response couldn't be examined: ${String(err)}`);
-                }
+                onResponse(res);
                 this.#settled = true;
             });
         });
@@ -101,10 +102,14 @@
         this.#req.once("socket", socket => {
             this.#socket = socket;
             socket.prependListener("error", this.#handleSocketError);
+            const onConnect = contained(
+                () => this.#handleConnect(outgoing),
+                err => this.abort({ kind: "lost" }, `the request couldn't be written: ${String(err)}`),
+            );
             if (socket.connecting) {
-                socket.once("connect", () => this.#handleConnect(outgoing));
+                socket.once("connect", onConnect);
             } else {
-                this.#handleConnect(outgoing);
+                onConnect();
             }
         });
     }
--- a/packages/gateway/src/forward.ts
+++ b/packages/gateway/src/forward.ts
@@ -244,6 +244,9 @@
                 send.end(err.result, err.detail);
                 return err.result;
             }
+            if (!(err instanceof CallError)) {
+                exchange.abort({ kind: "lost" });
+            }
             throw err;
         } finally {
             send.end({ kind: this.#callerGone ? "cancelled" : "timeout" });
@@ -442,6 +445,7 @@
             buffers: responseBuffers,
             exitReset,
             confirmAlive,
+            onInternalError: this.#options.onInternalError,
         });
         const result = await this.#abortable(
             relay.run(() => this.#options.extraHeaders(this.#req)),
--- a/packages/gateway/src/forwardoptions.ts
+++ b/packages/gateway/src/forwardoptions.ts
@@ -83,6 +83,8 @@
     readonly crashGuard: CrashGuard;
     /** Called for each send that got no response that can be relayed. */
     readonly onSendLost: (send: LostSend) => void;
+    /** Called for each error that isn't the caller's or a server's, and that doesn't become the outcome of a request. */
+    readonly onInternalError: (doing: string, err: unknown) => void;
     /** Called once at the end of each request. */
     readonly onDone: (record: ForwardRecord) => void;
 }
--- a/packages/gateway/src/node.ts
+++ b/packages/gateway/src/node.ts
@@ -142,8 +142,9 @@
             this.#agents.pooled.closeIdle();
         });
         this.#agents = createAgents(this.#pacer, this.#reach.connections);
-        this.#probeClient = new HttpProbeClient(platform.wire, this.#agents);
-        this.#linkProbeClient = new HttpProbeClient(platform.wire, this.#agents);
+        const onInternalError = (doing: string, err: unknown): void => this.#reportInternalError(doing, err);
+        this.#probeClient = new HttpProbeClient(platform.wire, this.#agents, onInternalError);
+        this.#linkProbeClient = new HttpProbeClient(platform.wire, this.#agents, onInternalError);
         this.#dispatchers = new ServiceDispatchers({
             probeClient: this.#probeClient,
             clock: monotonicMs,
@@ -439,6 +440,7 @@
             lagMs: () => this.#lag.lagMs(monotonicMs()),
             crashGuard: this.#crashes,
             onSendLost: send => this.#reporter.reportLostSend(send),
+            onInternalError: (doing, err) => this.#reportInternalError(doing, err),
             onDone: record => this.#reporter.report(record),
         };
     }
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -5,6 +5,7 @@
 import type { LoadReport } from "@bramleymoor/balance/types";
 import { limitInterimResponses } from "@bramleymoor/input/interim";
 import type { ServerEntry } from "@bramleymoor/model/route";
+import { contained } from "@bramleymoor/proxy/contained";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { distinctHeaders, findResponseHeadProblem } from "@bramleymoor/proxy/heads";
 import { startTimeout } from "@bramleymoor/proxy/timers";
@@ -50,13 +51,22 @@
 export class HttpProbeClient implements ProbeClient {
     readonly #wire: WireFormat;
     readonly #agents: ForwardOptions["agents"];
+    readonly #onInternalError: ForwardOptions["onInternalError"];
     readonly #pending = new Map<string, Promise<ProbeResponse | undefined>>();
     #probesSent = 0;
 
-    /** @param agents connections to use; the pooled ones are shared with requests, as they go to the same servers */
-    constructor(wire: WireFormat, agents: ForwardOptions["agents"]) {
+    /**
+     * @param agents connections to use; the pooled ones are shared with requests, as they go to the same servers
+     * @param onInternalError called for an error in the examination of a response, which then counts as none
+     */
+    constructor(
+        wire: WireFormat,
+        agents: ForwardOptions["agents"],
+        onInternalError: ForwardOptions["onInternalError"],
+    ) {
         this.#wire = wire;
         this.#agents = agents;
+        this.#onInternalError = onInternalError;
     }
 
     /** Number of probes sent so far. */
@@ -108,7 +118,7 @@
                 cancelTimeout();
                 resolve(result);
             };
-            req.on("response", res => {
+            const onResponse = (res: IncomingMessage): void => {
                 const response = this.#examine(req, res, server);
                 if (response) {
                     discardResponse(res);
@@ -118,7 +128,12 @@
                     // What follows on this connection can't be attributed.
                     req.destroy();
                 }
-            });
+            };
+            const onError = (err: unknown): void => {
+                this.#onInternalError("examining a probe's response", err);
+                req.destroy();
+            };
+            req.on("response", contained(onResponse, onError));
             limitInterimResponses(req, () => req.destroy());
             req.on("error", err => done(req.reusedSocket && !isTimeout(err) ? "closed" : undefined));
             req.on("close", () => done(undefined));
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteCollector } from "@bramleymoor/input/collector";
 import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
+import { contained } from "@bramleymoor/proxy/contained";
 import { endToEndHeaders } from "@bramleymoor/proxy/headers";
 import { isBodiless } from "@bramleymoor/proxy/heads";
 import { whenInTurn } from "@bramleymoor/proxy/orderedresponse";
@@ -40,6 +41,8 @@
      * the caller has to have the response; undefined if that can't be found out.
      */
     readonly confirmAlive: (() => Promise<boolean>) | undefined;
+    /** Called for an error that breaks a response off. */
+    readonly onInternalError: (doing: string, err: unknown) => void;
 }
 
 /** Relays one response. */
@@ -130,8 +133,14 @@
                     stream();
                 }
             };
+            const fail = (err: unknown): void => {
+                removeListeners();
+                reject(err instanceof Error ? err : new Error(String(err)));
+            };
             const stopHolding =
-                holdMs === undefined ? (): void => undefined : startTimeout(holdMs, streamIfPossible);
+                holdMs === undefined
+                    ? (): void => undefined
+                    : startTimeout(holdMs, contained(streamIfPossible, fail));
             const removeListeners = (): void => {
                 stopHolding();
                 from.off("data", onData).off("end", onEnd).off("error", onBroken).off("close", onBroken);
@@ -141,18 +150,18 @@
                 from.pause();
                 this.#relayStreamed(extraHeaders, body.blocks).then(resolve, reject);
             };
-            const onData = (chunk: Buffer): void => {
+            const onData = contained((chunk: Buffer) => {
                 body.append(chunk);
                 if (!mayBuffer(chunk.length)) {
                     stream();
                 }
-            };
+            }, fail);
             const onEnd = (): void => {
                 removeListeners();
-                this.#whenWhole(onWhole, onBroken);
+                this.#whenWhole(contained(onWhole, fail), onBroken);
             };
             const send = (): void => {
-                this.#sent = this.#sendWhole(extraHeaders, body.toBuffer());
+                this.#sendWhole(extraHeaders, body.toBuffer());
                 resolve(this.#to.destroyed ? "caller-gone" : "complete");
             };
             const onBroken = (): void => {
@@ -163,7 +172,9 @@
                 if (!this.#to.socket || this.#canStream()) {
                     send();
                 } else {
-                    void this.#proveWhole().then(isWhole => (isWhole ? send() : onBroken()));
+                    this.#proveWhole()
+                        .then(isWhole => (isWhole ? send() : onBroken()))
+                        .catch(fail);
                 }
             };
             from.on("data", onData).on("end", onEnd).on("error", onBroken).on("close", onBroken);
@@ -180,17 +191,22 @@
         return this.#proof;
     }
 
+    /** Sends a response that has been read to its end. */
+    #sendWhole(extraHeaders: () => readonly string[], body: Buffer): void {
+        if (this.#endsConnection) {
+            this.#sent = this.#sendInTurn(extraHeaders, body).catch((err: unknown) => this.#breakOff(err));
+        } else {
+            this.#writeHead(extraHeaders);
+            this.#to.end(body);
+        }
+    }
+
     /**
-     * Sends a response that has been read to its end. One that ends with its connection waits for its turn: only then is it known
-     * whether requests that have been passed on follow it, for which the connection has to be kept.
+     * Sends a whole response that ends with its connection, when its turn has come: only then is it known whether requests that
+     * have been passed on follow it, for which the connection has to be kept.
      */
-    async #sendWhole(extraHeaders: () => readonly string[], body: Buffer): Promise<void> {
+    async #sendInTurn(extraHeaders: () => readonly string[], body: Buffer): Promise<void> {
         const to = this.#to;
-        if (!this.#endsConnection) {
-            this.#writeHead(extraHeaders);
-            to.end(body);
-            return;
-        }
         await whenInTurn(to);
         const keepsConnection = (this.#isFramed || this.#options.isFollowed()) && (await this.#proveWhole());
         if (to.destroyed || to.headersSent) {
@@ -209,6 +225,12 @@
         }
     }
 
+    /** Closes the connection of a response that an error keeps from being sent to its end. */
+    #breakOff(err: unknown): void {
+        this.#options.onInternalError("relaying a response", err);
+        breakConnection(this.#to);
+    }
+
     /**
      * A response whose turn hasn't come can still be replaced by an error, so its head waits for that.
      *
@@ -253,8 +275,15 @@
                 breakConnection(to);
                 resolve("broken");
             };
+            const fail = (err: unknown): void => {
+                this.#breakOff(err);
+                onBroken();
+            };
             const writer = new GatheredWriter(to, () => from.pause());
-            from.on("data", (chunk: Buffer) => writer.write(chunk));
+            from.on(
+                "data",
+                contained((chunk: Buffer) => writer.write(chunk), fail),
+            );
             from.resume();
             to.on("drain", () => from.resume());
             const end = (): void => {
@@ -265,10 +294,12 @@
                 if (this.#endsConnection || this.#isFramed) {
                     end();
                 } else {
-                    void this.#proveWhole().then(isWhole => (isWhole ? end() : onBroken()));
+                    this.#proveWhole()
+                        .then(isWhole => (isWhole ? end() : onBroken()))
+                        .catch(fail);
                 }
             };
-            from.on("end", () => this.#whenWhole(onWhole, onBroken));
+            from.on("end", () => this.#whenWhole(contained(onWhole, fail), onBroken));
             from.on("error", onBroken);
             from.on("close", () => {
                 if (!from.complete) {
--- a/packages/gateway/test/pause.test.ts
+++ b/packages/gateway/test/pause.test.ts
@@ -22,7 +22,7 @@
     });
     const agent = new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock, pacer: new ReadPacer(clock) });
     t.after(() => agent.destroy());
-    const client = new HttpProbeClient(testWire, { pooled: agent, unpooled: agent });
+    const client = new HttpProbeClient(testWire, { pooled: agent, unpooled: agent }, () => undefined);
     assert.ok(
         await client.probe(server.entry, "/health", { onNewConnection: false, onResend: () => undefined }),
     );
--- a/packages/gateway/test/probecopies.test.ts
+++ b/packages/gateway/test/probecopies.test.ts
@@ -62,7 +62,7 @@
     const refusal = refusalText("r1", "t-leaving: 1\r\nt-limit: 1\r\nt-not-now: 60000\r\n");
     const { server, probed } = await startProbedServer(t, [refusal, probeText("")], refusal);
     await sendRequest(agents.pooled, server);
-    const response = await probeOnce(new HttpProbeClient(testWire, agents), server);
+    const response = await probeOnce(new HttpProbeClient(testWire, agents, () => undefined), server);
     assert.equal(probed.length, 2);
     assert.notEqual(probed[0], probed[1]);
     assert.ok(response);
@@ -78,13 +78,13 @@
     const text = responseText("r1", "ran");
     const { server } = await startProbedServer(t, [text, probeText("")], text);
     await sendRequest(agents.pooled, server);
-    assert.ok(await probeOnce(new HttpProbeClient(testWire, agents), server));
+    assert.ok(await probeOnce(new HttpProbeClient(testWire, agents, () => undefined), server));
 });
 
 test("a probe on a new connection can't get the copy of another's response", async t => {
     const agents = createAgents(t);
     const { server, probed } = await startProbedServer(t, [probeText(""), probeText("")]);
-    const client = new HttpProbeClient(testWire, agents);
+    const client = new HttpProbeClient(testWire, agents, () => undefined);
     await probeOnce(client, server);
     await client.probe(server.entry, "/health", { onNewConnection: true, onResend: () => undefined });
     assert.equal(new Set(probed).size, 2);
--- a/packages/gateway/test/setup.ts
+++ b/packages/gateway/test/setup.ts
@@ -170,6 +170,8 @@
     readonly records: ForwardRecord[];
     /** Number of connections that were closed unread. */
     readonly unread: () => number;
+    /** What was being done when errors of the entry VM's own were logged, and the errors. */
+    readonly internalErrors: readonly string[];
 }
 
 const lagPeriodMs = 10;
@@ -225,7 +227,10 @@
         pooled: new KeepAliveAgent({ idleMs: 5_000, marginMs: 500, clock: idleClock, pacer }),
         unpooled: new KeepAliveAgent({ idleMs: 0, marginMs: 500, clock: idleClock, pacer }),
     };
-    const probeClient = new HttpProbeClient(wire, agents);
+    const internalErrors: string[] = [];
+    const onInternalError = (doing: string, err: unknown): void =>
+        void internalErrors.push(`${doing}: ${String(err)}`);
+    const probeClient = new HttpProbeClient(wire, agents, onInternalError);
     const retryLimits = { ratio: 0.2, slack: 20, windowMs: 10_000 };
     const applyServers = (): void => {
         const known = servers.map(({ entry }) => ({ entry, lapsed: false }));
@@ -311,6 +316,7 @@
         endOfStreamAhead: req => frontend.endOfStreamAhead(req),
         crashGuard: crashes,
         onSendLost: () => undefined,
+        onInternalError,
         onDone: record => records.push(record),
     };
     const frontend = new FrontendServer({
@@ -335,7 +341,7 @@
         agents.unpooled.destroy();
         void frontend.drain();
     });
-    return { port, frontend, records, unread: () => unread };
+    return { port, frontend, records, unread: () => unread, internalErrors };
 };
 
 /** What a caller received on one connection. */
