Own interface: an error in the relay of a response frees its slot and ends its call only

What callers saw: each response that couldn't be written (status 500, as for Trailer until now) kept its server's slot for ever. When a service had lost its slots, its calls waited until their deadline. An error at the end of a response that is held back, for a caller of HTTP/1.0 behind another request, ended the process.

Cause: the relay's failure skipped the code that settles the slot, and listeners of the response threw past it. Nothing was logged.

--- a/packages/bench/src/oncecost.ts
+++ b/packages/bench/src/oncecost.ts
@@ -180,6 +180,7 @@
                 callEnded: () => undefined,
                 badRequest: () => undefined,
                 connectionUnread: () => undefined,
+                internalError: () => undefined,
             },
             exitReset: new LingerReset(reason => process.stderr.write(`${reason}\n`)),
         },
--- a/packages/entry/src/eventreporter.ts
+++ b/packages/entry/src/eventreporter.ts
@@ -41,6 +41,11 @@
         this.#events.emit("request-malformed", { address: remoteAddress, reason: code });
     }
 
+    internalError(doing: string, err: unknown): void {
+        const reason = err instanceof Error ? String(err.stack) : String(err);
+        this.#events.emit("internal-error", { doing, reason });
+    }
+
     /** Records the server time in milliseconds and the bytes that a probe cost. */
     recordProbe(service: string, serverMs: number, bytes: number): void {
         this.#metrics.recordProbe(service, serverMs);
--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -15,7 +15,7 @@
 import { errorFor } from "./errors.js";
 import { toCallError } from "./responses.js";
 import { forwardedResponseHeaders, forwardedRequestHeaders } from "./headers.js";
-import type { CallOutcome } from "./observer.js";
+import type { CallObserver, CallOutcome } from "./observer.js";
 import { BodyCapture, Relay, type RelayResult } from "./relay.js";
 import { checkDepth, type CallHeaders, type CallTarget } from "./request.js";
 import type { RetryBudgets } from "./retries.js";
@@ -39,6 +39,7 @@
     readonly nextId: () => number;
     /** Has the end of this process reset the connections of responses that end with them. */
     readonly exitReset: ExitReset;
+    readonly observer: CallObserver;
 }
 
 /** A call that has passed all checks that precede the at-most-once table. */
@@ -210,7 +211,7 @@
             throw errorFor(attemptResult.error);
         }
         const { res, run, timing, stallMs } = this.#context;
-        const { clock, timers, exitReset } = this.#options;
+        const { clock, timers, exitReset, observer } = this.#options;
         const status = attemptResult.response.statusCode ?? 0;
         const headers = forwardedResponseHeaders(
             attemptResult.response.rawHeaders,
@@ -218,7 +219,13 @@
         );
         const capture = run && new BodyCapture(this.#options.onceTable.limits.maxStoredBodyBytes);
         const relay = new Relay(attemptResult.response, res, capture, { timers, clock, stallMs }, exitReset);
-        const relayResult = await relay.run(status, [...headers, ...this.#options.extraHeaders()]);
+        const relayResult = await relay
+            .run(status, [...headers, ...this.#options.extraHeaders()])
+            .catch((err: unknown) => {
+                attemptResult.slotRequest.abort({ kind: "lost" });
+                observer.internalError("relaying a response", err);
+                throw err;
+            });
         timing.bytesOut = relay.bytes;
         settleSlot(attemptResult.slotRequest, relayResult, status);
         this.#completeRun(relayResult, status, headers, capture);
--- a/packages/proxy/src/observer.ts
+++ b/packages/proxy/src/observer.ts
@@ -49,4 +49,6 @@
     badRequest(code: string, remoteAddress: string): void;
     /** Called when a connection was closed unread, `waitMs` after it arrived. */
     connectionUnread(waitMs: number): void;
+    /** Called for an error that is neither the caller's nor a server's. */
+    internalError(doing: string, err: unknown): void;
 }
--- a/packages/proxy/src/relay.ts
+++ b/packages/proxy/src/relay.ts
@@ -4,6 +4,7 @@
 import { ByteCollector } from "@bramleymoor/input/collector";
 import { GatheredWriter } from "@bramleymoor/input/gatheredwriter";
 import { endArmed, type ExitReset } from "@bramleymoor/reset/exitreset";
+import { contained } from "./contained.js";
 import { forwardedTrailers } from "./headers.js";
 import type { Timer, TimerSet } from "./timers.js";
 import { writeResponseHead } from "./writtenheads.js";
@@ -63,6 +64,7 @@
     #held: ByteCollector | undefined = undefined;
     #sendHead: (framing: readonly string[]) => void = () => undefined;
     #resolve: (result: RelayResult) => void = () => undefined;
+    #reject: (err: Error) => void = () => undefined;
     #bytes = 0;
 
     /**
@@ -93,7 +95,8 @@
 
     /**
      * Relays until the last byte has been written or either side has disconnected. If the response is truncated or
-     * stalls, the caller's connection is closed too, so that a truncated body never looks complete.
+     * stalls, the caller's connection is closed too, so that a truncated body never looks complete. Rejects at an error that is
+     * neither side's.
      */
     async run(status: number, headers: string[]): Promise<RelayResult> {
         try {
@@ -104,8 +107,9 @@
     }
 
     #copyAll(status: number, headers: string[]): Promise<RelayResult> {
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             this.#resolve = resolve;
+            this.#reject = reject;
             this.#attachListeners();
             this.#sendHead = framing => {
                 if (!this.#to.destroyed) {
@@ -118,14 +122,20 @@
             } else {
                 this.#sendHead([]);
             }
-            this.#from.on("data", (chunk: Buffer) => this.#copy(chunk));
+            this.#from.on(
+                "data",
+                contained((chunk: Buffer) => this.#copy(chunk), this.#breakOff),
+            );
         });
     }
 
     #attachListeners(): void {
         const from = this.#from;
         const to = this.#to;
-        from.on("end", () => this.#handleEnd());
+        from.on(
+            "end",
+            contained(() => this.#handleEnd(), this.#breakOff),
+        );
         from.on("error", () => this.#handleBreak());
         from.on("close", () => this.#handleBreak());
         to.on("drain", () => this.#resume());
@@ -196,6 +206,12 @@
         this.#resolve("complete");
     }
 
+    /** Closes the connection of a response that an error keeps from being sent to its end. */
+    readonly #breakOff = (err: unknown): void => {
+        breakConnection(this.#to);
+        this.#reject(err instanceof Error ? err : new Error(String(err)));
+    };
+
     #handleBreak(): void {
         if (!this.#from.complete) {
             breakConnection(this.#to);
--- a/packages/proxy/src/task.ts
+++ b/packages/proxy/src/task.ts
@@ -62,6 +62,9 @@
         try {
             outcome = await this.#handle();
         } catch (err) {
+            if (!(err instanceof CallError)) {
+                observer.internalError("handling a call", err);
+            }
             const error = toCallError(err);
             sendError(this.#res, error, extraHeaders());
             outcome = this.#res.destroyed && !this.#res.writableFinished ? "cancelled" : error.kind;
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -4,7 +4,7 @@
 import { randomBytes } from "node:crypto";
 import type { Agent } from "node:http";
 import { request, type IncomingMessage } from "node:http";
-import { connect } from "node:net";
+import { connect, createServer, type AddressInfo, type Socket } from "node:net";
 import type { TestContext } from "node:test";
 import type { Call, Dispatcher, Slot, SlotResult } from "@bramleymoor/dispatch/types";
 import type { BackendServer, RequestClass, Service } from "@bramleymoor/model/spec";
@@ -136,6 +136,8 @@
 export class TestProxy {
     readonly dispatcher: FakeDispatcher;
     readonly records: CallRecord[] = [];
+    /** What was being done when errors of the entry VM's own were logged, and the errors. */
+    readonly internalErrors: string[] = [];
     readonly ticketIssuer: TicketIssuer;
     readonly onceTable: OnceTable;
     readonly server: CallServer;
@@ -200,6 +202,7 @@
                     callEnded: record => this.records.push(record),
                     badRequest: () => undefined,
                     connectionUnread: () => this.unread++,
+                    internalError: (doing, err) => this.internalErrors.push(`${doing}: ${String(err)}`),
                 },
                 exitReset: options.exitReset ?? new LingerReset(reason => assert.fail(reason)),
             },
@@ -243,6 +246,46 @@
     return { proxy, backends };
 };
 
+/** A call server before a server whose responses a test writes byte by byte. */
+export interface RawSetup {
+    readonly proxy: TestProxy;
+    /** What the server has received, a request each. */
+    readonly requests: readonly string[];
+}
+
+/**
+ * Starts a call server before a server that writes the same response to each request.
+ *
+ * @param response what follows the status line and the send's id, or returns it
+ */
+export const setUpRaw = async (
+    t: TestContext,
+    response: string | (() => string),
+    options: Partial<TestProxyOptions> = {},
+): Promise<RawSetup> => {
+    const requests: string[] = [];
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", chunk => {
+            const text = chunk.toString("latin1");
+            requests.push(text);
+            const id = /bm-send-id: (\S+)/.exec(text)?.[1] ?? "";
+            const rest = typeof response === "string" ? response : response();
+            socket.write(`HTTP/1.1 200 OK\r\nbm-send-id: ${id}\r\n${rest}`, "latin1");
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.after(() => {
+        sockets.forEach(it => it.destroy());
+        server.close();
+    });
+    const proxy = await startProxy({ ports: [(server.address() as AddressInfo).port], ...options });
+    t.after(() => proxy.server.stop(0));
+    return { proxy, requests };
+};
+
 export interface TestResponse {
     readonly status: number;
     readonly headers: IncomingMessage["headers"];
--- a/packages/proxy/test/writtenheads.test.ts
+++ b/packages/proxy/test/writtenheads.test.ts
@@ -1,43 +1,7 @@
 import assert from "node:assert/strict";
-import { createServer, type AddressInfo, type Socket } from "node:net";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import { registeredFieldNames } from "@bramleymoor/testkit/fieldnames";
-import { sendOrder, sendRaw, sendRequest, startProxy, type TestProxy } from "./setup.js";
-
-interface Setup {
-    readonly proxy: TestProxy;
-    /** Heads of the requests that the server has received. */
-    readonly heads: string[];
-}
-
-/**
- * Starts a call server before a server that writes the same response to each request.
- *
- * @param response what follows the status line and the send's id, or returns it
- */
-const setUp = async (t: TestContext, response: string | (() => string)): Promise<Setup> => {
-    const heads: string[] = [];
-    const sockets = new Set<Socket>();
-    const server = createServer(socket => {
-        sockets.add(socket);
-        socket.on("error", () => undefined);
-        socket.on("data", chunk => {
-            const head = chunk.toString("latin1");
-            heads.push(head);
-            const id = /bm-send-id: (\S+)/.exec(head)?.[1] ?? "";
-            const rest = typeof response === "string" ? response : response();
-            socket.write(`HTTP/1.1 200 OK\r\nbm-send-id: ${id}\r\n${rest}`, "latin1");
-        });
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    t.after(() => {
-        sockets.forEach(it => it.destroy());
-        server.close();
-    });
-    const proxy = await startProxy({ ports: [(server.address() as AddressInfo).port] });
-    t.after(() => proxy.server.stop(0));
-    return { proxy, heads };
-};
+import { sendOrder, sendRaw, sendRequest, setUpRaw } from "./setup.js";
 
 const withLength = (field: string): string => `Content-Length: 5\r\n${field}\r\nhello`;
 const inChunks = (field: string, trailer = ""): string =>
@@ -45,13 +9,13 @@
 
 // Guards against status 500 in the place of a response: Node refuses to write Trailer on one that isn't in chunks.
 test("a response with a length is passed on without the field Trailer", async t => {
-    const { proxy } = await setUp(t, withLength("Trailer: x-sum\r\n"));
+    const { proxy } = await setUpRaw(t, withLength("Trailer: x-sum\r\n"));
     const response = await sendRequest(proxy.port);
     assert.deepEqual([response.status, response.text, response.headers.trailer], [200, "hello", undefined]);
 });
 
 test("a response in chunks keeps the field Trailer, and its trailers", async t => {
-    const { proxy } = await setUp(t, inChunks("Trailer: x-sum\r\n", "x-sum: 2\r\n"));
+    const { proxy } = await setUpRaw(t, inChunks("Trailer: x-sum\r\n", "x-sum: 2\r\n"));
     const response = await sendRequest(proxy.port);
     assert.deepEqual(
         [response.status, response.text, response.headers.trailer, response.trailers],
@@ -61,7 +25,7 @@
 
 // Guards against the same where a response in chunks goes to a caller who gets none.
 test("a response in chunks with the field Trailer reaches callers of HEAD and of HTTP/1.0", async t => {
-    const { proxy } = await setUp(t, inChunks("Trailer: x-sum\r\n"));
+    const { proxy } = await setUpRaw(t, inChunks("Trailer: x-sum\r\n"));
     const text = await sendRaw(proxy.port, "GET /v1/call/desk/list HTTP/1.0\r\nHost: h\r\n\r\n");
     assert.match(text, /^HTTP\/1\.1 200 [^]*\r\n\r\nhello$/);
     const pipelined = `GET /v1/call/desk/list HTTP/1.1\r\nHost: h\r\n\r\n`;
@@ -73,12 +37,12 @@
 });
 
 test("a response to HEAD with the field Trailer is passed on", async t => {
-    const { proxy } = await setUp(t, "Trailer: x-sum\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const { proxy } = await setUpRaw(t, "Trailer: x-sum\r\nTransfer-Encoding: chunked\r\n\r\n");
     assert.equal((await sendRequest(proxy.port, { method: "HEAD" })).status, 200);
 });
 
 test("a stored response with the field Trailer is sent again, also to a caller of HTTP/1.0", async t => {
-    const { proxy, heads } = await setUp(t, inChunks("Trailer: x-sum\r\n"));
+    const { proxy, requests } = await setUpRaw(t, inChunks("Trailer: x-sum\r\n"));
     const ticket = proxy.issueTicket();
     assert.equal((await sendOrder(proxy, "o-1", { ticket })).status, 200);
     assert.equal((await sendOrder(proxy, "o-1", { ticket })).status, 200);
@@ -88,13 +52,13 @@
             `Content-Length: 9\r\n\r\norder o-1`,
     );
     assert.match(again, /^HTTP\/1\.1 200 [^]*\r\n\r\nhello$/);
-    assert.equal(heads.length, 1);
+    assert.equal(requests.length, 1);
 });
 
 for (const method of ["GET", "POST", "DELETE", "OPTIONS"]) {
     // Guards against status 500 for a sound request.
     test(`a request ${method} with the field Trailer is passed on without it, unless it is in chunks`, async t => {
-        const { proxy, heads } = await setUp(t, withLength(""));
+        const { proxy, requests } = await setUpRaw(t, withLength(""));
         const framings: Readonly<Record<string, string>> = {
             "Content-Length": "Content-Length: 0\r\n\r\n",
             "Transfer-Encoding": "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -107,7 +71,7 @@
             );
             assert.match(response, /^HTTP\/1\.1 200 /, framing);
             assert.equal(
-                /\r\ntrailer: x-sum\r\n/i.test(heads.at(-1) ?? ""),
+                /\r\ntrailer: x-sum\r\n/i.test(requests.at(-1) ?? ""),
                 framing === "Transfer-Encoding",
                 framing,
             );
@@ -118,7 +82,7 @@
 // Guards against status 500, and changed bytes: behind a length, Node decodes the value of Content-Disposition.
 test("a response with any registered field and a length is passed on, before and behind the length", async t => {
     let response = "";
-    const { proxy } = await setUp(t, () => response);
+    const { proxy } = await setUpRaw(t, () => response);
     const value = Buffer.from('attachment; filename="é日本"').toString("latin1");
     const framingFields: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
     for (const name of registeredFieldNames.filter(it => !framingFields.has(it.toLowerCase()))) {
@@ -133,12 +97,12 @@
 });
 
 test("a request's Content-Disposition behind its length is passed on unchanged", async t => {
-    const { proxy, heads } = await setUp(t, withLength(""));
+    const { proxy, requests } = await setUpRaw(t, withLength(""));
     const field = `Content-Disposition: form-data; name="caf\xe9"\r\n`;
     const text = await sendRaw(
         proxy.port,
         `POST /v1/call/desk/list HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 1\r\n${field}\r\nb`,
     );
     assert.match(text, /^HTTP\/1\.1 200 /);
-    assert.ok(heads[0]?.includes(`\r\n${field}`));
+    assert.ok(requests[0]?.includes(`\r\n${field}`));
 });
