Own interface: a refusal whose status is 000 is no statement that a call hasn't run

What callers saw: an answer with the status 000 and bm-refused counted as a refusal, so that the call, an order too, was sent again or got 503 "not run", though the answer is none and the order may have run.

Cause: what the head says was read before it was checked to be one.

Change: the check comes first. The answer counts as lost, its connection is closed.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -176,7 +176,8 @@
 
     #handleResponse(res: IncomingMessage, method: string, resolve: (res: IncomingMessage) => void): void {
         this.#responded = true;
-        if (this.#sendId !== undefined && !isResponseTo(res, this.#req, this.#sendId)) {
+        const isMalformed = findResponseHeadProblem(res) !== undefined;
+        if (isMalformed || (this.#sendId !== undefined && !isResponseTo(res, this.#req, this.#sendId))) {
             this.abort({ kind: "lost" });
             return;
         }
@@ -188,7 +189,7 @@
             );
             return;
         }
-        if (!isFramed(res, method) || findResponseHeadProblem(res) !== undefined) {
+        if (!isFramed(res, method)) {
             this.#fail(new SendError({ kind: "lost" }));
             this.#req.destroy();
             return;
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -257,11 +257,15 @@
  * Starts a call server before a server that writes the same response to each request.
  *
  * @param response what follows the status line and the send's id, or returns it
+ * @param options `spoil` changes a response before it is written
  */
 export const setUpRaw = async (
     t: TestContext,
     response: string | (() => string),
-    options: Partial<TestProxyOptions> = {},
+    {
+        spoil = text => text,
+        ...options
+    }: Partial<TestProxyOptions> & { readonly spoil?: (text: string) => string } = {},
 ): Promise<RawSetup> => {
     const requests: string[] = [];
     const sockets = new Set<Socket>();
@@ -273,7 +277,7 @@
             requests.push(text);
             const id = /bm-send-id: (\S+)/.exec(text)?.[1] ?? "";
             const rest = typeof response === "string" ? response : response();
-            socket.write(`HTTP/1.1 200 OK\r\nbm-send-id: ${id}\r\n${rest}`, "latin1");
+            socket.write(spoil(`HTTP/1.1 200 OK\r\nbm-send-id: ${id}\r\n${rest}`), "latin1");
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
