A line that begins with a CR or an LF isn't the end of a response's head

What callers saw: status 200 with the rest of the head as the body ("-Trace: abc..."), cut to the length that the head declares, so that it ended like a whole answer: for GET, POST and HTTP/1.0, through peers too; on the own interface with the field first, or if it is HEAD. A probe's response said what its head said before that line. Where the status line ended with a CR, the first letter of the first field was lost.

Cause: Node's parser (llhttp 8.1) takes a CR at the start of a line, whatever follows it, and an LF there for the end of the head; after the status line either ends the line. Nothing that Node reports of the response shows it.

Change: HeadLines reads the bytes of a head before the parser does: each line has to end with CR LF. `receiveResponse` joins that with the checks of what the parser reports, and is what gateway, peers, probes and calls of the own interface receive responses with. Such a response counts as lost.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -3,8 +3,8 @@
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { SlotResult } from "@bramleymoor/balance/types";
-import { findResponseHeadProblem } from "@bramleymoor/input/heads";
 import { limitInterimResponses } from "@bramleymoor/input/interim";
+import { receiveResponse } from "@bramleymoor/input/receive";
 import { contained } from "@bramleymoor/proxy/contained";
 import { discardResponse } from "@bramleymoor/proxy/discard";
 import { writableRequestHeaders } from "@bramleymoor/proxy/writtenheads";
@@ -87,10 +87,14 @@
                 (res: IncomingMessage) => this.#handleResponse(res, outgoing, resolve),
                 err => this.abort({ kind: "lost" }, `the response couldn't be examined: ${String(err)}`),
             );
-            this.#req.on("response", res => {
-                onResponse(res);
-                this.#settled = true;
-            });
+            receiveResponse(
+                this.#req,
+                res => {
+                    onResponse(res);
+                    this.#settled = true;
+                },
+                problem => this.abort({ kind: "lost" }, `malformed response: ${problem}`),
+            );
         });
         this.closed = new Promise(resolve => this.#req.once("close", resolve));
         limitInterimResponses(this.#req, () => this.abort({ kind: "lost" }, "too many interim responses"));
@@ -184,11 +188,6 @@
         outgoing: OutgoingRequest,
         resolve: (res: IncomingMessage) => void,
     ): void {
-        const problem = findResponseHeadProblem(res);
-        if (problem !== undefined) {
-            this.abort({ kind: "lost" }, `malformed response: ${problem}`);
-            return;
-        }
         if (!isFramed(res, outgoing.method)) {
             this.#watchEnd();
         }
--- a/packages/gateway/src/probeclient.ts
+++ b/packages/gateway/src/probeclient.ts
@@ -3,8 +3,9 @@
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { ServerStatement } from "@bramleymoor/balance/statement";
 import type { LoadReport } from "@bramleymoor/balance/types";
-import { distinctHeaders, findResponseHeadProblem } from "@bramleymoor/input/heads";
+import { distinctHeaders } from "@bramleymoor/input/heads";
 import { limitInterimResponses } from "@bramleymoor/input/interim";
+import { receiveResponse } from "@bramleymoor/input/receive";
 import type { ServerEntry } from "@bramleymoor/model/route";
 import { contained } from "@bramleymoor/proxy/contained";
 import { discardResponse } from "@bramleymoor/proxy/discard";
@@ -124,16 +125,19 @@
                     discardResponse(res);
                     done(response);
                 } else {
-                    done(req.reusedSocket ? "other-response" : undefined);
-                    // What follows on this connection can't be attributed.
-                    req.destroy();
+                    onOther();
                 }
             };
+            const onOther = (): void => {
+                done(req.reusedSocket ? "other-response" : undefined);
+                // What follows on this connection can't be attributed.
+                req.destroy();
+            };
             const onError = (err: unknown): void => {
                 this.#onInternalError("examining a probe's response", err);
                 req.destroy();
             };
-            req.on("response", contained(onResponse, onError));
+            receiveResponse(req, contained(onResponse, onError), onOther);
             limitInterimResponses(req, () => req.destroy());
             req.on("error", err => done(req.reusedSocket && !isTimeout(err) ? "closed" : undefined));
             req.on("close", () => done(undefined));
@@ -141,11 +145,10 @@
         });
     }
 
-    /** Returns what a server has responded to a probe; undefined if the response is malformed or one to a request. */
+    /** Returns what a server has responded to a probe; undefined if the response is one to a request. */
     #examine(req: ClientRequest, res: IncomingMessage, server: ServerEntry): ProbeResponse | undefined {
         const { rawHeaders, headers, statusCode: status = 0 } = res;
-        const isOfRequest = this.#wire.requestId(headers) !== undefined || this.#wire.isFromServer(headers);
-        if (findResponseHeadProblem(res) !== undefined || isOfRequest) {
+        if (this.#wire.requestId(headers) !== undefined || this.#wire.isFromServer(headers)) {
             return undefined;
         }
         if (this.#wire.refusal(status, headers)) {
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -5,10 +5,11 @@
 
 import { request, type Agent, type ClientRequest, type IncomingMessage } from "node:http";
 import type { SlotResult } from "@bramleymoor/dispatch/types";
-import { findResponseHeadProblem, isBodiless } from "@bramleymoor/input/heads";
+import { isBodiless } from "@bramleymoor/input/heads";
 import { limitInterimResponses } from "@bramleymoor/input/interim";
 import { PacedAgent } from "@bramleymoor/input/pacedagent";
 import type { ReadPacer } from "@bramleymoor/input/pacer";
+import { receiveResponse } from "@bramleymoor/input/receive";
 import { callHeaders, responseHeaders } from "@bramleymoor/protocol/headers";
 import { discardResponse } from "./discard.js";
 import type { RequestBody } from "./body.js";
@@ -133,7 +134,11 @@
         this.#sendId = sendId;
         this.head = new Promise((resolve, reject) => {
             this.#fail = reject;
-            req.on("response", res => this.#handleResponse(res, out.method, resolve));
+            receiveResponse(
+                req,
+                res => this.#handleResponse(res, out.method, resolve),
+                () => this.abort({ kind: "lost" }),
+            );
         });
         limitInterimResponses(req, () => this.abort({ kind: "lost" }));
         req.on("error", () => this.#handleClose());
@@ -176,8 +181,7 @@
 
     #handleResponse(res: IncomingMessage, method: string, resolve: (res: IncomingMessage) => void): void {
         this.#responded = true;
-        const isMalformed = findResponseHeadProblem(res) !== undefined;
-        if (isMalformed || (this.#sendId !== undefined && !isResponseTo(res, this.#req, this.#sendId))) {
+        if (this.#sendId !== undefined && !isResponseTo(res, this.#req, this.#sendId)) {
             this.abort({ kind: "lost" });
             return;
         }
