Client for callers: an answer whose head isn't one of HTTP is none

What callers saw: `Caller.call` returned an answer with the status 000 as a response of that status, and one in whose head a name is empty or holds a blank with a status that nothing vouches for. Behind a line that begins with a CR the rest of the head was the body, without its length, so that an address query never ended.

Cause: the client took whatever Node's parser accepts.

Change: it receives responses with `receiveResponse`, as the entry VM does. The call's outcome is unknown then; a query goes to the next entry VM.

--- a/packages/caller/src/exchange.ts
+++ b/packages/caller/src/exchange.ts
@@ -2,6 +2,7 @@
 
 import { request, type Agent, type IncomingMessage } from "node:http";
 import { readBody } from "@bramleymoor/input/readbody";
+import { receiveResponse } from "@bramleymoor/input/receive";
 
 /** An exchange that failed without a response. */
 export class ExchangeError extends Error {
@@ -31,7 +32,7 @@
 /**
  * Sends a request and resolves when the response head arrives.
  *
- * @throws ExchangeError if the connection fails or the response doesn't begin in time
+ * @throws ExchangeError if the connection fails, or the response doesn't begin in time or has a malformed head
  */
 export const exchange = (options: ExchangeRequest): Promise<IncomingMessage> =>
     new Promise((resolve, reject) => {
@@ -48,9 +49,14 @@
             fail("timed out waiting for the response");
             req.destroy();
         }, timeoutMs);
-        req.on("response", res => {
+        const onResponse = (res: IncomingMessage): void => {
             clearTimeout(timer);
             resolve(res);
+        };
+        receiveResponse(req, onResponse, problem => {
+            clearTimeout(timer);
+            fail(`malformed response: ${problem}`);
+            req.destroy();
         });
         req.on("error", err => {
             clearTimeout(timer);
--- a/packages/proxy/test/setup.ts
+++ b/packages/proxy/test/setup.ts
@@ -4,7 +4,7 @@
 import { randomBytes } from "node:crypto";
 import type { Agent } from "node:http";
 import { request, type IncomingMessage } from "node:http";
-import { connect, createServer, type AddressInfo, type Socket } from "node:net";
+import { connect } from "node:net";
 import type { TestContext } from "node:test";
 import type { Call, Dispatcher, Slot, SlotResult } from "@bramleymoor/dispatch/types";
 import type { BackendServer, RequestClass, Service } from "@bramleymoor/model/spec";
@@ -12,6 +12,7 @@
 import { TicketIssuer } from "@bramleymoor/once/tickets";
 import { CallError } from "@bramleymoor/protocol/errors";
 import { startFakeBackend, type FakeBackend, type BackendBehavior } from "@bramleymoor/testkit/backend";
+import { startTextServer } from "@bramleymoor/testkit/textserver";
 import { LingerReset, type ExitReset } from "@bramleymoor/reset/exitreset";
 import { Observable } from "rxjs";
 import type { CallRecord } from "../src/observer.js";
@@ -268,24 +269,13 @@
     }: Partial<TestProxyOptions> & { readonly spoil?: (text: string) => string } = {},
 ): Promise<RawSetup> => {
     const requests: string[] = [];
-    const sockets = new Set<Socket>();
-    const server = createServer(socket => {
-        sockets.add(socket);
-        socket.on("error", () => undefined);
-        socket.on("data", chunk => {
-            const text = chunk.toString("latin1");
-            requests.push(text);
-            const id = /bm-send-id: (\S+)/.exec(text)?.[1] ?? "";
-            const rest = typeof response === "string" ? response : response();
-            socket.write(spoil(`HTTP/1.1 200 OK\r\nbm-send-id: ${id}\r\n${rest}`), "latin1");
-        });
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    t.after(() => {
-        sockets.forEach(it => it.destroy());
-        server.close();
+    const address = await startTextServer(t, text => {
+        requests.push(text);
+        const id = /bm-send-id: (\S+)/.exec(text)?.[1] ?? "";
+        const rest = typeof response === "string" ? response : response();
+        return spoil(`HTTP/1.1 200 OK\r\nbm-send-id: ${id}\r\n${rest}`);
     });
-    const proxy = await startProxy({ ports: [(server.address() as AddressInfo).port], ...options });
+    const proxy = await startProxy({ ports: [Number(address.split(":")[1])], ...options });
     t.after(() => proxy.server.stop(0));
     return { proxy, requests };
 };
