Operators' commands: an answer whose head isn't one of HTTP is none

What operators saw: `bramleymoor status` printed what came with an empty name, or with a blank in a name, as an entry VM's status, and took an entry VM that answers with the status 000 for one that answers.

Cause and change: as in the client for callers; the command says that the response is malformed, and why.

--- a/packages/cli/src/entryvms.ts
+++ b/packages/cli/src/entryvms.ts
@@ -2,6 +2,7 @@
 
 import { request, type IncomingMessage } from "node:http";
 import { readBody } from "@bramleymoor/input/readbody";
+import { receiveResponse } from "@bramleymoor/input/receive";
 import * as z from "zod";
 import { CliError } from "./exit.js";
 import type { Settings } from "./settings.js";
@@ -162,7 +163,11 @@
     new Promise((resolve, reject) => {
         const headers = { authorization: `Bearer ${key}`, connection: "close" };
         const signal = AbortSignal.timeout(responseTimeoutMs);
-        const req = request(`http://${address}${path}`, { headers, signal }, resolve);
+        const req = request(`http://${address}${path}`, { headers, signal });
+        receiveResponse(req, resolve, problem => {
+            reject(new Error(`malformed response: ${problem}`));
+            req.destroy();
+        });
         req.on("error", reject);
         req.end();
     });
