--- a/packages/entry/src/peerclient.ts
+++ b/packages/entry/src/peerclient.ts
@@ -6,6 +6,7 @@
 import { PacedAgent } from "@bramleymoor/input/pacedagent";
 import type { ReadPacer } from "@bramleymoor/input/pacer";
 import { readBody } from "@bramleymoor/input/readbody";
+import { receiveResponse } from "@bramleymoor/input/receive";
 import type { GossipMessage, GossipReply } from "@bramleymoor/membership/messages";
 import type { AddressResponse } from "@bramleymoor/protocol/messages";
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
@@ -113,7 +114,11 @@
         this.#bytes += url.length + Buffer.byteLength(body) + requestHeadBytes(headers);
         const res = await new Promise<IncomingMessage>((resolve, reject) => {
             const options = { method: init.method ?? "GET", headers, agent: this.#agent };
-            const req = request(url, signal ? { ...options, signal } : options, resolve);
+            const req = request(url, signal ? { ...options, signal } : options);
+            receiveResponse(req, resolve, problem => {
+                reject(new Error(`malformed response: ${problem}`));
+                req.destroy();
+            });
             limitInterimResponses(req, () => req.destroy(new Error("too many interim responses")));
             req.on("error", reject);
             req.end(body);
--- a/packages/entry/src/probesender.ts
+++ b/packages/entry/src/probesender.ts
@@ -5,6 +5,7 @@
 import { PacedAgent } from "@bramleymoor/input/pacedagent";
 import type { ReadPacer } from "@bramleymoor/input/pacer";
 import { readBody } from "@bramleymoor/input/readbody";
+import { receiveResponse } from "@bramleymoor/input/receive";
 import { probeDefaults } from "@bramleymoor/probing/budget";
 import type { ServiceLoadView } from "@bramleymoor/probing/prober";
 import { loadReportSchema, type LoadReport } from "@bramleymoor/protocol/messages";
@@ -102,13 +103,18 @@
             const id = this.#sendIds.next();
             const options = { agent: this.#agent, signal, headers: { [callHeaders.sendId]: id } };
             const req = request(`http://${address}${loadPath}`, options);
-            req.on("response", it => {
+            const fail = (reason: string): void => {
+                reject(new Error(reason));
+                req.destroy();
+            };
+            const onResponse = (it: IncomingMessage): void => {
                 if (isResponseTo(it, req, id)) {
                     resolve(it);
                 } else {
-                    req.destroy(new Error("the response to another send"));
+                    fail("the response to another send");
                 }
-            });
+            };
+            receiveResponse(req, onResponse, problem => fail(`malformed response: ${problem}`));
             limitInterimResponses(req, () => req.destroy(new Error("too many interim responses")));
             req.on("error", reject);
             req.end();
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -3,6 +3,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from "node:http";
 import { limitInterimResponses } from "@bramleymoor/input/interim";
 import { BodyTooLongError, readBody } from "@bramleymoor/input/readbody";
+import { receiveResponse } from "@bramleymoor/input/receive";
 import * as z from "zod";
 import { PlatformError, type LogBatch, type LogService } from "./log.js";
 import type { ListedVm, VmList } from "./vmlist.js";
@@ -151,7 +152,10 @@
             const options = { method: call.method, agent: this.#agent, signal, headers };
             const req: ClientRequest = request(url, options);
             limitInterimResponses(req, () => req.destroy(new Error("too many interim responses")));
-            req.on("response", resolve);
+            receiveResponse(req, resolve, problem => {
+                reject(new Error(`malformed response: ${problem}`));
+                req.destroy();
+            });
             req.on("error", reject);
             req.end(call.body);
         });
