--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -194,7 +194,10 @@
     /** Sends a response that has been read to its end. */
     #sendWhole(extraHeaders: () => readonly string[], body: Buffer): void {
         if (this.#endsConnection) {
-            this.#sent = this.#sendInTurn(extraHeaders, body).catch((err: unknown) => this.#breakOff(err));
+            this.#sent = this.#sendInTurn(extraHeaders, body).catch((err: unknown) => {
+                this.#options.onInternalError("relaying a response", err);
+                breakConnection(this.#to);
+            });
         } else {
             this.#writeHead(extraHeaders);
             this.#to.end(body);
@@ -225,12 +228,6 @@
         }
     }
 
-    /** Closes the connection of a response that an error keeps from being sent to its end. */
-    #breakOff(err: unknown): void {
-        this.#options.onInternalError("relaying a response", err);
-        breakConnection(this.#to);
-    }
-
     /**
      * A response whose turn hasn't come can still be replaced by an error, so its head waits for that.
      *
@@ -276,7 +273,7 @@
                 resolve("broken");
             };
             const fail = (err: unknown): void => {
-                this.#breakOff(err);
+                this.#options.onInternalError("relaying a response", err);
                 onBroken();
             };
             const writer = new GatheredWriter(to, () => from.pause());
