Heads are checked and written in one pass

Change: Buffer.indexOf and one expression look at a head, two listeners less are added for each response, and the headers that are written are gone through once.

--- a/packages/input/src/headlines.ts
+++ b/packages/input/src/headlines.ts
@@ -6,12 +6,8 @@
  * status line's end and either of them.
  */
 export class HeadLines {
-    /** Number of bytes of the head that is being read, final or interim. */
-    #headBytes = 0;
-    /** Number of bytes of its line that is being read. */
-    #lineBytes = 0;
-    #previous = 0;
-    #isInterim = false;
+    /** What has arrived of a head that isn't complete; undefined if nothing has. */
+    #begun: Buffer | undefined = undefined;
     #isComplete = false;
     #isBroken = false;
 
@@ -21,42 +17,38 @@
     }
 
     /** Reads what has arrived; does nothing behind the end of the final head. */
-    read(bytes: Uint8Array): void {
-        for (let i = 0; i < bytes.length && !this.#isComplete; i++) {
-            this.#readByte(bytes[i] ?? 0);
-        }
-    }
-
-    #readByte(byte: number): void {
-        if (this.#headBytes === 0 && (byte === cr || byte === lf)) {
-            // Empty lines may precede a message.
+    read(bytes: Buffer): void {
+        if (this.#isComplete) {
             return;
         }
-        if (this.#headBytes === statusAt) {
-            this.#isInterim = byte === digitOne;
-        }
-        this.#headBytes++;
-        this.#isBroken ||= (byte === lf) !== (this.#previous === cr);
-        this.#previous = byte;
-        if (byte === lf) {
-            this.#endLine();
-        } else if (byte !== cr) {
-            this.#lineBytes++;
-        }
+        let rest = this.#begun ? Buffer.concat([this.#begun, bytes]) : bytes;
+        do {
+            rest = rest.subarray(emptyLineBytes(rest));
+            const end = rest.indexOf(headEnd);
+            if (end < 0) {
+                this.#begun = rest;
+                return;
+            }
+            const head = rest.toString("latin1", 0, end + headEnd.length);
+            this.#isBroken ||= otherLineEnd.test(head);
+            this.#isComplete = head[statusAt] !== "1";
+            rest = rest.subarray(head.length);
+        } while (!this.#isComplete);
     }
+}
 
-    #endLine(): void {
-        const isHeadEnd = this.#lineBytes === 0;
-        this.#lineBytes = 0;
-        if (isHeadEnd) {
-            this.#headBytes = 0;
-            this.#isComplete = !this.#isInterim;
-        }
+/** Returns the number of bytes of the empty lines that may precede a message. */
+const emptyLineBytes = (bytes: Buffer): number => {
+    let count = 0;
+    while (bytes[count] === cr || bytes[count] === lf) {
+        count++;
     }
-}
+    return count;
+};
 
+const headEnd = "\r\n\r\n";
+const otherLineEnd = /\r(?!\n)|(?<!\r)\n/;
 const cr = 0x0d;
 const lf = 0x0a;
-const digitOne = 0x31;
-/** Where the status begins in "HTTP/1.1 200". */
+/** Where the status begins in "HTTP/1.1 200"; an interim one begins with 1. */
 const statusAt = 9;
--- a/packages/input/src/receive.ts
+++ b/packages/input/src/receive.ts
@@ -16,14 +16,11 @@
     onMalformed: (problem: string) => void,
 ): void => {
     const lines = new HeadLines();
-    req.once("socket", (socket: Socket) => {
-        const read = (chunk: Buffer): void => lines.read(chunk);
-        const stop = (): void => void socket.off("data", read);
-        // Before the parser reads it.
-        socket.prependListener("data", read);
-        req.once("response", stop).once("close", stop);
-    });
+    const read = (bytes: Buffer): void => lines.read(bytes);
+    // Before the parser reads it. A connection that gets no response isn't used again.
+    req.once("socket", (socket: Socket) => socket.prependListener("data", read));
     req.once("response", (res: IncomingMessage) => {
+        res.socket.off("data", read);
         const problem = findResponseHeadProblem(res) ?? lines.problem;
         if (problem === undefined) {
             onResponse(res);
--- a/packages/proxy/src/writtenheads.ts
+++ b/packages/proxy/src/writtenheads.ts
@@ -1,4 +1,4 @@
-/** Writes heads that are passed on. Node's parser accepts fields that its writer throws on. */
+/** Writes heads that are passed on. Node's parser accepts fields that its writer throws on, or changes. */
 
 import type { ServerResponse } from "node:http";
 import { isBodiless } from "@bramleymoor/input/heads";
@@ -9,12 +9,13 @@
  * @param headers names and values alternating
  */
 export const writeResponseHead = (to: ServerResponse, status: number, headers: readonly string[]): void => {
+    const split = splitHeaders(headers);
     const isInChunks =
+        split.length.length === 0 &&
         to.useChunkedEncodingByDefault &&
         to.req.method !== "HEAD" &&
-        !isBodiless(status) &&
-        !hasHeader(headers, "content-length");
-    to.writeHead(status, writableHeaders(headers, isInChunks));
+        !isBodiless(status);
+    to.writeHead(status, writableHeaders(split, isInChunks));
 };
 
 /**
@@ -22,31 +23,51 @@
  *
  * @param headers names and values alternating
  */
-export const writableRequestHeaders = (headers: readonly string[]): string[] =>
-    writableHeaders(headers, hasHeader(headers, "transfer-encoding"));
+export const writableRequestHeaders = (headers: readonly string[]): string[] => {
+    const split = splitHeaders(headers);
+    return writableHeaders(split, split.hasTransferEncoding);
+};
 
-/**
- * Returns headers as Node's writer accepts them and leaves them unchanged:
- * - without `Trailer` on a message that isn't in chunks, as such a message has no trailers;
- * - with `Content-Length` last, as Node decodes a `Content-Disposition` behind it, whose bytes may be none that it can write then.
- */
-const writableHeaders = (headers: readonly string[], isInChunks: boolean): string[] => {
-    const written: string[] = [];
-    const lengths: string[] = [];
+/** Headers, of which two are apart; names and values alternating. */
+interface SplitHeaders {
+    readonly others: readonly string[];
+    /** `Content-Length`. */
+    readonly length: readonly string[];
+    /** `Trailer`. */
+    readonly trailer: readonly string[];
+    readonly hasTransferEncoding: boolean;
+}
+
+const splitHeaders = (headers: readonly string[]): SplitHeaders => {
+    const others: string[] = [];
+    const length: string[] = [];
+    const trailer: string[] = [];
+    let hasTransferEncoding = false;
     for (let i = 0; i + 1 < headers.length; i += 2) {
         const name = headers[i] ?? "";
-        const value = headers[i + 1] ?? "";
+        let list = others;
         if (isNamed(name, "content-length")) {
-            lengths.push(name, value);
-        } else if (isInChunks || !isNamed(name, "trailer")) {
-            written.push(name, value);
+            list = length;
+        } else if (isNamed(name, "trailer")) {
+            list = trailer;
+        } else if (isNamed(name, "transfer-encoding")) {
+            hasTransferEncoding = true;
         }
+        list.push(name, headers[i + 1] ?? "");
     }
-    return [...written, ...lengths];
+    return { others, length, trailer, hasTransferEncoding };
 };
 
-const hasHeader = (headers: readonly string[], lowerCaseName: string): boolean =>
-    headers.some((it, i) => i % 2 === 0 && isNamed(it, lowerCaseName));
+/**
+ * Returns headers as Node's writer accepts them and leaves them unchanged:
+ * - without `Trailer` on a message that isn't in chunks, as such a message has no trailers;
+ * - with `Content-Length` last, as Node decodes a `Content-Disposition` behind it, whose bytes may be none that it can write then.
+ */
+const writableHeaders = ({ others, length, trailer }: SplitHeaders, isInChunks: boolean): string[] => [
+    ...others,
+    ...(isInChunks ? trailer : []),
+    ...length,
+];
 
 const isNamed = (name: string, lowerCaseName: string): boolean =>
     name.length === lowerCaseName.length && name.toLowerCase() === lowerCaseName;
